--- /dev/null
+++ b/cmd/coltsfootdrift/main.go
@@ -0,0 +1,13 @@
+// Command coltsfootdrift serves multi-stage model pipelines. Run it with --help
+// for its subcommands.
+package main
+
+import (
+	"os"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
