--- /dev/null
+++ b/internal/backend/http.go
@@ -0,0 +1,154 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// HTTPCaller calls backend servers over HTTP/1.1 with JSON and server-sent events.
+type HTTPCaller struct {
+	client *http.Client
+}
+
+// NewHTTPCaller returns a caller that sends requests over transport.
+func NewHTTPCaller(transport http.RoundTripper) *HTTPCaller {
+	return &HTTPCaller{client: &http.Client{Transport: transport}}
+}
+
+// NewTransport returns a transport for calls to backend servers. Idle
+// connections are kept per server, because each call is short compared with a
+// handshake between regions.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: 256,
+		IdleConnTimeout:     90 * time.Second,
+		DisableCompression:  true,
+	}
+}
+
+// Call sends one attempt and returns its answer as a stream.
+func (h *HTTPCaller) Call(ctx context.Context, server Server, request StageRequest) (StageStream, error) {
+	ctx, cancel := context.WithTimeout(ctx, request.Timeout)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	httpRequest, err := newRequest(httptrace.WithClientTrace(ctx, trace), server, request)
+	if err != nil {
+		cancel()
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	response, err := h.client.Do(httpRequest)
+	if err != nil {
+		cancel()
+		return nil, transportError(err, connected.Load())
+	}
+	stream, err := newStream(response, request)
+	if err != nil {
+		cancel()
+		return nil, errors.Join(err, response.Body.Close())
+	}
+	return &cancelStream{StageStream: stream, cancel: cancel}, nil
+}
+
+func newRequest(ctx context.Context, server Server, request StageRequest) (*http.Request, error) {
+	body, err := json.Marshal(Body{
+		Organisation: request.Organisation,
+		Pipeline:     request.Pipeline,
+		Kind:         request.Kind,
+		Class:        string(request.Class),
+		Model:        request.Model,
+		PrefixKey:    request.PrefixKey,
+		MaxTokens:    request.MaxTokens,
+		ResumeOffset: request.ResumeOffset,
+		Input:        request.Input,
+	})
+	if err != nil {
+		return nil, err
+	}
+	url := "http://" + server.Address + PathStage + string(request.Type)
+	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	httpRequest.Header.Set("Content-Type", "application/json")
+	httpRequest.Header.Set(HeaderAttempt, request.Attempt)
+	httpRequest.Header.Set(HeaderTimeout, strconv.FormatInt(request.Timeout.Milliseconds(), 10)+"m")
+	httpRequest.Header.Set(HeaderPriority, "u="+strconv.Itoa(request.Priority))
+	return httpRequest, nil
+}
+
+// transportError classifies an error without a response. Once a connection was
+// assigned, bytes may have left.
+func transportError(err error, connected bool) error {
+	if connected {
+		return fmt.Errorf("%w: %w", ErrMayHaveRun, err)
+	}
+	return fmt.Errorf("%w: %w", ErrNotSent, err)
+}
+
+// newStream turns a response into a stream, or into the error it stands for.
+func newStream(response *http.Response, request StageRequest) (StageStream, error) {
+	if response.StatusCode != http.StatusOK {
+		return nil, statusError(response)
+	}
+	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if err != nil {
+		return nil, fmt.Errorf("%w: content type: %w", ErrBadAnswer, err)
+	}
+	switch mediaType {
+	case "application/json":
+		return newAnswerStream(response.Body, request)
+	case "text/event-stream":
+		return newEventStream(response.Body, request), nil
+	default:
+		return nil, fmt.Errorf("%w: content type %q", ErrBadAnswer, mediaType)
+	}
+}
+
+const maxRefusalBytes = 64 << 10
+
+// statusError maps a status other than 200. Only a body that says so makes a
+// 503 or 429 a refusal: an intermediary may send the same status after the
+// request ran.
+func statusError(response *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
+	if err != nil {
+		return fmt.Errorf("%w: status %d: %w", ErrMayHaveRun, response.StatusCode, err)
+	}
+	var refusal Refusal
+	if json.Unmarshal(body, &refusal) == nil && refusal.Refused {
+		return refusalError(response.StatusCode, refusal)
+	}
+	return fmt.Errorf("%w: status %d", ErrMayHaveRun, response.StatusCode)
+}
+
+func refusalError(status int, refusal Refusal) error {
+	switch {
+	case refusal.Draining:
+		return ErrDraining
+	case status >= 400 && status < 500 && status != http.StatusTooManyRequests:
+		return fmt.Errorf("%w: status %d", ErrInvalid, status)
+	default:
+		return fmt.Errorf("%w: status %d", ErrRefused, status)
+	}
+}
+
+// cancelStream releases the call's context when the stream is closed.
+type cancelStream struct {
+	StageStream
+	cancel func()
+}
+
+func (s *cancelStream) Close() error {
+	s.cancel()
+	return s.StageStream.Close()
+}
--- /dev/null
+++ b/internal/backend/stream.go
@@ -0,0 +1,122 @@
+package backend
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"iter"
+
+	"github.com/tmaxmax/go-sse"
+)
+
+// maxEventBytes bounds one server-sent event.
+const maxEventBytes = 4 << 20
+
+// answerStream is a whole JSON answer as a stream of one piece.
+type answerStream struct {
+	output json.RawMessage
+	read   bool
+	body   io.Closer
+}
+
+func newAnswerStream(body io.ReadCloser, request StageRequest) (StageStream, error) {
+	data, err := io.ReadAll(io.LimitReader(body, request.MaxAnswerBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
+	}
+	if int64(len(data)) > request.MaxAnswerBytes {
+		return nil, fmt.Errorf("%w: answer exceeds %d bytes", ErrBadAnswer, request.MaxAnswerBytes)
+	}
+	var answer Answer
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
+	}
+	if answer.Attempt != request.Attempt {
+		return nil, fmt.Errorf("%w: answer of attempt %q", ErrBadAnswer, answer.Attempt)
+	}
+	return &answerStream{output: answer.Output, body: body}, nil
+}
+
+func (s *answerStream) Next() ([]byte, error) {
+	if s.read {
+		return nil, io.EOF
+	}
+	s.read = true
+	return s.output, nil
+}
+
+func (s *answerStream) Close() error {
+	return s.body.Close()
+}
+
+// eventStream reads a generated stream of server-sent events.
+type eventStream struct {
+	request StageRequest
+	body    io.Closer
+	next    func() (sse.Event, error, bool)
+	stop    func()
+	// offset is the number of bytes of the whole stream received so far.
+	offset int64
+}
+
+func newEventStream(body io.ReadCloser, request StageRequest) *eventStream {
+	next, stop := iter.Pull2(sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}))
+	return &eventStream{request: request, body: body, next: next, stop: stop, offset: request.ResumeOffset}
+}
+
+func (s *eventStream) Next() ([]byte, error) {
+	event, err, ok := s.next()
+	if !ok {
+		return nil, fmt.Errorf("%w: stream ended without an end mark", ErrBadAnswer)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
+	}
+	switch event.Type {
+	case EventChunk:
+		return s.chunk(event.Data)
+	case EventEnd:
+		return nil, s.end(event.Data)
+	default:
+		return nil, fmt.Errorf("%w: event %q", ErrBadAnswer, event.Type)
+	}
+}
+
+func (s *eventStream) chunk(data string) ([]byte, error) {
+	var chunk StreamChunk
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
+	}
+	if chunk.Attempt != s.request.Attempt {
+		return nil, fmt.Errorf("%w: chunk of attempt %q", ErrBadAnswer, chunk.Attempt)
+	}
+	if chunk.Offset != s.offset {
+		return nil, fmt.Errorf("%w: chunk at offset %d, want %d", ErrBadAnswer, chunk.Offset, s.offset)
+	}
+	s.offset += int64(len(chunk.Data))
+	if s.offset > s.request.MaxAnswerBytes {
+		return nil, fmt.Errorf("%w: answer exceeds %d bytes", ErrBadAnswer, s.request.MaxAnswerBytes)
+	}
+	return []byte(chunk.Data), nil
+}
+
+// end checks the end mark and returns io.EOF for a whole answer.
+func (s *eventStream) end(data string) error {
+	var end StreamEnd
+	if err := json.Unmarshal([]byte(data), &end); err != nil {
+		return fmt.Errorf("%w: %w", ErrBadAnswer, err)
+	}
+	if end.Attempt != s.request.Attempt {
+		return fmt.Errorf("%w: end mark of attempt %q", ErrBadAnswer, end.Attempt)
+	}
+	if end.Bytes != s.offset {
+		return fmt.Errorf("%w: %d bytes received, end mark says %d", ErrBadAnswer, s.offset, end.Bytes)
+	}
+	return io.EOF
+}
+
+func (s *eventStream) Close() error {
+	err := s.body.Close()
+	s.stop()
+	return err
+}
--- /dev/null
+++ b/internal/events/entry.go
@@ -0,0 +1,14 @@
+package events
+
+import "log/slog"
+
+// Events of an entry instance, 1000 to 1999.
+var (
+	EntryStarted    = define(1000, slog.LevelInfo, "entry instance started")
+	EntryReady      = define(1001, slog.LevelInfo, "entry instance is ready")
+	EntryStopping   = define(1002, slog.LevelInfo, "shutdown started, readiness withdrawn")
+	EntryStopped    = define(1003, slog.LevelInfo, "entry instance stopped")
+	RequestFinished = define(1100, slog.LevelDebug, "request finished")
+	StageRetried    = define(1101, slog.LevelInfo, "stage failed and is tried on another backend server")
+	ListUnavailable = define(1200, slog.LevelWarn, "instance list could not be read")
+)
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,80 @@
+// Package platform reads the platform's list of instances and backend servers.
+// The list lags behind the truth and is a hint only.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// State is the state of a listed process.
+type State string
+
+// States of a listed process.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// Role tells entry instances from backend servers.
+type Role string
+
+// Roles of a listed process.
+const (
+	RoleEntry   Role = "entry"
+	RoleBackend Role = "backend"
+)
+
+// Member is one listed process.
+type Member struct {
+	ID            string `json:"id"`
+	Role          Role   `json:"role"`
+	Address       string `json:"address"`
+	Pool          string `json:"pool,omitempty"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	State         State  `json:"state"`
+	Incarnation   int64  `json:"incarnation,omitempty"`
+}
+
+// ErrUnavailable reports that the list could not be read.
+var ErrUnavailable = errors.New("instance list is unavailable")
+
+// Lister reads the list.
+type Lister interface {
+	List(ctx context.Context) ([]Member, error)
+}
+
+// PathList is the path of the list in the HTTP wire form.
+const PathList = "/v1/instances"
+
+// HTTPLister reads the list over HTTP.
+type HTTPLister struct {
+	Client *http.Client
+	// Address is the IP number and port of the platform.
+	Address string
+}
+
+// List returns the members that the platform knows.
+func (l *HTTPLister) List(ctx context.Context) ([]Member, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.Address+PathList, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	response, err := l.Client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, response.StatusCode)
+	}
+	var members []Member
+	if err := json.NewDecoder(response.Body).Decode(&members); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return members, nil
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,87 @@
+// Package store reaches the platform's key-value service: compare-and-swap,
+// leases and watches. Store is the interface the rest of the system uses; one
+// adapter per wire form implements it.
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// MaxValueBytes is the largest value the service holds.
+const MaxValueBytes = 1 << 20
+
+// Version orders writes over the whole store. 0 means that the key is absent.
+type Version int64
+
+// LeaseID names a lease. 0 means no lease.
+type LeaseID int64
+
+// Entry is one key with its value.
+type Entry struct {
+	Key     string
+	Value   []byte
+	Version Version
+	// Lease deletes the key when it lapses; 0 for a key without a lease.
+	Lease LeaseID
+}
+
+// WatchResult is what one long poll returned.
+type WatchResult struct {
+	// Changed holds the entries written after the version that was asked for.
+	Changed []Entry
+	// Deleted holds the keys deleted after that version.
+	Deleted []string
+	// Version is where the next poll starts.
+	Version Version
+}
+
+// Errors of a store call. Each says what is known of the write.
+var (
+	// ErrNotFound reports an absent key or a lapsed lease.
+	ErrNotFound = errors.New("key or lease does not exist")
+	// ErrUnavailable reports a call that did not take effect.
+	ErrUnavailable = errors.New("store is unavailable")
+	// ErrUnknownOutcome reports a write that may have taken effect. The caller
+	// reads back to find out.
+	ErrUnknownOutcome = errors.New("outcome of the write is unknown")
+	// ErrTooLarge reports a value over MaxValueBytes.
+	ErrTooLarge = errors.New("value exceeds the store's limit")
+)
+
+// ConflictError reports a compare-and-swap that was not carried out because the
+// key has another version.
+type ConflictError struct {
+	Key string
+	// Current is the version the key has, 0 when it is absent.
+	Current Version
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("key %q has version %d", e.Key, e.Current)
+}
+
+// Store is the platform's key-value service.
+type Store interface {
+	// Get returns one entry, or ErrNotFound.
+	Get(ctx context.Context, key string) (Entry, error)
+	// List returns up to limit entries with the prefix and a key after the given
+	// one, in key order.
+	List(ctx context.Context, prefix, after string, limit int) ([]Entry, error)
+	// CompareAndSwap writes value if the key has the expected version. Expect 0
+	// creates the key. It returns the new version.
+	CompareAndSwap(ctx context.Context, key string, expect Version, value []byte, lease LeaseID) (Version, error)
+	// Delete removes the key if it has the expected version.
+	Delete(ctx context.Context, key string, expect Version) error
+	// GrantLease creates a lease that lapses after ttl unless it is kept alive.
+	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive extends a lease by its ttl, or returns ErrNotFound.
+	KeepAlive(ctx context.Context, lease LeaseID) error
+	// RevokeLease ends a lease and deletes its keys.
+	RevokeLease(ctx context.Context, lease LeaseID) error
+	// Watch waits until a key with the prefix changes after the given version, or
+	// until the service ends the poll with an unchanged version.
+	Watch(ctx context.Context, prefix string, after Version) (WatchResult, error)
+}
--- /dev/null
+++ b/pipeline/order_test.go
@@ -0,0 +1,34 @@
+package pipeline
+
+import (
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a stage that runs before the stages whose results it reads.
+func TestOrderFollowsPredecessors(t *testing.T) {
+	c := qt.New(t)
+	p := Pipeline{Name: "p", Stages: []Stage{
+		{Name: "answer", After: []string{"rank", "fetch"}},
+		{Name: "rank", After: []string{"fetch"}},
+		{Name: "fetch", After: []string{"encode"}},
+		{Name: "encode"},
+	}}
+	p.Stages[3].After = nil
+	// The last stage of the file reads its neighbour unless it says otherwise.
+	_, err := p.Order()
+	var cycle *CycleError
+	c.Assert(errors.As(err, &cycle), qt.IsTrue)
+
+	p.Stages = []Stage{
+		{Name: "encode"},
+		{Name: "answer", After: []string{"rank", "fetch"}},
+		{Name: "rank", After: []string{"fetch"}},
+		{Name: "fetch", After: []string{"encode"}},
+	}
+	order, err := p.Order()
+	c.Assert(err, qt.IsNil)
+	c.Assert(order, qt.DeepEquals, []int{0, 3, 2, 1})
+}
--- /dev/null
+++ b/pipeline/pipeline.go
@@ -0,0 +1,226 @@
+// Package pipeline holds the typed model of the operators' files: deployments,
+// pipelines, stages, request kinds and organisations, and the rules they keep.
+// It does no I/O.
+package pipeline
+
+import "time"
+
+// StageType names the protocol of a stage's backend servers.
+type StageType string
+
+// Stage types.
+const (
+	StageEncode   StageType = "encode"
+	StageRetrieve StageType = "retrieve"
+	StageRerank   StageType = "rerank"
+	StageGenerate StageType = "generate"
+	StageService  StageType = "service"
+)
+
+// Repeat says whether a request kind may run more than once.
+type Repeat string
+
+// Repeat policies.
+const (
+	RepeatIdempotent Repeat = "idempotent"
+	RepeatAtMostOnce Repeat = "at_most_once"
+)
+
+// Class separates short work from long work in queues and slots.
+type Class string
+
+// Classes, in order of precedence.
+const (
+	ClassInteractive Class = "interactive"
+	ClassNormal      Class = "normal"
+	ClassLong        Class = "long"
+)
+
+// Bounds on the number of stages of one pipeline.
+const (
+	MinStages = 1
+	MaxStages = 6
+)
+
+// Stage is one step of a pipeline.
+type Stage struct {
+	Name string    `json:"name"`
+	Type StageType `json:"type"`
+	// Pool names the pool of backend servers that serve the stage.
+	Pool string `json:"pool"`
+	// Model is the model an engine must have loaded; empty for other stage types.
+	Model string `json:"model,omitempty"`
+	// After lists the stages whose results this stage reads. Empty means the
+	// preceding stage of the file, or the caller's body for the first one.
+	After []string `json:"after,omitempty"`
+	// Once marks a call that must not be sent twice.
+	Once bool `json:"once,omitempty"`
+	// MaxAnswerBytes bounds the stage's result; 0 means DefaultMaxAnswerBytes.
+	MaxAnswerBytes int64 `json:"max_answer_bytes,omitempty"`
+}
+
+// DefaultMaxAnswerBytes bounds the result of a stage that sets no bound.
+const DefaultMaxAnswerBytes int64 = 16 << 20
+
+// AnswerLimit returns the bound on the stage's result in bytes.
+func (s Stage) AnswerLimit() int64 {
+	if s.MaxAnswerBytes == 0 {
+		return DefaultMaxAnswerBytes
+	}
+	return s.MaxAnswerBytes
+}
+
+// Cost bounds what one request may use.
+type Cost struct {
+	// Tokens bounds the generated tokens; 0 means no bound.
+	Tokens int `json:"tokens,omitempty"`
+	// LinkBytes bounds the bytes sent and received over the link between
+	// regions; 0 means that the request stays in its region.
+	LinkBytes int64 `json:"link_bytes,omitempty"`
+}
+
+// Kind is a request kind of a pipeline.
+type Kind struct {
+	Name   string `json:"name"`
+	Repeat Repeat `json:"repeat"`
+	Class  Class  `json:"class"`
+	// MaxWaitMS is the longest deadline in milliseconds, and the deadline of a
+	// request that names none.
+	MaxWaitMS int64 `json:"max_wait_ms"`
+	// Priority orders requests of one class; a higher one goes first.
+	Priority int  `json:"priority,omitempty"`
+	Cost     Cost `json:"cost"`
+	// Durable kinds are accepted only with a record in the store and may be
+	// fetched later.
+	Durable bool `json:"durable,omitempty"`
+	// RetentionMS is how long the answer to an idempotency key, or of a durable
+	// request, is kept; 0 means DefaultRetention.
+	RetentionMS int64 `json:"retention_ms,omitempty"`
+}
+
+// DefaultRetention is how long recorded answers are kept.
+const DefaultRetention = time.Hour
+
+// MaxWait returns the longest deadline of the kind.
+func (k Kind) MaxWait() time.Duration {
+	return time.Duration(k.MaxWaitMS) * time.Millisecond
+}
+
+// Retention returns how long recorded answers of the kind are kept.
+func (k Kind) Retention() time.Duration {
+	if k.RetentionMS == 0 {
+		return DefaultRetention
+	}
+	return time.Duration(k.RetentionMS) * time.Millisecond
+}
+
+// AtMostOnce reports whether a request of the kind must never run twice.
+func (k Kind) AtMostOnce() bool {
+	return k.Repeat == RepeatAtMostOnce
+}
+
+// Pipeline is a named chain of stages and the request kinds that use it.
+type Pipeline struct {
+	Name   string  `json:"pipeline"`
+	Stages []Stage `json:"stages"`
+	Kinds  []Kind  `json:"kinds"`
+}
+
+// Kind returns the kind with the given name.
+func (p *Pipeline) Kind(name string) (Kind, bool) {
+	for _, kind := range p.Kinds {
+		if kind.Name == name {
+			return kind, true
+		}
+	}
+	return Kind{}, false
+}
+
+// Organisation is a customer and its share of the system.
+type Organisation struct {
+	Name string `json:"name"`
+	// RequestsPerSecond is the sustained rate; 0 means no limit of its own.
+	RequestsPerSecond float64 `json:"requests_per_second,omitempty"`
+	// Burst is the number of requests above the rate that may come at once.
+	Burst int `json:"burst,omitempty"`
+	// Weight is the organisation's share under contention; 0 means 1.
+	Weight int `json:"weight,omitempty"`
+}
+
+// Region is a group of failure domains with short delays between them.
+type Region struct {
+	Name           string   `json:"name"`
+	FailureDomains []string `json:"failure_domains"`
+}
+
+// Pool is a set of equivalent backend servers.
+type Pool struct {
+	Name string    `json:"name"`
+	Type StageType `json:"type"`
+	// Slots is the number of requests that one backend server runs at once.
+	Slots int `json:"slots"`
+	// Models lists what each engine of the pool must have loaded.
+	Models []string `json:"models,omitempty"`
+	// FencesOrders is true when the engines refuse orders with an old fencing number.
+	FencesOrders bool `json:"fences_orders,omitempty"`
+}
+
+// Deployment describes what pipelines share.
+type Deployment struct {
+	Name    string   `json:"deployment"`
+	Regions []Region `json:"regions"`
+	Pools   []Pool   `json:"pools"`
+	// LinkMbits is the capacity of the link between regions, each way, in megabits per second.
+	LinkMbits float64 `json:"link_mbits"`
+	// WeightLoadsPerMinute is the rate limit of the weight store.
+	WeightLoadsPerMinute float64        `json:"weight_loads_per_minute,omitempty"`
+	Organisations        []Organisation `json:"organisations"`
+}
+
+// Set is a complete configuration: one deployment and its pipelines.
+type Set struct {
+	Deployment Deployment `json:"deployment"`
+	Pipelines  []Pipeline `json:"pipelines"`
+}
+
+// Pipeline returns the pipeline with the given name.
+func (s *Set) Pipeline(name string) (*Pipeline, bool) {
+	for i := range s.Pipelines {
+		if s.Pipelines[i].Name == name {
+			return &s.Pipelines[i], true
+		}
+	}
+	return nil, false
+}
+
+// Pool returns the pool with the given name.
+func (s *Set) Pool(name string) (Pool, bool) {
+	for _, pool := range s.Deployment.Pools {
+		if pool.Name == name {
+			return pool, true
+		}
+	}
+	return Pool{}, false
+}
+
+// Organisation returns the organisation with the given name.
+func (s *Set) Organisation(name string) (Organisation, bool) {
+	for _, organisation := range s.Deployment.Organisations {
+		if organisation.Name == name {
+			return organisation, true
+		}
+	}
+	return Organisation{}, false
+}
+
+// RegionOf returns the region of a failure domain.
+func (s *Set) RegionOf(failureDomain string) (string, bool) {
+	for _, region := range s.Deployment.Regions {
+		for _, name := range region.FailureDomains {
+			if name == failureDomain {
+				return region.Name, true
+			}
+		}
+	}
+	return "", false
+}
