--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -17,27 +17,56 @@
 	ExitInvalid = 3 // settings or operators' files have mistakes
 )
 
+// ErrInvalid reports settings or operators' files with mistakes that the
+// command has already printed.
+var ErrInvalid = errors.New("the files have mistakes")
+
+// streams are the outputs of a command.
+type streams struct {
+	stdout, stderr io.Writer
+}
+
+// command is one subcommand; handler is a struct with go-flags tags.
+type command struct {
+	name, short, long string
+	handler           flags.Commander
+}
+
+// commands lists the subcommands in the order of the help text.
+func commands(s streams) []command {
+	return []command{
+		{"entry", "run an entry instance", entryHelp, &entryCommand{streams: s}},
+	}
+}
+
 // Run parses arguments, executes one subcommand and returns its exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
 	parser := flags.NewNamedParser("coltsfootdrift", flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range commands(streams{stdout, stderr}) {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.handler); err != nil {
+			return exitCode(err, stdout, stderr)
+		}
+	}
 	_, err := parser.ParseArgs(args)
 	return exitCode(err, stdout, stderr)
 }
 
 // exitCode reports err to the user and maps it to an exit code.
 func exitCode(err error, stdout, stderr io.Writer) int {
-	if err == nil {
-		return ExitOK
-	}
 	var usage *flags.Error
-	if errors.As(err, &usage) {
-		if usage.Type == flags.ErrHelp {
-			fmt.Fprintln(stdout, usage.Message)
-			return ExitOK
-		}
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(stdout, usage.Message)
+		return ExitOK
+	case errors.As(err, &usage):
 		fmt.Fprintln(stderr, usage.Message)
 		return ExitUsage
+	case errors.Is(err, ErrInvalid):
+		return ExitInvalid
+	default:
+		fmt.Fprintln(stderr, "coltsfootdrift:", err)
+		return ExitFailed
 	}
-	fmt.Fprintln(stderr, "coltsfootdrift:", err)
-	return ExitFailed
 }
--- /dev/null
+++ b/internal/cli/entry.go
@@ -0,0 +1,34 @@
+package cli
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+)
+
+const entryHelp = `Runs an entry instance until SIGTERM or SIGINT. It then withdraws its
+readiness, finishes running requests and exits with 0.`
+
+// entryCommand runs the daemon.
+type entryCommand struct {
+	streams
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"settings file, JSON with comments"`
+}
+
+// Execute runs the daemon until a signal stops it.
+func (c *entryCommand) Execute([]string) error {
+	read, err := settings.Read(c.Settings)
+	if err != nil {
+		return err
+	}
+	app := entry.New(read, slog.New(slog.NewJSONHandler(c.stderr, nil)))
+	if err := app.Start(context.Background()); err != nil {
+		return err
+	}
+	<-app.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	return app.Stop(ctx)
+}
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+)
+
+const (
+	deploymentFile = `{"deployment": "test", "regions": [{"name": "r", "failure_domains": ["r-a"]}],
+		"pools": [{"name": "encoders", "type": "encode", "slots": 4}, {"name": "engines", "type": "generate", "slots": 4}],
+		"organisations": [{"name": "acme"}]}`
+	pipelineFile = `{"pipeline": "notes", // two stages
+		"stages": [{"name": "encode", "type": "encode", "pool": "encoders"}, {"name": "draft", "type": "generate", "pool": "engines"}],
+		"kinds": [{"name": "note", "repeat": "idempotent", "class": "normal", "max_wait_ms": 10000, "cost": {}}]}`
+	largeAnswerBytes = 1 << 20
+)
+
+// Guards against a streamed answer that arrives cut off, reordered or without
+// its end mark after passing through two stages.
+func TestStreamedAnswerArrivesWhole(t *testing.T) {
+	c := qt.New(t)
+	address := startEntry(c)
+	url := "http://" + address + "/v1/organisations/acme/pipelines/notes/kinds/note"
+	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(`{"text": "hello"}`))
+	c.Assert(err, qt.IsNil)
+	request.Header.Set("Accept", "text/event-stream")
+	response, err := http.DefaultClient.Do(request)
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+
+	var answer strings.Builder
+	var end End
+	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: largeAnswerBytes}) {
+		c.Assert(err, qt.IsNil)
+		if event.Type == EventEnd {
+			c.Assert(json.Unmarshal([]byte(event.Data), &end), qt.IsNil)
+			continue
+		}
+		var piece string
+		c.Assert(json.Unmarshal([]byte(event.Data), &piece), qt.IsNil)
+		answer.WriteString(piece)
+	}
+	c.Assert(end.Outcome, qt.Equals, OutcomeCompleted)
+	c.Assert(end.Bytes, qt.Equals, int64(largeAnswerBytes))
+	line, _, _ := strings.Cut(answer.String(), "\n")
+	c.Assert(answer.String() == standin.GeneratedText(line, largeAnswerBytes), qt.IsTrue)
+}
+
+// startEntry runs an entry instance with two pools of stand-ins and returns its
+// caller address.
+func startEntry(c *qt.C) string {
+	encoder := serve(c, standin.NewBackend(standin.BackendConfig{ID: "e1", Slots: 4}).Handler())
+	engine := serve(c, standin.NewBackend(standin.BackendConfig{
+		ID: "g1", Slots: 4, AnswerBytes: largeAnswerBytes, ChunkBytes: 4096, ServiceTime: 10 * time.Millisecond,
+	}).Handler())
+	list := &standin.Platform{}
+	list.Set([]platform.Member{
+		{ID: "e1", Role: platform.RoleBackend, Address: encoder, Pool: "encoders", State: platform.StateLive},
+		{ID: "g1", Role: platform.RoleBackend, Address: engine, Pool: "engines", State: platform.StateLive},
+	})
+	files := c.TempDir()
+	c.Assert(os.WriteFile(filepath.Join(files, "deployment.jsonc"), []byte(deploymentFile), 0o600), qt.IsNil)
+	c.Assert(os.WriteFile(filepath.Join(files, "notes.pipeline.jsonc"), []byte(pipelineFile), 0o600), qt.IsNil)
+
+	entry := settings.Entry{
+		Instance: "entry-1", CallerAddress: freeAddress(c), AdminAddress: freeAddress(c),
+		PlatformAddress: serve(c, list.Handler()), PipelineFiles: files,
+	}
+	app := New(entry, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c.Assert(app.Err(), qt.IsNil)
+	c.Assert(app.Start(c.Context()), qt.IsNil)
+	c.Cleanup(func() { c.Check(app.Stop(context.Background()), qt.IsNil) })
+	return entry.CallerAddress
+}
+
+func serve(c *qt.C, handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	c.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(c *qt.C) string {
+	server := httptest.NewServer(nil)
+	defer server.Close()
+	return server.Listener.Addr().String()
+}
--- /dev/null
+++ b/internal/entry/problem.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Outcome says what became of a request.
+type Outcome string
+
+// Outcomes.
+const (
+	// OutcomeCompleted means that the whole answer was delivered.
+	OutcomeCompleted Outcome = "completed"
+	// OutcomeNotRun means that no backend server ran any stage of the request.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeFailed means that a stage ran, that there is no answer, and that no
+	// non-idempotent call can have run.
+	OutcomeFailed Outcome = "failed"
+	// OutcomeUnknown means that a non-idempotent call may have run.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// HeaderOutcome carries the outcome of an answer that is not streamed.
+const HeaderOutcome = "Coltsfootdrift-Outcome"
+
+// Problem is an error answer to a caller, as problem details (RFC 9457).
+type Problem struct {
+	Type    string  `json:"type"`
+	Title   string  `json:"title"`
+	Status  int     `json:"status"`
+	Detail  string  `json:"detail,omitempty"`
+	Outcome Outcome `json:"outcome"`
+	// RetryAfterMS is when the caller may come back, in milliseconds; 0 for no hint.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+}
+
+// Problem types, as URIs relative to the documentation.
+const (
+	ProblemInvalid     = "/problems/invalid-request"
+	ProblemNotFound    = "/problems/not-found"
+	ProblemDeadline    = "/problems/deadline"
+	ProblemUnavailable = "/problems/unavailable"
+	ProblemStage       = "/problems/stage-failed"
+)
+
+func (p *Problem) Error() string {
+	return p.Title + ": " + p.Detail
+}
+
+// notRun returns the problem of a request that was refused before any stage ran.
+func notRun(status int, kind, title, detail string) *Problem {
+	return &Problem{Type: kind, Title: title, Status: status, Detail: detail, Outcome: OutcomeNotRun}
+}
+
+// write sends the problem as the whole answer.
+func (p *Problem) write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Set(HeaderOutcome, string(p.Outcome))
+	if p.RetryAfterMS > 0 {
+		seconds := math.Ceil((time.Duration(p.RetryAfterMS) * time.Millisecond).Seconds())
+		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
