Write no failure files from property tests

Cause: rapid writes its failure files beside the package, where they would be committed by accident; a mutation run left one behind. Change: internal/fixedseed turns them off; the fixed seed repeats a failure.

--- a/internal/fixedseed/fixedseed.go
+++ b/internal/fixedseed/fixedseed.go
@@ -1,6 +1,7 @@
 // Package fixedseed gives property tests a fixed seed, so that each run of the
 // tests has the same verdict. A test package imports it for its effect. A seed
-// on the command line (-rapid.seed) goes first.
+// on the command line (-rapid.seed) goes first. Files of failures are not
+// written, because the seed repeats them.
 package fixedseed
 
 import (
@@ -14,7 +15,9 @@
 const seed = "20261204"
 
 func init() {
-	if err := flag.Set("rapid.seed", seed); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": seed, "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 }
