Reach the store over HTTP within a call budget and read the boot-time clock

Cause: claims, jobs and leases need the store, whose rates are limited, whose answers can be lost and which can be down. A status of 429 starts the backoff like an outage. Conclusion: net/http does not resend a PUT by itself even with a body that it could rewind, so hiding the body is a second guard that no test can tell apart.

--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,28 @@
+// Package clock reads the boot-time clock, which counts the time during which
+// the machine was suspended. Leases and claims are measured with it.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Clock gives the current time.
+type Clock interface {
+	Now() time.Time
+}
+
+// Boot is the clock CLOCK_BOOTTIME. Its times are comparable only with each
+// other and within one machine.
+type Boot struct{}
+
+// Now returns the time since boot, counted from the Unix epoch. It carries no
+// monotonic reading, so that differences use the boot time alone.
+func (Boot) Now() time.Time {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		panic("clock: CLOCK_BOOTTIME is not supported: " + err.Error())
+	}
+	return time.Unix(now.Unix())
+}
--- /dev/null
+++ b/internal/store/http.go
@@ -0,0 +1,212 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// maxIdleConnections bounds the idle connections to the store. An instance has
+// at most one write in flight per claim shard and few other calls.
+const maxIdleConnections = 32
+
+// maxAnswerBytes bounds one answer. A list returns whole values.
+const maxAnswerBytes = 64 << 20
+
+// HTTP is the Store adapter for the HTTP wire form.
+type HTTP struct {
+	client  *http.Client
+	address string
+	// watchWait is how long a watch asks the service to wait.
+	watchWait time.Duration
+}
+
+// defaultWatchWait is shorter than the idle timeout that network equipment
+// commonly applies to connections.
+const defaultWatchWait = 30 * time.Second
+
+// NewHTTP returns an adapter for the service at address, IP number and port.
+func NewHTTP(address string) *HTTP {
+	client := &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: time.Minute},
+		// A redirect of kind 307 or 308 would send a write a second time.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return &HTTP{client: client, address: address, watchWait: defaultWatchWait}
+}
+
+// Get returns one entry, or ErrNotFound.
+func (s *HTTP) Get(ctx context.Context, key string) (Entry, error) {
+	var entry WireEntry
+	err := s.read(ctx, PathKeys+key, nil, &entry)
+	return entry.Entry(), err
+}
+
+// List returns up to limit entries with the prefix and a key after the given one.
+func (s *HTTP) List(ctx context.Context, prefix, after string, limit int) ([]Entry, error) {
+	var list WireList
+	query := url.Values{ParamPrefix: {prefix}, ParamAfter: {after}, ParamLimit: {strconv.Itoa(limit)}}
+	if err := s.read(ctx, PathList, query, &list); err != nil {
+		return nil, err
+	}
+	return entries(list.Entries), nil
+}
+
+// CompareAndSwap writes value if the key has the expected version.
+func (s *HTTP) CompareAndSwap(ctx context.Context, key string, expect Version, value []byte, lease LeaseID) (Version, error) {
+	if len(value) > MaxValueBytes {
+		return 0, ErrTooLarge
+	}
+	var written WireWrite
+	query := url.Values{ParamExpect: {formatID(expect)}}
+	if lease != 0 {
+		query.Set(ParamLease, formatID(lease))
+	}
+	err := s.write(ctx, http.MethodPut, PathKeys+key, query, value, &written)
+	return written.Version, err
+}
+
+// Delete removes the key if it has the expected version.
+func (s *HTTP) Delete(ctx context.Context, key string, expect Version) error {
+	query := url.Values{ParamExpect: {formatID(expect)}}
+	return s.write(ctx, http.MethodDelete, PathKeys+key, query, nil, nil)
+}
+
+// GrantLease creates a lease that lapses after ttl unless it is kept alive.
+func (s *HTTP) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	body, err := json.Marshal(WireGrant{TTLMS: ttl.Milliseconds()})
+	if err != nil {
+		return 0, err
+	}
+	var granted WireLease
+	err = s.write(ctx, http.MethodPost, PathLeases, nil, body, &granted)
+	return granted.Lease, err
+}
+
+// KeepAlive extends a lease by its ttl, or returns ErrNotFound.
+func (s *HTTP) KeepAlive(ctx context.Context, lease LeaseID) error {
+	return s.write(ctx, http.MethodPost, leasePath(lease)+KeepAliveSuffix, nil, nil, nil)
+}
+
+// RevokeLease ends a lease and deletes its keys.
+func (s *HTTP) RevokeLease(ctx context.Context, lease LeaseID) error {
+	return s.write(ctx, http.MethodDelete, leasePath(lease), nil, nil, nil)
+}
+
+// Watch waits until a key with the prefix changes after the given version.
+func (s *HTTP) Watch(ctx context.Context, prefix string, after Version) (WatchResult, error) {
+	query := url.Values{
+		ParamPrefix: {prefix},
+		ParamAfter:  {formatID(after)},
+		ParamWaitMS: {strconv.FormatInt(s.watchWait.Milliseconds(), 10)},
+	}
+	var watched WireWatch
+	if err := s.read(ctx, PathWatch, query, &watched); err != nil {
+		return WatchResult{}, err
+	}
+	return WatchResult{Changed: entries(watched.Changed), Deleted: watched.Deleted, Version: watched.Version}, nil
+}
+
+// read sends a call without effect: every failure but ErrNotFound is ErrUnavailable.
+func (s *HTTP) read(ctx context.Context, path string, query url.Values, answer any) error {
+	_, err := s.call(ctx, http.MethodGet, path, query, nil, answer)
+	if err == nil || errors.Is(err, ErrNotFound) || errors.Is(err, ErrUnavailable) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrUnavailable, err)
+}
+
+// write sends a call with an effect. A failure after a connection was there is
+// ErrUnknownOutcome, unless the answer says that nothing was written.
+func (s *HTTP) write(ctx context.Context, method, path string, query url.Values, body []byte, answer any) error {
+	connected, err := s.call(ctx, method, path, query, body, answer)
+	var conflict *ConflictError
+	switch {
+	case err == nil, errors.As(err, &conflict), errors.Is(err, ErrNotFound), errors.Is(err, ErrTooLarge), errors.Is(err, ErrUnavailable):
+		return err
+	case !connected:
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	default:
+		return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
+	}
+}
+
+// call sends one request and decodes its answer. connected is false when no
+// connection was established, so that nothing can have been sent.
+func (s *HTTP) call(ctx context.Context, method, path string, query url.Values, body []byte, answer any) (connected bool, err error) {
+	var gotConnection atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { gotConnection.Store(true) },
+	})
+	target := url.URL{Scheme: "http", Host: s.address, Path: path, RawQuery: query.Encode()}
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), onceReader(body))
+	if err != nil {
+		return false, err
+	}
+	request.ContentLength = int64(len(body))
+	response, err := s.client.Do(request)
+	if err != nil {
+		return gotConnection.Load(), err
+	}
+	defer response.Body.Close()
+	return true, decode(response, path, answer)
+}
+
+// onceReader hides the type of the body from net/http, which could otherwise
+// rewind it and send a write again by itself.
+func onceReader(body []byte) io.Reader {
+	if len(body) == 0 {
+		return nil
+	}
+	return io.MultiReader(bytes.NewReader(body))
+}
+
+// decode turns an answer into a value or into one of the package's errors.
+func decode(response *http.Response, path string, answer any) error {
+	body := io.LimitReader(response.Body, maxAnswerBytes)
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		if answer == nil {
+			return nil
+		}
+		return json.NewDecoder(body).Decode(answer)
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict:
+		var conflict WireConflict
+		if err := json.NewDecoder(body).Decode(&conflict); err != nil {
+			return err
+		}
+		return &ConflictError{Key: path[min(len(path), len(PathKeys)):], Current: conflict.Current}
+	case http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: %s", ErrUnavailable, response.Status)
+	}
+	return fmt.Errorf("unexpected status %s", response.Status)
+}
+
+func entries(wire []WireEntry) []Entry {
+	result := make([]Entry, len(wire))
+	for i, entry := range wire {
+		result[i] = entry.Entry()
+	}
+	return result
+}
+
+func leasePath(lease LeaseID) string {
+	return PathLeases + "/" + formatID(lease)
+}
+
+func formatID[T ~int64](id T) string {
+	return strconv.FormatInt(int64(id), 10)
+}
--- /dev/null
+++ b/quota/storebudget.go
@@ -0,0 +1,184 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// StoreClass orders the calls to the store within an instance's share.
+type StoreClass int
+
+// Store classes, in order of precedence.
+const (
+	// StoreAppends are calls of a claim shard's appender. The rate of its writes
+	// is bounded per shard and not taken from the instance's share.
+	StoreAppends StoreClass = iota
+	StoreClaims
+	StoreJobs
+	StoreLeases
+	StoreConfiguration
+	storeClasses
+)
+
+// StoreOp tells calls that count against the read limit from those that count
+// against the write limit.
+type StoreOp int
+
+// Store operations.
+const (
+	StoreRead StoreOp = iota
+	StoreWrite
+	storeOps
+)
+
+// Bounds of the backoff after an outage.
+const (
+	storeBackoffMin = 100 * time.Millisecond
+	storeBackoffMax = 5 * time.Second
+)
+
+// StoreLimits are the rates of the whole fleet, in calls per second.
+type StoreLimits struct {
+	Reads  float64
+	Writes float64
+	// Appends is the part of Writes that the claim appenders use.
+	Appends float64
+}
+
+// DefaultStoreLimits are the limits that the platform's service states.
+var DefaultStoreLimits = StoreLimits{Reads: 2000, Writes: 300, Appends: 160}
+
+// StoreVerdict is the answer to one wish to call the store.
+type StoreVerdict struct {
+	Granted bool
+	// Probe is true when the call is the one that tests whether an outage is over.
+	Probe bool
+	// Outage is true when the store is taken to be down and the call is refused.
+	Outage bool
+	// RetryAfter is when tokens may be there, for a call that is not granted.
+	RetryAfter time.Duration
+}
+
+// StoreBudget divides the store's rate limits among instances, keeps the order
+// of the classes and spaces out calls after an outage. It is not safe for
+// concurrent use.
+type StoreBudget struct {
+	limits  StoreLimits
+	buckets [storeOps]bucket
+	waiting [storeOps][storeClasses]int
+	// failures counts the failed calls since the last one that succeeded.
+	failures int
+	retryAt  time.Time
+	probing  bool
+}
+
+// NewStoreBudget returns the budget of one instance among the given number.
+func NewStoreBudget(limits StoreLimits, instances int, now time.Time) *StoreBudget {
+	b := &StoreBudget{limits: limits}
+	b.SetInstances(instances, now)
+	for op := range b.buckets {
+		b.buckets[op].tokens = b.buckets[op].burst()
+	}
+	return b
+}
+
+// SetInstances divides the limits by the number of live instances.
+func (b *StoreBudget) SetInstances(instances int, now time.Time) {
+	share := 1 / float64(max(instances, 1))
+	b.buckets[StoreRead].setRate(b.limits.Reads*share, now)
+	b.buckets[StoreWrite].setRate((b.limits.Writes-b.limits.Appends)*share, now)
+}
+
+// Allow decides on one call. A granted call ends with Finished.
+func (b *StoreBudget) Allow(now time.Time, class StoreClass, op StoreOp) StoreVerdict {
+	if b.failures > 0 && (b.probing || now.Before(b.retryAt)) {
+		return StoreVerdict{Outage: true, RetryAfter: max(b.retryAt.Sub(now), storeBackoffMin)}
+	}
+	if class != StoreAppends || op == StoreRead {
+		// A class gets a token only when one is left for each waiting call before it.
+		need := 1 + float64(b.waitingBefore(op, class))
+		if wait := b.buckets[op].wait(now, need); wait > 0 {
+			return StoreVerdict{RetryAfter: wait}
+		}
+		b.buckets[op].tokens--
+	}
+	b.probing = b.failures > 0
+	return StoreVerdict{Granted: true, Probe: b.probing}
+}
+
+// Wait changes the number of calls of a class that wait for a token.
+func (b *StoreBudget) Wait(class StoreClass, op StoreOp, change int) {
+	b.waiting[op][class] += change
+}
+
+func (b *StoreBudget) waitingBefore(op StoreOp, class StoreClass) (sum int) {
+	for _, n := range b.waiting[op][:class] {
+		sum += n
+	}
+	return sum
+}
+
+// InOutage reports whether the last call failed.
+func (b *StoreBudget) InOutage() bool {
+	return b.failures > 0
+}
+
+// Finished reports the end of a granted call. reachable is false when the call
+// failed in a way that indicates an outage.
+func (b *StoreBudget) Finished(now time.Time, random *rand.Rand, probe, reachable bool) {
+	if reachable {
+		b.failures = 0
+		b.probing = false
+		return
+	}
+	if b.failures > 0 && !probe {
+		// The call was granted before the outage was noticed.
+		return
+	}
+	b.probing = false
+	ceiling := min(storeBackoffMin<<min(b.failures, 10), storeBackoffMax)
+	b.failures++
+	// Half of the delay is random, so that instances do not probe in step.
+	b.retryAt = now.Add(ceiling/2 + time.Duration(random.Int64N(int64(ceiling/2)+1)))
+}
+
+// Cancelled reports the end of a granted call whose caller gave up, which says
+// nothing of the store.
+func (b *StoreBudget) Cancelled(probe bool) {
+	b.probing = b.probing && !probe
+}
+
+// bucket is a token bucket that holds at most one second of its rate.
+type bucket struct {
+	rate   float64
+	tokens float64
+	at     time.Time
+}
+
+// burst is at least one token, so that a small share lets single calls through.
+func (b *bucket) burst() float64 {
+	return max(b.rate, 1)
+}
+
+func (b *bucket) setRate(rate float64, now time.Time) {
+	b.refill(now)
+	b.rate = rate
+	b.tokens = min(b.tokens, b.burst())
+}
+
+func (b *bucket) refill(now time.Time) {
+	if elapsed := now.Sub(b.at); elapsed > 0 {
+		b.tokens = min(b.tokens+elapsed.Seconds()*b.rate, b.burst())
+		b.at = now
+	}
+}
+
+// wait returns how long it takes until the bucket holds n tokens, 0 for now.
+func (b *bucket) wait(now time.Time, n float64) time.Duration {
+	b.refill(now)
+	missing := n - b.tokens
+	if missing <= 0 {
+		return 0
+	}
+	return time.Duration(missing/b.rate*float64(time.Second)) + time.Millisecond
+}
--- /dev/null
+++ b/quota/storebudget_test.go
@@ -0,0 +1,77 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	_ "github.com/coltsfootdrift/coltsfootdrift/internal/fixedseed"
+)
+
+var start = time.Unix(1000, 0)
+
+// Guards against an instance that exceeds its share, and against shares whose
+// sum exceeds the limit of the store.
+func TestSharesStayWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(1, 390).Draw(t, "instances")
+		budget := NewStoreBudget(DefaultStoreLimits, instances, start)
+		now, granted := start, 0
+		for range rapid.IntRange(1, 500).Draw(t, "calls") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			if budget.Allow(now, StoreJobs, StoreWrite).Granted {
+				granted++
+			}
+		}
+		share := (DefaultStoreLimits.Writes - DefaultStoreLimits.Appends) / float64(instances)
+		bound := share*now.Sub(start).Seconds() + max(share, 1)
+		if float64(granted) > bound+1e-6 {
+			t.Fatalf("%d writes granted, share allows %.1f", granted, bound)
+		}
+	})
+}
+
+// Guards against a lower class that takes the token for which a claim waits.
+func TestHigherClassGetsTheNextToken(t *testing.T) {
+	c := qt.New(t)
+	budget := NewStoreBudget(DefaultStoreLimits, 140, start)
+	c.Assert(budget.Allow(start, StoreConfiguration, StoreWrite).Granted, qt.IsTrue)
+	verdict := budget.Allow(start, StoreClaims, StoreWrite)
+	c.Assert(verdict.Granted, qt.IsFalse)
+	budget.Wait(StoreClaims, StoreWrite, 1)
+	later := start.Add(verdict.RetryAfter)
+	for _, class := range []StoreClass{StoreConfiguration, StoreLeases, StoreJobs} {
+		c.Assert(budget.Allow(later, class, StoreWrite).Granted, qt.IsFalse)
+	}
+	c.Assert(budget.Allow(later, StoreClaims, StoreWrite).Granted, qt.IsTrue)
+}
+
+// Guards against instances that all call a store that is down, and against a
+// backoff outside its bounds.
+func TestOneProbeAtATimeAfterAnOutage(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	budget := NewStoreBudget(DefaultStoreLimits, 1, start)
+	c.Assert(budget.Allow(start, StoreClaims, StoreWrite).Granted, qt.IsTrue)
+	now, longest := start, time.Duration(0)
+	budget.Finished(now, random, false, false)
+	for range 12 {
+		verdict := budget.Allow(now, StoreAppends, StoreWrite)
+		c.Assert(verdict.Outage, qt.IsTrue)
+		delay := budget.retryAt.Sub(now)
+		c.Assert(delay >= storeBackoffMin/2 && delay <= storeBackoffMax, qt.IsTrue)
+		longest = max(longest, delay)
+		now = budget.retryAt
+		c.Assert(budget.Allow(now, StoreLeases, StoreRead).Granted, qt.IsTrue)
+		c.Assert(budget.Allow(now, StoreClaims, StoreRead).Outage, qt.IsTrue)
+		budget.Finished(now, random, true, false)
+	}
+	c.Assert(longest > storeBackoffMax/2, qt.IsTrue)
+	now = budget.retryAt
+	c.Assert(budget.Allow(now, StoreLeases, StoreRead).Granted, qt.IsTrue)
+	budget.Finished(now, random, true, true)
+	c.Assert(budget.Allow(now, StoreClaims, StoreWrite).Granted, qt.IsTrue)
+}
