--- /dev/null
+++ b/claim/decide.go
@@ -0,0 +1,165 @@
+package claim
+
+import "time"
+
+// overlay is a view of a shard with the changes of one append, which take effect
+// only when the append was written.
+type overlay struct {
+	shard     *Shard
+	changed   map[ID]held
+	removed   map[ID]bool
+	withdrawn map[Token]int64
+}
+
+func newOverlay(s *Shard) *overlay {
+	return &overlay{shard: s, changed: map[ID]held{}, removed: map[ID]bool{}, withdrawn: map[Token]int64{}}
+}
+
+// lookUp returns the live entry of a key.
+func (o *overlay) lookUp(now time.Time, id ID) (held, bool) {
+	entry, ok := o.changed[id]
+	if !ok && !o.removed[id] {
+		entry, ok = o.shard.index[id]
+	}
+	return entry, ok && entry.expires > now.UnixMilli()
+}
+
+func (o *overlay) isWithdrawn(token Token) bool {
+	_, before := o.shard.withdrawn[token]
+	_, here := o.withdrawn[token]
+	return before || here
+}
+
+// decide returns the decision on an operation and whether it needs a record.
+func (o *overlay) decide(now time.Time, op Op) (decision Decision, needed bool) {
+	entry, ok := o.lookUp(now, op.ID)
+	own := ok && entry.token == op.Token
+	switch op.Kind {
+	case OpClaim:
+		return o.decideClaim(op, entry, ok)
+	case OpFinish:
+		if !own {
+			return Decision{Verdict: Lost}, false
+		}
+		return Decision{Verdict: Done}, entry.outcome == noName
+	default:
+		if own && entry.outcome != noName {
+			return Decision{Verdict: Lost}, false
+		}
+		// A release is recorded even if its claim is not there: the claim may still
+		// be under way, and the record makes its write fail.
+		return Decision{Verdict: Done}, own || !o.isWithdrawn(op.Token)
+	}
+}
+
+func (o *overlay) decideClaim(op Op, entry held, ok bool) (decision Decision, needed bool) {
+	if o.isWithdrawn(op.Token) {
+		return Decision{Verdict: Withdrawn}, false
+	}
+	if !ok {
+		return Decision{Verdict: Granted, Token: op.Token, Holder: op.Holder}, true
+	}
+	decision = Decision{
+		Holder:  o.shard.names.name(entry.holder),
+		Token:   entry.token,
+		Outcome: o.shard.names.name(entry.outcome),
+	}
+	switch {
+	case entry.body != op.Body:
+		decision = Decision{Verdict: OtherBody}
+	case entry.outcome != noName:
+		decision.Verdict = Recorded
+		decision.Segment = entry.segment
+	case entry.token == op.Token:
+		decision.Verdict = Granted
+	default:
+		decision.Verdict = Running
+	}
+	return decision, false
+}
+
+// apply takes a record that is about to be written.
+func (o *overlay) apply(r *StoredRecord, segment uint64) {
+	id, token := ID(r.Id), Token(r.Token)
+	if r.Op != RecordOp_RECORD_OP_RELEASE {
+		o.changed[id] = o.shard.entry(r, segment)
+		delete(o.removed, id)
+		return
+	}
+	o.withdrawn[token] = r.AtMs + r.RetentionMs
+	entry, ok := o.changed[id]
+	if !ok {
+		entry = o.shard.index[id]
+	}
+	if entry.token == token {
+		delete(o.changed, id)
+		o.removed[id] = true
+	}
+}
+
+// commit makes the changes part of the shard.
+func (o *overlay) commit() {
+	for id := range o.removed {
+		delete(o.shard.index, id)
+	}
+	for id, entry := range o.changed {
+		o.shard.index[id] = entry
+	}
+	for token, expires := range o.withdrawn {
+		o.shard.withdrawn[token] = expires
+	}
+}
+
+// apply takes a record that is in the store. Its writer checked it against the
+// chain, so that it holds without another check.
+func (s *Shard) apply(r *StoredRecord, segment uint64) {
+	o := newOverlay(s)
+	o.apply(r, segment)
+	o.commit()
+}
+
+func (s *Shard) entry(r *StoredRecord, segment uint64) held {
+	return held{
+		token:   Token(r.Token),
+		body:    Digest(r.Body),
+		expires: r.AtMs + r.RetentionMs,
+		segment: segment,
+		holder:  s.names.index(r.Holder),
+		outcome: s.names.index(r.Outcome),
+	}
+}
+
+// nameIndex stands for a holder or an outcome in the index of claims.
+type nameIndex uint32
+
+// noName stands for the empty string.
+const noName nameIndex = 0
+
+// nameTable holds each name once.
+type nameTable struct {
+	names   []string
+	indexes map[string]nameIndex
+}
+
+func (t *nameTable) name(i nameIndex) string {
+	if i == noName {
+		return ""
+	}
+	return t.names[i-1]
+}
+
+func (t *nameTable) index(name string) nameIndex {
+	if name == "" {
+		return noName
+	}
+	if i, ok := t.indexes[name]; ok {
+		return i
+	}
+	if t.indexes == nil {
+		t.indexes = map[string]nameIndex{}
+	}
+	t.names = append(t.names, name)
+	i := nameIndex(len(t.names))
+	t.indexes[name] = i
+	return i
+}
--- /dev/null
+++ b/claim/segment.go
@@ -0,0 +1,112 @@
+package claim
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+)
+
+// Sizes of stored values. A segment is rewritten by each append, so a small one
+// keeps the bytes sent low, and a large one the number of segments.
+const (
+	// SegmentBytes is the size at which a segment is sealed.
+	SegmentBytes = 64 << 10
+	// BatchBytes bounds the records of one append. A full segment and a batch
+	// stay below the store's limit of 1 MB.
+	BatchBytes = 256 << 10
+)
+
+// sealMark is the encoding of a segment that holds the seal alone.
+var sealMark = protowire.AppendVarint(protowire.AppendTag(nil, sealedField, protowire.VarintType), 1)
+
+// sealedField is the number of the field sealed in claim.proto.
+const sealedField = 2
+
+// Segment is one stored value of the chain.
+type Segment struct {
+	Number uint64
+	// Version is the store's version of the value.
+	Version int64
+	Data    []byte
+}
+
+func mustEncode(segment *StoredSegment) []byte {
+	data, err := proto.Marshal(segment)
+	if err != nil {
+		// Only invalid UTF-8 in a string field is refused.
+		panic("claim: encode segment: " + err.Error())
+	}
+	return data
+}
+
+func decode(segment Segment) (*StoredSegment, error) {
+	var stored StoredSegment
+	if err := proto.Unmarshal(segment.Data, &stored); err != nil {
+		return nil, fmt.Errorf("claim segment %d: %w", segment.Number, err)
+	}
+	return &stored, nil
+}
+
+// record returns the stored form of an operation.
+func record(op Op, now time.Time) *StoredRecord {
+	stored := &StoredRecord{
+		Op:          RecordOp(op.Kind),
+		Id:          op.ID[:],
+		Token:       op.Token[:],
+		AtMs:        now.UnixMilli(),
+		RetentionMs: op.Retention.Milliseconds(),
+	}
+	if op.Kind == OpRelease {
+		return stored
+	}
+	// A finish repeats body and holder, because the segment with the claim may be
+	// deleted before it.
+	stored.Body = op.Body[:]
+	stored.Holder = op.Holder
+	if op.Kind == OpFinish {
+		stored.Outcome = op.Outcome
+		stored.Answer = op.Answer
+		stored.AnswerSha256 = op.AnswerSHA256[:]
+	}
+	return stored
+}
+
+// Answer is the record of a finished claim.
+type Answer struct {
+	Outcome string
+	// Body is the whole answer; nil when only its digest is recorded.
+	Body   []byte
+	SHA256 Digest
+}
+
+// FindAnswer returns the recorded answer of a token from its segment.
+func FindAnswer(segment Segment, token Token) (Answer, bool, error) {
+	stored, err := decode(segment)
+	if err != nil {
+		return Answer{}, false, err
+	}
+	for _, r := range stored.Records {
+		if r.Op == RecordOp_RECORD_OP_FINISH && Token(r.Token) == token {
+			return Answer{Outcome: r.Outcome, Body: r.Answer, SHA256: Digest(r.AnswerSha256)}, true, nil
+		}
+	}
+	return Answer{}, false, nil
+}
+
+// valid reports whether the fixed-size fields have their sizes.
+func (r *StoredRecord) valid() bool {
+	if len(r.Id) != len(ID{}) || len(r.Token) != len(Token{}) {
+		return false
+	}
+	switch r.Op {
+	case RecordOp_RECORD_OP_RELEASE:
+		return true
+	case RecordOp_RECORD_OP_CLAIM:
+		return len(r.Body) == len(Digest{})
+	case RecordOp_RECORD_OP_FINISH:
+		return len(r.Body) == len(Digest{}) && len(r.AnswerSha256) == len(Digest{})
+	}
+	return false
+}
--- /dev/null
+++ b/claim/shard_test.go
@@ -0,0 +1,207 @@
+package claim
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	_ "github.com/coltsfootdrift/coltsfootdrift/internal/fixedseed"
+)
+
+// world is the store and what the records in it mean, kept apart from Shard.
+type world struct {
+	segments map[uint64]Segment
+	version  int64
+	now      time.Time
+	holders  map[ID]modelClaim
+}
+
+type modelClaim struct {
+	token    Token
+	finished bool
+	expires  time.Time
+}
+
+func (w *world) list(from uint64) (list []Segment) {
+	for number, segment := range w.segments {
+		if number >= from {
+			list = append(list, segment)
+		}
+	}
+	slices.SortFunc(list, func(a, b Segment) int { return int(a.Number) - int(b.Number) })
+	return list
+}
+
+func (w *world) swap(write Write) bool {
+	if w.segments[write.Segment.Number].Version != write.Expect {
+		return false
+	}
+	w.version++
+	write.Segment.Version = w.version
+	w.segments[write.Segment.Number] = write.Segment
+	return true
+}
+
+// check compares a decision that holds now with the model and applies it.
+func (w *world) check(t *rapid.T, op Op, decision Decision) {
+	current, ok := w.holders[op.ID]
+	ok = ok && current.expires.After(w.now)
+	own := ok && current.token == op.Token
+	legal := false
+	switch decision.Verdict {
+	case Granted:
+		legal = !ok || own && !current.finished
+		if !ok {
+			w.holders[op.ID] = modelClaim{token: op.Token, expires: w.now.Add(op.Retention)}
+		}
+	case Running:
+		legal = ok && !own && !current.finished && decision.Token == current.token
+	case Recorded:
+		legal = ok && current.finished && decision.Token == current.token
+	case Lost:
+		legal = !own || op.Kind == OpRelease && current.finished
+	case Done:
+		legal = own || op.Kind == OpRelease
+		if op.Kind == OpRelease && own {
+			delete(w.holders, op.ID)
+		} else if op.Kind == OpFinish && !current.finished {
+			w.holders[op.ID] = modelClaim{token: op.Token, finished: true, expires: w.now.Add(op.Retention)}
+		}
+	case Withdrawn:
+		legal = true
+	}
+	if !legal {
+		t.Fatalf("verdict %d on operation %d, but the key has %+v (live: %v)", decision.Verdict, op.Kind, current, ok)
+	}
+}
+
+// Guards against a key that is granted twice, a record that is lost,
+// and an index that differs from the chain: with appenders that have old state,
+// writes whose answer is lost, sealing, expiry and deletion of segments.
+func TestAppendersWithOldStateKeepClaimsUnique(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{segments: map[uint64]Segment{}, now: time.Unix(1000, 0), holders: map[ID]modelClaim{}}
+		shards := []*Shard{NewShard(), NewShard(), NewShard()}
+		viewAt := map[*Shard]time.Time{}
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			shard := rapid.SampledFrom(shards).Draw(t, "shard")
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				shard.Reset()
+			}
+			// An adapter reads again when its view is 10 s old.
+			if w.now.Sub(viewAt[shard]) >= 10*time.Second || shard.Tail() == 0 || rapid.Bool().Draw(t, "refresh") {
+				viewAt[shard] = w.now
+				if shard.Load(w.list(shard.Tail())) != nil {
+					shard.Reset()
+					if err := shard.Load(w.list(0)); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if oldest, ok := shard.Expired(w.now); ok && w.segments[oldest.Number].Version == oldest.Version {
+					delete(w.segments, oldest.Number)
+					shard.Deleted(oldest.Number)
+				}
+			}
+			ops := drawOps(t)
+			write, decisions := shard.Append(w.now, ops)
+			if write.Records == 0 {
+				if stored := w.list(0); len(stored) > 0 && stored[len(stored)-1].Version == shard.Version() {
+					w.checkAll(t, ops, decisions)
+				}
+				continue
+			}
+			if !w.swap(write) {
+				continue
+			}
+			w.checkAll(t, ops, decisions)
+			if rapid.Bool().Draw(t, "answer arrives") {
+				shard.Wrote(w.version)
+			}
+			w.now = w.now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 1, 5, 30, 60}).Draw(t, "seconds")) * time.Second)
+		}
+	})
+}
+
+func (w *world) checkAll(t *rapid.T, ops []Op, decisions []Decision) {
+	for i, decision := range decisions {
+		w.check(t, ops[i], decision)
+	}
+}
+
+func drawOps(t *rapid.T) []Op {
+	ops := make([]Op, rapid.IntRange(1, 12).Draw(t, "ops"))
+	for i := range ops {
+		ops[i] = Op{
+			Kind:  OpKind(rapid.IntRange(1, 3).Draw(t, "kind")),
+			ID:    ID{0, byte(rapid.IntRange(1, 3).Draw(t, "key"))},
+			Token: Token{byte(rapid.IntRange(1, 12).Draw(t, "token"))},
+			// A long name fills segments with few operations.
+			Holder:    strings.Repeat("h", 8<<10),
+			Retention: 2 * time.Minute,
+		}
+		if ops[i].Kind == OpFinish {
+			ops[i].Outcome = "completed"
+		}
+	}
+	return ops
+}
+
+// Guards against an answer that is recorded for another token, and against a
+// finish that is unreadable once the segment with its claim was deleted.
+func TestFinishStandsWithoutItsClaim(t *testing.T) {
+	c := qt.New(t)
+	s, now := NewShard(), time.Unix(1000, 0)
+	op := Op{Kind: OpClaim, ID: ID{1}, Token: Token{1}, Body: Digest{1}, Holder: "a", Retention: time.Hour}
+	s.Append(now, []Op{op})
+	s.Wrote(1)
+	op.Kind, op.Outcome, op.Answer = OpFinish, "completed", []byte("x")
+	write, _ := s.Append(now, []Op{op})
+	stored, err := decode(write.Segment)
+	c.Assert(err, qt.IsNil)
+	stored.Records = stored.Records[1:]
+	alone := Segment{Number: 7, Version: 9, Data: mustEncode(stored)}
+	rebuilt := NewShard()
+	c.Assert(rebuilt.Load([]Segment{alone}), qt.IsNil)
+	_, decisions := rebuilt.Append(now, []Op{{Kind: OpClaim, ID: ID{1}, Token: Token{2}, Body: Digest{1}, Retention: time.Hour}})
+	c.Assert(decisions[0], qt.DeepEquals, Decision{Verdict: Recorded, Holder: "a", Token: Token{1}, Outcome: "completed", Segment: 7})
+	answer, ok, err := FindAnswer(alone, Token{1})
+	c.Assert(err, qt.IsNil)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(string(answer.Body), qt.Equals, "x")
+}
+
+// Guards against a claim that was delayed on its way to the appender and takes
+// the key after its release.
+func TestDelayedClaimAfterItsReleaseIsNotGranted(t *testing.T) {
+	c := qt.New(t)
+	s, now := NewShard(), time.Unix(1000, 0)
+	release := Op{Kind: OpRelease, ID: ID{1}, Token: Token{1}, Retention: time.Hour}
+	write, _ := s.Append(now, []Op{release})
+	c.Assert(write.Records, qt.Equals, 1)
+	s.Wrote(1)
+	_, decisions := s.Append(now, []Op{{Kind: OpClaim, ID: ID{1}, Token: Token{1}, Retention: time.Hour}})
+	c.Assert(decisions[0].Verdict, qt.Equals, Withdrawn)
+}
+
+// Guards against a chain whose numbers start again: an instance that still has
+// the last sealed segment in view would go on after it beside the new chain.
+func TestNewestSegmentIsKept(t *testing.T) {
+	c := qt.New(t)
+	s, now := NewShard(), time.Unix(1000, 0)
+	for i := range byte(2) {
+		claim := Op{Kind: OpClaim, ID: ID{1, i}, Token: Token{i}, Holder: strings.Repeat("h", SegmentBytes), Retention: time.Second}
+		s.Append(now, []Op{claim})
+		s.Wrote(int64(i) + 1)
+	}
+	now = now.Add(time.Hour)
+	oldest, ok := s.Expired(now)
+	c.Assert(ok, qt.IsTrue)
+	s.Deleted(oldest.Number)
+	_, ok = s.Expired(now)
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(s.Tail(), qt.Equals, uint64(2))
+}
