Append claims in batches and settle lost answers from the chain

Cause: claims need an adapter that keeps to 10 writes/s per shard, survives lost answers, conflicts and outages, and answers repeats of a running attempt. Change: internal/claims. The appender has one write in flight per shard, at once when idle. A lost answer or a conflict is decided again on the chain, where the token shows whether the write took effect. Decisions without a write are confirmed by reading the tail. A write that returns more than 10 s after the read it builds on does not count: its segment may have been deleted and created again. Ends of claims that can't be recorded are tried again in the background, and this instance answers for the key meanwhile. Forwarder and Awaiter are the interfaces to other instances, with typed messages. The store adapter gives up a dial after 1 s. Protections removed, one at a time, and the test that then failed: - own token recognised after a lost answer: TestClaimHistoryIsLinearizable, TestAppenderNotReached; - tail read before a decision without a write, conflict honoured: TestClaimHistoryIsLinearizable; - unresolved claim released later: TestStoreDownDuringTheClaim; - end of a claim kept when it can't be recorded: TestStoreDownAfterTheClaim; - late write not counted, stray segment deleted: TestWriteOutsideTheChainDoesNotCount; - age of a grant: TestGrantIsUnusableAfterAPause; - same token on a direct append: TestAppenderNotReached; - unreachable holder is unknown: TestDeadHolderLeavesUnknown; - large answer fetched from its holder: TestTwoInstancesWithOneKey.

--- /dev/null
+++ b/internal/claims/claims_test.go
@@ -0,0 +1,303 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/coltsfootdrift/coltsfootdrift/claim"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store/storetest"
+)
+
+// manualClock is a boot-time and wall clock that tests advance.
+type manualClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (m *manualClock) Now() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now
+}
+
+func (m *manualClock) Advance(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now = m.now.Add(d)
+}
+
+func newClock() *manualClock { return &manualClock{now: time.Unix(1000, 0)} }
+
+func newTestAppender(s store.Store) *Appender {
+	clock := newClock()
+	return newAppender(&chain{
+		store: s, boot: clock.Now, wall: clock.Now, state: claim.NewShard(), writes: tally.NoopScope.Counter("w"),
+	}, 0, newCounters(tally.NoopScope))
+}
+
+// network connects the instances of a test; an instance may be cut off.
+type network struct {
+	instances map[string]*Claims
+	appender  string
+	// loseAnswers makes forwarded appends take effect without an answer.
+	loseAnswers bool
+}
+
+func (n *network) Appender(int) string { return n.appender }
+
+func (n *network) Append(ctx context.Context, instance string, request AppendRequest) (AppendResponse, error) {
+	if n.instances[instance] == nil {
+		return AppendResponse{}, ErrNotReached
+	}
+	response, err := n.instances[instance].Append(ctx, request)
+	if n.loseAnswers {
+		return AppendResponse{}, errors.New("connection reset")
+	}
+	return response, err
+}
+
+func (n *network) Await(ctx context.Context, holder string, request AwaitRequest) (AwaitResponse, error) {
+	if n.instances[holder] == nil {
+		return AwaitResponse{}, ErrNotReached
+	}
+	return n.instances[holder].Await(ctx, request)
+}
+
+type world struct {
+	*network
+	fake  *storetest.Fake
+	clock *manualClock
+}
+
+func newWorld(names ...string) *world {
+	w := &world{network: &network{instances: map[string]*Claims{}}, fake: storetest.New(), clock: newClock()}
+	for _, name := range names {
+		w.instances[name] = New(Config{
+			Instance: name, Store: w.fake, Forwarder: w, Awaiter: w, Boot: w.clock.Now, Wall: w.clock.Now,
+			Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler), SettleInterval: time.Millisecond,
+		})
+	}
+	return w
+}
+
+func (w *world) claim(ctx context.Context, instance string, body byte) Reply {
+	request := Request{ID: claim.NewID("acme", "p", "k", "key"), Body: claim.Digest{body}, Retention: time.Hour}
+	return w.instances[instance].Claim(ctx, request)
+}
+
+// Guards against a key that runs at two instances, and a repeat that gets
+// neither the answer of the running attempt nor the recorded one.
+func TestTwoInstancesWithOneKey(t *testing.T) {
+	for _, size := range []int{2, claim.InlineAnswerBytes + 1} {
+		c := qt.New(t)
+		w := newWorld("a", "b", "c")
+		w.appender = "b"
+		grant := w.claim(c.Context(), "a", 1).Grant
+		c.Assert(grant, qt.IsNotNil)
+		c.Assert(w.claim(c.Context(), "b", 2).Refusal, qt.Equals, RefusedBody)
+		replies := make(chan Reply, 2)
+		for _, name := range []string{"a", "b"} {
+			go func() { replies <- w.claim(c.Context(), name, 1) }()
+		}
+		answer := strings.Repeat("x", size)
+		c.Assert(grant.Finish(c.Context(), "completed", []byte(answer)), qt.IsNil)
+		for range 2 {
+			reply := <-replies
+			c.Assert(reply.Answer, qt.IsNotNil)
+			c.Assert(string(reply.Answer.Body) == answer, qt.IsTrue)
+		}
+		late := w.claim(c.Context(), "c", 1).Answer
+		c.Assert(late, qt.IsNotNil)
+		c.Assert(string(late.Body) == answer, qt.IsTrue)
+		delete(w.instances, "a")
+		gone := w.claim(c.Context(), "c", 1).Answer
+		c.Assert(gone, qt.IsNotNil)
+		c.Assert(gone.Outcome, qt.Equals, "completed")
+		c.Assert(gone.SHA256, qt.Equals, late.SHA256)
+		c.Assert(gone.Body != nil, qt.Equals, size <= claim.InlineAnswerBytes)
+	}
+}
+
+// Guards against a key that runs again after its holder died.
+func TestDeadHolderLeavesUnknown(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld("a", "b")
+	c.Assert(w.claim(c.Context(), "a", 1).Grant, qt.IsNotNil)
+	delete(w.instances, "a")
+	c.Assert(w.claim(c.Context(), "b", 1).Refusal, qt.Equals, RefusedUnknown)
+	w.clock.Advance(time.Hour)
+	c.Assert(w.claim(c.Context(), "b", 1).Grant, qt.IsNotNil)
+}
+
+// Guards against a claim that is appended twice when the answer of the shard's
+// appender is lost, or not at all when it can't be reached.
+func TestAppenderNotReached(t *testing.T) {
+	for _, lost := range []bool{true, false} {
+		c := qt.New(t)
+		w := newWorld("a", "b")
+		w.appender, w.loseAnswers = "b", lost
+		if !lost {
+			w.appender = "nobody"
+		}
+		c.Assert(w.claim(c.Context(), "a", 1).Grant, qt.IsNotNil)
+		c.Assert(w.fake.Count(storetest.Swap), qt.Equals, 1)
+	}
+}
+
+// Guards against a keyed request that waits, or is told anything but not_run,
+// while the store is down, and against a claim left behind by it.
+func TestStoreDownBeforeTheClaim(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld("a")
+	w.fake.Before = func(context.Context, storetest.Op, string) error { return store.ErrUnavailable }
+	c.Assert(w.claim(c.Context(), "a", 1).Refusal, qt.Equals, RefusedStore)
+	c.Assert(w.instances["a"].Settle(c.Context()), qt.Equals, 0)
+	w.fake.Before = nil
+	c.Assert(w.claim(c.Context(), "a", 1).Grant, qt.IsNotNil)
+}
+
+// Guards against a key that stays blocked, or is granted while its claim is
+// unresolved, when the answer of the claim is lost and the store then goes down.
+func TestStoreDownDuringTheClaim(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld("a", "b")
+	var down bool
+	var mu sync.Mutex
+	w.fake.Before = func(context.Context, storetest.Op, string) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if down {
+			return store.ErrUnavailable
+		}
+		return nil
+	}
+	w.fake.After = func(_ context.Context, op storetest.Op, _ string) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if op == storetest.Swap && !down {
+			down = true
+			return store.ErrUnknownOutcome
+		}
+		return nil
+	}
+	c.Assert(w.claim(c.Context(), "a", 1).Refusal, qt.Equals, RefusedStore)
+	c.Assert(w.claim(c.Context(), "a", 1).Refusal, qt.Equals, RefusedReleasing)
+	mu.Lock()
+	w.fake.After = nil
+	down = false
+	mu.Unlock()
+	c.Assert(w.instances["a"].Settle(c.Context()), qt.Equals, 0)
+	c.Assert(w.claim(c.Context(), "b", 1).Grant, qt.IsNotNil)
+}
+
+// Guards against an outcome that is forgotten, or a key that runs again, when
+// the store is down at the end of the run.
+func TestStoreDownAfterTheClaim(t *testing.T) {
+	for _, finish := range []bool{true, false} {
+		c := qt.New(t)
+		w := newWorld("a", "b")
+		grant := w.claim(c.Context(), "a", 1).Grant
+		c.Assert(grant, qt.IsNotNil)
+		var mu sync.Mutex
+		down := true
+		w.fake.Before = func(context.Context, storetest.Op, string) error {
+			mu.Lock()
+			defer mu.Unlock()
+			if down {
+				return store.ErrUnavailable
+			}
+			return nil
+		}
+		if finish {
+			c.Assert(grant.Finish(c.Context(), "completed", []byte("{}")), qt.ErrorIs, ErrNotAppended)
+			c.Assert(string(w.claim(c.Context(), "a", 1).Answer.Body), qt.Equals, "{}")
+		} else {
+			c.Assert(grant.Release(c.Context()), qt.ErrorIs, ErrNotAppended)
+			c.Assert(w.claim(c.Context(), "a", 1).Refusal, qt.Equals, RefusedReleasing)
+		}
+		mu.Lock()
+		down = false
+		mu.Unlock()
+		c.Assert(w.instances["a"].Settle(c.Context()), qt.Equals, 0)
+		repeat := w.claim(c.Context(), "b", 1)
+		c.Assert(repeat.Grant == nil, qt.Equals, finish)
+		if finish {
+			c.Assert(string(repeat.Answer.Body), qt.Equals, "{}")
+		}
+	}
+}
+
+// Guards against a call that is sent long after its claim was granted, because
+// the process was paused.
+func TestGrantIsUnusableAfterAPause(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld("a")
+	grant := w.claim(c.Context(), "a", 1).Grant
+	c.Assert(grant.Usable(), qt.IsTrue)
+	w.clock.Advance(GrantLife)
+	c.Assert(grant.Usable(), qt.IsFalse)
+}
+
+// Guards against an appender that wakes after its segment was sealed, expired
+// and deleted, creates it again and takes its own write for part of the chain.
+func TestWriteOutsideTheChainDoesNotCount(t *testing.T) {
+	c := qt.New(t)
+	fake, clock := storetest.New(), newClock()
+	appender := func(s store.Store) *chain {
+		return &chain{store: s, boot: clock.Now, wall: clock.Now, state: claim.NewShard(), writes: tally.NoopScope.Counter("w")}
+	}
+	fill := func(a *Appender, n byte) {
+		op := claim.Op{Kind: claim.OpClaim, ID: claim.ID{0, n}, Token: claim.Token{n}, Retention: time.Second,
+			Holder: strings.Repeat("h", claim.SegmentBytes)}
+		decision, err := a.Append(c.Context(), op, false)
+		c.Assert(err, qt.IsNil)
+		c.Assert(decision.Verdict, qt.Equals, claim.Granted)
+	}
+	other := newAppender(appender(fake), 0, newCounters(tally.NoopScope))
+	fill(other, 1)
+	asleep := &pausingStore{Fake: fake}
+	sleeper := newAppender(appender(asleep), 0, newCounters(tally.NoopScope))
+	wanted := claim.Op{Kind: claim.OpClaim, ID: claim.ID{0, 99}, Token: claim.Token{98}, Holder: "other", Retention: time.Hour}
+	asleep.pause = func() {
+		fill(other, 2)
+		clock.Advance(2 * claim.DeletionMargin)
+		fill(other, 3)
+		fill(other, 4)
+		for range 2 {
+			clock.Advance(2 * time.Second)
+			_, err := other.Append(c.Context(), wanted, false)
+			c.Assert(err, qt.IsNil)
+			wanted.Token[1]++
+		}
+	}
+	decision, err := sleeper.Append(c.Context(), claim.Op{
+		Kind: claim.OpClaim, ID: wanted.ID, Token: claim.Token{97}, Holder: "sleeper", Retention: time.Hour}, false)
+	c.Assert(err, qt.IsNil)
+	c.Assert(decision.Verdict, qt.Equals, claim.Running)
+	c.Assert(decision.Token, qt.Equals, claim.Token{98})
+	_, err = fake.Get(c.Context(), claim.SegmentKey(0, 2))
+	c.Assert(err, qt.ErrorIs, store.ErrNotFound)
+}
+
+// pausingStore runs pause before its first write.
+type pausingStore struct {
+	*storetest.Fake
+	pause func()
+}
+
+func (s *pausingStore) CompareAndSwap(ctx context.Context, key string, expect store.Version, value []byte, lease store.LeaseID) (store.Version, error) {
+	if pause := s.pause; pause != nil {
+		s.pause = nil
+		pause()
+	}
+	return s.Fake.CompareAndSwap(ctx, key, expect, value, lease)
+}
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -34,10 +35,14 @@
 // commonly applies to connections.
 const defaultWatchWait = 30 * time.Second
 
+// dialTimeout bounds the time after which an unreachable store is noticed.
+const dialTimeout = time.Second
+
 // NewHTTP returns an adapter for the service at address, IP number and port.
 func NewHTTP(address string) *HTTP {
+	dialer := net.Dialer{Timeout: dialTimeout}
 	client := &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: time.Minute},
+		Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: time.Minute},
 		// A redirect of kind 307 or 308 would send a write a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
