Run stages with budgets, retries, hedges, resume and settled claims

Cause: the request path picked one server per stage, gave up at its first error, told failed when a non-idempotent call of an earlier stage had run, and had neither readiness nor an ordered shutdown. Change: stage budgets, hedges and retries behind interfaces (policies.go) with defaults; the retry budget as a core in package routing; resume of broken generated streams on the same server; parallel stages; detachment from the caller once a non-idempotent call was sent; admission, claims and jobs around the execution; readiness, stop steps by phase, second signal and shutdown deadline; metrics; settings checks with line and column. The HTTP adapter no longer follows redirects, which could send a call twice.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
@@ -79,6 +80,11 @@
 	// ErrBadAnswer reports an answer that is malformed, cut short, too large or
 	// of another attempt. The stage may have run.
 	ErrBadAnswer = errors.New("backend server sent a bad answer")
+	// ErrBrokenStream reports an ErrBadAnswer that ended before its end mark; what
+	// was received is sound.
+	ErrBrokenStream = fmt.Errorf("%w: stream broke before its end mark", ErrBadAnswer)
+	// ErrCrossedAnswer reports an ErrBadAnswer that belongs to another attempt.
+	ErrCrossedAnswer = fmt.Errorf("%w: it belongs to another attempt", ErrBadAnswer)
 )
 
 // DefinitelyNotRun reports whether err means that the stage did not run, so
--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -17,12 +17,13 @@
 
 // HTTPCaller calls backend servers over HTTP/1.1 with JSON and server-sent events.
 type HTTPCaller struct {
-	client *http.Client
+	transport http.RoundTripper
 }
 
-// NewHTTPCaller returns a caller that sends requests over transport.
+// NewHTTPCaller returns a caller that sends requests over transport. It uses no
+// http.Client, which would send a request again after a redirect.
 func NewHTTPCaller(transport http.RoundTripper) *HTTPCaller {
-	return &HTTPCaller{client: &http.Client{Transport: transport}}
+	return &HTTPCaller{transport: transport}
 }
 
 // NewTransport returns a transport for calls to backend servers. Idle
@@ -46,7 +47,7 @@
 		cancel()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	response, err := h.client.Do(httpRequest)
+	response, err := h.transport.RoundTrip(httpRequest)
 	if err != nil {
 		cancel()
 		return nil, transportError(err, connected.Load())
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -1,7 +1,9 @@
 package backend
 
 import (
+	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"iter"
@@ -32,7 +34,10 @@
 		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
 	}
 	if answer.Attempt != request.Attempt {
-		return nil, fmt.Errorf("%w: answer of attempt %q", ErrBadAnswer, answer.Attempt)
+		return nil, fmt.Errorf("%w: attempt %q", ErrCrossedAnswer, answer.Attempt)
+	}
+	if len(answer.Output) == 0 {
+		return nil, fmt.Errorf("%w: no output", ErrBadAnswer)
 	}
 	return &answerStream{output: answer.Output, body: body}, nil
 }
@@ -67,10 +72,13 @@
 func (s *eventStream) Next() ([]byte, error) {
 	event, err, ok := s.next()
 	if !ok {
-		return nil, fmt.Errorf("%w: stream ended without an end mark", ErrBadAnswer)
+		return nil, ErrBrokenStream
+	}
+	if errors.Is(err, bufio.ErrTooLong) {
+		return nil, fmt.Errorf("%w: event exceeds %d bytes", ErrBadAnswer, maxEventBytes)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
+		return nil, fmt.Errorf("%w: %w", ErrBrokenStream, err)
 	}
 	switch event.Type {
 	case EventChunk:
@@ -88,7 +96,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
 	}
 	if chunk.Attempt != s.request.Attempt {
-		return nil, fmt.Errorf("%w: chunk of attempt %q", ErrBadAnswer, chunk.Attempt)
+		return nil, fmt.Errorf("%w: chunk of attempt %q", ErrCrossedAnswer, chunk.Attempt)
 	}
 	if chunk.Offset != s.offset {
 		return nil, fmt.Errorf("%w: chunk at offset %d, want %d", ErrBadAnswer, chunk.Offset, s.offset)
@@ -107,7 +115,7 @@
 		return fmt.Errorf("%w: %w", ErrBadAnswer, err)
 	}
 	if end.Attempt != s.request.Attempt {
-		return fmt.Errorf("%w: end mark of attempt %q", ErrBadAnswer, end.Attempt)
+		return fmt.Errorf("%w: end mark of attempt %q", ErrCrossedAnswer, end.Attempt)
 	}
 	if end.Bytes != s.offset {
 		return fmt.Errorf("%w: %d bytes received, end mark says %d", ErrBadAnswer, s.offset, end.Bytes)
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
@@ -20,15 +22,13 @@
 // Execute runs the daemon until a signal stops it.
 func (c *entryCommand) Execute([]string) error {
 	read, err := settings.Read(c.Settings)
-	if err != nil {
-		return err
+	var mistakes *settings.MistakesError
+	if errors.As(err, &mistakes) {
+		fmt.Fprintln(c.stderr, mistakes)
+		return ErrInvalid
 	}
-	app := entry.New(read, slog.New(slog.NewJSONHandler(c.stderr, nil)))
-	if err := app.Start(context.Background()); err != nil {
+	if err != nil {
 		return err
 	}
-	<-app.Wait()
-	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
-	defer cancel()
-	return app.Stop(ctx)
+	return entry.Run(context.Background(), read, slog.New(slog.NewJSONHandler(c.stderr, nil)))
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -28,31 +28,63 @@
 // seconds, so that reading it more often brings nothing.
 const listInterval = time.Second
 
-// New returns the fx application of an entry instance.
-func New(entry settings.Entry, logger *slog.Logger) *fx.App {
+// headerTimeout bounds how long a connection may take to send its headers.
+const headerTimeout = 5 * time.Second
+
+// New returns the fx application of an entry instance. Options may provide the
+// parts of policies that are not built in, and add StopSteps and conditions of
+// Readiness.
+func New(entry settings.Entry, logger *slog.Logger, options ...fx.Option) *fx.App {
 	return fx.New(
 		fx.Supply(entry, logger),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.StopTimeout(entry.ShutdownDeadline()),
 		fx.Provide(
 			metrics.New,
 			newLister,
 			newCaller,
 			newFileConfiguration,
+			newExecutor,
+			newHandler,
 			func() *Servers { return &Servers{} },
+			func() *Readiness { return &Readiness{} },
+			func() *StopSteps { return &StopSteps{} },
 			func(s *Servers) Picker { return s },
 			func(c *fileConfiguration) ConfigurationSource { return c },
-			func(caller backend.Caller, picker Picker) *Executor {
-				return &Executor{Caller: caller, Picker: picker, Now: time.Now}
-			},
-			func(c ConfigurationSource, e *Executor) *Handler {
-				return &Handler{Configuration: c, Executor: e, Now: time.Now}
-			},
 		),
-		fx.Invoke(refreshServers, serveAdmin, serveCallers),
+		fx.Invoke(serveAdmin),
+		fx.Options(options...),
+		fx.Invoke(refreshServers, serveCallers),
 	)
 }
 
+// policies are the parts of the request path that other packages fill. A missing
+// one has the default that Handler or NewExecutor documents.
+type policies struct {
+	fx.In
+	Admission Admission    `optional:"true"`
+	Claims    Claims       `optional:"true"`
+	Jobs      Jobs         `optional:"true"`
+	Budgets   StageBudgets `optional:"true"`
+	Hedges    Hedges       `optional:"true"`
+}
+
+func newExecutor(entry settings.Entry, caller backend.Caller, picker Picker, p policies, m *metrics.Metrics, logger *slog.Logger) *Executor {
+	e := NewExecutor(caller, picker, time.Now)
+	e.Metrics = NewRequestMetrics(m.Scope, entry.Region)
+	e.Logger = logger
+	if p.Budgets != nil {
+		e.Budgets = p.Budgets
+	}
+	if p.Hedges != nil {
+		e.Hedges = p.Hedges
+	}
+	return e
+}
+
+func newHandler(c ConfigurationSource, e *Executor, p policies) *Handler {
+	return &Handler{Configuration: c, Executor: e, Admission: p.Admission, Claims: p.Claims, Jobs: p.Jobs, Now: time.Now}
+}
+
 func newLister(entry settings.Entry) platform.Lister {
 	return &platform.HTTPLister{Client: &http.Client{Timeout: listInterval}, Address: entry.PlatformAddress}
 }
@@ -118,26 +150,59 @@
 	}
 }
 
-// serveCallers listens for callers and finishes running requests on stop.
-func serveCallers(lc fx.Lifecycle, entry settings.Entry, handler *Handler, logger *slog.Logger) {
-	server := &http.Server{Handler: handler.Router(), ReadHeaderTimeout: 5 * time.Second}
+// callerService is what serveCallers starts and stops.
+type callerService struct {
+	fx.In
+	Entry     settings.Entry
+	Handler   *Handler
+	Readiness *Readiness
+	Steps     *StopSteps
+	Logger    *slog.Logger
+}
+
+// serveCallers listens for callers after everything else has started. Since fx
+// stops hooks in reverse order, its stop hook runs the steps of the shutdown
+// before any other part is stopped.
+func serveCallers(lc fx.Lifecycle, s callerService) {
+	server := &http.Server{Handler: s.Handler.Router(), ReadHeaderTimeout: headerTimeout}
+	var listening atomic.Bool
+	s.Readiness.Require("start", listening.Load)
+	s.Readiness.Require("configuration", func() bool { return s.Handler.Configuration.Current() != nil })
+	s.Steps.Add(StopStep{StopReadiness, "readiness", func(ctx context.Context) error {
+		s.Readiness.Withdraw()
+		s.Handler.Drain()
+		sleep(ctx, s.Entry.DrainGrace())
+		return nil
+	}})
+	s.Steps.Add(StopStep{StopCallers, "callers", server.Shutdown})
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
-			events.EntryStarted.Log(ctx, logger, slog.String("instance", entry.Instance), slog.String("address", entry.CallerAddress))
-			return listenAndServe(ctx, server, entry.CallerAddress)
+			if err := listenAndServe(ctx, server, s.Entry.CallerAddress, s.Logger); err != nil {
+				return err
+			}
+			listening.Store(true)
+			events.EntryStarted.Log(ctx, s.Logger, slog.String("instance", s.Entry.Instance), slog.String("address", s.Entry.CallerAddress))
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			s.Steps.run(ctx, s.Logger)
+			return nil
 		},
-		OnStop: server.Shutdown,
 	})
 }
 
-// serveAdmin serves health, readiness and metrics.
-func serveAdmin(lc fx.Lifecycle, entry settings.Entry, m *metrics.Metrics) {
+// serveAdmin serves health, readiness and metrics. It starts first and stops
+// last, so that readiness can be read during the whole shutdown.
+func serveAdmin(lc fx.Lifecycle, entry settings.Entry, m *metrics.Metrics, readiness *Readiness, logger *slog.Logger) {
 	router := http.NewServeMux()
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	router.Handle("/readyz", readiness)
 	router.Handle("/metrics", m.Handler)
-	server := &http.Server{Handler: router, ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 	lc.Append(fx.Hook{
-		OnStart: func(ctx context.Context) error { return listenAndServe(ctx, server, entry.AdminAddress) },
+		OnStart: func(ctx context.Context) error {
+			return listenAndServe(ctx, server, entry.AdminAddress, logger)
+		},
 		OnStop: func(ctx context.Context) error {
 			return errors.Join(server.Shutdown(ctx), m.Close())
 		},
@@ -146,12 +211,16 @@
 
 // listenAndServe binds the address before it returns, so that a taken address
 // fails the start.
-func listenAndServe(ctx context.Context, server *http.Server, address string) error {
+func listenAndServe(ctx context.Context, server *http.Server, address string, logger *slog.Logger) error {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
-	go func() { _ = server.Serve(listener) }()
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			events.ServeFailed.Log(context.WithoutCancel(ctx), logger, slog.String("address", address), slog.Any("error", err))
+		}
+	}()
 	return nil
 }
--- /dev/null
+++ b/internal/entry/eventwriter.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"hash"
+	"net/http"
+
+	"github.com/tmaxmax/go-sse"
+)
+
+// Names of the server-sent events of a streamed answer.
+const (
+	EventData  = "data"
+	EventEnd   = "end"
+	EventError = "error"
+)
+
+// End is the data of an EventEnd: the mark of a whole answer.
+type End struct {
+	Outcome Outcome `json:"outcome"`
+	Bytes   int64   `json:"bytes"`
+	SHA256  string  `json:"sha256"`
+}
+
+// eventWriter writes an answer as server-sent events. Each piece is written
+// before the next one is read, so that a slow caller slows the backend server.
+type eventWriter struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	sum     hash.Hash
+	bytes   int64
+	started bool
+}
+
+func newEventWriter(w http.ResponseWriter) *eventWriter {
+	return &eventWriter{w: w, control: http.NewResponseController(w), sum: sha256.New()}
+}
+
+func (s *eventWriter) piece(data []byte) error {
+	s.sum.Write(data)
+	s.bytes += int64(len(data))
+	return s.event(EventData, string(data))
+}
+
+// finish writes the last event: the end mark, or the problem. A problem before
+// the first piece is an answer of its own.
+func (s *eventWriter) finish(result Result) error {
+	switch {
+	case result.Problem == nil:
+		end := End{Outcome: OutcomeCompleted, Bytes: s.bytes, SHA256: hex.EncodeToString(s.sum.Sum(nil))}
+		return s.event(EventEnd, end)
+	case s.started:
+		return s.event(EventError, result.Problem)
+	default:
+		result.Problem.write(s.w)
+		return nil
+	}
+}
+
+// event writes one event with a JSON document as its data and sends it on.
+func (s *eventWriter) event(name string, data any) error {
+	if !s.started {
+		s.started = true
+		s.w.Header().Set("Content-Type", "text/event-stream")
+	}
+	encoded, err := json.Marshal(data)
+	if err != nil {
+		return err
+	}
+	message := sse.Message{Type: sse.Type(name)}
+	message.AppendData(string(encoded))
+	if _, err := message.WriteTo(s.w); err != nil {
+		return err
+	}
+	return s.control.Flush()
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -1,126 +1,139 @@
 package entry
 
 import (
-	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
-	"hash"
+	"context"
+	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
-	"github.com/tmaxmax/go-sse"
 )
 
 // PathRequest is the route of callers' requests.
 const PathRequest = "/v1/organisations/{organisation}/pipelines/{pipeline}/kinds/{kind}"
 
-// Names of the server-sent events of a streamed answer.
-const (
-	EventData  = "data"
-	EventEnd   = "end"
-	EventError = "error"
-)
+// writeMargin is the time after its deadline in which a caller may still read
+// the rest of its answer. A caller that reads nothing is cut off then.
+const writeMargin = 5 * time.Second
 
-// End is the data of an EventEnd: the mark of a whole answer.
-type End struct {
-	Outcome Outcome `json:"outcome"`
-	Bytes   int64   `json:"bytes"`
-	SHA256  string  `json:"sha256"`
+// Jobs accepts durable requests.
+type Jobs interface {
+	// Submit records a request and returns the path of its status once it is
+	// certain to run.
+	Submit(ctx context.Context, request *Request) (location string, problem *Problem)
+	// Register adds the routes of job status to the caller API.
+	Register(router *mux.Router)
 }
 
-// Handler serves callers.
+// Handler serves callers. Admission, Claims and Jobs may be nil: then every
+// request is admitted, and at-most-once and durable requests are refused.
 type Handler struct {
 	Configuration ConfigurationSource
 	Executor      *Executor
+	Admission     Admission
+	Claims        Claims
+	Jobs          Jobs
 	Now           func() time.Time
+
+	running  atomic.Int64
+	draining atomic.Bool
 }
 
 // Router returns the routes of the caller API.
 func (h *Handler) Router() http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc(PathRequest, h.serveRequest).Methods(http.MethodPost)
-	return router
+	if h.Jobs != nil {
+		h.Jobs.Register(router)
+	}
+	router.NotFoundHandler = problemHandler(http.StatusNotFound, "unknown path")
+	router.MethodNotAllowedHandler = problemHandler(http.StatusMethodNotAllowed, "method not allowed")
+	return h.track(router)
+}
+
+// Running returns the number of requests being served.
+func (h *Handler) Running() int64 {
+	return h.running.Load()
+}
+
+// Drain makes every further answer close its connection, so that callers open
+// the next one at another instance.
+func (h *Handler) Drain() {
+	h.draining.Store(true)
+}
+
+// track counts running requests.
+func (h *Handler) track(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.running.Add(1)
+		defer h.running.Add(-1)
+		if h.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func problemHandler(status int, title string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		notRun(status, ProblemNotFound, title, fmt.Sprintf("%s %s", r.Method, r.URL.Path)).write(w)
+	})
 }
 
 func (h *Handler) serveRequest(w http.ResponseWriter, r *http.Request) {
-	request, problem := parseRequest(r, h.Configuration.Current(), h.Now())
+	request, problem := parseRequest(w, r, h.Configuration.Current(), h.Now())
 	if problem != nil {
 		problem.write(w)
 		return
 	}
-	if request.Stream {
+	switch {
+	case request.Async:
+		h.serveAsync(w, r, request)
+	case request.Stream:
 		h.serveStream(w, r, request)
+	default:
+		h.servePlain(w, r, request)
+	}
+}
+
+// serveAsync accepts durable work once it is recorded.
+func (h *Handler) serveAsync(w http.ResponseWriter, r *http.Request, request *Request) {
+	if h.Jobs == nil {
+		notRun(http.StatusServiceUnavailable, ProblemUnavailable, "durable work is unavailable",
+			"this instance cannot record jobs").write(w)
 		return
 	}
-	h.servePlain(w, r, request)
+	location, problem := h.Jobs.Submit(r.Context(), request)
+	if problem != nil {
+		problem.write(w)
+		return
+	}
+	w.Header().Set("Location", location)
+	w.Header().Set("Preference-Applied", preferAsync)
+	w.WriteHeader(http.StatusAccepted)
 }
 
 // servePlain sends the whole answer with its length, so that a caller notices a
 // cut-off one.
 func (h *Handler) servePlain(w http.ResponseWriter, r *http.Request, request *Request) {
-	var whole bytes.Buffer
-	problem := h.Executor.Execute(r.Context(), request, func(piece []byte) error {
-		whole.Write(piece)
-		return nil
-	})
-	if problem != nil {
-		problem.write(w)
+	result := h.serve(r.Context(), request, nil)
+	if result.Problem != nil {
+		result.Problem.write(w)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(HeaderOutcome, string(OutcomeCompleted))
-	_, _ = w.Write(asJSON(whole.Bytes()))
+	_, _ = w.Write(result.Answer)
 }
 
 // serveStream sends pieces as they come and marks the end of the whole answer.
 func (h *Handler) serveStream(w http.ResponseWriter, r *http.Request, request *Request) {
-	stream := &eventWriter{w: w, control: http.NewResponseController(w), sum: sha256.New()}
-	problem := h.Executor.Execute(r.Context(), request, stream.piece)
-	switch {
-	case problem == nil:
-		_ = stream.event(EventEnd, stream.end())
-	case !stream.started:
-		problem.write(w)
-	default:
-		_ = stream.event(EventError, problem)
-	}
-}
-
-// eventWriter writes an answer as server-sent events.
-type eventWriter struct {
-	w       http.ResponseWriter
-	control *http.ResponseController
-	sum     hash.Hash
-	bytes   int64
-	started bool
-}
-
-func (s *eventWriter) piece(data []byte) error {
-	s.sum.Write(data)
-	s.bytes += int64(len(data))
-	return s.event(EventData, string(data))
-}
-
-func (s *eventWriter) end() End {
-	return End{Outcome: OutcomeCompleted, Bytes: s.bytes, SHA256: hex.EncodeToString(s.sum.Sum(nil))}
-}
-
-// event writes one event with a JSON document as its data and sends it on.
-func (s *eventWriter) event(name string, data any) error {
-	if !s.started {
-		s.started = true
-		s.w.Header().Set("Content-Type", "text/event-stream")
-	}
-	encoded, err := json.Marshal(data)
-	if err != nil {
-		return err
-	}
-	message := sse.Message{Type: sse.Type(name)}
-	message.AppendData(string(encoded))
-	if _, err := message.WriteTo(s.w); err != nil {
-		return err
+	stream := newEventWriter(w)
+	// A writer that knows no deadlines, as in tests, does not block.
+	_ = stream.control.SetWriteDeadline(time.Now().Add(request.Deadline.Sub(h.Now()) + writeMargin))
+	result := h.serve(r.Context(), request, stream.piece)
+	if stream.finish(result) == nil {
+		_ = stream.control.SetWriteDeadline(time.Time{})
 	}
-	return s.control.Flush()
 }
--- /dev/null
+++ b/internal/entry/outcome.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+)
+
+// refusedRetryAfter is the hint after every server that was asked refused. The
+// instance list, which may bring other servers, is read once a second.
+const refusedRetryAfter = time.Second
+
+// stageError names the stage that ended an execution.
+type stageError struct {
+	stage string
+	err   error
+}
+
+func (e *stageError) Error() string { return fmt.Sprintf("stage %q: %v", e.stage, e.err) }
+func (e *stageError) Unwrap() error { return e.err }
+
+// outcome tells what became of an execution that has no answer. A once call
+// that ended well counts as well: its effect stands.
+func (x *execution) outcome() Outcome {
+	switch {
+	case x.onceMaybeRan.Load() > 0:
+		return OutcomeUnknown
+	case x.maybeRan.Load() > 0:
+		return OutcomeFailed
+	default:
+		return OutcomeNotRun
+	}
+}
+
+// problem turns the error that ended the execution into the answer for the
+// caller. Addresses of servers stay out of it.
+func (x *execution) problem(ctx context.Context, err error) *Problem {
+	p := &Problem{
+		Type:    ProblemStage,
+		Title:   "request failed",
+		Status:  http.StatusBadGateway,
+		Detail:  "the request could not be completed",
+		Outcome: x.outcome(),
+	}
+	var failed *stageError
+	if errors.As(err, &failed) {
+		p.Title = fmt.Sprintf("stage %q failed", failed.stage)
+		p.Detail = reason(err)
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
+		p.Type, p.Status = ProblemDeadline, http.StatusGatewayTimeout
+		p.Detail = "the deadline passed"
+	case errors.Is(err, backend.ErrInvalid):
+		p.Type, p.Status = ProblemInvalid, http.StatusUnprocessableEntity
+	case backend.DefinitelyNotRun(err):
+		p.Type, p.Status = ProblemUnavailable, http.StatusServiceUnavailable
+		p.RetryAfterMS = refusedRetryAfter.Milliseconds()
+	}
+	return p
+}
+
+// reason returns the kind of a stage's error without its details.
+func reason(err error) string {
+	for _, known := range []error{
+		errNoServer, errClaimExpired, errCallerGone, backend.ErrDraining, backend.ErrInvalid,
+		backend.ErrRefused, backend.ErrNotSent, backend.ErrBadAnswer, backend.ErrMayHaveRun,
+	} {
+		if errors.Is(err, known) {
+			return known.Error()
+		}
+	}
+	return "internal error"
+}
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -36,6 +36,8 @@
 	Outcome Outcome `json:"outcome"`
 	// RetryAfterMS is when the caller may come back, in milliseconds; 0 for no hint.
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+	// SHA256 is the digest of a recorded answer in hexadecimal.
+	SHA256 string `json:"sha256,omitempty"`
 }
 
 // Problem types, as URIs relative to the documentation.
@@ -45,6 +47,7 @@
 	ProblemDeadline    = "/problems/deadline"
 	ProblemUnavailable = "/problems/unavailable"
 	ProblemStage       = "/problems/stage-failed"
+	ProblemRecorded    = "/problems/key-used"
 )
 
 func (p *Problem) Error() string {
--- /dev/null
+++ b/internal/entry/ready.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+)
+
+// Readiness tells the load balancer whether the instance takes new work.
+type Readiness struct {
+	mu         sync.Mutex
+	conditions []condition
+	withdrawn  bool
+}
+
+type condition struct {
+	name string
+	met  func() bool
+}
+
+// Require adds a condition that must be met, such as a configuration in force.
+func (r *Readiness) Require(name string, met func() bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conditions = append(r.conditions, condition{name, met})
+}
+
+// Withdraw makes the instance not ready for good.
+func (r *Readiness) Withdraw() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.withdrawn = true
+}
+
+// Missing returns why the instance is not ready, or an empty string.
+func (r *Readiness) Missing() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.withdrawn {
+		return "shutting down"
+	}
+	for _, c := range r.conditions {
+		if !c.met() {
+			return c.name
+		}
+	}
+	return ""
+}
+
+// ServeHTTP answers 200 when ready, and otherwise 503 with the reason.
+func (r *Readiness) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	missing := r.Missing()
+	if missing == "" {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	fmt.Fprintln(w, missing)
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
+	"os"
 	"strings"
 	"time"
 
@@ -18,6 +18,10 @@
 // maxBodyBytes bounds a caller's body.
 const maxBodyBytes = 8 << 20
 
+// maxKeyBytes bounds an idempotency key. Keys are recorded in the store, whose
+// values are bounded.
+const maxKeyBytes = 255
+
 // Request is a caller's request after validation against the configuration.
 type Request struct {
 	Organisation pipeline.Organisation
@@ -31,10 +35,13 @@
 	Deadline time.Time
 	// Stream is true when the caller wants server-sent events.
 	Stream bool
+	// Async is true when the caller wants durable work that it fetches later.
+	Async bool
 }
 
-// parseRequest validates an HTTP request against a configuration.
-func parseRequest(r *http.Request, set *pipeline.Set, now time.Time) (*Request, *Problem) {
+// parseRequest validates an HTTP request against a configuration. The body is
+// read last, so that a bad header is answered without waiting for it.
+func parseRequest(w http.ResponseWriter, r *http.Request, set *pipeline.Set, now time.Time) (*Request, *Problem) {
 	request, problem := lookUp(mux.Vars(r), set)
 	if problem != nil {
 		return nil, problem
@@ -47,16 +54,35 @@
 		return nil, notRun(http.StatusGatewayTimeout, ProblemDeadline, "deadline expired", "no time is left for the request")
 	}
 	request.Deadline = now.Add(timeout)
-	request.Key = r.Header.Get("Idempotency-Key")
-	if request.Kind.AtMostOnce() && request.Key == "" {
-		return nil, notRun(http.StatusBadRequest, ProblemInvalid, "missing idempotency key",
-			fmt.Sprintf("kind %q is at-most-once and needs the Idempotency-Key header", request.Kind.Name))
+	if request.Key, problem = parseKey(r.Header, request.Kind); problem != nil {
+		return nil, problem
 	}
 	request.Stream = strings.Contains(r.Header.Get("Accept"), "text/event-stream")
-	request.Body, problem = readBody(r)
+	request.Async = request.Kind.Durable && prefersAsync(r.Header)
+	request.Body, problem = readBody(w, r, timeout)
 	return request, problem
 }
 
+// parseKey reads the idempotency key, which at-most-once kinds need.
+func parseKey(header http.Header, kind pipeline.Kind) (string, *Problem) {
+	keys := header.Values("Idempotency-Key")
+	switch {
+	case len(keys) > 1:
+		return "", notRun(http.StatusBadRequest, ProblemInvalid, "ambiguous idempotency key",
+			"the Idempotency-Key header was sent more than once")
+	case len(keys) == 1 && len(keys[0]) > maxKeyBytes:
+		return "", notRun(http.StatusBadRequest, ProblemInvalid, "idempotency key too long",
+			fmt.Sprintf("the key exceeds %d bytes", maxKeyBytes))
+	case len(keys) == 1 && keys[0] != "":
+		return keys[0], nil
+	case kind.AtMostOnce():
+		return "", notRun(http.StatusBadRequest, ProblemInvalid, "missing idempotency key",
+			fmt.Sprintf("kind %q is at-most-once and needs the Idempotency-Key header", kind.Name))
+	default:
+		return "", nil
+	}
+}
+
 // lookUp finds the organisation, pipeline and kind that the path names.
 func lookUp(vars map[string]string, set *pipeline.Set) (*Request, *Problem) {
 	organisation, ok := set.Organisation(vars["organisation"])
@@ -78,62 +104,48 @@
 	return notRun(http.StatusNotFound, ProblemNotFound, "unknown "+what, fmt.Sprintf("%s %q is not configured", what, name))
 }
 
-// readBody reads a bounded JSON document.
-func readBody(r *http.Request) (json.RawMessage, *Problem) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, notRun(http.StatusRequestEntityTooLarge, ProblemInvalid, "body too large",
-			fmt.Sprintf("the body exceeds %d bytes", tooLarge.Limit))
+// readBody reads a bounded JSON document within the time of the request.
+func readBody(w http.ResponseWriter, r *http.Request, timeout time.Duration) (json.RawMessage, *Problem) {
+	if r.ContentLength > maxBodyBytes {
+		return nil, bodyTooLarge()
 	}
-	if err != nil {
+	control := http.NewResponseController(w)
+	// Tests use writers without a deadline.
+	_ = control.SetReadDeadline(time.Now().Add(timeout))
+	body, err := readAll(http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, bodyTooLarge()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, notRun(http.StatusGatewayTimeout, ProblemDeadline, "deadline expired", "the body did not arrive in time")
+	case err != nil:
 		return nil, notRun(http.StatusBadRequest, ProblemInvalid, "unreadable body", err.Error())
-	}
-	if !json.Valid(body) {
+	case !json.Valid(body):
 		return nil, notRun(http.StatusBadRequest, ProblemInvalid, "malformed body", "the body is not a JSON document")
 	}
+	// Without this, the deadline would end the server's watch for the caller's
+	// departure and cancel the request.
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
-// parseTimeout reads the deadline from Grpc-Timeout or from the wait preference
-// of RFC 7240, bounded by the longest wait of the kind.
-func parseTimeout(header http.Header, longest time.Duration) (time.Duration, error) {
-	if value := header.Get("Grpc-Timeout"); value != "" {
-		timeout, err := parseGRPCTimeout(value)
-		return min(timeout, longest), err
-	}
-	for preference := range strings.SplitSeq(header.Get("Prefer"), ",") {
-		value, ok := strings.CutPrefix(strings.TrimSpace(preference), "wait=")
-		if !ok {
-			continue
-		}
-		seconds, err := strconv.Atoi(value)
-		if err != nil {
-			return 0, fmt.Errorf("preference wait=%q is not a number of seconds", value)
-		}
-		return min(time.Duration(seconds)*time.Second, longest), nil
-	}
-	return longest, nil
-}
+// preallocatedBodyBytes bounds the memory that a caller gets by announcing a
+// length without sending it.
+const preallocatedBodyBytes = 64 << 10
 
-// grpcUnits are the units of the Grpc-Timeout header.
-var grpcUnits = map[byte]time.Duration{
-	'H': time.Hour, 'M': time.Minute, 'S': time.Second,
-	'm': time.Millisecond, 'u': time.Microsecond, 'n': time.Nanosecond,
+// readAll reads a short body of known length without growing a buffer. An
+// unknown length is -1.
+func readAll(body io.Reader, length int64) ([]byte, error) {
+	if length < 0 || length > preallocatedBodyBytes {
+		return io.ReadAll(body)
+	}
+	data := make([]byte, length)
+	_, err := io.ReadFull(body, data)
+	return data, err
 }
 
-// maxTimeoutDigits is the bound that the gRPC protocol sets on the number.
-const maxTimeoutDigits = 8
-
-func parseGRPCTimeout(value string) (time.Duration, error) {
-	unit, ok := grpcUnits[value[len(value)-1]]
-	digits := value[:len(value)-1]
-	if !ok || len(digits) > maxTimeoutDigits {
-		return 0, fmt.Errorf("Grpc-Timeout %q is not a number of at most %d digits with a unit", value, maxTimeoutDigits)
-	}
-	number, err := strconv.ParseUint(digits, 10, 32)
-	if err != nil {
-		return 0, fmt.Errorf("Grpc-Timeout %q: %w", value, err)
-	}
-	return time.Duration(number) * unit, nil
+func bodyTooLarge() *Problem {
+	return notRun(http.StatusRequestEntityTooLarge, ProblemInvalid, "body too large",
+		fmt.Sprintf("the body exceeds %d bytes", maxBodyBytes))
 }
--- /dev/null
+++ b/internal/entry/requestmetrics.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+)
+
+// stageBuckets are the bounds of the stage latency histogram.
+var stageBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+
+// RequestMetrics reports the request path. Tagged metrics are kept, because
+// looking one up in its scope allocates.
+type RequestMetrics struct {
+	scope                             tally.Scope
+	region                            string
+	retries, resumes, hedges, dropped tally.Counter
+	tagged                            sync.Map
+}
+
+// Keys of the tagged metrics.
+type (
+	requestKey struct {
+		pipeline, kind string
+		outcome        Outcome
+	}
+	stageKey struct {
+		pool, stage string
+		failed      bool
+	}
+	linkKey struct{ stage, organisation string }
+)
+
+// NewRequestMetrics returns metrics of an instance in a region.
+func NewRequestMetrics(scope tally.Scope, region string) *RequestMetrics {
+	return &RequestMetrics{
+		scope:   scope,
+		region:  region,
+		retries: scope.Counter("stage_retries"),
+		resumes: scope.Counter("stage_resumes"),
+		hedges:  scope.Counter("stage_hedges"),
+		dropped: scope.Counter("dropped_answers"),
+	}
+}
+
+func discardMetrics() *RequestMetrics {
+	return NewRequestMetrics(tally.NoopScope, "")
+}
+
+// request counts a finished request.
+func (m *RequestMetrics) request(request *Request, outcome Outcome) {
+	key := requestKey{request.Pipeline.Name, request.Kind.Name, outcome}
+	kept, ok := m.tagged.Load(key)
+	if !ok {
+		tags := map[string]string{"pipeline": key.pipeline, "kind": key.kind, "outcome": string(outcome)}
+		kept, _ = m.tagged.LoadOrStore(key, m.scope.Tagged(tags).Counter("requests"))
+	}
+	kept.(tally.Counter).Inc(1)
+}
+
+// stage records the duration of a stage with all its attempts.
+func (m *RequestMetrics) stage(stage *pipeline.Stage, took time.Duration, err error) {
+	key := stageKey{stage.Pool, stage.Name, err != nil}
+	kept, ok := m.tagged.Load(key)
+	if !ok {
+		result := "completed"
+		if key.failed {
+			result = "failed"
+		}
+		tags := map[string]string{"pool": key.pool, "stage": key.stage, "result": result}
+		kept, _ = m.tagged.LoadOrStore(key, m.scope.Tagged(tags).Histogram("stage_seconds", stageBuckets))
+	}
+	kept.(tally.Histogram).RecordDuration(took)
+}
+
+// moved counts the bytes of a call that crossed the link between regions.
+func (m *RequestMetrics) moved(server backend.Server, stage, organisation string, bytes int64) {
+	if server.Region == m.region {
+		return
+	}
+	key := linkKey{stage, organisation}
+	kept, ok := m.tagged.Load(key)
+	if !ok {
+		tags := map[string]string{"stage": stage, "organisation": organisation}
+		kept, _ = m.tagged.LoadOrStore(key, m.scope.Tagged(tags).Counter("link_bytes"))
+	}
+	kept.(tally.Counter).Inc(bytes)
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+)
+
+// recordTimeout bounds how long the answer waits for the claim's record. A
+// record that fails leaves the claim in the state claimed.
+const recordTimeout = 2 * time.Second
+
+// recordedElsewhere is the detail of a repeated key whose answer is not kept.
+const recordedElsewhere = "the request was completed; only the digest of its answer is kept"
+
+// serve takes a validated request through admission, claim and execution. The
+// claim is settled before the result is returned.
+func (h *Handler) serve(ctx context.Context, request *Request, emit func([]byte) error) Result {
+	result := h.admitted(ctx, request, emit)
+	h.Executor.Metrics.request(request, result.Outcome)
+	events.RequestFinished.Log(ctx, h.Executor.Logger,
+		slog.String("organisation", request.Organisation.Name),
+		slog.String("pipeline", request.Pipeline.Name),
+		slog.String("kind", request.Kind.Name),
+		slog.String("outcome", string(result.Outcome)))
+	return result
+}
+
+func (h *Handler) admitted(ctx context.Context, request *Request, emit func([]byte) error) Result {
+	if h.Admission == nil {
+		return h.claimed(ctx, request, emit)
+	}
+	release, problem := h.Admission.Admit(ctx, request)
+	if problem != nil {
+		return failedResult(problem)
+	}
+	result := Result{Outcome: OutcomeFailed}
+	defer func() { release(result.Outcome) }()
+	result = h.claimed(ctx, request, emit)
+	return result
+}
+
+// claimed claims the key of an at-most-once request and runs it. Without claims
+// such a request is refused, since a repeat of its key could run again.
+func (h *Handler) claimed(ctx context.Context, request *Request, emit func([]byte) error) Result {
+	if !request.Kind.AtMostOnce() {
+		return h.Executor.Execute(ctx, request, Options{Emit: emit})
+	}
+	if h.Claims == nil {
+		return failedResult(notRun(http.StatusServiceUnavailable, ProblemUnavailable,
+			"claims are unavailable", "this instance cannot serve at-most-once kinds"))
+	}
+	claim, recorded, problem := h.Claims.Claim(ctx, request)
+	switch {
+	case problem != nil:
+		return failedResult(problem)
+	case recorded != nil:
+		return replay(recorded, emit)
+	}
+	result := h.Executor.Execute(ctx, request, Options{Claim: claim, Emit: emit})
+	h.settle(ctx, claim, request, result)
+	return result
+}
+
+// settle records the outcome of a claimed request, or frees its key when no
+// non-idempotent call can have run. It outlives the caller.
+func (h *Handler) settle(ctx context.Context, claim Claim, request *Request, result Result) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	var err error
+	switch result.Outcome {
+	case OutcomeCompleted, OutcomeUnknown:
+		err = claim.Finish(ctx, result.Outcome, result.Answer)
+	default:
+		err = claim.Release(ctx)
+	}
+	if err != nil {
+		events.ClaimNotSettled.Log(ctx, h.Executor.Logger,
+			slog.String("organisation", request.Organisation.Name),
+			slog.String("kind", request.Kind.Name),
+			slog.String("outcome", string(result.Outcome)),
+			slog.Any("error", err))
+	}
+}
+
+// replay answers a repeated key from its record.
+func replay(recorded *RecordedAnswer, emit func([]byte) error) Result {
+	if recorded.Outcome == OutcomeCompleted && recorded.Answer != nil {
+		if emit != nil {
+			// A failed write ends the caller's connection, which it notices itself.
+			_ = emit(recorded.Answer)
+		}
+		return Result{Outcome: OutcomeCompleted, Answer: recorded.Answer}
+	}
+	problem := &Problem{
+		Type: ProblemRecorded, Title: "the key was used before", Status: http.StatusConflict,
+		Detail: "the outcome of the earlier request is recorded", Outcome: recorded.Outcome, SHA256: recorded.SHA256,
+	}
+	if recorded.Outcome == OutcomeCompleted {
+		problem.Status, problem.Detail = http.StatusGone, recordedElsewhere
+	}
+	return failedResult(problem)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,13 +3,9 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"os"
 	"time"
-
-	"github.com/tailscale/hujson"
 )
 
 // Entry is the settings file of an entry instance.
@@ -36,50 +32,34 @@
 	// DrainGraceMS is the time in milliseconds between the withdrawal of readiness and
 	// the end of new work; 0 means DefaultDrainGrace.
 	DrainGraceMS int64 `json:"drain_grace_ms,omitempty"`
-	// ShutdownDeadlineMS bounds a graceful shutdown in milliseconds; 0 means
-	// DefaultShutdownDeadline.
+	// ShutdownDeadlineMS bounds a graceful shutdown in milliseconds; 0 means the
+	// longest deadline of any kind in force and a margin.
 	ShutdownDeadlineMS int64 `json:"shutdown_deadline_ms,omitempty"`
 }
 
-// Defaults of a shutdown. The grace lets a balancer that polls readiness every
-// second see it withdrawn.
-const (
-	DefaultDrainGrace       = 2 * time.Second
-	DefaultShutdownDeadline = 30 * time.Second
-)
+// DefaultDrainGrace lets a balancer that polls readiness every second see it withdrawn.
+const DefaultDrainGrace = 2 * time.Second
 
 // DrainGrace returns the time between the withdrawal of readiness and the end of new work.
 func (e Entry) DrainGrace() time.Duration {
-	return millisOr(e.DrainGraceMS, DefaultDrainGrace)
+	if e.DrainGraceMS == 0 {
+		return DefaultDrainGrace
+	}
+	return time.Duration(e.DrainGraceMS) * time.Millisecond
 }
 
-// ShutdownDeadline returns the bound on a graceful shutdown.
-func (e Entry) ShutdownDeadline() time.Duration {
-	return millisOr(e.ShutdownDeadlineMS, DefaultShutdownDeadline)
+// ShutdownDeadline returns the bound on a graceful shutdown, or false when the
+// configuration in force determines it.
+func (e Entry) ShutdownDeadline() (time.Duration, bool) {
+	return time.Duration(e.ShutdownDeadlineMS) * time.Millisecond, e.ShutdownDeadlineMS != 0
 }
 
-func millisOr(ms int64, fallback time.Duration) time.Duration {
-	if ms == 0 {
-		return fallback
-	}
-	return time.Duration(ms) * time.Millisecond
-}
-
-// Read reads a settings file. Unknown fields are mistakes.
+// Read reads and checks a settings file. It returns a *MistakesError that lists
+// every mistake when the file can be read.
 func Read(path string) (Entry, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return Entry{}, fmt.Errorf("read settings: %w", err)
 	}
-	standard, err := hujson.Standardize(data)
-	if err != nil {
-		return Entry{}, fmt.Errorf("settings %s: %w", path, err)
-	}
-	decoder := json.NewDecoder(bytes.NewReader(standard))
-	decoder.DisallowUnknownFields()
-	var entry Entry
-	if err := decoder.Decode(&entry); err != nil {
-		return Entry{}, fmt.Errorf("settings %s: %w", path, err)
-	}
-	return entry, nil
+	return Parse(path, data)
 }
--- /dev/null
+++ b/routing/retry.go
@@ -0,0 +1,61 @@
+package routing
+
+import "time"
+
+// RetryBudgetConfig bounds retries in proportion to requests.
+type RetryBudgetConfig struct {
+	// Ratio is the number of retries that one request earns.
+	Ratio float64
+	// PerSecond is the number of retries earned per second without any request, so
+	// that an instance with little load can retry at all.
+	PerSecond float64
+	// Burst bounds the retries that can be saved up.
+	Burst float64
+}
+
+// DefaultRetryBudget allows retries for 10 % of requests and 2 per second.
+var DefaultRetryBudget = RetryBudgetConfig{Ratio: 0.1, PerSecond: 2, Burst: 50}
+
+// RetryBudget is a token bucket that requests and time fill and retries drain.
+// It starts empty, so that a restarted instance does not add load to an
+// overloaded pool. It is not safe for concurrent use.
+type RetryBudget struct {
+	config RetryBudgetConfig
+	tokens float64
+	last   time.Time
+}
+
+// NewRetryBudget returns an empty budget whose time starts at now.
+func NewRetryBudget(config RetryBudgetConfig, now time.Time) *RetryBudget {
+	return &RetryBudget{config: config, last: now}
+}
+
+// Request counts one first attempt.
+func (b *RetryBudget) Request(now time.Time) {
+	b.refill(now)
+	b.add(b.config.Ratio)
+}
+
+// Allow takes one retry from the budget and reports whether there was one.
+func (b *RetryBudget) Allow(now time.Time) bool {
+	b.refill(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// refill adds what time earned. A clock that goes back earns nothing.
+func (b *RetryBudget) refill(now time.Time) {
+	elapsed := now.Sub(b.last)
+	if elapsed <= 0 {
+		return
+	}
+	b.last = now
+	b.add(elapsed.Seconds() * b.config.PerSecond)
+}
+
+func (b *RetryBudget) add(tokens float64) {
+	b.tokens = min(b.tokens+tokens, b.config.Burst)
+}
