Cut the processor time of the hop to a backend server

Cause: a profile of BenchmarkOverhead showed a tenth of the entry path in encoding/json compacting inputs that are known to be valid, in URL parsing and in growing read buffers. Change: the stage request appends the input as it is and is built without parsing a URL; an answer is read into a buffer of its announced length. A plain answer always carries its length, also above 2 KB, where net/http would have sent it in chunks. What remains is one parse of the body and one of the answer.

--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -10,6 +10,7 @@
 	"mime"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -61,7 +62,30 @@
 }
 
 func newRequest(ctx context.Context, server Server, request StageRequest) (*http.Request, error) {
-	body, err := json.Marshal(Body{
+	body, err := encodeBody(request)
+	if err != nil {
+		return nil, err
+	}
+	httpRequest := &http.Request{
+		Method: http.MethodPost,
+		URL:    &url.URL{Scheme: "http", Host: server.Address, Path: PathStage + string(request.Type)},
+		Header: http.Header{
+			"Content-Type": {"application/json"},
+			HeaderAttempt:  {request.Attempt},
+			HeaderTimeout:  {strconv.FormatInt(request.Timeout.Milliseconds(), 10) + "m"},
+			HeaderPriority: {"u=" + strconv.Itoa(request.Priority)},
+		},
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		GetBody:       func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil },
+		ContentLength: int64(len(body)),
+	}
+	return httpRequest.WithContext(ctx), nil
+}
+
+// encodeBody appends the input as it is, since encoding/json would parse and
+// compact a document that is known to be valid.
+func encodeBody(request StageRequest) ([]byte, error) {
+	head, err := json.Marshal(Body{
 		Organisation: request.Organisation,
 		Pipeline:     request.Pipeline,
 		Kind:         request.Kind,
@@ -70,21 +94,16 @@
 		PrefixKey:    request.PrefixKey,
 		MaxTokens:    request.MaxTokens,
 		ResumeOffset: request.ResumeOffset,
-		Input:        request.Input,
 	})
 	if err != nil {
 		return nil, err
 	}
-	url := "http://" + server.Address + PathStage + string(request.Type)
-	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	httpRequest.Header.Set("Content-Type", "application/json")
-	httpRequest.Header.Set(HeaderAttempt, request.Attempt)
-	httpRequest.Header.Set(HeaderTimeout, strconv.FormatInt(request.Timeout.Milliseconds(), 10)+"m")
-	httpRequest.Header.Set(HeaderPriority, "u="+strconv.Itoa(request.Priority))
-	return httpRequest, nil
+	const field = `,"input":`
+	body := make([]byte, 0, len(head)+len(field)+len(request.Input))
+	body = append(body, head[:len(head)-1]...)
+	body = append(body, field...)
+	body = append(body, request.Input...)
+	return append(body, '}'), nil
 }
 
 // transportError classifies an error without a response. Once a connection was
@@ -107,7 +126,7 @@
 	}
 	switch mediaType {
 	case "application/json":
-		return newAnswerStream(response.Body, request)
+		return newAnswerStream(response, request)
 	case "text/event-stream":
 		return newEventStream(response.Body, request), nil
 	default:
--- a/internal/backend/wire.go
+++ b/internal/backend/wire.go
@@ -25,7 +25,7 @@
 	PrefixKey    string          `json:"prefix_key,omitempty"`
 	MaxTokens    int             `json:"max_tokens,omitempty"`
 	ResumeOffset int64           `json:"resume_offset,omitempty"`
-	Input        json.RawMessage `json:"input"`
+	Input        json.RawMessage `json:"input,omitempty"`
 }
 
 // Answer is the whole answer of a stage that does not stream.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -123,6 +124,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(result.Answer)))
 	w.Header().Set(HeaderOutcome, string(OutcomeCompleted))
 	_, _ = w.Write(result.Answer)
 }
