--- /dev/null
+++ b/internal/backend/http_test.go
@@ -0,0 +1,112 @@
+package backend
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	jsonType  = "application/json"
+	eventType = "text/event-stream"
+)
+
+// exchange calls a server that answers with a status, a content type and a body,
+// and returns the answer and the error of the whole exchange.
+func exchange(c *qt.C, status int, contentType, body string) (string, error) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", contentType)
+		w.Header().Set("Location", "/elsewhere")
+		if strings.HasSuffix(body, "<cut>") {
+			w.Header().Set("Content-Length", "100000")
+		}
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, strings.TrimSuffix(body, "<cut>"))
+	}))
+	defer server.Close()
+	caller := NewHTTPCaller(NewTransport())
+	request := StageRequest{Attempt: "a1", Type: "service", Input: []byte(`{}`), MaxAnswerBytes: 20, Timeout: time.Minute}
+	stream, err := caller.Call(c.Context(), Server{Address: server.Listener.Addr().String()}, request)
+	if err != nil {
+		return "", err
+	}
+	defer stream.Close()
+	var answer strings.Builder
+	for {
+		piece, err := stream.Next()
+		if err != nil {
+			return answer.String(), err
+		}
+		answer.Write(piece)
+	}
+}
+
+func event(name, data string) string { return fmt.Sprintf("event: %s\ndata: %s\n\n", name, data) }
+
+// Guards against an answer that is garbage, half, crossed or too large and is
+// taken for a whole one, and against an error that claims too much about what ran.
+func TestAnswers(t *testing.T) {
+	c := qt.New(t)
+	first := event(EventChunk, `{"attempt":"a1","offset":0,"data":"abc"}`)
+	for _, test := range []struct {
+		status            int
+		contentType, body string
+		answer            string
+		err               error
+		definitelyNotRun  bool
+	}{
+		{200, jsonType, `{"attempt":"a1","output":{"x":1}}`, `{"x":1}`, io.EOF, false},
+		{200, jsonType, `{"attempt":"a1"}`, "", ErrBadAnswer, false},
+		{200, jsonType, `{"attempt":"a1","output":`, "", ErrBadAnswer, false},
+		{200, jsonType, `{"attempt":"a1","output":1}<cut>`, "", ErrBadAnswer, false},
+		{200, jsonType, `{"attempt":"a1","output":1}{}`, "", ErrBadAnswer, false},
+		{200, jsonType, `{"attempt":"a2","output":1}`, "", ErrCrossedAnswer, false},
+		{200, jsonType, `{"attempt":"a1","output":"` + strings.Repeat("x", 20) + `"}`, "", ErrBadAnswer, false},
+		{200, jsonType, strings.Repeat("x", 10000), "", ErrBadAnswer, false},
+		{200, "text/html", "<html>", "", ErrBadAnswer, false},
+		{200, "", "", "", ErrBadAnswer, false},
+		{200, eventType, first + event(EventEnd, `{"attempt":"a1","bytes":3}`), "abc", io.EOF, false},
+		{200, eventType, first, "abc", ErrBrokenStream, false},
+		{200, eventType, first + "<cut>", "abc", ErrBrokenStream, false},
+		{200, eventType, first + event(EventEnd, `{"attempt":"a1","bytes":4}`), "abc", ErrBadAnswer, false},
+		{200, eventType, first + event(EventEnd, `{"attempt":"a2","bytes":3}`), "abc", ErrCrossedAnswer, false},
+		{200, eventType, first + event(EventChunk, `{"attempt":"a2","offset":3,"data":"d"}`), "abc", ErrCrossedAnswer, false},
+		{200, eventType, first + first, "abc", ErrBadAnswer, false},
+		{200, eventType, event(EventChunk, `{"attempt":"a1","data":"`+strings.Repeat("x", 21)+`"}`), "", ErrBadAnswer, false},
+		{200, eventType, event(EventChunk, `{`), "", ErrBadAnswer, false},
+		{200, eventType, event("other", `{}`), "", ErrBadAnswer, false},
+		{307, jsonType, "", "", ErrMayHaveRun, false},
+		{500, jsonType, "oops", "", ErrMayHaveRun, false},
+		{503, jsonType, "", "", ErrMayHaveRun, false},
+		{503, jsonType, `{"refused":true}`, "", ErrRefused, true},
+		{503, jsonType, `{"refused":true,"draining":true}`, "", ErrDraining, true},
+		{429, jsonType, `{"refused":true}`, "", ErrRefused, true},
+		{400, jsonType, `{"refused":true}`, "", ErrInvalid, true},
+	} {
+		answer, err := exchange(c, test.status, test.contentType, test.body)
+		note := qt.Commentf("%d %s %.40q", test.status, test.contentType, test.body)
+		c.Check(err, qt.ErrorIs, test.err, note)
+		c.Check(DefinitelyNotRun(err), qt.Equals, test.definitelyNotRun, note)
+		c.Check(answer, qt.Equals, test.answer, note)
+		c.Check(errors.Is(err, ErrBadAnswer) && errors.Is(err, ErrBrokenStream), qt.Equals, errors.Is(test.err, ErrBrokenStream), note)
+	}
+}
+
+// Guards against a connection that was refused and counts as a call that may
+// have run.
+func TestConnectionRefusedIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(nil)
+	address := server.Listener.Addr().String()
+	server.Close()
+	_, err := NewHTTPCaller(NewTransport()).Call(c.Context(), Server{Address: address}, StageRequest{Timeout: time.Minute, Input: []byte("1")})
+	c.Assert(err, qt.ErrorIs, ErrNotSent)
+}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -46,7 +46,7 @@
 			newExecutor,
 			newHandler,
 			func() *Servers { return &Servers{} },
-			func() *Readiness { return &Readiness{} },
+			func(logger *slog.Logger) *Readiness { return &Readiness{Logger: logger} },
 			func() *StopSteps { return &StopSteps{} },
 			func(s *Servers) Picker { return s },
 			func(c *fileConfiguration) ConfigurationSource { return c },
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -66,6 +65,16 @@
 // startEntry runs an entry instance with two pools of stand-ins and returns its
 // caller address.
 func startEntry(c *qt.C) string {
+	entry := entrySettings(c)
+	app := New(entry, slog.New(slog.DiscardHandler))
+	c.Assert(app.Err(), qt.IsNil)
+	c.Assert(app.Start(c.Context()), qt.IsNil)
+	c.Cleanup(func() { c.Check(app.Stop(context.Background()), qt.IsNil) })
+	return entry.CallerAddress
+}
+
+// entrySettings serves two pools of stand-ins and returns settings that use them.
+func entrySettings(c *qt.C) settings.Entry {
 	encoder := serve(c, standin.NewBackend(standin.BackendConfig{ID: "e1", Slots: 4}).Handler())
 	engine := serve(c, standin.NewBackend(standin.BackendConfig{
 		ID: "g1", Slots: 4, AnswerBytes: largeAnswerBytes, ChunkBytes: 4096, ServiceTime: 10 * time.Millisecond,
@@ -78,16 +87,10 @@
 	files := c.TempDir()
 	c.Assert(os.WriteFile(filepath.Join(files, "deployment.jsonc"), []byte(deploymentFile), 0o600), qt.IsNil)
 	c.Assert(os.WriteFile(filepath.Join(files, "notes.pipeline.jsonc"), []byte(pipelineFile), 0o600), qt.IsNil)
-
-	entry := settings.Entry{
-		Instance: "entry-1", CallerAddress: freeAddress(c), AdminAddress: freeAddress(c),
+	return settings.Entry{
+		Instance: "entry-1", CallerAddress: freeAddress(c), AdminAddress: freeAddress(c), DrainGraceMS: 1,
 		PlatformAddress: serve(c, list.Handler()), PipelineFiles: files,
 	}
-	app := New(entry, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	c.Assert(app.Err(), qt.IsNil)
-	c.Assert(app.Start(c.Context()), qt.IsNil)
-	c.Cleanup(func() { c.Check(app.Stop(context.Background()), qt.IsNil) })
-	return entry.CallerAddress
 }
 
 func serve(c *qt.C, handler http.Handler) string {
--- /dev/null
+++ b/internal/entry/execute_test.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+)
+
+// Guards against a caller that is told not_run or failed although a
+// non-idempotent call may have run, and against a second such call.
+func TestOutcomeMatchesWhatRan(t *testing.T) {
+	faults := []error{nil, nil, nil, backend.ErrNotSent, backend.ErrRefused, backend.ErrDraining, backend.ErrInvalid, backend.ErrMayHaveRun, backend.ErrBadAnswer}
+	rapid.Check(t, func(t *rapid.T) {
+		var mu sync.Mutex
+		ran, onceRan := 0, map[string]int{}
+		caller := &fakeCaller{answer: func(_ context.Context, _ string, request backend.StageRequest) (backend.StageStream, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			err := rapid.SampledFrom(faults).Draw(t, "fault")
+			if !backend.DefinitelyNotRun(err) {
+				ran++
+				onceRan[request.Model]++
+			}
+			if err != nil {
+				return nil, err
+			}
+			return whole(`1`), nil
+		}}
+		names := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "once-b", "c", "once-d"}), 1, 4, rapid.ID).Draw(t, "stages")
+		request := newRequestOf(stages(names...))
+		for i := range request.Pipeline.Stages {
+			request.Pipeline.Stages[i].Model = request.Pipeline.Stages[i].Name
+		}
+		budget := rapid.IntRange(0, 5).Draw(t, "budget")
+		result := newTestExecutor(caller, budget).Execute(context.Background(), request, Options{})
+
+		once := onceRan["once-b"] + onceRan["once-d"]
+		if onceRan["once-b"] > 1 || onceRan["once-d"] > 1 {
+			t.Fatalf("a once stage may have run twice: %v", onceRan)
+		}
+		want := OutcomeNotRun
+		switch {
+		case result.Problem == nil:
+			want = OutcomeCompleted
+		case once > 0:
+			want = OutcomeUnknown
+		case ran > 0:
+			want = OutcomeFailed
+		}
+		if result.Outcome != want {
+			t.Fatalf("outcome %q, want %q after %d calls, %d of once stages", result.Outcome, want, ran, once)
+		}
+	})
+}
+
+// Guards against retries that are missing, beyond the budget, or forbidden.
+func TestRetries(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		stage   string
+		err     error
+		budget  int
+		servers []string
+		status  int
+	}{
+		{"a", backend.ErrMayHaveRun, 9, []string{"s1", "s2", "s3"}, http.StatusBadGateway},
+		{"a", backend.ErrMayHaveRun, 1, []string{"s1", "s2"}, http.StatusBadGateway},
+		{"a", backend.ErrNotSent, 0, []string{"s1"}, http.StatusServiceUnavailable},
+		{"a", backend.ErrDraining, 0, []string{"s1", "s2", "s3"}, http.StatusServiceUnavailable},
+		{"a", backend.ErrInvalid, 9, []string{"s1"}, http.StatusUnprocessableEntity},
+		{"once", backend.ErrMayHaveRun, 9, []string{"s1"}, http.StatusBadGateway},
+		{"once", backend.ErrBadAnswer, 9, []string{"s1"}, http.StatusBadGateway},
+		{"once", backend.ErrRefused, 9, []string{"s1", "s2", "s3"}, http.StatusServiceUnavailable},
+	} {
+		caller := &fakeCaller{answer: func(context.Context, string, backend.StageRequest) (backend.StageStream, error) {
+			return nil, fmt.Errorf("%w: at 10.0.0.1", test.err)
+		}}
+		result := newTestExecutor(caller, test.budget).Execute(c.Context(), newRequestOf(stages(test.stage)), Options{})
+		note := qt.Commentf("%s %v", test.stage, test.err)
+		c.Check(caller.servers(), qt.DeepEquals, test.servers, note)
+		c.Check(result.Problem.Status, qt.Equals, test.status, note)
+		c.Check(result.Problem.Detail, qt.Not(qt.Contains), "10.0.0.1", note)
+		c.Check(result.Problem.RetryAfterMS > 0, qt.Equals, test.status == http.StatusServiceUnavailable, note)
+	}
+}
+
+// Guards against a hedge whose loser is awaited, delivered or left running.
+func TestHedgeFirstAnswerWins(t *testing.T) {
+	c := qt.New(t)
+	scope := tally.NewTestScope("", nil)
+	cancelled := make(chan struct{})
+	caller := &fakeCaller{answer: func(ctx context.Context, server string, _ backend.StageRequest) (backend.StageStream, error) {
+		if server == "s2" {
+			return whole(`"second"`), nil
+		}
+		<-ctx.Done()
+		close(cancelled)
+		return whole(`"late"`), nil
+	}}
+	e := newTestExecutor(caller, 0)
+	e.Hedges = always{}
+	e.Metrics = NewRequestMetrics(scope, "")
+	result := e.Execute(c.Context(), newRequestOf(stages("a")), Options{})
+	c.Assert(string(result.Answer), qt.Equals, `"second"`)
+	<-cancelled
+	for scope.Snapshot().Counters()["dropped_answers+"].Value() == 0 {
+		runtime.Gosched()
+	}
+	c.Assert(scope.Snapshot().Counters()["stage_hedges+"].Value(), qt.Equals, int64(1))
+}
+
+// Guards against a hedge of a call that must not run twice or is streamed.
+func TestNoHedge(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		stages []string
+		emit   func([]byte) error
+	}{
+		{[]string{"once"}, nil},
+		{[]string{"a", "once"}, nil},
+		{[]string{"a"}, func([]byte) error { return nil }},
+	} {
+		caller := &fakeCaller{answer: func(context.Context, string, backend.StageRequest) (backend.StageStream, error) {
+			return whole(`1`), nil
+		}}
+		e := newTestExecutor(caller, 0)
+		e.Hedges = always{}
+		result := e.Execute(c.Context(), newRequestOf(stages(test.stages...)), Options{Emit: test.emit})
+		c.Assert(result.Outcome, qt.Equals, OutcomeCompleted)
+		c.Assert(caller.servers(), qt.HasLen, len(test.stages))
+	}
+}
+
+// Guards against a resumed stream with a gap, a repeat or an old attempt ID, and
+// against a resume of an at-most-once request.
+func TestResume(t *testing.T) {
+	c := qt.New(t)
+	const text = "0123456789"
+	caller := &fakeCaller{answer: func(_ context.Context, _ string, request backend.StageRequest) (backend.StageStream, error) {
+		end := min(request.ResumeOffset+4, int64(len(text)))
+		stream := &pieces{[]string{text[request.ResumeOffset:end]}, backend.ErrBrokenStream}
+		if end == int64(len(text)) {
+			stream.end = io.EOF
+		}
+		return stream, nil
+	}}
+	request := newRequestOf(stages("a"))
+	request.Pipeline.Stages[0].Type = pipeline.StageGenerate
+	var got string
+	emit := func(piece []byte) error {
+		got += string(piece)
+		return nil
+	}
+	result := newTestExecutor(caller, 9).Execute(c.Context(), request, Options{Emit: emit})
+	c.Assert(result.Outcome, qt.Equals, OutcomeCompleted)
+	c.Assert(got, qt.Equals, text)
+	c.Assert(caller.servers(), qt.DeepEquals, []string{"s1", "s1", "s1"})
+	c.Assert(caller.calls[0].request.Attempt, qt.Not(qt.Equals), caller.calls[1].request.Attempt)
+
+	request.Kind.Repeat = pipeline.RepeatAtMostOnce
+	result = newTestExecutor(caller, 9).Execute(c.Context(), request, Options{Emit: emit})
+	c.Assert(result.Outcome, qt.Equals, OutcomeFailed)
+	c.Assert(caller.servers(), qt.HasLen, 4)
+}
+
+// Guards against independent stages that wait for each other, and a stage that
+// starts before its predecessors are done.
+func TestIndependentStagesRunInParallel(t *testing.T) {
+	c := qt.New(t)
+	var both sync.WaitGroup
+	both.Add(2)
+	caller := &fakeCaller{answer: func(_ context.Context, _ string, request backend.StageRequest) (backend.StageStream, error) {
+		if request.Model == "join" {
+			return whole(string(request.Input)), nil
+		}
+		both.Done()
+		both.Wait()
+		return whole(`1`), nil
+	}}
+	all := stages("left", "right", "join")
+	all[1].After = []string{"left"}
+	all = append(stages("root"), all...)
+	all[1].After, all[2].After, all[3].After = []string{"root"}, []string{"root"}, []string{"left", "right"}
+	all[3].Model = "join"
+	request := newRequestOf(all)
+	result := newTestExecutor(caller, 0).Execute(c.Context(), request, Options{Results: map[string]json.RawMessage{"root": json.RawMessage(`0`)}})
+	c.Assert(string(result.Answer), qt.JSONEquals, map[string]any{"request": map[string]any{}, "left": 1, "right": 1})
+}
+
+// Guards against a departed caller that cancels a once call, and one that does
+// not cancel idempotent work.
+func TestCallerGone(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		stages []string
+		want   Outcome
+	}{
+		{[]string{"a", "b"}, OutcomeFailed},
+		{[]string{"once", "b"}, OutcomeCompleted},
+	} {
+		ctx, cancel := context.WithCancel(c.Context())
+		caller := &fakeCaller{answer: func(ctx context.Context, _ string, _ backend.StageRequest) (backend.StageStream, error) {
+			cancel()
+			if test.want == OutcomeCompleted {
+				return whole(`1`), ctx.Err()
+			}
+			<-ctx.Done()
+			return nil, errors.Join(backend.ErrMayHaveRun, ctx.Err())
+		}}
+		request := newRequestOf(stages(test.stages...))
+		gone := func([]byte) error { return errors.New("connection reset") }
+		result := newTestExecutor(caller, 9).Execute(ctx, request, Options{Emit: gone, Claim: &fakeClaim{}})
+		c.Check(result.Outcome, qt.Equals, test.want)
+	}
+}
--- /dev/null
+++ b/internal/entry/fakes_test.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+)
+
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+// fakeCall is one call that a fakeCaller saw.
+type fakeCall struct {
+	server  string
+	request backend.StageRequest
+	err     error
+}
+
+// fakeCaller answers calls by a function and records them.
+type fakeCaller struct {
+	answer func(ctx context.Context, server string, request backend.StageRequest) (backend.StageStream, error)
+	mu     sync.Mutex
+	calls  []fakeCall
+}
+
+func (f *fakeCaller) Call(ctx context.Context, server backend.Server, request backend.StageRequest) (backend.StageStream, error) {
+	stream, err := f.answer(ctx, server.ID, request)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, fakeCall{server.ID, request, err})
+	return stream, err
+}
+
+// servers returns the servers in the order in which their calls were answered.
+func (f *fakeCaller) servers() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ids []string
+	for _, call := range f.calls {
+		ids = append(ids, call.server)
+	}
+	return ids
+}
+
+// pieces is a stream of pieces that ends with an error, io.EOF for a whole one.
+type pieces struct {
+	data []string
+	end  error
+}
+
+func whole(data ...string) *pieces { return &pieces{data, io.EOF} }
+
+func (p *pieces) Next() ([]byte, error) {
+	if len(p.data) == 0 {
+		return nil, p.end
+	}
+	piece := p.data[0]
+	p.data = p.data[1:]
+	return []byte(piece), nil
+}
+
+func (p *pieces) Close() error { return nil }
+
+// fakePicker offers servers s1 to s3 of every pool in this order.
+type fakePicker struct{}
+
+func (fakePicker) Pick(query Query) (Picked, bool) {
+	for _, id := range []string{"s1", "s2", "s3"} {
+		if !slices.Contains(query.Excluded, id) {
+			return randomPick{backend.Server{ID: id}}, true
+		}
+	}
+	return nil, false
+}
+
+// retries is a retry budget of a fixed number.
+type retries struct{ left int }
+
+func (r *retries) Request() {}
+func (r *retries) Allow() bool {
+	r.left--
+	return r.left >= 0
+}
+
+// always hedges at once.
+type always struct{}
+
+func (always) Delay(Query) (time.Duration, bool) { return 0, true }
+func (always) Allow(Query) bool                  { return true }
+
+// fakeClaim records how it was settled.
+type fakeClaim struct {
+	expired bool
+	settled string
+}
+
+func (c *fakeClaim) Usable() bool { return !c.expired }
+func (c *fakeClaim) Finish(_ context.Context, outcome Outcome, answer []byte) error {
+	c.settled += fmt.Sprintf("finish %s %s", outcome, answer)
+	return nil
+}
+func (c *fakeClaim) Release(context.Context) error {
+	c.settled += "release"
+	return nil
+}
+
+// fakeClaims grants one claim, or answers from a record.
+type fakeClaims struct {
+	claim    *fakeClaim
+	recorded *RecordedAnswer
+}
+
+func (f fakeClaims) Claim(context.Context, *Request) (Claim, *RecordedAnswer, *Problem) {
+	return f.claim, f.recorded, nil
+}
+
+// stages returns a chain of service stages; a name that begins with "once" is a
+// once stage.
+func stages(names ...string) []pipeline.Stage {
+	var all []pipeline.Stage
+	for _, name := range names {
+		all = append(all, pipeline.Stage{Name: name, Type: pipeline.StageService, Pool: name, Once: len(name) >= 4 && name[:4] == "once"})
+	}
+	return all
+}
+
+// newRequestOf returns a request of a pipeline, at-most-once when it has a once stage.
+func newRequestOf(all []pipeline.Stage) *Request {
+	kind := pipeline.Kind{Name: "k", Repeat: pipeline.RepeatIdempotent, MaxWaitMS: 60000}
+	if slices.ContainsFunc(all, func(s pipeline.Stage) bool { return s.Once }) {
+		kind.Repeat = pipeline.RepeatAtMostOnce
+	}
+	return &Request{
+		Pipeline: &pipeline.Pipeline{Name: "p", Stages: all}, Kind: kind,
+		Body: json.RawMessage(`{}`), Deadline: time.Now().Add(time.Minute),
+	}
+}
+
+func newTestExecutor(caller *fakeCaller, retryBudget int) *Executor {
+	e := NewExecutor(caller, fakePicker{}, time.Now)
+	e.Retries = &retries{left: retryBudget}
+	return e
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -85,6 +85,7 @@
 func (h *Handler) serveRequest(w http.ResponseWriter, r *http.Request) {
 	request, problem := parseRequest(w, r, h.Configuration.Current(), h.Now())
 	if problem != nil {
+		h.Executor.Metrics.rejected(problem.Status)
 		problem.write(w)
 		return
 	}
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -78,6 +78,8 @@
 	// FirstByte reports that the answer began.
 	FirstByte()
 	// Done ends the call with its error, nil for a whole answer, and the number of
-	// bytes sent and received. It is called once.
+	// bytes sent and received. It is called once. An error that wraps
+	// context.Canceled tells nothing about the server: the call was given up, for
+	// example because a hedge won.
 	Done(err error, bytes int64)
 }
--- a/internal/entry/ready.go
+++ b/internal/entry/ready.go
@@ -2,12 +2,19 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net/http"
 	"sync"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 )
 
 // Readiness tells the load balancer whether the instance takes new work.
 type Readiness struct {
+	// Logger reports the first time that the instance is ready.
+	Logger *slog.Logger
+
+	reported   sync.Once
 	mu         sync.Mutex
 	conditions []condition
 	withdrawn  bool
@@ -48,9 +55,10 @@
 }
 
 // ServeHTTP answers 200 when ready, and otherwise 503 with the reason.
-func (r *Readiness) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+func (r *Readiness) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	missing := r.Missing()
 	if missing == "" {
+		r.reported.Do(func() { events.EntryReady.Log(request.Context(), r.Logger) })
 		w.WriteHeader(http.StatusOK)
 		return
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -42,6 +42,11 @@
 // parseRequest validates an HTTP request against a configuration. The body is
 // read last, so that a bad header is answered without waiting for it.
 func parseRequest(w http.ResponseWriter, r *http.Request, set *pipeline.Set, now time.Time) (*Request, *Problem) {
+	if set == nil {
+		problem := notRun(http.StatusServiceUnavailable, ProblemUnavailable, "no configuration", "this instance holds no configuration yet")
+		problem.RetryAfterMS = refusedRetryAfter.Milliseconds()
+		return nil, problem
+	}
 	request, problem := lookUp(mux.Vars(r), set)
 	if problem != nil {
 		return nil, problem
--- a/internal/entry/requestmetrics.go
+++ b/internal/entry/requestmetrics.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -62,6 +63,16 @@
 	kept.(tally.Counter).Inc(1)
 }
 
+// rejected counts a request that was refused before it had a kind or a body.
+func (m *RequestMetrics) rejected(status int) {
+	kept, ok := m.tagged.Load(status)
+	if !ok {
+		tags := map[string]string{"status": strconv.Itoa(status)}
+		kept, _ = m.tagged.LoadOrStore(status, m.scope.Tagged(tags).Counter("rejected_requests"))
+	}
+	kept.(tally.Counter).Inc(1)
+}
+
 // stage records the duration of a stage with all its attempts.
 func (m *RequestMetrics) stage(stage *pipeline.Stage, took time.Duration, err error) {
 	key := stageKey{stage.Pool, stage.Name, err != nil}
--- a/internal/entry/stagecall.go
+++ b/internal/entry/stagecall.go
@@ -13,7 +13,9 @@
 	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
 )
 
-// maxAttempts bounds the servers that are tried for one stage, refusals included.
+// maxAttempts bounds the servers that are tried for one stage. Servers that are
+// leaving do not count, since a whole failure domain may leave at once; each of
+// them is asked once only.
 const maxAttempts = 4
 
 // Errors of a stage that was not sent.
@@ -42,7 +44,7 @@
 func (c *stageCall) run(ctx context.Context) (json.RawMessage, error) {
 	c.Retries.Request()
 	var last error
-	for attempt := 1; ; attempt++ {
+	for attempts := 0; ; {
 		output, err := c.attempt(ctx)
 		if err == nil {
 			return output, nil
@@ -50,7 +52,10 @@
 		if last != nil && errors.Is(err, errNoServer) {
 			return nil, last
 		}
-		if attempt == maxAttempts || !c.mayRetry(ctx, err) {
+		if !errors.Is(err, backend.ErrDraining) {
+			attempts++
+		}
+		if attempts == maxAttempts || !c.mayRetry(ctx, err) {
 			return nil, err
 		}
 		last = err
@@ -109,6 +114,7 @@
 	return Query{
 		Pool:         c.stage.Pool,
 		Model:        c.stage.Model,
+		PrefixKey:    c.prefixKey(),
 		Organisation: c.request.Organisation.Name,
 		Class:        c.request.Kind.Class,
 		Idempotent:   !c.stage.Once,
@@ -118,6 +124,15 @@
 	}
 }
 
+// prefixKey groups the prompts of a generate stage. Those of one organisation
+// and kind begin with the same instructions.
+func (c *stageCall) prefixKey() string {
+	if c.stage.Type != pipeline.StageGenerate {
+		return ""
+	}
+	return c.request.Organisation.Name + "/" + c.request.Pipeline.Name + "/" + c.request.Kind.Name + "/" + c.stage.Name
+}
+
 // timeout returns the time for one call. A once call gets all that is left,
 // because a call that is given up cannot be tried again.
 func (c *stageCall) timeout() time.Duration {
@@ -173,6 +188,7 @@
 		Class:          c.request.Kind.Class,
 		Priority:       c.request.Kind.Priority,
 		Model:          c.stage.Model,
+		PrefixKey:      c.prefixKey(),
 		Input:          c.input,
 		MaxTokens:      c.request.Kind.Cost.Tokens,
 		MaxAnswerBytes: c.stage.AnswerLimit(),
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -81,12 +81,12 @@
 	})
 }
 
-// syntax adds an error of the parser, whose text holds its position.
+// syntax adds an error of the parser, whose text begins with its position.
 func (c *checker) syntax(err error) {
 	m := Mistake{Line: 1, Column: 1, Message: err.Error()}
 	var line, column int
-	if n, _ := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &line, &column); n == 2 {
-		m.Line, m.Column = line, column
+	if n, _ := fmt.Sscanf(m.Message, "hujson: line %d, column %d:", &line, &column); n == 2 {
+		m = Mistake{Line: line, Column: column, Message: strings.SplitN(m.Message, ": ", 3)[2]}
 	}
 	c.mistakes = append(c.mistakes, m)
 }
--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -1,12 +1,15 @@
 package routing
 
 import (
+	"flag"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 )
 
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // Guards against a retry storm: retries beyond the ratio of requests plus the
 // constant per second, whatever the order of requests, retries and clock steps.
 func TestRetryBudgetBound(t *testing.T) {
