--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"slices"
@@ -11,11 +10,10 @@
 	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	_ "github.com/coltsfootdrift/coltsfootdrift/internal/fixedseed"
 	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
 )
 
-func init() { _ = flag.Set("rapid.seed", "1") }
-
 // fakeCall is one call that a fakeCaller saw.
 type fakeCall struct {
 	server  string
@@ -121,6 +119,16 @@
 	return f.claim, f.recorded, nil
 }
 
+// fakeAdmission admits a request or refuses it, and records its release.
+type fakeAdmission struct {
+	problem  *Problem
+	released Outcome
+}
+
+func (f *fakeAdmission) Admit(context.Context, *Request) (func(Outcome), *Problem) {
+	return func(outcome Outcome) { f.released += outcome }, f.problem
+}
+
 // stages returns a chain of service stages; a name that begins with "once" is a
 // once stage.
 func stages(names ...string) []pipeline.Stage {
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -39,6 +39,10 @@
 	return recorder
 }
 
+type fixedConfiguration struct{ set *pipeline.Set }
+
+func (f fixedConfiguration) Current() *pipeline.Set { return f.set }
+
 // Guards against bad input that panics, runs, or is answered without problem
 // details that say not_run.
 func TestBadRequests(t *testing.T) {
@@ -159,6 +163,27 @@
 	}
 }
 
+// Guards against a refused request that runs or loses its retry time, and
+// against a granted one that holds its place for ever.
+func TestAdmission(t *testing.T) {
+	c := qt.New(t)
+	caller := &fakeCaller{answer: func(context.Context, string, backend.StageRequest) (backend.StageStream, error) {
+		return nil, backend.ErrMayHaveRun
+	}}
+	h := newTestHandler(caller, nil)
+	admission := &fakeAdmission{}
+	h.Admission = admission
+	c.Assert(do(h, "read", "{}", nil).Code, qt.Equals, http.StatusBadGateway)
+	c.Assert(admission.released, qt.Equals, OutcomeFailed)
+
+	admission.problem = notRun(http.StatusTooManyRequests, ProblemUnavailable, "busy", "")
+	admission.problem.RetryAfterMS = 1001
+	answer := do(h, "read", "{}", nil)
+	c.Assert(answer.Code, qt.Equals, http.StatusTooManyRequests)
+	c.Assert(answer.Header().Get("Retry-After"), qt.Equals, "2")
+	c.Assert(caller.calls, qt.HasLen, 1)
+}
+
 // Guards against pieces that are read ahead of a slow caller, and against an
 // error after the first piece that looks like a whole answer.
 func TestStreamBackPressureAndError(t *testing.T) {
--- a/internal/entry/policies.go
+++ b/internal/entry/policies.go
@@ -10,8 +10,9 @@
 
 // StageBudgets divides what is left of a deadline among stages.
 type StageBudgets interface {
-	// StageBudget returns the time one call of the stage may take.
-	StageBudget(p *pipeline.Pipeline, stage int, remaining time.Duration) time.Duration
+	// StageBudget returns the time one call of a stage of the request's pipeline may
+	// take, given what is left of the deadline.
+	StageBudget(request *Request, stage int, remaining time.Duration) time.Duration
 }
 
 // Hedges decides on second calls for idempotent requests.
@@ -39,13 +40,13 @@
 // this stage and those after it in the file.
 type weightedBudgets struct{}
 
-func (weightedBudgets) StageBudget(p *pipeline.Pipeline, stage int, remaining time.Duration) time.Duration {
+func (weightedBudgets) StageBudget(request *Request, stage int, remaining time.Duration) time.Duration {
 	var total time.Duration
-	for _, later := range p.Stages[stage:] {
+	for _, later := range request.Pipeline.Stages[stage:] {
 		total += weight(later)
 	}
 	// Dividing first cannot overflow.
-	return remaining / total * weight(p.Stages[stage])
+	return remaining / total * weight(request.Pipeline.Stages[stage])
 }
 
 func weight(stage pipeline.Stage) time.Duration {
--- a/internal/entry/stagecall.go
+++ b/internal/entry/stagecall.go
@@ -140,7 +140,7 @@
 	if c.stage.Once {
 		return remaining
 	}
-	return min(remaining, c.Budgets.StageBudget(c.request.Pipeline, c.index, remaining))
+	return min(remaining, c.Budgets.StageBudget(c.request, c.index, remaining))
 }
 
 // send calls a picked server and ends the call's accounting.
--- /dev/null
+++ b/internal/experiment/overhead.go
@@ -0,0 +1,164 @@
+// Package experiment measures design decisions against baselines, side by side
+// in one run.
+package experiment
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+)
+
+// relayRounds is the number of interleaved batches, so that noise of a shared
+// machine falls on all paths alike.
+const relayRounds = 20
+
+// relayInput is the caller's document of every request.
+var relayInput = `{"text":"` + strings.Repeat("lot 4711 ", 60) + `"}`
+
+// Overhead is the processor time per request of the whole process: client, hop
+// and stand-in.
+type Overhead struct {
+	// Direct goes without a hop, Relay through a bare relay hop, Entry through an
+	// entry instance.
+	Direct, Relay, Entry time.Duration
+}
+
+// AddedRatio is the processor time that an entry instance adds, in units of
+// what a bare relay hop adds.
+func (o Overhead) AddedRatio() float64 {
+	return float64(o.Entry-o.Direct) / float64(o.Relay-o.Direct)
+}
+
+// MeasureOverhead sends at least the given number of requests on each path to
+// the same stand-in.
+func MeasureOverhead(requests int) (Overhead, error) {
+	shelf := httptest.NewServer(standin.NewBackend(standin.BackendConfig{ID: "r1", Slots: 64}).Handler())
+	defer shelf.Close()
+	address := shelf.Listener.Addr().String()
+	stage := shelf.URL + backend.PathStage + string(pipeline.StageRetrieve)
+	relay := httptest.NewServer(bareRelay(stage))
+	defer relay.Close()
+	instance := httptest.NewServer(entryHop(address))
+	defer instance.Close()
+	body := `{"organisation":"acme","pipeline":"notes","kind":"note","class":"normal","input":` + relayInput + `}`
+	return measure((requests+relayRounds-1)/relayRounds, []relayPath{
+		{stage, body},
+		{relay.URL, body},
+		{instance.URL + "/v1/organisations/acme/pipelines/notes/kinds/note", relayInput},
+	})
+}
+
+// relayPath is one way to the stand-in.
+type relayPath struct{ url, body string }
+
+// measure sends batches on the paths in turn: direct, relay and entry.
+func measure(batch int, paths []relayPath) (Overhead, error) {
+	client := &http.Client{Transport: backend.NewTransport()}
+	defer client.CloseIdleConnections()
+	used := make([]time.Duration, len(paths))
+	for range relayRounds {
+		for i, path := range paths {
+			took, err := sendBatch(client, path, batch)
+			if err != nil {
+				return Overhead{}, err
+			}
+			used[i] += took
+		}
+	}
+	total := time.Duration(batch * relayRounds)
+	return Overhead{Direct: used[0] / total, Relay: used[1] / total, Entry: used[2] / total}, nil
+}
+
+// sendBatch returns the processor time of a batch.
+func sendBatch(client *http.Client, path relayPath, batch int) (time.Duration, error) {
+	start, err := processorTime()
+	if err != nil {
+		return 0, err
+	}
+	for range batch {
+		if err := post(client, path); err != nil {
+			return 0, err
+		}
+	}
+	end, err := processorTime()
+	return end - start, err
+}
+
+func post(client *http.Client, path relayPath) error {
+	response, err := client.Post(path.url, "application/json", strings.NewReader(path.body))
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	if err := errors.Join(err, response.Body.Close()); err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered with status %d", path.url, response.StatusCode)
+	}
+	return nil
+}
+
+// processorTime returns the user and system time of this process.
+func processorTime() (time.Duration, error) {
+	var usage syscall.Rusage
+	err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), err
+}
+
+// bareRelay forwards bodies both ways and does nothing else.
+func bareRelay(target string) http.Handler {
+	client := &http.Client{Transport: backend.NewTransport()}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		request, err := http.NewRequestWithContext(r.Context(), r.Method, target, r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		request.ContentLength = r.ContentLength
+		request.Header.Set("Content-Type", r.Header.Get("Content-Type"))
+		response, err := client.Do(request)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		defer response.Body.Close()
+		w.Header().Set("Content-Type", response.Header.Get("Content-Type"))
+		w.WriteHeader(response.StatusCode)
+		_, _ = io.Copy(w, response.Body)
+	})
+}
+
+// entryHop is the request path of an entry instance with a pipeline of one stage.
+func entryHop(address string) http.Handler {
+	servers := &entry.Servers{}
+	servers.Update([]platform.Member{{ID: "r1", Role: platform.RoleBackend, Address: address, Pool: "shelf", State: platform.StateLive}})
+	set := &pipeline.Set{
+		Deployment: pipeline.Deployment{Organisations: []pipeline.Organisation{{Name: "acme"}}},
+		Pipelines: []pipeline.Pipeline{{
+			Name:   "notes",
+			Stages: []pipeline.Stage{{Name: "fetch", Type: pipeline.StageRetrieve, Pool: "shelf"}},
+			Kinds:  []pipeline.Kind{{Name: "note", Repeat: pipeline.RepeatIdempotent, Class: pipeline.ClassNormal, MaxWaitMS: 10000}},
+		}},
+	}
+	executor := entry.NewExecutor(backend.NewHTTPCaller(backend.NewTransport()), servers, time.Now)
+	handler := &entry.Handler{Configuration: fixedConfiguration{set}, Executor: executor, Now: time.Now}
+	return handler.Router()
+}
+
+// fixedConfiguration is a configuration that does not change.
+type fixedConfiguration struct{ set *pipeline.Set }
+
+// Current returns the configuration.
+func (f fixedConfiguration) Current() *pipeline.Set { return f.set }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,16 +2,15 @@
 
 import (
 	"errors"
-	"flag"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
-)
 
-func init() { _ = flag.Set("rapid.seed", "1") }
+	_ "github.com/coltsfootdrift/coltsfootdrift/internal/fixedseed"
+)
 
 const valid = `{
 	// A small instance.
--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -1,14 +1,13 @@
 package routing
 
 import (
-	"flag"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
-)
 
-func init() { _ = flag.Set("rapid.seed", "1") }
+	_ "github.com/coltsfootdrift/coltsfootdrift/internal/fixedseed"
+)
 
 // Guards against a retry storm: retries beyond the ratio of requests plus the
 // constant per second, whatever the order of requests, retries and clock steps.
