--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -1,10 +1,14 @@
 package backend
 
 import (
+	"bufio"
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"iter"
+	"net/http"
 
 	"github.com/tmaxmax/go-sse"
 )
@@ -19,22 +23,43 @@
 	body   io.Closer
 }
 
-func newAnswerStream(body io.ReadCloser, request StageRequest) (StageStream, error) {
-	data, err := io.ReadAll(io.LimitReader(body, request.MaxAnswerBytes+1))
-	if err != nil {
+// envelopeBytes is allowed for what surrounds the output of an answer.
+const envelopeBytes = 4 << 10
+
+func newAnswerStream(response *http.Response, request StageRequest) (StageStream, error) {
+	var data bytes.Buffer
+	limit := request.MaxAnswerBytes + envelopeBytes
+	if response.ContentLength > limit {
+		return nil, tooLarge(request)
+	}
+	if response.ContentLength > 0 {
+		// ReadFrom grows a buffer that has not MinRead bytes free at the end.
+		data.Grow(int(response.ContentLength) + bytes.MinRead)
+	}
+	if _, err := data.ReadFrom(io.LimitReader(response.Body, limit+1)); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
 	}
-	if int64(len(data)) > request.MaxAnswerBytes {
-		return nil, fmt.Errorf("%w: answer exceeds %d bytes", ErrBadAnswer, request.MaxAnswerBytes)
+	if int64(data.Len()) > limit {
+		return nil, tooLarge(request)
 	}
 	var answer Answer
-	if err := json.Unmarshal(data, &answer); err != nil {
+	if err := json.Unmarshal(data.Bytes(), &answer); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
 	}
 	if answer.Attempt != request.Attempt {
-		return nil, fmt.Errorf("%w: answer of attempt %q", ErrBadAnswer, answer.Attempt)
+		return nil, fmt.Errorf("%w: attempt %q", ErrCrossedAnswer, answer.Attempt)
+	}
+	if len(answer.Output) == 0 {
+		return nil, fmt.Errorf("%w: no output", ErrBadAnswer)
 	}
-	return &answerStream{output: answer.Output, body: body}, nil
+	if int64(len(answer.Output)) > request.MaxAnswerBytes {
+		return nil, tooLarge(request)
+	}
+	return &answerStream{output: answer.Output, body: response.Body}, nil
+}
+
+func tooLarge(request StageRequest) error {
+	return fmt.Errorf("%w: answer exceeds %d bytes", ErrBadAnswer, request.MaxAnswerBytes)
 }
 
 func (s *answerStream) Next() ([]byte, error) {
@@ -67,10 +92,13 @@
 func (s *eventStream) Next() ([]byte, error) {
 	event, err, ok := s.next()
 	if !ok {
-		return nil, fmt.Errorf("%w: stream ended without an end mark", ErrBadAnswer)
+		return nil, ErrBrokenStream
+	}
+	if errors.Is(err, bufio.ErrTooLong) {
+		return nil, fmt.Errorf("%w: event exceeds %d bytes", ErrBadAnswer, maxEventBytes)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
+		return nil, fmt.Errorf("%w: %w", ErrBrokenStream, err)
 	}
 	switch event.Type {
 	case EventChunk:
@@ -88,14 +116,14 @@
 		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
 	}
 	if chunk.Attempt != s.request.Attempt {
-		return nil, fmt.Errorf("%w: chunk of attempt %q", ErrBadAnswer, chunk.Attempt)
+		return nil, fmt.Errorf("%w: chunk of attempt %q", ErrCrossedAnswer, chunk.Attempt)
 	}
 	if chunk.Offset != s.offset {
 		return nil, fmt.Errorf("%w: chunk at offset %d, want %d", ErrBadAnswer, chunk.Offset, s.offset)
 	}
 	s.offset += int64(len(chunk.Data))
 	if s.offset > s.request.MaxAnswerBytes {
-		return nil, fmt.Errorf("%w: answer exceeds %d bytes", ErrBadAnswer, s.request.MaxAnswerBytes)
+		return nil, tooLarge(s.request)
 	}
 	return []byte(chunk.Data), nil
 }
@@ -107,7 +135,7 @@
 		return fmt.Errorf("%w: %w", ErrBadAnswer, err)
 	}
 	if end.Attempt != s.request.Attempt {
-		return fmt.Errorf("%w: end mark of attempt %q", ErrBadAnswer, end.Attempt)
+		return fmt.Errorf("%w: end mark of attempt %q", ErrCrossedAnswer, end.Attempt)
 	}
 	if end.Bytes != s.offset {
 		return fmt.Errorf("%w: %d bytes received, end mark says %d", ErrBadAnswer, s.offset, end.Bytes)
