--- /dev/null
+++ b/internal/claims/bench_test.go
@@ -0,0 +1,123 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/coltsfootdrift/coltsfootdrift/claim"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store/storetest"
+	"github.com/coltsfootdrift/coltsfootdrift/rendezvous"
+)
+
+const (
+	benchRate   = 2500 // requests per second of the whole fleet
+	benchTime   = 4 * time.Second
+	benchAnswer = 200 // bytes
+	storeDelay  = 5 * time.Millisecond
+)
+
+// fleet forwards appends to the instance that rendezvous hashing names.
+type fleet struct {
+	*network
+	names []string
+}
+
+func (f *fleet) Appender(shard int) string {
+	return rendezvous.Choose(claim.ShardPrefix(shard), f.names)
+}
+
+// BenchmarkFleet offers 2,500 requests/s, each a claim and a finish, to a store
+// that takes 5 ms per call.
+func BenchmarkFleet(b *testing.B) {
+	for _, instances := range []int{3, 9, 40} {
+		b.Run(fmt.Sprint(instances), func(b *testing.B) {
+			for b.Loop() {
+				offer(b, instances)
+			}
+		})
+	}
+}
+
+func offer(b *testing.B, instances int) {
+	fake := storetest.New()
+	fake.Before = func(context.Context, storetest.Op, string) error {
+		time.Sleep(storeDelay)
+		return nil
+	}
+	f := &fleet{network: &network{instances: map[string]*Claims{}}}
+	for i := range instances {
+		name := fmt.Sprintf("i%d", i)
+		f.names = append(f.names, name)
+		f.instances[name] = New(Config{
+			Instance: name, Store: fake, Forwarder: f, Awaiter: f, Boot: time.Now, Wall: time.Now,
+			Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler), WriteInterval: WriteInterval, SettleInterval: time.Second,
+		})
+	}
+	var done atomic.Int64
+	var mu sync.Mutex
+	var waits []time.Duration
+	var group sync.WaitGroup
+	begin := time.Now()
+	offered := 0
+	for n := 0; time.Since(begin) < benchTime; n++ {
+		offered++
+		time.Sleep(time.Until(begin.Add(time.Duration(n) * time.Second / benchRate)))
+		group.Go(func() {
+			asked := time.Now()
+			request := Request{ID: claim.NewID("acme", "p", "k", fmt.Sprint(n)), Retention: time.Hour}
+			reply := f.instances[f.names[n%instances]].Claim(context.Background(), request)
+			waited := time.Since(asked)
+			if reply.Grant == nil || reply.Grant.Finish(context.Background(), "completed", make([]byte, benchAnswer)) != nil {
+				return
+			}
+			done.Add(1)
+			mu.Lock()
+			waits = append(waits, waited)
+			mu.Unlock()
+		})
+	}
+	group.Wait()
+	elapsed := time.Since(begin).Seconds()
+	slices.Sort(waits)
+	claims, writes := float64(done.Load()), float64(fake.Count(storetest.Swap))
+	b.ReportMetric(claims/elapsed, "claims/s")
+	b.ReportMetric(writes/elapsed, "writes/s")
+	b.ReportMetric(float64(offered)/benchTime.Seconds(), "offered/s")
+	b.ReportMetric(claims/float64(offered)*100, "%served")
+	b.ReportMetric(claims/writes, "claims/write")
+	b.ReportMetric(float64(waits[len(waits)/2].Milliseconds()), "p50-ms")
+	b.ReportMetric(float64(waits[len(waits)*99/100].Milliseconds()), "p99-ms")
+	b.ReportMetric(float64(fake.Bytes(claim.Prefix))/claims, "stored-B/claim")
+}
+
+// BenchmarkIndex reports the memory of an index of a shard.
+func BenchmarkIndex(b *testing.B) {
+	const batch, batches = 500, 400
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		shard, now := claim.NewShard(), time.Now()
+		for i := range batches {
+			ops := make([]claim.Op, batch)
+			for j := range ops {
+				n := fmt.Sprint(i*batch + j)
+				ops[j] = claim.Op{Kind: claim.OpClaim, ID: claim.NewID("acme", "p", "k", n), Holder: "i1", Retention: time.Hour}
+			}
+			shard.Append(now, ops)
+			shard.Wrote(int64(i) + 1)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(shard.Len()), "index-B/claim")
+	}
+}
