Stand in for the key-value service, engines and the lagging list

Cause: claims, jobs, configuration and orders need the platform's services with their faults, and checks need a record of every run. Each run is recorded with the request ID of the caller's body.

--- /dev/null
+++ b/internal/standin/answer.go
@@ -0,0 +1,162 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+)
+
+// tooMuchBytes bounds the answer of FaultTooMuch, so that a caller without a
+// limit ends too.
+const tooMuchBytes = 64 << 20
+
+// bytesPerToken converts a bound on tokens into a length.
+const bytesPerToken = 4
+
+// answering is one answer on its way.
+type answering struct {
+	backend *Backend
+	w       http.ResponseWriter
+	r       *http.Request
+	run     Run
+	body    backend.Body
+}
+
+// serve returns true when the whole answer was sent.
+func (a *answering) serve() bool {
+	switch a.run.Fault {
+	case FaultHang:
+		<-a.r.Context().Done()
+		return false
+	case FaultError:
+		http.Error(a.w, "stand-in error", http.StatusInternalServerError)
+		return false
+	case FaultGarbage:
+		a.w.Header().Set("Content-Type", "application/json")
+		_, _ = a.w.Write([]byte("\x00\xff not an answer"))
+		return false
+	case FaultTooMuch:
+		a.tooMuch()
+		return false
+	}
+	if a.run.Type == pipeline.StageGenerate {
+		return a.generate()
+	}
+	return a.whole()
+}
+
+func (a *answering) tooMuch() {
+	a.w.Header().Set("Content-Type", "application/json")
+	block := []byte(strings.Repeat(" ", 64<<10))
+	for range tooMuchBytes / len(block) {
+		if _, err := a.w.Write(block); err != nil {
+			return
+		}
+	}
+}
+
+// whole waits for the service time and sends the input back with the server's name.
+func (a *answering) whole() bool {
+	if !sleep(a.r.Context(), a.backend.serviceTime()) {
+		return false
+	}
+	encoded, err := json.Marshal(output{
+		Server:    a.backend.config.ID,
+		Stage:     a.run.Type,
+		RequestID: a.run.RequestID,
+		Input:     a.body.Input,
+	})
+	if err != nil {
+		http.Error(a.w, err.Error(), http.StatusInternalServerError)
+		return false
+	}
+	answer, err := json.Marshal(backend.Answer{Attempt: a.run.Attempt, Output: encoded})
+	if err != nil {
+		http.Error(a.w, err.Error(), http.StatusInternalServerError)
+		return false
+	}
+	a.w.Header().Set("Content-Type", "application/json")
+	if a.run.Fault == FaultHalf {
+		a.breakOff(answer[:len(answer)/2])
+	}
+	_, err = a.w.Write(answer)
+	return err == nil
+}
+
+// breakOff sends what there is and breaks the connection.
+func (a *answering) breakOff(part []byte) {
+	_, _ = a.w.Write(part)
+	_ = http.NewResponseController(a.w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// answerBytes returns the length of a generated answer.
+func (b *Backend) answerBytes(body backend.Body) int {
+	length := b.config.AnswerBytes
+	if wanted := readCallerBody(body.Input).AnswerBytes; wanted > 0 {
+		length = wanted
+	}
+	if body.MaxTokens > 0 {
+		length = min(length, body.MaxTokens*bytesPerToken)
+	}
+	return length
+}
+
+// GeneratedText returns the answer that every stand-in engine generates for an
+// input, so that a reader can check it byte for byte.
+func GeneratedText(inputHash string, length int) string {
+	line := inputHash + "\n"
+	return strings.Repeat(line, length/len(line)+1)[:length]
+}
+
+// generate streams GeneratedText from the resume offset on. The service time of
+// the engine is that of an answer of its usual length.
+func (a *answering) generate() bool {
+	text := GeneratedText(a.run.InputHash, a.run.AnswerBytes)
+	a.w.Header().Set("Content-Type", "text/event-stream")
+	if !sleep(a.r.Context(), a.backend.engine.prefill(a.body.PrefixKey, a.backend.faults.slowdown())) {
+		return false
+	}
+	for offset := int(a.body.ResumeOffset); offset < len(text); {
+		end := min(offset+a.backend.config.ChunkBytes, len(text))
+		if !sleep(a.r.Context(), a.backend.chunkTime()) {
+			return false
+		}
+		if a.run.Fault == FaultHalf && end > len(text)/2 {
+			a.breakOff(nil)
+		}
+		chunk := backend.StreamChunk{Attempt: a.run.Attempt, Offset: int64(offset), Data: text[offset:end]}
+		if a.event(backend.EventChunk, chunk) != nil {
+			return false
+		}
+		offset = end
+	}
+	return a.event(backend.EventEnd, backend.StreamEnd{Attempt: a.run.Attempt, Bytes: int64(len(text))}) == nil
+}
+
+// chunkTime returns the time between two chunks under the current load.
+func (b *Backend) chunkTime() time.Duration {
+	chunks := max(1, (b.config.AnswerBytes+b.config.ChunkBytes-1)/b.config.ChunkBytes)
+	return b.serviceTime() / time.Duration(chunks)
+}
+
+// event sends one server-sent event with a JSON document as its data.
+func (a *answering) event(name string, data any) error {
+	encoded, err := json.Marshal(data)
+	if err != nil {
+		return fmt.Errorf("encode event: %w", err)
+	}
+	message := sse.Message{Type: sse.Type(name)}
+	message.AppendData(string(encoded))
+	if _, err := message.WriteTo(a.w); err != nil {
+		return err
+	}
+	return http.NewResponseController(a.w).Flush()
+}
--- /dev/null
+++ b/internal/standin/backend_test.go
@@ -0,0 +1,195 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+)
+
+func startBackend(c *qt.C, config BackendConfig) (*Backend, backend.Server) {
+	b := NewBackend(config)
+	server := httptest.NewServer(b.Handler())
+	c.Cleanup(server.Close)
+	return b, backend.Server{ID: config.ID, Address: server.Listener.Addr().String()}
+}
+
+// ask sends one stage request and returns its whole answer.
+func ask(ctx context.Context, server backend.Server, request backend.StageRequest) (string, error) {
+	request.Attempt = "attempt-1"
+	request.Timeout = time.Minute
+	request.MaxAnswerBytes = 1 << 20
+	if request.Input == nil {
+		request.Input = json.RawMessage(`{"request_id": "r1"}`)
+	}
+	stream, err := backend.NewHTTPCaller(backend.NewTransport()).Call(ctx, server, request)
+	if err != nil {
+		return "", err
+	}
+	defer stream.Close()
+	var answer strings.Builder
+	for {
+		piece, err := stream.Next()
+		answer.Write(piece)
+		if errors.Is(err, io.EOF) {
+			return answer.String(), nil
+		}
+		if err != nil {
+			return answer.String(), err
+		}
+	}
+}
+
+// Guards against a stand-in whose fault the adapter takes for a whole answer or
+// for another kind of failure, and against a run that isn't recorded.
+func TestFaultsOfOneRequest(t *testing.T) {
+	c := qt.New(t)
+	b, server := startBackend(c, BackendConfig{ID: "b", Slots: 1, AnswerBytes: 1000, ChunkBytes: 100})
+	for _, test := range []struct {
+		fault Fault
+		want  error
+		runs  int
+	}{
+		{FaultNone, nil, 1}, {FaultRefuse, backend.ErrRefused, 0}, {FaultError, backend.ErrMayHaveRun, 1},
+		{FaultHalf, backend.ErrBadAnswer, 1}, {FaultGarbage, backend.ErrBadAnswer, 1},
+		{FaultTooMuch, backend.ErrBadAnswer, 1}, {FaultCrossed, backend.ErrBadAnswer, 1},
+	} {
+		for _, stage := range []pipeline.StageType{pipeline.StageService, pipeline.StageGenerate} {
+			before := len(b.Runs())
+			b.SetFaults(BackendFaults{Next: map[Fault]int{test.fault: 1}})
+			_, err := ask(c.Context(), server, backend.StageRequest{Type: stage})
+			c.Assert(errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%s at %s: %v", test.fault, stage, err))
+			c.Assert(b.Runs()[before:], qt.HasLen, test.runs)
+		}
+	}
+	b.SetDraining(true)
+	_, err := ask(c.Context(), server, backend.StageRequest{Type: pipeline.StageService})
+	c.Assert(errors.Is(err, backend.ErrDraining), qt.IsTrue)
+}
+
+// Guards against a resumed stream that repeats or skips a byte, and against a
+// record without the caller's request ID.
+func TestResumedStream(t *testing.T) {
+	c := qt.New(t)
+	b, server := startBackend(c, BackendConfig{ID: "b", Slots: 1, AnswerBytes: 1000, ChunkBytes: 100})
+	whole, err := ask(c.Context(), server, backend.StageRequest{Type: pipeline.StageGenerate})
+	c.Assert(err, qt.IsNil)
+	rest, err := ask(c.Context(), server, backend.StageRequest{Type: pipeline.StageGenerate, ResumeOffset: 333})
+	c.Assert(err, qt.IsNil)
+	c.Assert(rest, qt.Equals, whole[333:])
+	run := b.Runs()[0]
+	c.Assert(whole, qt.Equals, GeneratedText(run.InputHash, 1000))
+	c.Assert(run.RequestID, qt.Equals, "r1")
+	c.Assert(run.Finished, qt.IsTrue)
+}
+
+// Guards against a cancelled request that keeps its slot or counts as finished.
+func TestCancelFreesSlot(t *testing.T) {
+	c := qt.New(t)
+	b, server := startBackend(c, BackendConfig{ID: "b", Slots: 1})
+	b.SetFaults(BackendFaults{Next: map[Fault]int{FaultHang: 1}})
+	ctx, cancel := context.WithCancel(c.Context())
+	ended := make(chan error)
+	go func() {
+		_, err := ask(ctx, server, backend.StageRequest{Type: pipeline.StageService})
+		ended <- err
+	}()
+	for len(b.Runs()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	c.Assert(errors.Is(<-ended, backend.ErrMayHaveRun), qt.IsTrue)
+	_, err := ask(c.Context(), server, backend.StageRequest{Type: pipeline.StageService})
+	c.Assert(err, qt.IsNil)
+	c.Assert(b.Runs()[0].CutOff, qt.IsTrue)
+	c.Assert(b.Runs()[1].Finished, qt.IsTrue)
+}
+
+// Guards against waiting requests that are served in the order of arrival
+// although their classes differ.
+func TestSlotsByRank(t *testing.T) {
+	c := qt.New(t)
+	s := &slots{total: 1}
+	c.Assert(s.acquire(c.Context(), 0), qt.IsTrue)
+	order := make(chan int)
+	for i, rank := range []int{0, 5, 2, 5} {
+		go func() {
+			s.acquire(context.Background(), rank)
+			order <- i
+			s.release()
+		}()
+		for waiting := 0; waiting <= i; _, waiting = s.load() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	gone, cancel := context.WithCancel(c.Context())
+	cancel()
+	c.Assert(s.acquire(gone, 9), qt.IsFalse)
+	s.release()
+	c.Assert([]int{<-order, <-order, <-order, <-order}, qt.DeepEquals, []int{1, 3, 2, 0})
+}
+
+// Guards against an engine that carries out an order of an earlier leader, an
+// expired one, or one order twice.
+func TestOrders(t *testing.T) {
+	c := qt.New(t)
+	for _, fences := range []bool{true, false} {
+		b, server := startBackend(c, BackendConfig{ID: "b", Slots: 1, Engine: EngineConfig{FencesOrders: fences, Models: []string{"m1"}}})
+		old := map[bool]int{true: 409, false: 202}[fences]
+		for i, test := range []struct {
+			order backend.WireOrder
+			want  int
+		}{
+			{backend.WireOrder{Action: "role", Target: "decode", Fencing: 5, LifeMS: 4000}, 202},
+			{backend.WireOrder{Action: "role", Target: "prefill", Fencing: 4, LifeMS: 4000}, old},
+			{backend.WireOrder{Action: "unload", Target: "m1", Fencing: 5}, 410},
+		} {
+			test.order.ID = fmt.Sprint(i)
+			c.Assert(b.engine.order(test.order), qt.Equals, test.want)
+		}
+		c.Assert(b.engine.order(backend.WireOrder{ID: "0", Action: "unload", Target: "m1", Fencing: 5, LifeMS: 1}), qt.Equals, 200)
+		_, err := ask(c.Context(), server, backend.StageRequest{Type: pipeline.StageService, Model: "m1"})
+		c.Assert(err, qt.IsNil)
+		_, err = ask(c.Context(), server, backend.StageRequest{Type: pipeline.StageService, Model: "m2"})
+		c.Assert(errors.Is(err, backend.ErrRefused), qt.IsTrue)
+	}
+}
+
+// Guards against a cache that grows without bound, and against events that come
+// early or without the gap that the platform's engines show.
+func TestPrefixCache(t *testing.T) {
+	c := qt.New(t)
+	cache := prefixCache{limit: 2, delay: time.Minute}
+	for i := range 7 {
+		c.Assert(cache.use(fmt.Sprint(i)), qt.IsFalse)
+	}
+	c.Assert(cache.use("5"), qt.IsTrue)
+	c.Assert(cache.use("0"), qt.IsFalse)
+	c.Assert(cache.holds("6"), qt.IsFalse)
+	c.Assert(cache.published(0, time.Now()), qt.HasLen, 0)
+	c.Assert(cache.published(8, time.Now().Add(time.Hour))[1].Number, qt.Equals, int64(11))
+}
+
+// Guards against a list that shows a change before its lag.
+func TestListLags(t *testing.T) {
+	c := qt.New(t)
+	var list Platform
+	list.Put(platform.Member{ID: "a"})
+	list.SetFaults(PlatformFaults{LagMS: 60000})
+	list.Put(platform.Member{ID: "b"})
+	c.Assert(list.Members(), qt.HasLen, 1)
+	list.SetFaults(PlatformFaults{})
+	list.Remove("a")
+	c.Assert(list.Members(), qt.DeepEquals, []platform.Member{{ID: "b"}})
+}
--- /dev/null
+++ b/internal/standin/cache.go
@@ -0,0 +1,86 @@
+package standin
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+)
+
+// dropEvery is the distance of cache events that are never published.
+const dropEvery = 10
+
+// maxCacheEvents bounds the events that are kept for readers.
+const maxCacheEvents = 1000
+
+// cacheEvent is an event with the time from which on it is published.
+type cacheEvent struct {
+	backend.WireCacheEvent
+	due time.Time
+}
+
+// prefixCache is a bounded set of prompt prefixes that evicts the one that was
+// not used for the longest time.
+type prefixCache struct {
+	mu     sync.Mutex
+	limit  int
+	delay  time.Duration
+	keys   []string // least recently used first
+	events []cacheEvent
+	number int64
+}
+
+// use reports whether a prefix was cached, and caches it.
+func (c *prefixCache) use(prefix string) bool {
+	if prefix == "" || c.limit == 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	position := slices.Index(c.keys, prefix)
+	if position >= 0 {
+		c.keys = append(slices.Delete(c.keys, position, position+1), prefix)
+		return true
+	}
+	if len(c.keys) == c.limit {
+		c.event(c.keys[0], false)
+		c.keys = slices.Delete(c.keys, 0, 1)
+	}
+	c.keys = append(c.keys, prefix)
+	c.event(prefix, true)
+	return false
+}
+
+// event adds an event unless it is one of those that get lost.
+func (c *prefixCache) event(prefix string, stored bool) {
+	c.number++
+	if c.number%dropEvery == 0 {
+		return
+	}
+	event := backend.WireCacheEvent{Number: c.number, PrefixKey: prefix, Stored: stored}
+	c.events = append(c.events, cacheEvent{event, time.Now().Add(c.delay)})
+	if len(c.events) > maxCacheEvents {
+		c.events = slices.Delete(c.events, 0, len(c.events)-maxCacheEvents)
+	}
+}
+
+// holds reports whether a prefix is cached.
+func (c *prefixCache) holds(prefix string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.keys, prefix)
+}
+
+// published returns the events after a number that are due.
+func (c *prefixCache) published(after int64, now time.Time) []backend.WireCacheEvent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	events := []backend.WireCacheEvent{}
+	for _, event := range c.events {
+		if event.Number > after && !event.due.After(now) {
+			events = append(events, event.WireCacheEvent)
+		}
+	}
+	return events
+}
--- /dev/null
+++ b/internal/standin/faults.go
@@ -0,0 +1,99 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"sync"
+)
+
+// Fault is a way in which a backend server mishandles one request.
+type Fault string
+
+// Faults of one request. FaultRefuse doesn't run it; all others do.
+const (
+	FaultNone    Fault = ""
+	FaultRefuse  Fault = "refuse"
+	FaultError   Fault = "error"    // status 500 after the request ran
+	FaultHalf    Fault = "half"     // the connection breaks in the middle of the answer
+	FaultGarbage Fault = "garbage"  // bytes that are no answer
+	FaultTooMuch Fault = "too_much" // an answer without end, up to tooMuchBytes
+	FaultCrossed Fault = "crossed"  // the attempt ID of another request
+	FaultHang    Fault = "hang"     // no answer until the caller gives up
+)
+
+// allFaults is the order in which shares are drawn.
+var allFaults = []Fault{FaultRefuse, FaultError, FaultHalf, FaultGarbage, FaultTooMuch, FaultCrossed, FaultHang}
+
+// BackendFaults are the faults of a backend server.
+type BackendFaults struct {
+	// Slowdown multiplies the service time; 0 and 1 mean none.
+	Slowdown float64 `json:"slowdown"`
+	// Draining refuses new requests as a leaving server does.
+	Draining bool `json:"draining"`
+	// Share is the share of requests that each fault hits, 0 to 1.
+	Share map[Fault]float64 `json:"share,omitempty"`
+	// Next is the number of next requests that each fault hits.
+	Next map[Fault]int `json:"next,omitempty"`
+}
+
+// backendFaults decides the fate of each request.
+type backendFaults struct {
+	mu     sync.Mutex
+	faults BackendFaults
+	random *rand.Rand
+}
+
+func (f *backendFaults) get() BackendFaults {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faults.clone()
+}
+
+// clone copies the maps, so that a reader never shares them with draw.
+func (f BackendFaults) clone() BackendFaults {
+	share, next := map[Fault]float64{}, map[Fault]int{}
+	for fault, value := range f.Share {
+		share[fault] = value
+	}
+	for fault, value := range f.Next {
+		next[fault] = value
+	}
+	f.Share, f.Next = share, next
+	return f
+}
+
+func (f *backendFaults) change(change func(*BackendFaults)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = f.faults.clone()
+	change(&f.faults)
+}
+
+// slowdown returns the factor on service times.
+func (f *backendFaults) slowdown() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.faults.Slowdown == 0 {
+		return 1
+	}
+	return f.faults.Slowdown
+}
+
+// draw returns the fault that hits the next request.
+func (f *backendFaults) draw() Fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, fault := range allFaults {
+		if f.faults.Next[fault] > 0 {
+			f.faults.Next[fault]--
+			return fault
+		}
+	}
+	drawn := f.random.Float64()
+	for _, fault := range allFaults {
+		drawn -= f.faults.Share[fault]
+		if drawn < 0 {
+			return fault
+		}
+	}
+	return FaultNone
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -1,40 +1,150 @@
 package standin
 
 import (
-	"encoding/json"
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/gorilla/mux"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 )
 
+// PlatformFaults are the faults of the instance list.
+type PlatformFaults struct {
+	// Outage answers every call with 503.
+	Outage bool `json:"outage"`
+	// LagMS is how old the list is, in milliseconds.
+	LagMS int64 `json:"lag_ms"`
+}
+
+// snapshot is the list of members from one change to the next.
+type snapshot struct {
+	at      time.Time
+	members []platform.Member
+}
+
 // Platform is a stand-in of the platform's instance list.
 type Platform struct {
-	mu      sync.Mutex
-	members []platform.Member
+	mu        sync.Mutex
+	faults    PlatformFaults
+	snapshots []snapshot // oldest first
 }
 
-// Set replaces the listed members.
+// Set replaces the members. The list shows them after the lag.
 func (p *Platform) Set(members []platform.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.members = slices.Clone(members)
+	p.replace(slices.Clone(members))
 }
 
-// Handler serves the list.
+// Put adds a member, or replaces the one with the same ID.
+func (p *Platform) Put(member platform.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.replace(append(without(p.latest(), member.ID), member))
+}
+
+// Remove takes a member off the list.
+func (p *Platform) Remove(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.replace(without(p.latest(), id))
+}
+
+func without(members []platform.Member, id string) []platform.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m platform.Member) bool { return m.ID == id })
+}
+
+func (p *Platform) latest() []platform.Member {
+	if len(p.snapshots) == 0 {
+		return nil
+	}
+	return p.snapshots[len(p.snapshots)-1].members
+}
+
+func (p *Platform) replace(members []platform.Member) {
+	now := time.Now()
+	p.snapshots = append(p.snapshots, snapshot{at: now, members: members})
+	horizon := now.Add(-max(p.lag(), keepHistory))
+	for len(p.snapshots) > 1 && p.snapshots[1].at.Before(horizon) {
+		p.snapshots = p.snapshots[1:]
+	}
+}
+
+// Faults returns the faults in force.
+func (p *Platform) Faults() PlatformFaults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(faults PlatformFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = faults
+}
+
+func (p *Platform) lag() time.Duration {
+	return time.Duration(p.faults.LagMS) * time.Millisecond
+}
+
+// Members returns the list as it is shown now: the members of a lag ago, or the
+// first ones when there are none so old.
+func (p *Platform) Members() []platform.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.snapshots) == 0 {
+		return []platform.Member{}
+	}
+	shown := p.snapshots[0]
+	for _, s := range p.snapshots {
+		if !s.at.After(time.Now().Add(-p.lag())) {
+			shown = s
+		}
+	}
+	return slices.Clone(shown.members)
+}
+
+// Handler serves the list. Members register with PUT and leave with DELETE of
+// their own path below the list.
 func (p *Platform) Handler() http.Handler {
 	router := mux.NewRouter()
-	router.HandleFunc(platform.PathList, p.serveList).Methods(http.MethodGet)
+	member := platform.PathList + "/{id}"
+	router.HandleFunc(PathFaults, serveFaults(p.Faults, p.SetFaults)).Methods(http.MethodGet, http.MethodPut)
+	router.HandleFunc(platform.PathList, p.guard(p.serveList)).Methods(http.MethodGet)
+	router.HandleFunc(member, p.guard(p.servePut)).Methods(http.MethodPut)
+	router.HandleFunc(member, p.guard(p.serveRemove)).Methods(http.MethodDelete)
 	return router
 }
 
+func (p *Platform) guard(serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if p.Faults().Outage {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		serve(w, r)
+	}
+}
+
 func (p *Platform) serveList(w http.ResponseWriter, _ *http.Request) {
-	p.mu.Lock()
-	members := slices.Clone(p.members)
-	p.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(members)
+	writeJSON(w, http.StatusOK, p.Members())
+}
+
+func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
+	var member platform.Member
+	if !readJSON(w, r, &member) {
+		return
+	}
+	member.ID = mux.Vars(r)["id"]
+	p.Put(member)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) serveRemove(w http.ResponseWriter, r *http.Request) {
+	p.Remove(mux.Vars(r)["id"])
+	w.WriteHeader(http.StatusNoContent)
 }
--- /dev/null
+++ b/internal/standin/runs.go
@@ -0,0 +1,107 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"sync"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+)
+
+// Run is the record of one request that a backend server ran.
+type Run struct {
+	Server       string
+	Pool         string
+	Attempt      string
+	Organisation string
+	Pipeline     string
+	Kind         string
+	Type         pipeline.StageType
+	// InputHash is the SHA-256 of the input in hexadecimal.
+	InputHash string
+	// RequestID is the "request_id" of the caller's body, empty when it has none.
+	RequestID string
+	// ResumeOffset is where a resumed stream started, in bytes.
+	ResumeOffset int64
+	// AnswerBytes is the length of the whole answer of a generate stage.
+	AnswerBytes int
+	// Finished is true when the server sent the whole answer, CutOff when it
+	// stopped before; both are false while the request runs.
+	Finished bool
+	CutOff   bool
+	// Fault is what the stand-in did wrong on purpose.
+	Fault Fault
+}
+
+// callerBody is the part of a caller's body that the stand-ins understand.
+type callerBody struct {
+	RequestID string `json:"request_id"`
+	// AnswerBytes is the length of the generated answer; 0 leaves the server's.
+	AnswerBytes int `json:"answer_bytes"`
+}
+
+// readCallerBody finds the caller's body in the input of a stage: it is the input
+// of a first stage, and the member "request" of the others.
+func readCallerBody(input json.RawMessage) callerBody {
+	var later struct {
+		Request *callerBody `json:"request"`
+	}
+	if json.Unmarshal(input, &later) == nil && later.Request != nil {
+		return *later.Request
+	}
+	var first callerBody
+	_ = json.Unmarshal(input, &first)
+	return first
+}
+
+// runLog holds the runs of one backend server in the order of their start.
+type runLog struct {
+	mu   sync.Mutex
+	runs []*Run
+}
+
+func (l *runLog) start(run Run) *Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs = append(l.runs, &run)
+	return &run
+}
+
+// end records whether the whole answer was sent.
+func (l *runLog) end(run *Run, finished bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	run.Finished = finished
+	run.CutOff = !finished
+}
+
+// after returns copies of the runs from a position on.
+func (l *runLog) after(position int) []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	position = min(max(position, 0), len(l.runs))
+	runs := make([]Run, 0, len(l.runs)-position)
+	for _, run := range l.runs[position:] {
+		runs = append(runs, *run)
+	}
+	return runs
+}
+
+// newRun describes a stage request as a run.
+func newRun(config BackendConfig, attempt string, stageType pipeline.StageType, body backend.Body) Run {
+	sum := sha256.Sum256(body.Input)
+	return Run{
+		Server:       config.ID,
+		Pool:         config.Pool,
+		Attempt:      attempt,
+		Organisation: body.Organisation,
+		Pipeline:     body.Pipeline,
+		Kind:         body.Kind,
+		Type:         stageType,
+		InputHash:    hex.EncodeToString(sum[:]),
+		RequestID:    readCallerBody(body.Input).RequestID,
+		ResumeOffset: body.ResumeOffset,
+	}
+}
--- /dev/null
+++ b/internal/standin/slots.go
@@ -0,0 +1,100 @@
+package standin
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+)
+
+// waiter is a request that waits for a slot.
+type waiter struct {
+	rank, number int
+	granted      chan struct{}
+	position     int
+}
+
+// waiters is a heap: a higher rank first, then the order of arrival.
+type waiters []*waiter
+
+func (w waiters) Len() int { return len(w) }
+func (w waiters) Less(i, j int) bool {
+	if w[i].rank != w[j].rank {
+		return w[i].rank > w[j].rank
+	}
+	return w[i].number < w[j].number
+}
+func (w waiters) Swap(i, j int) {
+	w[i], w[j] = w[j], w[i]
+	w[i].position, w[j].position = i, j
+}
+func (w *waiters) Push(x any) {
+	added := x.(*waiter)
+	added.position = len(*w)
+	*w = append(*w, added)
+}
+func (w *waiters) Pop() any {
+	last := (*w)[len(*w)-1]
+	last.position = -1
+	*w = (*w)[:len(*w)-1]
+	return last
+}
+
+// slots runs a bounded number of requests at once and lets others wait by rank.
+type slots struct {
+	mu      sync.Mutex
+	total   int
+	running int
+	arrived int
+	waiting waiters
+}
+
+// acquire waits for a slot, or returns false when the context ends first.
+func (s *slots) acquire(ctx context.Context, rank int) bool {
+	s.mu.Lock()
+	if s.running < s.total {
+		s.running++
+		s.mu.Unlock()
+		return true
+	}
+	s.arrived++
+	w := &waiter{rank: rank, number: s.arrived, granted: make(chan struct{})}
+	heap.Push(&s.waiting, w)
+	s.mu.Unlock()
+	select {
+	case <-w.granted:
+		return true
+	case <-ctx.Done():
+		s.abandon(w)
+		return false
+	}
+}
+
+// abandon takes a waiter out, or gives back the slot that it was just granted.
+func (s *slots) abandon(w *waiter) {
+	s.mu.Lock()
+	if w.position >= 0 {
+		heap.Remove(&s.waiting, w.position)
+		s.mu.Unlock()
+		return
+	}
+	s.mu.Unlock()
+	s.release()
+}
+
+// release hands the slot to the first waiter.
+func (s *slots) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.waiting) == 0 {
+		s.running--
+		return
+	}
+	close(heap.Pop(&s.waiting).(*waiter).granted)
+}
+
+// load returns the numbers of running and waiting requests.
+func (s *slots) load() (running, waiting int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running, len(s.waiting)
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,277 @@
+package standin
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+)
+
+// keepHistory is how long past values and tombstones are kept. Stale reads
+// can't go back further, and a watch that starts at an older version misses deletions.
+const keepHistory = 2 * time.Minute
+
+// revision is the state of a key from one write to the next.
+type revision struct {
+	at      time.Time
+	entry   store.Entry
+	deleted bool
+}
+
+// record is the history of a key, oldest revision first.
+type record struct {
+	key       string
+	revisions []revision
+}
+
+// last returns the current revision.
+func (r *record) last() *revision {
+	return &r.revisions[len(r.revisions)-1]
+}
+
+// at returns the revision that was current at a time, or nil.
+func (r *record) at(t time.Time) *revision {
+	for _, past := range slices.Backward(r.revisions) {
+		if !past.at.After(t) {
+			return &past
+		}
+	}
+	return nil
+}
+
+// grant is a lease with its keys.
+type grant struct {
+	ttl   time.Duration
+	timer *time.Timer
+	keys  map[string]bool
+}
+
+// watcher is a long poll that waits for a key with the prefix.
+type watcher struct {
+	prefix string
+	wake   chan struct{}
+}
+
+// keyspace is the data of the key-value service: keys with versions, leases and
+// watches.
+type keyspace struct {
+	mu        sync.Mutex
+	version   store.Version
+	records   []*record // in key order
+	leases    map[store.LeaseID]*grant
+	lastLease store.LeaseID
+	watchers  map[*watcher]bool
+}
+
+func newKeyspace() *keyspace {
+	return &keyspace{leases: map[store.LeaseID]*grant{}, watchers: map[*watcher]bool{}}
+}
+
+// find returns the position of a key, or where it would be inserted.
+func (k *keyspace) find(key string) (int, bool) {
+	return slices.BinarySearchFunc(k.records, key, func(r *record, key string) int { return cmp.Compare(r.key, key) })
+}
+
+// current returns the live revision of a key, or nil.
+func (k *keyspace) current(key string) *revision {
+	i, ok := k.find(key)
+	if !ok || k.records[i].last().deleted {
+		return nil
+	}
+	return k.records[i].last()
+}
+
+// get returns an entry as it was at a time.
+func (k *keyspace) get(key string, at time.Time) (store.Entry, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	i, ok := k.find(key)
+	if !ok {
+		return store.Entry{}, false
+	}
+	past := k.records[i].at(at)
+	if past == nil || past.deleted {
+		return store.Entry{}, false
+	}
+	return past.entry, true
+}
+
+// list returns entries as they were at a time.
+func (k *keyspace) list(prefix, after string, limit int, at time.Time) []store.Entry {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var entries []store.Entry
+	first, _ := k.find(max(prefix, after))
+	for _, r := range k.records[first:] {
+		if len(entries) == limit || !strings.HasPrefix(r.key, prefix) {
+			break
+		}
+		past := r.at(at)
+		if r.key > after && past != nil && !past.deleted {
+			entries = append(entries, past.entry)
+		}
+	}
+	return entries
+}
+
+// write sets a key when it has the expected version.
+func (k *keyspace) write(entry store.Entry, expect store.Version) (store.Version, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err := k.expect(entry.Key, expect); err != nil {
+		return 0, err
+	}
+	if entry.Lease != 0 {
+		lease, ok := k.leases[entry.Lease]
+		if !ok {
+			return 0, store.ErrNotFound
+		}
+		lease.keys[entry.Key] = true
+	}
+	k.version++
+	entry.Version = k.version
+	k.append(revision{entry: entry})
+	return entry.Version, nil
+}
+
+// remove deletes a key when it has the expected version.
+func (k *keyspace) remove(key string, expect store.Version) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.current(key) == nil {
+		return store.ErrNotFound
+	}
+	if err := k.expect(key, expect); err != nil {
+		return err
+	}
+	k.tombstone(key)
+	return nil
+}
+
+// expect returns a *store.ConflictError when the key has another version.
+func (k *keyspace) expect(key string, version store.Version) error {
+	var has store.Version
+	if current := k.current(key); current != nil {
+		has = current.entry.Version
+	}
+	if has != version {
+		return &store.ConflictError{Key: key, Current: has}
+	}
+	return nil
+}
+
+func (k *keyspace) tombstone(key string) {
+	k.version++
+	k.append(revision{entry: store.Entry{Key: key, Version: k.version}, deleted: true})
+}
+
+// append adds a revision, drops history that is too old and wakes watchers.
+func (k *keyspace) append(next revision) {
+	next.at = time.Now()
+	key := next.entry.Key
+	i, ok := k.find(key)
+	if !ok {
+		k.records = slices.Insert(k.records, i, &record{key: key})
+	}
+	r := k.records[i]
+	r.revisions = append(trim(r.revisions, next.at.Add(-keepHistory)), next)
+	for w := range k.watchers {
+		if strings.HasPrefix(key, w.prefix) {
+			close(w.wake)
+			delete(k.watchers, w)
+		}
+	}
+}
+
+// trim drops revisions that were no longer current at the horizon.
+func trim(revisions []revision, horizon time.Time) []revision {
+	keep := 0
+	for keep+1 < len(revisions) && revisions[keep+1].at.Before(horizon) {
+		keep++
+	}
+	return slices.Delete(revisions, 0, keep)
+}
+
+// changes returns what changed under a prefix after a version. When nothing
+// did, it returns a channel that is closed at the next change.
+func (k *keyspace) changes(prefix string, after store.Version) (store.WatchResult, *watcher) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	result := store.WatchResult{Version: k.version}
+	first, _ := k.find(prefix)
+	for _, r := range k.records[first:] {
+		if !strings.HasPrefix(r.key, prefix) {
+			break
+		}
+		last := r.last()
+		switch {
+		case last.entry.Version <= after:
+		case last.deleted:
+			result.Deleted = append(result.Deleted, r.key)
+		default:
+			result.Changed = append(result.Changed, last.entry)
+		}
+	}
+	if len(result.Changed)+len(result.Deleted) > 0 {
+		return result, nil
+	}
+	w := &watcher{prefix: prefix, wake: make(chan struct{})}
+	k.watchers[w] = true
+	return result, w
+}
+
+// forget ends a watch that no longer waits.
+func (k *keyspace) forget(w *watcher) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.watchers, w)
+}
+
+// waiting returns the number of watches that wait.
+func (k *keyspace) waiting() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.watchers)
+}
+
+func (k *keyspace) grantLease(ttl time.Duration) store.LeaseID {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lastLease++
+	id := k.lastLease
+	timer := time.AfterFunc(ttl, func() { _ = k.endLease(id) })
+	k.leases[id] = &grant{ttl: ttl, timer: timer, keys: map[string]bool{}}
+	return id
+}
+
+func (k *keyspace) keepAlive(id store.LeaseID) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	lease, ok := k.leases[id]
+	if !ok {
+		return store.ErrNotFound
+	}
+	lease.timer.Reset(lease.ttl)
+	return nil
+}
+
+// endLease removes a lease and the keys that still carry it.
+func (k *keyspace) endLease(id store.LeaseID) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	lease, ok := k.leases[id]
+	if !ok {
+		return store.ErrNotFound
+	}
+	lease.timer.Stop()
+	delete(k.leases, id)
+	for key := range lease.keys {
+		if current := k.current(key); current != nil && current.entry.Lease == id {
+			k.tombstone(key)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/store_faults.go
@@ -0,0 +1,184 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// storeCall is the type of a call to the key-value service.
+type storeCall int
+
+const (
+	callGet storeCall = iota
+	callList
+	callWatch
+	callWrite
+	callDelete
+	callGrant
+	callKeepAlive
+	callRevoke
+)
+
+// writes reports whether the call counts towards the write limit.
+func (c storeCall) writes() bool { return c >= callWrite }
+
+// StoreFaults are the faults of the key-value service.
+type StoreFaults struct {
+	// Outage answers every call with 503 and ends waiting watches.
+	Outage bool `json:"outage"`
+	// DelayMS is added to every call, in milliseconds.
+	DelayMS int64 `json:"delay_ms"`
+	// LoseShare is the share of writes that take effect without an answer, 0 to 1.
+	LoseShare float64 `json:"lose_share"`
+	// LoseNext is the number of next writes that take effect without an answer.
+	LoseNext int `json:"lose_next"`
+	// StaleShare is the share of reads that are answered from the past, 0 to 1.
+	StaleShare float64 `json:"stale_share"`
+	// StaleMS is how old the answers of stale reads are, in milliseconds.
+	StaleMS int64 `json:"stale_ms"`
+	// WritesPerSecond and ReadsPerSecond are the rate limits.
+	WritesPerSecond float64 `json:"writes_per_second"`
+	ReadsPerSecond  float64 `json:"reads_per_second"`
+}
+
+func (f StoreFaults) delay() time.Duration {
+	return time.Duration(f.DelayMS) * time.Millisecond
+}
+
+// Rate limits of the platform's service, in calls per second.
+const (
+	DefaultWritesPerSecond = 300
+	DefaultReadsPerSecond  = 2000
+)
+
+// burstSeconds is how many seconds' worth of calls may come at once.
+const burstSeconds = 0.5
+
+// StoreCounts holds the calls carried out by type, and those that weren't.
+type StoreCounts struct {
+	Gets       int64 `json:"gets"`
+	Lists      int64 `json:"lists"`
+	Watches    int64 `json:"watches"`
+	Writes     int64 `json:"writes"`
+	Deletes    int64 `json:"deletes"`
+	Grants     int64 `json:"grants"`
+	KeepAlives int64 `json:"keep_alives"`
+	Revokes    int64 `json:"revokes"`
+	// OverRate counts calls answered with 429.
+	OverRate int64 `json:"over_rate"`
+	// Unavailable counts calls answered with 503.
+	Unavailable int64 `json:"unavailable"`
+	// Lost counts writes that took effect without an answer.
+	Lost           int64 `json:"lost"`
+	WaitingWatches int   `json:"waiting_watches"`
+}
+
+func (c *StoreCounts) of(call storeCall) *int64 {
+	return [...]*int64{&c.Gets, &c.Lists, &c.Watches, &c.Writes, &c.Deletes, &c.Grants, &c.KeepAlives, &c.Revokes}[call]
+}
+
+// storeFaults decides the fate of each call.
+type storeFaults struct {
+	mu            sync.Mutex
+	faults        StoreFaults
+	counts        StoreCounts
+	writes, reads *rate.Limiter
+	random        *rand.Rand
+	outage        chan struct{} // closed while there is an outage
+}
+
+func newStoreFaults() *storeFaults {
+	f := &storeFaults{random: rand.New(rand.NewPCG(1, 2)), outage: make(chan struct{})}
+	f.set(StoreFaults{WritesPerSecond: DefaultWritesPerSecond, ReadsPerSecond: DefaultReadsPerSecond})
+	return f
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond*burstSeconds)))
+}
+
+func (f *storeFaults) get() StoreFaults {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faults
+}
+
+func (f *storeFaults) set(faults StoreFaults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if faults.WritesPerSecond != f.faults.WritesPerSecond {
+		f.writes = newLimiter(faults.WritesPerSecond)
+	}
+	if faults.ReadsPerSecond != f.faults.ReadsPerSecond {
+		f.reads = newLimiter(faults.ReadsPerSecond)
+	}
+	switch {
+	case faults.Outage && !f.faults.Outage:
+		close(f.outage)
+	case !faults.Outage && f.faults.Outage:
+		f.outage = make(chan struct{})
+	}
+	f.faults = faults
+}
+
+func (f *storeFaults) counted() StoreCounts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.counts
+}
+
+func (f *storeFaults) interrupted() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.outage
+}
+
+// begin counts a call and returns 200 when it is to be carried out, or the status
+// of a call that isn't.
+func (f *storeFaults) begin(call storeCall) (StoreFaults, int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	limiter := f.reads
+	if call.writes() {
+		limiter = f.writes
+	}
+	switch {
+	case f.faults.Outage:
+		f.counts.Unavailable++
+		return f.faults, http.StatusServiceUnavailable
+	case !limiter.Allow():
+		f.counts.OverRate++
+		return f.faults, http.StatusTooManyRequests
+	}
+	*f.counts.of(call)++
+	return f.faults, http.StatusOK
+}
+
+// losesAnswer decides whether the answer of a write is lost.
+func (f *storeFaults) losesAnswer() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.faults.LoseNext > 0:
+		f.faults.LoseNext--
+	case f.random.Float64() >= f.faults.LoseShare:
+		return false
+	}
+	f.counts.Lost++
+	return true
+}
+
+// readTime returns the time as of which a read is answered.
+func (f *storeFaults) readTime() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if f.random.Float64() < f.faults.StaleShare {
+		return now.Add(-time.Duration(f.faults.StaleMS) * time.Millisecond)
+	}
+	return now
+}
--- /dev/null
+++ b/internal/standin/store_http.go
@@ -0,0 +1,222 @@
+package standin
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+)
+
+// defaultListLimit bounds a list that names no limit.
+const defaultListLimit = 1000
+
+// defaultWatchWait bounds a watch that names no wait.
+const defaultWatchWait = 30 * time.Second
+
+// Store is a stand-in of the platform's key-value service.
+type Store struct {
+	keys   *keyspace
+	faults *storeFaults
+}
+
+// NewStore returns an empty store with the platform's rate limits.
+func NewStore() *Store {
+	return &Store{keys: newKeyspace(), faults: newStoreFaults()}
+}
+
+// Faults returns the faults in force.
+func (s *Store) Faults() StoreFaults { return s.faults.get() }
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(faults StoreFaults) { s.faults.set(faults) }
+
+// Counts returns the calls so far by type.
+func (s *Store) Counts() StoreCounts {
+	counts := s.faults.counted()
+	counts.WaitingWatches = s.keys.waiting()
+	return counts
+}
+
+// Handler serves the wire form and the admin paths.
+func (s *Store) Handler() http.Handler {
+	router := mux.NewRouter().SkipClean(true)
+	router.HandleFunc(PathFaults, serveFaults(s.Faults, s.SetFaults)).Methods(http.MethodGet, http.MethodPut)
+	router.HandleFunc(PathCounts, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Counts()) })
+	key := store.PathKeys + "{key:.+}"
+	lease := store.PathLeases + "/{lease:[0-9]+}"
+	router.HandleFunc(key, s.guard(callGet, s.get)).Methods(http.MethodGet)
+	router.HandleFunc(key, s.guard(callWrite, s.write)).Methods(http.MethodPut)
+	router.HandleFunc(key, s.guard(callDelete, s.remove)).Methods(http.MethodDelete)
+	router.HandleFunc(store.PathList, s.guard(callList, s.list)).Methods(http.MethodGet)
+	router.HandleFunc(store.PathWatch, s.guard(callWatch, s.watch)).Methods(http.MethodGet)
+	router.HandleFunc(store.PathLeases, s.guard(callGrant, s.grant)).Methods(http.MethodPost)
+	router.HandleFunc(lease+store.KeepAliveSuffix, s.guard(callKeepAlive, s.keepAlive)).Methods(http.MethodPost)
+	router.HandleFunc(lease, s.guard(callRevoke, s.revoke)).Methods(http.MethodDelete)
+	return router
+}
+
+// guard applies rate limits and faults around a call.
+func (s *Store) guard(call storeCall, serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		faults, status := s.faults.begin(call)
+		if !sleep(r.Context(), faults.delay()) {
+			return
+		}
+		if status != http.StatusOK {
+			w.WriteHeader(status)
+			return
+		}
+		if call.writes() && s.faults.losesAnswer() {
+			serve(discardWriter{http.Header{}}, r)
+			// Closes the connection without an answer.
+			panic(http.ErrAbortHandler)
+		}
+		serve(w, r)
+	}
+}
+
+// discardWriter drops an answer.
+type discardWriter struct{ header http.Header }
+
+func (d discardWriter) Header() http.Header         { return d.header }
+func (d discardWriter) Write(p []byte) (int, error) { return len(p), nil }
+func (d discardWriter) WriteHeader(int)             {}
+
+func keyOf(r *http.Request) string {
+	return strings.TrimPrefix(r.URL.Path, store.PathKeys)
+}
+
+// number reads a query parameter, 0 when it is absent or malformed.
+func number(r *http.Request, name string) int64 {
+	n, _ := strconv.ParseInt(r.URL.Query().Get(name), 10, 64)
+	return n
+}
+
+func leaseOf(r *http.Request) store.LeaseID {
+	id, _ := strconv.ParseInt(mux.Vars(r)["lease"], 10, 64)
+	return store.LeaseID(id)
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	entry, ok := s.keys.get(keyOf(r), s.faults.readTime())
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeJSON(w, http.StatusOK, store.WireEntry(entry))
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	limit := int(number(r, store.ParamLimit))
+	if limit <= 0 {
+		limit = defaultListLimit
+	}
+	query := r.URL.Query()
+	entries := s.keys.list(query.Get(store.ParamPrefix), query.Get(store.ParamAfter), limit, s.faults.readTime())
+	writeJSON(w, http.StatusOK, store.WireList{Entries: wireEntries(entries)})
+}
+
+func wireEntries(entries []store.Entry) []store.WireEntry {
+	wire := make([]store.WireEntry, len(entries))
+	for i, entry := range entries {
+		wire[i] = store.WireEntry(entry)
+	}
+	return wire
+}
+
+func (s *Store) write(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(io.LimitReader(r.Body, store.MaxValueBytes+1))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if len(value) > store.MaxValueBytes {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	lease := store.LeaseID(number(r, store.ParamLease))
+	entry := store.Entry{Key: keyOf(r), Value: value, Lease: lease}
+	version, err := s.keys.write(entry, store.Version(number(r, store.ParamExpect)))
+	writeResult(w, err, store.WireWrite{Version: version})
+}
+
+func (s *Store) remove(w http.ResponseWriter, r *http.Request) {
+	err := s.keys.remove(keyOf(r), store.Version(number(r, store.ParamExpect)))
+	writeResult(w, err, store.WireWrite{})
+}
+
+// writeResult sends the answer of a write, or the status that its error stands for.
+func writeResult(w http.ResponseWriter, err error, answer any) {
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		writeJSON(w, http.StatusOK, answer)
+	case errors.As(err, &conflict):
+		writeJSON(w, http.StatusConflict, store.WireConflict{Current: conflict.Current})
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// watch waits for a change under a prefix. An unchanged poll ends with the
+// version that it started from.
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get(store.ParamPrefix)
+	after := store.Version(number(r, store.ParamAfter))
+	result, waiting := s.keys.changes(prefix, after)
+	if waiting != nil {
+		if !s.waitFor(r, waiting) {
+			writeJSON(w, http.StatusOK, store.WireWatch{Version: after})
+			return
+		}
+		result, waiting = s.keys.changes(prefix, after)
+		if waiting != nil {
+			s.keys.forget(waiting)
+		}
+	}
+	changed := wireEntries(result.Changed)
+	writeJSON(w, http.StatusOK, store.WireWatch{Changed: changed, Deleted: result.Deleted, Version: result.Version})
+}
+
+// waitFor returns true when the watcher was woken before its time ended.
+func (s *Store) waitFor(r *http.Request, waiting *watcher) bool {
+	wait := time.Duration(number(r, store.ParamWaitMS)) * time.Millisecond
+	if wait <= 0 {
+		wait = defaultWatchWait
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-waiting.wake:
+		return true
+	case <-timer.C:
+	case <-r.Context().Done():
+	case <-s.faults.interrupted():
+		panic(http.ErrAbortHandler) // an outage also ends waiting watches
+	}
+	s.keys.forget(waiting)
+	return false
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var wanted store.WireGrant
+	if !readJSON(w, r, &wanted) {
+		return
+	}
+	lease := s.keys.grantLease(time.Duration(wanted.TTLMS) * time.Millisecond)
+	writeJSON(w, http.StatusOK, store.WireLease{Lease: lease})
+}
+
+func (s *Store) keepAlive(w http.ResponseWriter, r *http.Request) {
+	writeResult(w, s.keys.keepAlive(leaseOf(r)), store.WireLease{Lease: leaseOf(r)})
+}
+
+func (s *Store) revoke(w http.ResponseWriter, r *http.Request) {
+	writeResult(w, s.keys.endLease(leaseOf(r)), store.WireLease{Lease: leaseOf(r)})
+}
