Add the example deployments and the standin command

Cause: entry instances, experiments and operators need the fleets of both workloads on one machine. The standin command runs a folder's platform and backend servers on loopback, sets faults and writes settings files of entry instances. Servers can be killed and restarted. Conclusion: both folders start; each pool has a server in each region.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -36,6 +36,7 @@
 func commands(s streams) []command {
 	return []command{
 		{"entry", "run an entry instance", entryHelp, &entryCommand{streams: s}},
+		{"standin", "run stand-ins of the platform on loopback", standinHelp, &standinCommand{streams: s}},
 	}
 }
 
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -49,7 +49,7 @@
 	config BackendConfig
 	slots  *slots
 	faults *backendFaults
-	runs   runLog
+	runs   *runLog
 	load   loadReports
 	engine *engine
 }
@@ -59,11 +59,22 @@
 	return &Backend{
 		config: config,
 		slots:  &slots{total: config.Slots},
+		runs:   &runLog{},
 		faults: &backendFaults{random: rand.New(rand.NewPCG(config.Seed, 1))},
 		engine: newEngine(config),
 	}
 }
 
+// successor returns the server as it is after a restart: with the next
+// incarnation, nothing running, and the same record of runs and faults.
+func (b *Backend) successor() *Backend {
+	config := b.config
+	config.Incarnation++
+	next := NewBackend(config)
+	next.runs, next.faults = b.runs, b.faults
+	return next
+}
+
 // SetSlowdown multiplies the service time.
 func (b *Backend) SetSlowdown(factor float64) {
 	b.faults.change(func(f *BackendFaults) { f.Slowdown = factor })
--- /dev/null
+++ b/internal/standin/cluster_test.go
@@ -0,0 +1,93 @@
+package standin
+
+import (
+	"errors"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+)
+
+// memberServer returns a member as the adapter addresses it.
+func memberServer(s *Server) backend.Server {
+	return backend.Server{ID: s.Member().ID, Address: s.Member().Address}
+}
+
+// Guards against an example whose pools or pipelines have no stand-ins in each
+// region, and against a restart that loses the record of runs.
+func TestExamplesHaveStandIns(t *testing.T) {
+	c := qt.New(t)
+	for folder, want := range map[string]map[string]int{
+		"tavares":   {"assistant": 12, "ledger": 3, "labelling": 5, "invoicing": 5, "distributor-portal": 5},
+		"pondslots": {"model": 12, "booking": 3, "roster": 4, "pond-catalogue": 5, "fee-ledger": 5},
+	} {
+		cluster, err := StartCluster(ClusterConfig{Folder: "../../examples/" + folder, Speed: 100})
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { cluster.Close() })
+		for pool, replicas := range want {
+			c.Assert(cluster.Pool(pool), qt.HasLen, replicas)
+		}
+		for _, p := range cluster.Set.Pipelines {
+			for _, stage := range p.Stages {
+				_, err := ask(c.Context(), memberServer(cluster.Pool(stage.Pool)[0]), backend.StageRequest{Type: stage.Type, Model: stage.Model})
+				c.Assert(err, qt.IsNil)
+				regions := map[string]bool{}
+				for _, server := range cluster.Pool(stage.Pool) {
+					regions[server.Member().Region] = true
+				}
+				c.Assert(regions, qt.HasLen, len(cluster.Set.Deployment.Regions))
+			}
+		}
+		server := cluster.Pool("encoders")[0]
+		before := server.Backend().Runs()
+		c.Assert(server.Kill(), qt.IsNil)
+		_, err = ask(c.Context(), memberServer(server), backend.StageRequest{Type: pipeline.StageEncode})
+		c.Assert(errors.Is(err, backend.ErrNotSent), qt.IsTrue)
+		c.Assert(server.Restart(), qt.IsNil)
+		c.Assert(server.Backend().Runs(), qt.DeepEquals, before)
+		c.Assert(slices.Contains(cluster.Platform.Members(), server.Member()), qt.IsTrue)
+	}
+}
+
+// Guards against a fault that hits another target than the named one, and against
+// a mistyped fault that is ignored.
+func TestSetFault(t *testing.T) {
+	c := qt.New(t)
+	cluster, err := StartCluster(ClusterConfig{Folder: "../../examples/tavares"})
+	c.Assert(err, qt.IsNil)
+	defer cluster.Close()
+	c.Assert(cluster.SetFault("ledger-2:share.error=0.5"), qt.IsNil)
+	c.Assert(cluster.SetFault("ledger:slowdown=3"), qt.IsNil)
+	for i, server := range cluster.Pool("ledger") {
+		c.Assert(server.Backend().Faults().Slowdown, qt.Equals, 3.0)
+		c.Assert(server.Backend().Faults().Share[FaultError] > 0, qt.Equals, i == 1)
+	}
+	c.Assert(cluster.SetFault("store:delay_ms=50"), qt.IsNil)
+	c.Assert(cluster.Store.Faults().WritesPerSecond, qt.Equals, float64(DefaultWritesPerSecond))
+	c.Assert(cluster.Store.Faults().DelayMS, qt.Equals, int64(50))
+	for _, mistake := range []string{"ledger", "ledger:slowdown", "no-such:slowdown=1", "store:delay=50", "list:lag_ms=soon"} {
+		c.Assert(cluster.SetFault(mistake), qt.IsNotNil, qt.Commentf("%s", mistake))
+	}
+}
+
+// Guards against settings of two instances that share a port.
+func TestSettingsHaveOwnPorts(t *testing.T) {
+	c := qt.New(t)
+	cluster, err := StartCluster(ClusterConfig{Folder: "../../examples/pondslots"})
+	c.Assert(err, qt.IsNil)
+	defer cluster.Close()
+	entries, err := cluster.EntrySettings("../../examples/pondslots", 3, cluster.PortAfter())
+	c.Assert(err, qt.IsNil)
+	c.Assert(entries, qt.HasLen, 9)
+	seen := map[string]bool{}
+	for _, entry := range entries {
+		for _, address := range []string{entry.CallerAddress, entry.PeerAddress, entry.AdminAddress} {
+			c.Assert(seen[address], qt.IsFalse)
+			seen[address] = true
+		}
+		c.Assert(entry.Peers, qt.HasLen, len(entries)-1)
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,148 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+)
+
+// FleetFile describes the stand-ins of a deployment. It lies beside the
+// deployment file and is optional.
+const FleetFile = "standin.jsonc"
+
+// Fleet holds the sizes of stand-ins by pool.
+type Fleet struct {
+	Pools map[string]PoolSize `json:"pools"`
+}
+
+// PoolSize describes the stand-in backend servers of a pool. Times are in
+// milliseconds.
+type PoolSize struct {
+	Replicas       int     `json:"replicas"`
+	ServiceTimeMS  float64 `json:"service_time_ms"`
+	LoadFactor     float64 `json:"load_factor,omitempty"`
+	LoadLagMS      float64 `json:"load_lag_ms,omitempty"`
+	AnswerBytes    int     `json:"answer_bytes,omitempty"`
+	ChunkBytes     int     `json:"chunk_bytes,omitempty"`
+	PrefillMS      float64 `json:"prefill_ms,omitempty"`
+	CachedPrefixes int     `json:"cached_prefixes,omitempty"`
+	EventDelayMS   float64 `json:"event_delay_ms,omitempty"`
+	LoadTimeMS     float64 `json:"load_time_ms,omitempty"`
+	PrefixBytes    int64   `json:"prefix_bytes,omitempty"`
+}
+
+// defaultPoolSize is that of a pool that the fleet file doesn't name.
+var defaultPoolSize = PoolSize{Replicas: 3, ServiceTimeMS: 20, AnswerBytes: 2000, ChunkBytes: 250}
+
+// ReadFleet reads the fleet file in the root of a file system, if there is one.
+func ReadFleet(root fs.FS) (Fleet, error) {
+	var fleet Fleet
+	data, err := fs.ReadFile(root, FleetFile)
+	if errors.Is(err, fs.ErrNotExist) {
+		return fleet, nil
+	}
+	if err != nil {
+		return fleet, fmt.Errorf("read fleet: %w", err)
+	}
+	standard, err := hujson.Standardize(data)
+	if err != nil {
+		return fleet, fmt.Errorf("%s: %w", FleetFile, err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(standard))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&fleet); err != nil {
+		return fleet, fmt.Errorf("%s: %w", FleetFile, err)
+	}
+	return fleet, nil
+}
+
+// size returns the size of a pool with defaults for what is left out.
+func (f Fleet) size(pool string) PoolSize {
+	size, ok := f.Pools[pool]
+	if !ok {
+		return defaultPoolSize
+	}
+	if size.ChunkBytes <= 0 {
+		size.ChunkBytes = defaultPoolSize.ChunkBytes
+	}
+	if size.Replicas <= 0 {
+		size.Replicas = defaultPoolSize.Replicas
+	}
+	return size
+}
+
+// place is a failure domain with its region.
+type place struct {
+	region, failureDomain string
+}
+
+func places(deployment pipeline.Deployment) []place {
+	var all []place
+	for _, region := range deployment.Regions {
+		for _, domain := range region.FailureDomains {
+			all = append(all, place{region.Name, domain})
+		}
+	}
+	return all
+}
+
+// planned is a backend server before it has an address.
+type planned struct {
+	config BackendConfig
+	member platform.Member
+}
+
+// plan returns the backend servers of a deployment. The servers of a pool are
+// spread over the failure domains in turn.
+func (f Fleet) plan(deployment pipeline.Deployment, weights *WeightStore, speed float64) []planned {
+	var all []planned
+	domains := places(deployment)
+	for _, pool := range deployment.Pools {
+		size := f.size(pool.Name)
+		for i := range size.Replicas {
+			at := domains[i%len(domains)]
+			id := fmt.Sprintf("%s-%d", pool.Name, i+1)
+			config := size.config(pool, weights, speed)
+			config.ID, config.Seed = id, uint64(len(all))
+			all = append(all, planned{config, platform.Member{
+				ID: id, Role: platform.RoleBackend, Pool: pool.Name, Region: at.region,
+				FailureDomain: at.failureDomain, State: platform.StateLive, Incarnation: config.Incarnation,
+			}})
+		}
+	}
+	return all
+}
+
+// config turns a size into the configuration of a server whose times are
+// divided by speed.
+func (s PoolSize) config(pool pipeline.Pool, weights *WeightStore, speed float64) BackendConfig {
+	duration := func(ms float64) time.Duration { return time.Duration(ms / speed * float64(time.Millisecond)) }
+	return BackendConfig{
+		Pool:        pool.Name,
+		Slots:       pool.Slots,
+		ServiceTime: duration(s.ServiceTimeMS),
+		LoadFactor:  s.LoadFactor,
+		AnswerBytes: s.AnswerBytes,
+		ChunkBytes:  s.ChunkBytes,
+		LoadLag:     duration(s.LoadLagMS),
+		Incarnation: 1,
+		Engine: EngineConfig{
+			Models:         pool.Models,
+			FencesOrders:   pool.FencesOrders,
+			LoadTime:       duration(s.LoadTimeMS),
+			Weights:        weights,
+			PrefillTime:    duration(s.PrefillMS),
+			CachedPrefixes: s.CachedPrefixes,
+			EventDelay:     duration(s.EventDelayMS),
+			PrefixBytes:    s.PrefixBytes,
+		},
+	}
+}
--- /dev/null
+++ b/internal/standin/settings.go
@@ -0,0 +1,127 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+)
+
+// Ports of entry instances that have no base port are searched in a range below
+// the one from which systems usually take the ports of outgoing connections.
+const (
+	firstPort = 10000
+	lastPort  = 30000
+)
+
+// EntrySettings returns the settings of perDomain entry instances in each failure
+// domain. port returns the port of the next listener.
+func (c *Cluster) EntrySettings(folder string, perDomain int, port func() (int, error)) ([]settings.Entry, error) {
+	folder, err := filepath.Abs(folder)
+	if err != nil {
+		return nil, err
+	}
+	var entries []settings.Entry
+	for _, at := range places(c.Set.Deployment) {
+		for i := range perDomain {
+			entry := settings.Entry{
+				Instance:        fmt.Sprintf("%s-entry-%d", at.failureDomain, i+1),
+				Region:          at.region,
+				FailureDomain:   at.failureDomain,
+				StoreAddress:    c.StoreAddress,
+				PlatformAddress: c.PlatformAddress,
+				PipelineFiles:   folder,
+			}
+			for _, address := range []*string{&entry.CallerAddress, &entry.PeerAddress, &entry.AdminAddress} {
+				number, err := port()
+				if err != nil {
+					return nil, err
+				}
+				*address = net.JoinHostPort(Host, strconv.Itoa(number))
+			}
+			entries = append(entries, entry)
+		}
+	}
+	addPeers(entries)
+	return entries, nil
+}
+
+// addPeers names the peer addresses of all others in each settings file.
+func addPeers(entries []settings.Entry) {
+	for i := range entries {
+		for j := range entries {
+			if i != j {
+				entries[i].Peers = append(entries[i].Peers, entries[j].PeerAddress)
+			}
+		}
+	}
+}
+
+// PortAfter returns ports that follow the ones of the cluster when it has a base
+// port, and free ports otherwise.
+func (c *Cluster) PortAfter() func() (int, error) {
+	if c.nextPort == 0 {
+		return FreePorts()
+	}
+	return func() (int, error) {
+		c.nextPort++
+		return c.nextPort - 1, nil
+	}
+}
+
+// FreePorts returns a function that returns a different port with each call, each
+// free for TCP and UDP a moment ago. Ports are drawn at random, so that processes
+// that search at the same time rarely meet.
+func FreePorts() func() (int, error) {
+	const attempts = 1000
+	taken := map[int]bool{}
+	return func() (int, error) {
+		for range attempts {
+			port := firstPort + rand.IntN(lastPort-firstPort)
+			if !taken[port] && portIsFree(net.JoinHostPort(Host, strconv.Itoa(port))) {
+				taken[port] = true
+				return port, nil
+			}
+		}
+		return 0, fmt.Errorf("no free port between %d and %d in %d attempts", firstPort, lastPort, attempts)
+	}
+}
+
+func portIsFree(address string) bool {
+	tcp, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer tcp.Close()
+	udp, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return udp.Close() == nil
+}
+
+// WriteSettings writes one settings file per instance into a folder and returns
+// their paths.
+func WriteSettings(folder string, entries []settings.Entry) ([]string, error) {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, fmt.Errorf("write settings: %w", err)
+	}
+	var paths []string
+	for _, entry := range entries {
+		data, err := json.MarshalIndent(entry, "", "  ")
+		if err != nil {
+			return nil, fmt.Errorf("write settings: %w", err)
+		}
+		path := filepath.Join(folder, entry.Instance+".jsonc")
+		if err := os.WriteFile(path, append(data, '\n'), 0o644); err != nil {
+			return nil, fmt.Errorf("write settings: %w", err)
+		}
+		paths = append(paths, path)
+	}
+	return paths, nil
+}
