Add the demo command

Cause: nobody could see in one step whether requests are lost, doubled or mixed up. The counts come from the runs that the stand-ins recorded and the answers that callers got. The examples are embedded, so that the command needs no folder. Engines keep a schedule of chunks, so that the delays of timers don't add up.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -37,6 +37,7 @@
 	return []command{
 		{"entry", "run an entry instance", entryHelp, &entryCommand{streams: s}},
 		{"standin", "run stand-ins of the platform on loopback", standinHelp, &standinCommand{streams: s}},
+		{"demo", "serve requests of two example deployments", demoHelp, &demoCommand{streams: s}},
 	}
 }
 
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,157 @@
+// Package demo serves requests of the example deployments with stand-ins on
+// loopback and compares what callers got with what backend servers recorded.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/coltsfootdrift/coltsfootdrift/examples"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+)
+
+// The demo stays under 30 s: no request starts after sendLimit, none runs longer
+// than timeLimit, and the stop of the instances has a deadline of its own.
+const (
+	sendLimit = 10 * time.Second
+	timeLimit = 23 * time.Second
+)
+
+// callersPerDeployment is the number of requests on their way at once.
+const callersPerDeployment = 24
+
+// slowdown is the factor by which one engine is slow for a while.
+const slowdown = 5
+
+// seed is that of the order of requests.
+const seed = 1
+
+// Run serves the requests of all example deployments.
+func Run(ctx context.Context, logger *slog.Logger) (*Report, error) {
+	started := time.Now()
+	folder, err := os.MkdirTemp("", "coltsfootdrift-demo-")
+	if err != nil {
+		return nil, fmt.Errorf("demo: %w", err)
+	}
+	defer os.RemoveAll(folder)
+	ctx, cancel := context.WithTimeout(ctx, timeLimit)
+	defer cancel()
+
+	report := &Report{Kinds: map[string]*Counts{}}
+	var mu sync.Mutex
+	var group errgroup.Group
+	for _, name := range examples.Deployments() {
+		group.Go(func() error {
+			d, results, err := serve(ctx, name, folder, logger)
+			if err != nil {
+				return fmt.Errorf("demo of %s: %w", name, err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			report.Instances += d.instances
+			report.collect(d, results)
+			return nil
+		})
+	}
+	err = group.Wait()
+	report.total()
+	report.Seconds = time.Since(started).Seconds()
+	return report, err
+}
+
+// serve starts one deployment, sends its requests and stops it. The records are
+// complete once the deployment has stopped.
+func serve(ctx context.Context, name, folder string, logger *slog.Logger) (*deployment, []sent, error) {
+	folder, err := unpack(name, folder)
+	if err != nil {
+		return nil, nil, err
+	}
+	d, err := start(ctx, name, folder, logger)
+	if err != nil {
+		return nil, nil, err
+	}
+	results := d.send(ctx, plan(d.cluster.Set, rand.New(rand.NewPCG(seed, 1))))
+	return d, results, d.stop()
+}
+
+// collect counts the requests of a deployment.
+func (r *Report) collect(d *deployment, results []sent) {
+	v := newVerifier(d.cluster.Set, d.cluster.Runs())
+	for _, s := range results {
+		r.kind(d.name, s.kind.Name).add(v.count(s))
+	}
+}
+
+// send sends all requests with a bounded number at once.
+func (d *deployment) send(ctx context.Context, requests []request) []sent {
+	c := &caller{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callersPerDeployment}}}
+	defer c.client.CloseIdleConnections()
+	results := make([]sent, len(requests))
+	var group errgroup.Group
+	group.SetLimit(callersPerDeployment)
+	started := time.Now()
+	for i, r := range requests {
+		if time.Since(started) > sendLimit {
+			results = results[:i]
+			break
+		}
+		d.disturb(i, len(requests))
+		group.Go(func() error {
+			results[i] = sent{request: r, answers: d.sendAll(ctx, c, i, r)}
+			return nil
+		})
+	}
+	_ = group.Wait() // the functions return no error
+	return results
+}
+
+// sendAll sends a request and its repeats. Every other request is repeated while
+// it runs, the rest after its answer; each time at another instance.
+func (d *deployment) sendAll(ctx context.Context, c *caller, i int, r request) []answer {
+	answers := make([]answer, r.repeats+1)
+	var group errgroup.Group
+	if i%2 == 0 {
+		group.SetLimit(1)
+	}
+	for n := range answers {
+		address := d.addresses[(i+n)%len(d.addresses)]
+		group.Go(func() error {
+			answers[n] = c.send(ctx, address, r)
+			return nil
+		})
+	}
+	_ = group.Wait() // the functions return no error
+	return answers
+}
+
+// disturb makes stand-ins misbehave while requests are sent: at a quarter of them
+// an engine becomes slow, a server leaves and single answers go wrong, at three
+// quarters the slow engine recovers.
+func (d *deployment) disturb(i, total int) {
+	servers := d.cluster.Servers
+	switch i {
+	case total / 4:
+		servers[0].Backend().SetSlowdown(slowdown)
+		servers[1].Backend().SetFaults(standin.BackendFaults{Next: map[standin.Fault]int{
+			standin.FaultHalf: 1, standin.FaultCrossed: 1, standin.FaultRefuse: 1,
+		}})
+		servers[len(servers)-1].Backend().SetDraining(true)
+		faults := d.cluster.Store.Faults()
+		faults.LoseNext = 2
+		d.cluster.Store.SetFaults(faults)
+	case total * 3 / 4:
+		servers[0].Backend().SetSlowdown(1)
+	}
+}
+
+// ErrFaulty reports a demo with a count that must be 0 and isn't.
+var ErrFaulty = errors.New("requests were lost, doubled, mixed up, or ran although the caller was told not_run")
--- /dev/null
+++ b/internal/demo/deployment.go
@@ -0,0 +1,139 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/coltsfootdrift/coltsfootdrift/examples"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+)
+
+// speed divides the times of the stand-ins, so that the demo is short.
+const speed = 80
+
+// startAttempts bounds the starts of an instance whose ports another process took
+// between the search and the start.
+const startAttempts = 3
+
+// shutdownDeadline bounds the stop of an instance.
+const shutdownDeadline = 5 * time.Second
+
+// deployment is a running example: stand-ins and one entry instance in each
+// failure domain.
+type deployment struct {
+	name    string
+	cluster *standin.Cluster
+	apps    []*fx.App
+	// addresses serve callers, admins readiness.
+	addresses, admins []string
+	// instances is the number of entry instances that served.
+	instances int
+}
+
+// unpack writes the embedded files of a deployment into a folder.
+func unpack(name, folder string) (string, error) {
+	files, err := fs.Sub(examples.Files, name)
+	if err != nil {
+		return "", err
+	}
+	target := filepath.Join(folder, name)
+	return target, os.CopyFS(target, files)
+}
+
+// start starts an example from a folder.
+func start(ctx context.Context, name, folder string, logger *slog.Logger) (*deployment, error) {
+	cluster, err := standin.StartCluster(standin.ClusterConfig{Folder: folder, Speed: speed})
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{name: name, cluster: cluster}
+	for range startAttempts {
+		err = d.startEntries(ctx, folder, logger)
+		if err == nil {
+			return d, nil
+		}
+		d.stopEntries()
+	}
+	return nil, errors.Join(err, d.stop())
+}
+
+func (d *deployment) startEntries(ctx context.Context, folder string, logger *slog.Logger) error {
+	entries, err := d.cluster.EntrySettings(folder, 1, d.cluster.PortAfter())
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		e.DrainGraceMS = 1
+		e.ShutdownDeadlineMS = shutdownDeadline.Milliseconds()
+		if err := d.startEntry(ctx, e, logger); err != nil {
+			return fmt.Errorf("start %s: %w", e.Instance, err)
+		}
+	}
+	d.instances = len(entries)
+	return d.waitReady(ctx)
+}
+
+func (d *deployment) startEntry(ctx context.Context, e settings.Entry, logger *slog.Logger) error {
+	app := entry.New(e, logger)
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	d.apps = append(d.apps, app)
+	d.addresses = append(d.addresses, e.CallerAddress)
+	d.admins = append(d.admins, e.AdminAddress)
+	return nil
+}
+
+// waitReady waits until every instance says that it is ready.
+func (d *deployment) waitReady(ctx context.Context) error {
+	for _, admin := range d.admins {
+		for !ready(ctx, admin) {
+			select {
+			case <-time.After(pollInterval):
+			case <-ctx.Done():
+				return fmt.Errorf("instance at %s isn't ready: %w", admin, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, admin string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	// An instance without the path has nothing to wait for.
+	return response.StatusCode == http.StatusOK || response.StatusCode == http.StatusNotFound
+}
+
+func (d *deployment) stopEntries() error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownDeadline)
+	defer cancel()
+	var errs []error
+	for _, app := range d.apps {
+		errs = append(errs, app.Stop(ctx))
+	}
+	d.apps, d.addresses, d.admins = nil, nil, nil
+	return errors.Join(errs...)
+}
+
+func (d *deployment) stop() error {
+	return errors.Join(d.stopEntries(), d.cluster.Close())
+}
--- /dev/null
+++ b/internal/demo/verify_test.go
@@ -0,0 +1,65 @@
+package demo
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+)
+
+func hashOf(input string) string {
+	sum := sha256.Sum256([]byte(input))
+	return hex.EncodeToString(sum[:])
+}
+
+func run(id string, stage pipeline.StageType) standin.Run {
+	return standin.Run{RequestID: id, InputHash: hashOf(id), Type: stage, Pool: string(stage), Organisation: "o", Kind: "k", AnswerBytes: 200}
+}
+
+// Guards against a demo that reports 0 although a request was lost, doubled or
+// mixed up, or ran after the caller was told not_run.
+func TestVerifierCounts(t *testing.T) {
+	c := qt.New(t)
+	set := &pipeline.Set{Pipelines: []pipeline.Pipeline{{Name: "p", Stages: []pipeline.Stage{
+		{Name: "last", Type: pipeline.StageService, Pool: "service", Once: true},
+	}}}}
+	service, engine := pipeline.StageService, pipeline.StageGenerate
+	document := func(id string) string { return fmt.Sprintf(`{"request_id": %q, "input": %s}`, id, id) }
+	text := func(id string) string { return standin.GeneratedText(hashOf(id), 200) }
+	completed := func(body string) answer { return answer{outcome: entry.OutcomeCompleted, body: []byte(body)} }
+	notRun := answer{outcome: entry.OutcomeNotRun}
+	for _, test := range []struct {
+		name    string
+		last    pipeline.StageType
+		runs    []standin.Run
+		answers []answer
+		want    Counts
+	}{
+		{"whole document", service, []standin.Run{run("1", service)}, []answer{completed(document("1"))}, Counts{Completed: 1}},
+		{"whole text", engine, []standin.Run{run("1", engine)}, []answer{completed(text("1"))}, Counts{Completed: 1}},
+		{"no answer", service, nil, []answer{{}}, Counts{Lost: 1}},
+		{"digest of a delivered answer", service, []standin.Run{run("1", service)}, []answer{completed(document("1")), {outcome: entry.OutcomeCompleted, digest: hashOf(document("1"))}}, Counts{Completed: 2, RepeatedKeys: 1}},
+		{"digest only", service, []standin.Run{run("1", service)}, []answer{{outcome: entry.OutcomeCompleted, digest: hashOf(document("1"))}}, Counts{Lost: 1}},
+		{"cut text", engine, []standin.Run{run("1", engine)}, []answer{completed(text("1")[:150])}, Counts{Lost: 1}},
+		{"cut document", service, []standin.Run{run("1", service)}, []answer{completed(document("1")[:9])}, Counts{Lost: 1}},
+		{"other document", service, []standin.Run{run("1", service), run("2", service)}, []answer{completed(document("2"))}, Counts{MixedUp: 1}},
+		{"other text", engine, []standin.Run{run("1", engine), run("2", engine)}, []answer{completed(text("2"))}, Counts{MixedUp: 1}},
+		{"text of two", engine, []standin.Run{run("1", engine)}, []answer{completed(text("1")[:65] + text("2")[:135])}, Counts{MixedUp: 1}},
+		{"answer without a run", service, nil, []answer{completed(document("1"))}, Counts{MixedUp: 1}},
+		{"two runs", service, []standin.Run{run("1", service), run("1", service)}, []answer{completed(document("1"))}, Counts{Completed: 1, Doubled: 1}},
+		{"not run", service, nil, []answer{notRun}, Counts{NotRun: 1}},
+		{"ran", service, []standin.Run{run("1", service)}, []answer{notRun}, Counts{NotRun: 1, NotRunButRan: 1}},
+		{"repeat", service, []standin.Run{run("1", service)}, []answer{completed(document("1")), notRun}, Counts{Completed: 1, NotRun: 1, RepeatedKeys: 1}},
+	} {
+		r := request{id: "1", organisation: "o", pipeline: "p", kind: pipeline.Kind{Name: "k"}, lastStage: test.last}
+		test.want.Requests = len(test.answers)
+		got := newVerifier(set, test.runs).count(sent{request: r, answers: test.answers})
+		c.Assert(got, qt.Equals, test.want, qt.Commentf("%s", test.name))
+	}
+}
--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -124,9 +124,12 @@
 	if !sleep(a.r.Context(), a.backend.engine.prefill(a.body.PrefixKey, a.backend.faults.slowdown())) {
 		return false
 	}
+	// Each chunk has its own due time, so that the delays of timers don't add up.
+	due := time.Now()
 	for offset := int(a.body.ResumeOffset); offset < len(text); {
 		end := min(offset+a.backend.config.ChunkBytes, len(text))
-		if !sleep(a.r.Context(), a.backend.chunkTime()) {
+		due = due.Add(a.backend.chunkTime())
+		if !sleep(a.r.Context(), time.Until(due)) {
 			return false
 		}
 		if a.run.Fault == FaultHalf && end > len(text)/2 {
