Refuse unknown orders before they count as carried out

Cause: an order with an unknown action raised the engine's fencing number and was remembered as carried out. Change: the action is checked first. Tests for unknown orders, for loads above the weight store's rate and for load reports that lag. Conclusion: a mistaken order changes nothing.

--- a/internal/standin/backend_test.go
+++ b/internal/standin/backend_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -154,6 +155,7 @@
 			{backend.WireOrder{Action: "role", Target: "decode", Fencing: 5, LifeMS: 4000}, 202},
 			{backend.WireOrder{Action: "role", Target: "prefill", Fencing: 4, LifeMS: 4000}, old},
 			{backend.WireOrder{Action: "unload", Target: "m1", Fencing: 5}, 410},
+			{backend.WireOrder{Action: "reboot", Fencing: 5, LifeMS: 4000}, 400},
 		} {
 			test.order.ID = fmt.Sprint(i)
 			c.Assert(b.engine.order(test.order), qt.Equals, test.want)
@@ -166,6 +168,35 @@
 	}
 }
 
+// Guards against loads above the weight store's rate, and against a load that is
+// over before its time.
+func TestWeightStoreLimitsLoads(t *testing.T) {
+	c := qt.New(t)
+	weights := NewWeightStore(1)
+	for _, want := range []int{202, 429} {
+		b := NewBackend(BackendConfig{Slots: 1, Engine: EngineConfig{Weights: weights, LoadTime: time.Hour, Models: []string{"m1"}}})
+		c.Assert(b.engine.order(backend.WireOrder{ID: "1", Action: "load", Target: "m2", LifeMS: 4000}), qt.Equals, want)
+		c.Assert(b.engine.serves("m2"), qt.IsFalse)
+		b.engine.loaded("m2")
+		c.Assert(b.engine.serves("m2"), qt.IsTrue)
+	}
+}
+
+// Guards against a load report that shows the present instead of the past.
+func TestLoadReportLags(t *testing.T) {
+	c := qt.New(t)
+	b, server := startBackend(c, BackendConfig{ID: "b", Slots: 2, LoadLag: time.Hour})
+	for range 2 {
+		response, err := http.Get("http://" + server.Address + backend.PathLoad)
+		c.Assert(err, qt.IsNil)
+		var report backend.WireLoad
+		c.Assert(json.NewDecoder(response.Body).Decode(&report), qt.IsNil)
+		c.Assert(response.Body.Close(), qt.IsNil)
+		c.Assert(report.Running, qt.Equals, 0)
+		c.Assert(b.slots.acquire(c.Context(), 0), qt.IsTrue)
+	}
+}
+
 // Guards against a cache that grows without bound, and against events that come
 // early or without the gap that the platform's engines show.
 func TestPrefixCache(t *testing.T) {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -12,6 +12,13 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
 )
 
+// Actions of orders.
+const (
+	actionLoad   = "load"
+	actionUnload = "unload"
+	actionRole   = "role"
+)
+
 // EngineConfig describes a model engine.
 type EngineConfig struct {
 	// Models lists what is loaded at the start. Without any, the engine serves
@@ -102,6 +109,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
+	case !slices.Contains([]string{actionLoad, actionUnload, actionRole}, order.Action):
+		return http.StatusBadRequest
 	case e.done[order.ID]:
 		return http.StatusOK
 	case e.config.FencesOrders && order.Fencing < e.fencing:
@@ -110,28 +119,26 @@
 		return http.StatusGone
 	case e.state.Loading:
 		return http.StatusTooManyRequests
-	case order.Action == "load" && !e.config.Weights.Allow():
+	case order.Action == actionLoad && !e.config.Weights.Allow():
 		return http.StatusTooManyRequests
 	}
 	e.fencing = max(e.fencing, order.Fencing)
 	e.done[order.ID] = true
-	return e.start(order)
+	e.start(order)
+	return http.StatusAccepted
 }
 
 // start carries an order out. A load ends later.
-func (e *engine) start(order backend.WireOrder) int {
+func (e *engine) start(order backend.WireOrder) {
 	switch order.Action {
-	case "load":
+	case actionLoad:
 		e.state.Loading = true
 		time.AfterFunc(e.config.LoadTime, func() { e.loaded(order.Target) })
-	case "unload":
+	case actionUnload:
 		e.state.Models = slices.DeleteFunc(e.state.Models, func(m string) bool { return m == order.Target })
-	case "role":
+	case actionRole:
 		e.state.Role = order.Target
-	default:
-		return http.StatusBadRequest
 	}
-	return http.StatusAccepted
 }
 
 func (e *engine) loaded(target string) {
