Send orders to engines from a control loop under a leadership

Cause: the reconciler needs an adapter that reads engine states, sends orders and stops when its lease ends. Change: backend.Engines with its HTTP adapter; internal/orders reads all engines, asks the reconciler, and checks the leadership again before each order; a weight store rate of 0 means no limit. Figures: an engine with m@1 reaches m@2 with two orders, a load and an unload.

--- /dev/null
+++ b/internal/orders/orders_test.go
@@ -0,0 +1,110 @@
+package orders
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+	"github.com/coltsfootdrift/coltsfootdrift/order"
+)
+
+var start = time.Unix(1000, 0)
+
+// fakeLeader is a leader whose lease the test moves.
+type fakeLeader struct{ held order.Leadership }
+
+func (f *fakeLeader) Leadership(time.Time) order.Leadership { return f.held }
+
+// engine runs a stand-in engine and returns its address.
+func engine(c *qt.C, fences bool) string {
+	server := httptest.NewServer(standin.NewBackend(standin.BackendConfig{
+		ID: "e", Slots: 1, Incarnation: 1, Engine: standin.EngineConfig{FencesOrders: fences, Models: []string{"m@1"}},
+	}).Handler())
+	c.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func newLoop(leader Leader, engines backend.Engines, now *time.Time, wanted ...order.Wanted) *Loop {
+	return &Loop{
+		Leader: leader, Engines: engines, Logger: slog.New(slog.DiscardHandler),
+		Wanted:   func() []order.Wanted { return wanted },
+		LoadRate: func() float64 { return 0 },
+		Now:      func() time.Time { return *now },
+	}
+}
+
+// Guards against a loop that stops before the engine has the wanted models, or
+// that goes on ordering when it has.
+func TestLoopBringsEngineToWantedModels(t *testing.T) {
+	c := qt.New(t)
+	now := start
+	engines := &countingEngines{Engines: &backend.HTTPEngines{Client: http.DefaultClient}}
+	leader := &fakeLeader{order.Leadership{Held: true, Fencing: 3, Since: start, Until: start.Add(time.Hour)}}
+	address := engine(c, true)
+	loop := newLoop(leader, engines, &now, order.Wanted{Server: "e", Address: address, Models: []string{"m@2"}, FencesOrders: true})
+	for range 200 {
+		loop.Step(c.Context())
+		now = now.Add(Period)
+		time.Sleep(time.Millisecond) // lets the stand-in finish its load
+	}
+	observed, err := engines.State(c.Context(), "e", address)
+	c.Assert(err, qt.IsNil)
+	c.Assert(observed.Models, qt.DeepEquals, []string{"m@2"})
+	c.Assert(engines.sent, qt.Equals, 2)
+}
+
+// Guards against a paused leader whose orders reach an engine that checks
+// fencing numbers after the next leader's.
+func TestEngineRefusesOrderOfEarlierLeader(t *testing.T) {
+	c := qt.New(t)
+	engines := &backend.HTTPEngines{Client: http.DefaultClient}
+	address := engine(c, true)
+	role := order.Order{ID: "2-1", Address: address, Action: order.ActionRole, Target: "decode", Fencing: 2, Life: order.OrderLife}
+	c.Assert(engines.Send(c.Context(), role), qt.IsNil)
+	role.ID, role.Fencing, role.Target = "1-1", 1, "prefill"
+	err := engines.Send(c.Context(), role)
+	c.Assert(errors.Is(err, backend.ErrOrderRefused), qt.IsTrue)
+	observed, err := engines.State(c.Context(), "e", address)
+	c.Assert(err, qt.IsNil)
+	c.Assert(observed.Role, qt.Equals, "decode")
+}
+
+// Guards against orders that are sent although the lease ended while the engines
+// were read, as after a pause of the process.
+func TestNoOrderAfterTheLeaseEnded(t *testing.T) {
+	c := qt.New(t)
+	now := start
+	leader := &fakeLeader{order.Leadership{Held: true, Fencing: 1, Since: start.Add(-time.Hour), Until: start.Add(10 * time.Second)}}
+	engines := &countingEngines{Engines: &backend.HTTPEngines{Client: http.DefaultClient}}
+	engines.onState = func() { now = now.Add(8 * time.Second) }
+	loop := newLoop(leader, engines, &now, order.Wanted{Server: "e", Address: engine(c, false), Models: []string{"m@2"}})
+	loop.Step(c.Context())
+	c.Assert(engines.sent, qt.Equals, 0)
+}
+
+// countingEngines counts orders and lets time pass while a state is read.
+type countingEngines struct {
+	backend.Engines
+	sent    int
+	onState func()
+}
+
+func (e *countingEngines) State(ctx context.Context, server, address string) (order.Observed, error) {
+	if e.onState != nil {
+		e.onState()
+	}
+	return e.Engines.State(ctx, server, address)
+}
+
+func (e *countingEngines) Send(ctx context.Context, o order.Order) error {
+	e.sent++
+	return e.Engines.Send(ctx, o)
+}
--- a/order/reconciler.go
+++ b/order/reconciler.go
@@ -14,7 +14,8 @@
 
 // Config bounds a reconciler.
 type Config struct {
-	// LoadsPerMinute is the failure domain's part of the weight store's rate.
+	// LoadsPerMinute is the failure domain's part of the weight store's rate; 0
+	// means no limit.
 	LoadsPerMinute float64
 	// LoadBurst is how many loads may start at once; at least 1.
 	LoadBurst int
@@ -43,7 +44,7 @@
 // NewReconciler returns a reconciler that wants nothing.
 func NewReconciler(config Config) *Reconciler {
 	return &Reconciler{
-		loads:    rate.NewLimiter(rate.Limit(config.LoadsPerMinute/60), max(1, config.LoadBurst)),
+		loads:    rate.NewLimiter(loadLimit(config.LoadsPerMinute), max(1, config.LoadBurst)),
 		wanted:   map[string]Wanted{},
 		observed: map[string]Observed{},
 		pending:  map[string]pending{},
@@ -53,7 +54,15 @@
 // SetLoadRate changes the rate of loads, for example when the number of failure
 // domains that share the weight store changes.
 func (r *Reconciler) SetLoadRate(now time.Time, perMinute float64) {
-	r.loads.SetLimitAt(now, rate.Limit(perMinute/60))
+	r.loads.SetLimitAt(now, loadLimit(perMinute))
+}
+
+// loadLimit converts loads per minute to the limiter's unit.
+func loadLimit(perMinute float64) rate.Limit {
+	if perMinute == 0 {
+		return rate.Inf
+	}
+	return rate.Limit(perMinute / time.Minute.Seconds())
 }
 
 // Want replaces the wanted states.
