--- /dev/null
+++ b/quota/share.go
@@ -0,0 +1,157 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// NamedOrganisations is the number of organisations that a summary names.
+const NamedOrganisations = 16
+
+// Demand is the requests per second of one organisation.
+type Demand struct {
+	Organisation string
+	PerSecond    float64
+}
+
+// Summary is what one instance, or one failure domain, reports of its demand:
+// the largest organisations by name.
+type Summary struct {
+	// Instances is the number of instances that the summary covers.
+	Instances int
+	Largest   []Demand
+}
+
+const (
+	// maxOrganisations bounds the organisations with state. It is above the
+	// number in steady use, so that only idle ones are dropped.
+	maxOrganisations = 1 << 15
+	// demandWindow is the time over which demand is averaged.
+	demandWindow = 5 * time.Second
+)
+
+// organisation is the state of one organisation that was seen recently.
+type organisation struct {
+	bucket bucket
+	// demand is in requests per second, decaying over demandWindow.
+	demand   float64
+	demandAt time.Time
+}
+
+// Share enforces this instance's share of the organisations' rates.
+type Share struct {
+	organisations map[string]*organisation
+	// peers holds the demand of the other instances for the named organisations.
+	peers     map[string]float64
+	instances int
+}
+
+// NewShare returns a share of an instance that knows no other.
+func NewShare() *Share {
+	return &Share{organisations: map[string]*organisation{}, peers: map[string]float64{}, instances: 1}
+}
+
+// Observe counts n requests of an organisation, whether they are allowed or not.
+func (s *Share) Observe(name string, n float64, now time.Time) {
+	o := s.get(name, now)
+	o.decay(now)
+	o.demand += n / demandWindow.Seconds()
+}
+
+func (o *organisation) decay(now time.Time) {
+	elapsed := now.Sub(o.demandAt).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	o.demand *= max(0, 1-elapsed/demandWindow.Seconds())
+	o.demandAt = now
+}
+
+// get returns the state of an organisation and makes room for a new one.
+func (s *Share) get(name string, now time.Time) *organisation {
+	if o := s.organisations[name]; o != nil {
+		return o
+	}
+	if len(s.organisations) >= maxOrganisations {
+		s.evict(now)
+	}
+	o := &organisation{demandAt: now}
+	s.organisations[name] = o
+	return o
+}
+
+// evictShare is the part of the organisations that is dropped when all have
+// demand, so that the search for idle ones is rare.
+const evictShare = 16
+
+// evict drops organisations without recent demand, or some when all have some.
+func (s *Share) evict(now time.Time) {
+	most := maxOrganisations - maxOrganisations/evictShare
+	for name, o := range s.organisations {
+		if now.Sub(o.demandAt) >= demandWindow {
+			delete(s.organisations, name)
+		}
+	}
+	for name := range s.organisations {
+		if len(s.organisations) <= most {
+			return
+		}
+		delete(s.organisations, name)
+	}
+}
+
+// Summary returns this instance's demand for its peers.
+func (s *Share) Summary(now time.Time) Summary {
+	var largest []Demand
+	for name, o := range s.organisations {
+		o.decay(now)
+		if o.demand > 0 {
+			largest = append(largest, Demand{Organisation: name, PerSecond: o.demand})
+		}
+	}
+	slices.SortFunc(largest, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(b.PerSecond, a.PerSecond), cmp.Compare(a.Organisation, b.Organisation))
+	})
+	return Summary{Instances: 1, Largest: slices.Clone(largest[:min(len(largest), NamedOrganisations)])}
+}
+
+// SetPeers replaces what the other instances and failure domains report.
+func (s *Share) SetPeers(summaries []Summary) {
+	clear(s.peers)
+	s.instances = 1
+	for _, summary := range summaries {
+		s.instances += summary.Instances
+		for _, demand := range summary.Largest {
+			s.peers[demand.Organisation] += demand.PerSecond
+		}
+	}
+}
+
+// Allow takes n requests from this instance's share of an organisation's rate,
+// or returns when there is room again. A rate of 0 is no limit.
+func (s *Share) Allow(name string, rate float64, burst int, n float64, now time.Time) (ok bool, retryAfter time.Duration) {
+	if rate <= 0 {
+		return true, 0
+	}
+	o := s.get(name, now)
+	share := s.share(name, o, now)
+	size := max(1, share*float64(max(burst, 1)))
+	o.bucket.refill(now, rate*share, size)
+	return o.bucket.take(n, rate*share)
+}
+
+// share is the part of an organisation's rate that is this instance's: its part
+// of the reported demand when a peer names the organisation, and an equal part
+// otherwise.
+func (s *Share) share(name string, o *organisation, now time.Time) float64 {
+	others, named := s.peers[name]
+	if !named {
+		return 1 / float64(s.instances)
+	}
+	o.decay(now)
+	if o.demand+others == 0 {
+		return 1 / float64(s.instances)
+	}
+	return o.demand / (o.demand + others)
+}
--- /dev/null
+++ b/quota/share_test.go
@@ -0,0 +1,185 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	_ "github.com/coltsfootdrift/coltsfootdrift/internal/fixedseed"
+)
+
+var shareBegan = time.Unix(1000, 0)
+
+// delayed is a view on its way.
+type delayed struct {
+	to   string
+	view LinkView
+	at   time.Time
+}
+
+// Guards against shares of the link whose sum exceeds it, while instances join,
+// pause, leave and are cut off from each other in one or both directions, and
+// while views are lost and late.
+func TestLinkSharesStayWithinTheLink(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := shareBegan
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		live, cut, paused := map[string]*LinkShare{}, map[[2]string]bool{}, map[string]time.Time{}
+		var ids []string
+		var sent []delayed
+		join := func() {
+			id := fmt.Sprint("i", len(ids))
+			live[id] = NewLinkShare(id, slices.Clone(ids), 1, now)
+			ids = append(ids, id)
+		}
+		for range rapid.IntRange(1, 5).Draw(t, "first") {
+			join()
+		}
+		for range rapid.IntRange(20, 160).Draw(t, "seconds") {
+			now = now.Add(time.Second)
+			switch rapid.IntRange(0, 24).Draw(t, "event") {
+			case 0:
+				join()
+			case 1:
+				delete(live, rapid.SampledFrom(ids).Draw(t, "leaves"))
+			case 2:
+				paused[rapid.SampledFrom(ids).Draw(t, "pauses")] = now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "pause")) * time.Second)
+			case 3:
+				side := rapid.IntRange(0, len(ids)).Draw(t, "side")
+				oneWay := rapid.Bool().Draw(t, "one way")
+				for _, a := range ids[:side] {
+					for _, b := range ids[side:] {
+						cut[[2]string{a, b}] = true
+						cut[[2]string{b, a}] = !oneWay
+					}
+				}
+			case 4:
+				clear(cut)
+			}
+			for _, id := range ids {
+				if live[id] == nil || now.Before(paused[id]) {
+					continue
+				}
+				for _, to := range ids {
+					lost := cut[[2]string{id, to}] || random.IntN(10) == 0
+					if to != id && !lost {
+						late := time.Duration(random.IntN(5)) * time.Second
+						sent = append(sent, delayed{to, live[id].View(now), now.Add(late)})
+					}
+				}
+			}
+			sent = slices.DeleteFunc(sent, func(d delayed) bool {
+				due := !d.at.After(now)
+				if due && live[d.to] != nil && !now.Before(paused[d.to]) {
+					live[d.to].Receive(d.view, now)
+				}
+				return due
+			})
+			sum := 0.0
+			for id, share := range live {
+				if !now.Before(paused[id]) {
+					sum += share.Fraction(now)
+				}
+			}
+			if sum > 1+1e-9 {
+				t.Fatalf("shares add up to %v at %v", sum, now.Sub(shareBegan))
+			}
+		}
+	})
+}
+
+// Guards against bytes of one second that exceed the budget of the link.
+func TestLinkBudgetHoldsInEverySecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const capacity = 1000.0
+		link, now := NewLink(capacity), shareBegan
+		type spent struct {
+			at    time.Time
+			bytes int64
+		}
+		var all []spent
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			bytes := int64(rapid.IntRange(1, 250).Draw(t, "bytes"))
+			if ok, _ := link.Reserve(bytes, 1, now); !ok {
+				continue
+			}
+			used := bytes - int64(rapid.IntRange(0, int(bytes)).Draw(t, "unused"))
+			link.Settle(LinkUse{}, bytes, used)
+			all = append(all, spent{now, used})
+			var second int64
+			for _, s := range all {
+				if now.Sub(s.at) < time.Second {
+					second += s.bytes
+				}
+			}
+			if float64(second) > capacity {
+				t.Fatalf("%d bytes in one second", second)
+			}
+		}
+	})
+}
+
+// Guards against instances that together allow more than an organisation's rate,
+// and against an instance without demand that holds back an equal share.
+func TestRateFollowsReportedDemand(t *testing.T) {
+	c := qt.New(t)
+	busy, quiet := NewShare(), NewShare()
+	now := shareBegan
+	allowed := map[*Share]int{}
+	for step := range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		if step%100 == 0 {
+			busySummary, quietSummary := busy.Summary(now), quiet.Summary(now)
+			busy.SetPeers([]Summary{quietSummary})
+			quiet.SetPeers([]Summary{busySummary})
+		}
+		for _, s := range []*Share{busy, quiet} {
+			if s == quiet && step%9 != 0 {
+				continue
+			}
+			s.Observe("acme", 1, now)
+			if ok, _ := s.Allow("acme", 20, 5, 1, now); ok && step >= 1000 {
+				allowed[s]++
+			}
+		}
+	}
+	total := allowed[busy] + allowed[quiet]
+	c.Assert(total >= 180 && total <= 220, qt.IsTrue, qt.Commentf("%d requests in 10 s at 20/s", total))
+	c.Assert(allowed[busy] > 4*allowed[quiet], qt.IsTrue)
+}
+
+// Guards against state that grows with the number of organisations ever seen.
+func TestOrganisationsAreBounded(t *testing.T) {
+	s := NewShare()
+	for i := range 2 * maxOrganisations {
+		s.Observe(fmt.Sprint(i), 1, shareBegan)
+	}
+	qt.Assert(t, len(s.organisations) <= maxOrganisations, qt.IsTrue)
+	qt.Assert(t, s.Summary(shareBegan).Largest, qt.HasLen, NamedOrganisations)
+}
+
+func benchmarkShare(b *testing.B, organisations int) {
+	s, now := NewShare(), shareBegan
+	names := make([]string, organisations)
+	for i := range names {
+		names[i] = fmt.Sprint("organisation-", i)
+		s.Observe(names[i], 1, now)
+	}
+	n := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		n++
+		now = now.Add(time.Microsecond)
+		s.Observe(names[n%len(names)], 1, now)
+		s.Allow(names[n%len(names)], 100, 10, 1, now)
+	}
+}
+
+func BenchmarkShare5(b *testing.B)     { benchmarkShare(b, 5) }
+func BenchmarkShare19000(b *testing.B) { benchmarkShare(b, 19000) }
--- /dev/null
+++ b/routing/histogram.go
@@ -0,0 +1,64 @@
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+// Buckets of a histogram grow by a fixed factor from 10 µs; the last one starts
+// above 20 minutes.
+const (
+	histogramBuckets = 128
+	histogramFirst   = 10 * time.Microsecond
+	histogramGrowth  = 1.16
+)
+
+// histogram counts durations in buckets of equal relative width and forgets old
+// ones by halving all counts.
+type histogram struct {
+	counts [histogramBuckets]float64
+	total  float64
+}
+
+var inverseLogGrowth = 1 / math.Log(histogramGrowth)
+
+func (h *histogram) add(d time.Duration) {
+	h.counts[bucketOf(d)]++
+	h.total++
+}
+
+func bucketOf(d time.Duration) int {
+	if d <= histogramFirst {
+		return 0
+	}
+	bucket := int(math.Log(float64(d)/float64(histogramFirst))*inverseLogGrowth) + 1
+	return min(bucket, histogramBuckets-1)
+}
+
+func (h *histogram) halve() {
+	h.total = 0
+	for i := range h.counts {
+		h.counts[i] /= 2
+		h.total += h.counts[i]
+	}
+}
+
+// quantile returns the upper edge of the bucket that holds quantile q; 0 without
+// samples.
+func (h *histogram) quantile(q float64) time.Duration {
+	if h.total == 0 {
+		return 0
+	}
+	rest := q * h.total
+	for i, count := range h.counts {
+		rest -= count
+		if rest <= 0 && count > 0 {
+			return upperEdge(i)
+		}
+	}
+	return upperEdge(histogramBuckets - 1)
+}
+
+func upperEdge(bucket int) time.Duration {
+	return time.Duration(float64(histogramFirst) * math.Pow(histogramGrowth, float64(bucket)))
+}
--- /dev/null
+++ b/routing/pool_test.go
@@ -0,0 +1,220 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	_ "github.com/coltsfootdrift/coltsfootdrift/internal/fixedseed"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+)
+
+var (
+	began = time.Unix(1000, 0)
+	here  = Location{Region: "r", FailureDomain: "r-a"}
+)
+
+// servers returns n servers of one failure domain.
+func servers(n int, failureDomain string) []Server {
+	list := make([]Server, n)
+	for i := range list {
+		list[i] = Server{ID: fmt.Sprintf("%s-%d", failureDomain, i), Region: failureDomain[:1], FailureDomain: failureDomain, Slots: 8}
+	}
+	return list
+}
+
+func newPool(list []Server) (*Pool, *rand.Rand) {
+	pool := NewPool(here)
+	pool.Update(list, began)
+	return pool, rand.New(rand.NewPCG(1, 2))
+}
+
+// serve runs n calls one after another, each with the latency of its server.
+func serve(pool *Pool, random *rand.Rand, now *time.Time, n int, latency func(ServerIndex) time.Duration) map[ServerIndex]int {
+	picked := map[ServerIndex]int{}
+	for range n {
+		i, ok := pool.Pick(*now, random, Query{Class: pipeline.ClassInteractive, Probe: true})
+		if !ok {
+			continue
+		}
+		picked[i]++
+		d := latency(i)
+		pool.Started(i, pipeline.ClassInteractive, *now)
+		*now = now.Add(d)
+		pool.Finished(i, pipeline.ClassInteractive, Result{Latency: d}, *now)
+	}
+	return picked
+}
+
+// Guards against stragglers that keep their share of the calls, and against ones
+// that never come back after they recovered.
+func TestStragglerIsLoweredAndComesBack(t *testing.T) {
+	c := qt.New(t)
+	pool, random := newPool(servers(12, "r-a"))
+	now := began
+	slow := func(i ServerIndex) time.Duration {
+		if i < 2 {
+			return 100 * time.Millisecond
+		}
+		return 10 * time.Millisecond
+	}
+	serve(pool, random, &now, 500, slow)
+	c.Assert(pool.Lowered(), qt.Equals, 2)
+	picked := serve(pool, random, &now, 1000, slow)
+	c.Assert(picked[0]+picked[1] < 20, qt.IsTrue, qt.Commentf("%v", picked))
+	serve(pool, random, &now, 6000, func(ServerIndex) time.Duration { return 10 * time.Millisecond })
+	c.Assert(pool.Lowered(), qt.Equals, 0)
+}
+
+// Guards against a pool that is slow as a whole and takes out its own servers.
+func TestSlowPoolLowersNoServer(t *testing.T) {
+	pool, random := newPool(servers(12, "r-a"))
+	now := began
+	serve(pool, random, &now, 500, func(ServerIndex) time.Duration { return 10 * time.Millisecond })
+	serve(pool, random, &now, 500, func(ServerIndex) time.Duration { return 200 * time.Millisecond })
+	qt.Assert(t, pool.Lowered(), qt.Equals, 0)
+}
+
+// Guards against more than 30 % of a pool held down, negative counts, a pick of a
+// draining or unlisted server, and long work above its share of a server's slots,
+// under any order of calls and changes.
+func TestPoolInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := append(servers(rapid.IntRange(1, 14).Draw(t, "near"), "r-a"), servers(4, "s-a")...)
+		pool, random := newPool(all)
+		now, listed, drained := began, all, map[string]bool{}
+		type call struct {
+			i     ServerIndex
+			class pipeline.Class
+			at    time.Time
+		}
+		var calls []call
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 120).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			case 0:
+				listed = all[rapid.IntRange(0, len(all)-1).Draw(t, "from"):]
+				pool.Update(listed, now)
+			case 1:
+				id := rapid.SampledFrom(all).Draw(t, "drain").ID
+				drained[id] = pool.Drain(id) || drained[id]
+			case 2:
+				counts := []ServerCount{{ID: all[0].ID, InFlight: 5, Long: 2}}
+				pool.PeerCounts("peer", counts, now)
+			case 3, 4, 5, 6:
+				class := rapid.SampledFrom([]pipeline.Class{pipeline.ClassInteractive, pipeline.ClassLong}).Draw(t, "class")
+				i, ok := pool.Pick(now, random, Query{Class: class, Probe: true, Link: rapid.Bool().Draw(t, "link"), Prefix: uint64(rapid.IntRange(0, 3).Draw(t, "prefix"))})
+				if !ok {
+					continue
+				}
+				s := &pool.servers[i]
+				if !s.live || s.drained {
+					t.Fatalf("picked %q: live %v, drained %v", s.ID, s.live, s.drained)
+				}
+				pool.Started(i, class, now)
+				if float64(s.long) > max(1, LongShare*float64(s.Slots)) {
+					t.Fatalf("%d long calls on %d slots", s.long, s.Slots)
+				}
+				calls = append(calls, call{i, class, now})
+			default:
+				if len(calls) == 0 {
+					continue
+				}
+				k := rapid.IntRange(0, len(calls)-1).Draw(t, "end")
+				ended := calls[k]
+				calls = append(calls[:k], calls[k+1:]...)
+				latency := now.Sub(ended.at)
+				if ended.i%4 == 0 {
+					latency *= 20
+				}
+				outcome := Outcome(rapid.IntRange(0, int(Refused)).Draw(t, "outcome"))
+				pool.Finished(ended.i, ended.class, Result{outcome, latency}, now)
+			}
+			inFlight := 0
+			for i := range pool.servers {
+				s := &pool.servers[i]
+				if s.inFlight < 0 || s.long < 0 || s.long > s.inFlight {
+					t.Fatalf("%q has %d calls, %d long", s.ID, s.inFlight, s.long)
+				}
+				inFlight += s.inFlight
+			}
+			if inFlight != len(calls) {
+				t.Fatalf("%d calls counted, %d running", inFlight, len(calls))
+			}
+			if float64(pool.Lowered()) > MaxLoweredShare*float64(len(pool.ordered)) {
+				t.Fatalf("%d of %d servers lowered", pool.Lowered(), len(pool.ordered))
+			}
+		}
+	})
+}
+
+// Guards against calls that leave the region without need or without budget.
+func TestLinkIsLastResort(t *testing.T) {
+	c := qt.New(t)
+	near, far := servers(2, "r-a"), servers(2, "s-a")
+	pool, random := newPool(append(near, far...))
+	now := began
+	for range 100 {
+		i, _ := pool.Pick(now, random, Query{Link: true, Remaining: time.Second})
+		c.Assert(pool.Local(i), qt.IsTrue)
+		pool.Started(i, pipeline.ClassNormal, now)
+	}
+	pool.Update(far, now)
+	_, ok := pool.Pick(now, random, Query{})
+	c.Assert(ok, qt.IsFalse)
+	_, ok = pool.Pick(now, random, Query{Link: true})
+	c.Assert(ok, qt.IsTrue)
+}
+
+// Guards against a popular prompt prefix that overloads the server it hashes to.
+func TestPrefixKeepsItsServerWithinBound(t *testing.T) {
+	c := qt.New(t)
+	pool, random := newPool(servers(8, "r-a"))
+	q := Query{Prefix: 77}
+	first, _ := pool.Pick(began, random, q)
+	for range 16 {
+		again, _ := pool.Pick(began, random, q)
+		c.Assert(again, qt.Equals, first)
+	}
+	for range 64 {
+		i, _ := pool.Pick(began, random, q)
+		pool.Started(i, pipeline.ClassNormal, began)
+	}
+	for i := range pool.servers {
+		c.Assert(pool.servers[i].inFlight <= 11, qt.IsTrue, qt.Commentf("%d calls", pool.servers[i].inFlight))
+	}
+}
+
+func benchmarkPick(b *testing.B, n int, q Query) {
+	pool, random := newPool(servers(n, "r-a"))
+	now := began
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		i, _ := pool.Pick(now, random, q)
+		pool.Started(i, pipeline.ClassNormal, now)
+		pool.Finished(i, pipeline.ClassNormal, Result{Latency: time.Millisecond}, now)
+	}
+}
+
+func BenchmarkDecision56(b *testing.B)         { benchmarkPick(b, 56, Query{}) }
+func BenchmarkDecision1000(b *testing.B)       { benchmarkPick(b, 1000, Query{}) }
+func BenchmarkDecisionPrefix56(b *testing.B)   { benchmarkPick(b, 56, Query{Prefix: 77}) }
+func BenchmarkDecisionPrefix1000(b *testing.B) { benchmarkPick(b, 1000, Query{Prefix: 77}) }
+
+// Guards against a decision that allocates.
+func TestDecisionAllocatesNothing(t *testing.T) {
+	pool, random := newPool(servers(56, "r-a"))
+	now := began
+	allocated := testing.AllocsPerRun(1000, func() {
+		now = now.Add(10 * time.Millisecond)
+		i, _ := pool.Pick(now, random, Query{Prefix: 3})
+		pool.Started(i, pipeline.ClassNormal, now)
+		pool.Finished(i, pipeline.ClassNormal, Result{Latency: time.Millisecond}, now)
+	})
+	qt.Assert(t, allocated, qt.Equals, 0.0)
+}
--- /dev/null
+++ b/routing/straggler.go
@@ -0,0 +1,322 @@
+package routing
+
+import (
+	"slices"
+	"time"
+)
+
+// series is the latency of one class at one server. mean and samples decay, so
+// that old evidence lapses.
+type series struct {
+	mean    float64
+	samples float64
+	// running calls and the sum of their start times; their mean age is evidence
+	// before the first slow call ends.
+	running  int
+	startSum int64
+}
+
+const (
+	// meanGain is the weight of a new sample in the mean.
+	meanGain = 0.2
+	// minSamples is the number of samples below which a mean is no evidence.
+	minSamples = 4
+	// minRunning is the number of running calls whose mean age is evidence.
+	minRunning = 2
+)
+
+func (s *series) add(latency time.Duration) {
+	gain := max(meanGain, 1/(s.samples+1))
+	s.mean += gain * (float64(latency) - s.mean)
+	s.samples++
+}
+
+// addAtLeast takes a call that would have lasted longer than latency.
+func (s *series) addAtLeast(latency time.Duration) {
+	if float64(latency) > s.mean {
+		s.add(latency)
+	}
+}
+
+func (s *series) started(t int64) {
+	s.running++
+	s.startSum += t
+}
+
+func (s *series) finished(start int64) {
+	s.running--
+	s.startSum -= start
+	if s.running == 0 {
+		s.startSum = 0
+	}
+}
+
+// estimate is the latency that the evidence shows, and whether there is enough.
+func (s *series) estimate(t int64) (float64, bool) {
+	estimate, enough := s.mean, s.samples >= minSamples
+	if s.running < minRunning {
+		return estimate, enough
+	}
+	age := float64(t - s.startSum/int64(s.running))
+	if age > estimate {
+		return age, true
+	}
+	return estimate, enough
+}
+
+// straggler is the judgement of a server's latency.
+type straggler struct {
+	// relative is the latency as a multiple of the pool median.
+	relative float64
+	// level is the step of the lowered weight.
+	level   int
+	stepAt  int64
+	good    int
+	probeAt int64
+	backoff int64
+}
+
+// weights by level. Servers from levelProbed on get probes only.
+var weights = [...]float64{1, 0.5, 0.2, 0.05}
+
+const (
+	levelProbed = 2
+
+	// lowerAbove and raiseBelow are multiples of the pool median.
+	lowerAbove = 3.0
+	raiseBelow = 2.0
+	// goodToRaise is the number of good answers in a row for one step up.
+	goodToRaise = 2
+	stepEvery   = int64(200 * time.Millisecond)
+
+	probeEvery    = int64(time.Second)
+	probeMaxEvery = int64(8 * time.Second)
+	// picksPerProbe bounds probes to a share of the requests that leaves the
+	// 99th percentile alone.
+	picksPerProbe = 200
+
+	// Bounds of the relative latency in the score.
+	leastRelative = 0.5
+	mostRelative  = 4.0
+
+	maintainEvery = int64(100 * time.Millisecond)
+	// sampleDecay per maintenance halves the samples in 7 s.
+	sampleDecay = 0.99
+	halveEvery  = int64(10 * time.Second)
+	// Peers' counts are full value for peerFresh and gone after peerLife.
+	peerFresh = int64(1500 * time.Millisecond)
+	peerLife  = int64(5 * time.Second)
+)
+
+// refresh recomputes what changes slowly: peers' counts, medians and weights.
+func (p *Pool) refresh(t int64) {
+	p.maintainAt = t + maintainEvery
+	if t >= p.halveAt {
+		p.halveAt = t + halveEvery
+		for i := range p.whole {
+			p.whole[i].halve()
+		}
+	}
+	p.agePeers(t)
+	p.computeMedians(t)
+	p.lowered = 0
+	for _, index := range p.ordered {
+		if p.servers[index].level > 0 {
+			p.lowered++
+		}
+	}
+	p.restoreExcess()
+	for _, index := range p.ordered {
+		p.refreshServer(&p.servers[index], t)
+	}
+}
+
+func (p *Pool) agePeers(t int64) {
+	for _, index := range p.ordered {
+		s := &p.servers[index]
+		s.peers, s.peersLong = 0, 0
+	}
+	for instance, view := range p.peers {
+		age := t - view.at
+		if age >= peerLife {
+			delete(p.peers, instance)
+			continue
+		}
+		share := min(1, float64(peerLife-age)/float64(peerLife-peerFresh))
+		for _, count := range view.counts {
+			if index, ok := p.byID[count.ID]; ok {
+				p.servers[index].peers += share * float64(count.InFlight)
+				p.servers[index].peersLong += share * float64(count.Long)
+			}
+		}
+	}
+}
+
+// computeMedians sets the pool median of each series.
+func (p *Pool) computeMedians(t int64) {
+	for kind := range seriesCount {
+		for class := range classCount {
+			p.scratch = p.scratch[:0]
+			for _, index := range p.ordered {
+				if estimate, ok := p.servers[index].latency[kind][class].estimate(t); ok {
+					p.scratch = append(p.scratch, estimate)
+				}
+			}
+			p.medians[kind][class] = median(p.scratch)
+		}
+	}
+}
+
+// median of values, which it sorts; the lower one of two. 0 without values.
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+func (p *Pool) refreshServer(s *server, t int64) {
+	known := p.compare(s, t)
+	if t-s.stepAt >= stepEvery {
+		switch {
+		case s.relative > lowerAbove:
+			p.lower(s, t)
+		case known && s.level > 0 && s.relative < raiseBelow:
+			// The rest of the pool became as slow.
+			p.step(s, t)
+		}
+	}
+	if s.slowStartFrom != 0 && t-s.slowStartFrom >= int64(SlowStart) {
+		s.slowStartFrom = 0
+	}
+	bounded := min(mostRelative, max(leastRelative, s.relative))
+	s.scale = bounded / (weights[s.level] * float64(s.Slots))
+}
+
+// compare sets the relative latency of a server to its highest ratio to a pool
+// median, and reports whether there is any.
+func (p *Pool) compare(s *server, t int64) (known bool) {
+	s.relative = 0
+	for kind := range seriesCount {
+		for class := range classCount {
+			one := &s.latency[kind][class]
+			if estimate, ok := one.estimate(t); ok && p.medians[kind][class] > 0 {
+				s.relative = max(s.relative, estimate/p.medians[kind][class])
+				known = true
+			}
+			one.samples *= sampleDecay
+		}
+	}
+	if !known {
+		s.relative = 1
+	}
+	return known
+}
+
+// lower takes one step down unless too much of the pool is lowered already.
+func (p *Pool) lower(s *server, t int64) {
+	if s.level == 0 {
+		if float64(p.lowered+1) > MaxLoweredShare*float64(len(p.ordered)) {
+			return
+		}
+		p.lowered++
+		s.backoff = probeEvery
+	}
+	if s.level < len(weights)-1 {
+		s.level++
+	}
+	s.stepAt = t
+	s.good = 0
+	s.probeAt = t + s.backoff
+}
+
+// restoreExcess restores servers when the pool shrank below the allowed share.
+func (p *Pool) restoreExcess() {
+	for _, index := range p.ordered {
+		if float64(p.lowered) <= MaxLoweredShare*float64(len(p.ordered)) {
+			return
+		}
+		if s := &p.servers[index]; s.level > 0 {
+			s.straggler = straggler{relative: s.relative}
+			p.lowered--
+		}
+	}
+}
+
+// judge uses the end of a call: for the pool's quantiles, and at a server with a
+// lowered weight as the result of a probe.
+func (p *Pool) judge(s *server, class int, result Result, t int64) {
+	if s.level == 0 {
+		if result.Outcome == Answered {
+			p.whole[class].add(result.Latency)
+		}
+		return
+	}
+	slow := float64(result.Latency) > raiseBelow*p.medians[seriesWhole][class]
+	if result.Outcome == Abandoned && !slow {
+		return
+	}
+	if result.Outcome != Answered || slow {
+		s.good = 0
+		s.backoff = min(2*s.backoff, probeMaxEvery)
+		s.probeAt = t + s.backoff
+		return
+	}
+	s.good++
+	s.probeAt = t
+	if s.good >= goodToRaise {
+		p.raise(s, t)
+	}
+}
+
+// raise takes one step up and forgets the evidence that led to the steps down.
+func (p *Pool) raise(s *server, t int64) {
+	for kind := range s.latency {
+		for class := range s.latency[kind] {
+			s.latency[kind][class].samples = 0
+		}
+	}
+	s.relative = 1
+	p.step(s, t)
+	s.scale = 1 / (weights[s.level] * float64(s.Slots))
+}
+
+// step takes one step up.
+func (p *Pool) step(s *server, t int64) {
+	s.level--
+	s.good = 0
+	s.stepAt = t
+	s.backoff = probeEvery
+	if s.level == 0 {
+		p.lowered--
+	}
+}
+
+// probe returns a server with a lowered weight that is due for a call.
+func (p *Pool) probe(t int64, q *Query) ServerIndex {
+	p.sinceProbe++
+	if p.lowered == 0 || !q.Probe || p.sinceProbe < picksPerProbe {
+		return none
+	}
+	for _, i := range p.ordered[:p.tierEnd[tierRegion]] {
+		s := &p.servers[i]
+		due := s.level > 0 && s.inFlight == 0 && t >= s.probeAt
+		if due && s.eligible(i, q, relaxed) {
+			p.sinceProbe = 0
+			return i
+		}
+	}
+	return none
+}
+
+// Lowered returns the number of live servers whose weight is lowered.
+func (p *Pool) Lowered() int {
+	lowered := 0
+	for _, index := range p.ordered {
+		if p.servers[index].level > 0 {
+			lowered++
+		}
+	}
+	return lowered
+}
