Choose servers and admit requests through the decision cores

Cause: the daemon picked servers at random and admitted every request. Change: Servers drives routing.Pool as Picker, Hedges and StageBudgets; AdmissionControl drives the queues and the organisation rates; load reports are read from one random server at a time at random intervals, so that the traffic does not grow with the fleet; bytes over the link are reserved before a call and settled after it. A server that refuses connections is lowered at once.

--- /dev/null
+++ b/internal/backend/load.go
@@ -0,0 +1,58 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// LoadReport is what a backend server says about its load. It lags.
+type LoadReport struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Age is how old the report was when it was sent.
+	Age time.Duration
+}
+
+// LoadReader reads load reports.
+type LoadReader interface {
+	Load(ctx context.Context, server Server) (LoadReport, error)
+}
+
+// maxLoadBytes bounds a load report.
+const maxLoadBytes = 4 << 10
+
+// HTTPLoadReader reads load reports over HTTP.
+type HTTPLoadReader struct {
+	Client *http.Client
+}
+
+// Load returns the server's last report.
+func (l *HTTPLoadReader) Load(ctx context.Context, server Server) (LoadReport, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Address+PathLoad, nil)
+	if err != nil {
+		return LoadReport{}, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	response, err := l.Client.Do(request)
+	if err != nil {
+		return LoadReport{}, fmt.Errorf("%w: load report: %w", ErrBadAnswer, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return LoadReport{}, fmt.Errorf("%w: load report: status %d", ErrBadAnswer, response.StatusCode)
+	}
+	var wire WireLoad
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&wire); err != nil {
+		return LoadReport{}, fmt.Errorf("%w: load report: %w", ErrBadAnswer, err)
+	}
+	return LoadReport{
+		Running: wire.Running,
+		Waiting: wire.Waiting,
+		Slots:   wire.Slots,
+		Age:     time.Duration(wire.AgeMS) * time.Millisecond,
+	}, nil
+}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -45,15 +45,19 @@
 			newFileConfiguration,
 			newExecutor,
 			newHandler,
-			func() *Servers { return &Servers{} },
+			newServers,
+			newDecisionMetrics,
+			newAdmissionControl,
+			newLoadReader,
 			func(logger *slog.Logger) *Readiness { return &Readiness{Logger: logger} },
 			func() *StopSteps { return &StopSteps{} },
-			func(s *Servers) Picker { return s },
+			func(s *Servers) (Picker, Hedges, StageBudgets) { return s, s, s },
+			func(a *AdmissionControl) Admission { return a },
 			func(c *fileConfiguration) ConfigurationSource { return c },
 		),
 		fx.Invoke(serveAdmin),
 		fx.Options(options...),
-		fx.Invoke(refreshServers, serveCallers),
+		fx.Invoke(refreshServers, driveDecisions, serveCallers),
 	)
 }
 
@@ -113,7 +117,7 @@
 }
 
 // refreshServers reads the instance list until the daemon stops.
-func refreshServers(lc fx.Lifecycle, lister platform.Lister, servers *Servers, logger *slog.Logger) {
+func refreshServers(lc fx.Lifecycle, lister platform.Lister, servers *Servers, configuration ConfigurationSource, logger *slog.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	refresh := func() {
 		members, err := lister.List(ctx)
@@ -121,7 +125,7 @@
 			events.ListUnavailable.Log(ctx, logger, slog.Any("error", err))
 			return
 		}
-		servers.Update(members)
+		servers.Update(members, configuration.Current())
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- /dev/null
+++ b/internal/entry/link.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+	"github.com/coltsfootdrift/coltsfootdrift/quota"
+)
+
+// linkBudget guards the instance's part of the link between regions.
+type linkBudget struct {
+	mu       sync.Mutex
+	link     *quota.Link
+	least    int
+	sharers  int
+	fraction func(now time.Time) float64
+}
+
+func newLinkBudget(least int) *linkBudget {
+	return &linkBudget{link: quota.NewLink(0), least: least, sharers: least}
+}
+
+// update takes the capacity of the link and the listed instances of the region.
+func (l *linkBudget) update(set *pipeline.Set, instances int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sharers = max(l.least, instances)
+	if set != nil {
+		l.link.SetCapacity(quota.BytesPerSecond(set.Deployment.LinkMbits))
+	}
+}
+
+// share is the instance's part of the link: by agreement with its peers, or an
+// equal part of a fixed number when there is no membership.
+func (l *linkBudget) share(now time.Time) float64 {
+	if l.fraction != nil {
+		return l.fraction(now)
+	}
+	return 1 / float64(l.sharers)
+}
+
+// room reports whether a call may use the link; 0 bytes stay in the region.
+func (l *linkBudget) room(bytes int64, now time.Time) bool {
+	if bytes == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.link.Room(bytes, l.share(now), now)
+}
+
+func (l *linkBudget) reserve(bytes int64, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ok, _ := l.link.Reserve(bytes, l.share(now), now)
+	return ok
+}
+
+func (l *linkBudget) settle(query Query, bytes int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	use := quota.LinkUse{Kind: query.Kind, Stage: query.Stage, Organisation: query.Organisation}
+	l.link.Settle(use, query.LinkBytes, bytes)
+}
+
+// LinkFraction makes f decide on the instance's part of the link. It is called
+// before the first request; f is called under a lock and must not block.
+func (s *Servers) LinkFraction(f func(now time.Time) float64) {
+	s.link.mu.Lock()
+	defer s.link.mu.Unlock()
+	s.link.fraction = f
+}
+
+// LinkUsed returns the bytes that crossed the link by kind, stage and organisation.
+func (s *Servers) LinkUsed() map[quota.LinkUse]int64 {
+	s.link.mu.Lock()
+	defer s.link.mu.Unlock()
+	used := make(map[quota.LinkUse]int64, len(s.link.link.Used()))
+	for use, bytes := range s.link.link.Used() {
+		used[use] = bytes
+	}
+	return used
+}
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -51,6 +51,8 @@
 // Query describes the backend server that a stage needs.
 type Query struct {
 	Pool         string
+	Stage        string
+	Kind         string
 	Model        string
 	PrefixKey    string
 	Organisation string
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -1,31 +1,98 @@
 package entry
 
 import (
+	"context"
+	"errors"
+	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+	"github.com/coltsfootdrift/coltsfootdrift/routing"
 )
 
-// Servers holds the live backend servers by pool and picks one at random.
+// Servers holds the backend servers by pool and chooses among them. It is the
+// Picker, the Hedges and the StageBudgets of the request path.
 type Servers struct {
-	mu    sync.Mutex
-	pools map[string][]backend.Server
+	location routing.Location
+	link     *linkBudget
+	logger   *slog.Logger
+	now      func() time.Time
+
+	mu    sync.RWMutex
+	pools map[string]*serverPool
+	// instances is the number of live entry instances of the region.
+	instances int
+}
+
+// NewServers returns an instance's view of the backend servers.
+func NewServers(location routing.Location, linkSharers int, logger *slog.Logger, now func() time.Time) *Servers {
+	return &Servers{
+		location: location, logger: logger, now: now,
+		link: newLinkBudget(linkSharers), pools: map[string]*serverPool{}, instances: 1,
+	}
 }
 
-// Update replaces the servers by those of the instance list.
-func (s *Servers) Update(members []platform.Member) {
-	pools := map[string][]backend.Server{}
+// serverPool is one pool with its lock.
+type serverPool struct {
+	mu     sync.Mutex
+	pool   *routing.Pool
+	hedger *routing.Hedger
+	random *rand.Rand
+	// servers holds what a call needs to know, by index.
+	servers map[routing.ServerIndex]backend.Server
+}
+
+// Update replaces the servers by those of the instance list. set gives the
+// slots of the pools and the capacity of the link; nil when there is none yet.
+func (s *Servers) Update(members []platform.Member, set *pipeline.Set) {
+	byPool := map[string][]backend.Server{}
+	instances := 0
 	for _, member := range members {
-		if member.Role == platform.RoleBackend && member.State == platform.StateLive {
-			pools[member.Pool] = append(pools[member.Pool], server(member))
+		switch {
+		case member.State != platform.StateLive:
+		case member.Role == platform.RoleBackend:
+			byPool[member.Pool] = append(byPool[member.Pool], server(member))
+		case member.Region == s.location.Region:
+			instances++
 		}
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.pools = pools
+	s.instances = max(1, instances)
+	for name := range byPool {
+		if s.pools[name] == nil {
+			s.pools[name] = s.newPool()
+		}
+	}
+	for name, p := range s.pools {
+		p.update(byPool[name], slotsOf(set, name), s.now())
+	}
+	s.mu.Unlock()
+	s.link.update(set, instances)
+}
+
+func (s *Servers) newPool() *serverPool {
+	pool := routing.NewPool(s.location)
+	return &serverPool{
+		pool:    pool,
+		hedger:  routing.NewHedger(pool),
+		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		servers: map[routing.ServerIndex]backend.Server{},
+	}
+}
+
+func slotsOf(set *pipeline.Set, pool string) int {
+	if set == nil {
+		return 1
+	}
+	configured, _ := set.Pool(pool)
+	return max(1, configured.Slots)
 }
 
 func server(member platform.Member) backend.Server {
@@ -39,27 +106,117 @@
 	}
 }
 
-// Pick returns a random server of the pool that is not excluded.
-func (s *Servers) Pick(query Query) (Picked, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var candidates []backend.Server
-	for _, candidate := range s.pools[query.Pool] {
-		if !slices.Contains(query.Excluded, candidate.ID) {
-			candidates = append(candidates, candidate)
+func (p *serverPool) update(servers []backend.Server, slots int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := make([]routing.Server, len(servers))
+	for i, s := range servers {
+		listed[i] = routing.Server{
+			ID: s.ID, Region: s.Region, FailureDomain: s.FailureDomain, Slots: slots, Incarnation: s.Incarnation,
+		}
+	}
+	p.pool.Update(listed, now)
+	clear(p.servers)
+	for _, s := range servers {
+		if index, ok := p.pool.Index(s.ID); ok {
+			p.servers[index] = s
 		}
 	}
-	if len(candidates) == 0 {
+}
+
+func (s *Servers) find(pool string) *serverPool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.pools[pool]
+}
+
+// Pick chooses a server and counts a call in flight there.
+func (s *Servers) Pick(query Query) (Picked, bool) {
+	p := s.find(query.Pool)
+	if p == nil {
 		return nil, false
 	}
-	return randomPick{candidates[rand.IntN(len(candidates))]}, true
+	now := s.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.query(query)
+	q.Link = s.link.room(query.LinkBytes, now)
+	index, ok := p.pool.Pick(now, p.random, q)
+	if !ok {
+		return nil, false
+	}
+	picked := &pickedServer{servers: s, pool: p, index: index, server: p.servers[index], query: query, started: now}
+	if !p.pool.Local(index) && !s.link.reserve(query.LinkBytes, now) {
+		return nil, false
+	}
+	picked.remote = !p.pool.Local(index)
+	p.pool.Started(index, query.Class, now)
+	return picked, true
 }
 
-// randomPick is a server whose load is not tracked.
-type randomPick struct {
-	server backend.Server
+func (p *serverPool) query(query Query) routing.Query {
+	q := routing.Query{Class: query.Class, Probe: query.Idempotent, Remaining: query.Remaining}
+	if query.PrefixKey != "" {
+		q.Prefix = xxhash.Sum64String(query.PrefixKey)
+	}
+	for _, id := range query.Excluded {
+		if index, ok := p.pool.Index(id); ok {
+			q.Excluded = append(q.Excluded, index)
+		}
+	}
+	return q
 }
 
-func (p randomPick) Server() backend.Server { return p.server }
-func (p randomPick) FirstByte()             {}
-func (p randomPick) Done(error, int64)      {}
+// pickedServer is a call in flight at a server of a pool.
+type pickedServer struct {
+	servers *Servers
+	pool    *serverPool
+	index   routing.ServerIndex
+	server  backend.Server
+	query   Query
+	started time.Time
+	remote  bool
+}
+
+func (c *pickedServer) Server() backend.Server { return c.server }
+
+func (c *pickedServer) FirstByte() {
+	took := c.servers.now().Sub(c.started)
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.pool.pool.FirstByte(c.index, c.query.Class, took)
+}
+
+func (c *pickedServer) Done(err error, bytes int64) {
+	now := c.servers.now()
+	if c.remote {
+		c.servers.link.settle(c.query, bytes)
+	}
+	c.pool.mu.Lock()
+	result := routing.Result{Outcome: outcomeOf(err), Latency: now.Sub(c.started)}
+	c.pool.pool.Finished(c.index, c.query.Class, result, now)
+	drained := errors.Is(err, backend.ErrDraining) && c.pool.pool.Drain(c.server.ID)
+	c.pool.mu.Unlock()
+	if drained {
+		events.ServerDraining.Log(context.Background(), c.servers.logger,
+			slog.String("server", c.server.ID), slog.String("pool", c.server.Pool))
+	}
+}
+
+// outcomeOf says what the end of a call tells about the server.
+func outcomeOf(err error) routing.Outcome {
+	switch {
+	case err == nil:
+		return routing.Answered
+	case errors.Is(err, context.Canceled):
+		return routing.Abandoned
+	case errors.Is(err, errClaimExpired), errors.Is(err, errCallerGone):
+		return routing.Refused
+	case errors.Is(err, backend.ErrNotSent) && !errors.Is(err, context.DeadlineExceeded):
+		return routing.Unreachable
+	case backend.DefinitelyNotRun(err):
+		return routing.Refused
+	default:
+		return routing.Failed
+	}
+}
--- /dev/null
+++ b/internal/entry/serverviews.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+	"github.com/coltsfootdrift/coltsfootdrift/routing"
+)
+
+// Delay returns how long to wait for an answer before a hedge.
+func (s *Servers) Delay(query Query) (time.Duration, bool) {
+	p := s.find(query.Pool)
+	if p == nil {
+		return 0, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hedger.Delay(query.Class)
+}
+
+// Allow takes one hedge from the budget.
+func (s *Servers) Allow(query Query) bool {
+	p := s.find(query.Pool)
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hedger.Take()
+}
+
+// StageBudget returns the time one call of a stage may take. Calls of all
+// classes are measured together with the class that is slowest.
+func (s *Servers) StageBudget(p *pipeline.Pipeline, stage int, remaining time.Duration) time.Duration {
+	plan := make(routing.Plan, len(p.Stages))
+	for i := range p.Stages {
+		plan[i] = s.times(p.Stages[i].Pool, pipeline.ClassNormal)
+		for _, class := range []pipeline.Class{pipeline.ClassInteractive, pipeline.ClassLong} {
+			if times := s.times(p.Stages[i].Pool, class); times.Known && times.Typical > plan[i].Typical {
+				plan[i] = times
+			}
+		}
+	}
+	return plan.StageBudget(stage, remaining)
+}
+
+// plan returns the measured durations of a request's stages.
+func (s *Servers) plan(request *Request) routing.Plan {
+	plan := make(routing.Plan, len(request.Pipeline.Stages))
+	for i := range plan {
+		plan[i] = s.times(request.Pipeline.Stages[i].Pool, request.Kind.Class)
+	}
+	return plan
+}
+
+func (s *Servers) times(pool string, class pipeline.Class) routing.StageTimes {
+	p := s.find(pool)
+	if p == nil {
+		return routing.StageTimes{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool.Times(class)
+}
+
+// share returns this instance's part of the slots of a pool.
+func (s *Servers) share(pool string) float64 {
+	p := s.find(pool)
+	if p == nil {
+		return 0
+	}
+	s.mu.RLock()
+	instances := s.instances
+	s.mu.RUnlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return float64(p.pool.Slots()) / float64(instances)
+}
+
+// PeerCounts takes the calls that another instance has in flight at the servers
+// of a pool. The slice must not be changed any more.
+func (s *Servers) PeerCounts(instance, pool string, counts []routing.ServerCount) {
+	if p := s.find(pool); p != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.pool.PeerCounts(instance, counts, s.now())
+	}
+}
+
+// Counts returns the calls that this instance has in flight, by pool.
+func (s *Servers) Counts() map[string][]routing.ServerCount {
+	counts := map[string][]routing.ServerCount{}
+	for name, p := range s.snapshot() {
+		p.mu.Lock()
+		counts[name] = p.pool.Counts()
+		p.mu.Unlock()
+	}
+	return counts
+}
+
+// Drain takes a drain marker from another instance.
+func (s *Servers) Drain(id string) {
+	for _, p := range s.snapshot() {
+		p.mu.Lock()
+		p.pool.Drain(id)
+		p.mu.Unlock()
+	}
+}
+
+func (s *Servers) snapshot() map[string]*serverPool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	pools := make(map[string]*serverPool, len(s.pools))
+	for name, p := range s.pools {
+		pools[name] = p
+	}
+	return pools
+}
--- a/internal/entry/stagecall.go
+++ b/internal/entry/stagecall.go
@@ -113,6 +113,8 @@
 func (c *stageCall) query() Query {
 	return Query{
 		Pool:         c.stage.Pool,
+		Stage:        c.stage.Name,
+		Kind:         c.request.Kind.Name,
 		Model:        c.stage.Model,
 		PrefixKey:    c.prefixKey(),
 		Organisation: c.request.Organisation.Name,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,6 +29,9 @@
 	// PipelineFiles is a folder of operators' files that is used until the store
 	// holds a configuration; empty to wait for the store.
 	PipelineFiles string `json:"pipeline_files,omitempty"`
+	// LinkInstances is the number of entry instances of a region among which the
+	// link budget is divided, at the least; 0 means DefaultLinkInstances.
+	LinkInstances int `json:"link_instances,omitempty"`
 	// DrainGraceMS is the time in milliseconds between the withdrawal of readiness and
 	// the end of new work; 0 means DefaultDrainGrace.
 	DrainGraceMS int64 `json:"drain_grace_ms,omitempty"`
@@ -63,3 +66,14 @@
 	}
 	return Parse(path, data)
 }
+
+// DefaultLinkInstances is enough for regions of the current size.
+const DefaultLinkInstances = 8
+
+// LinkSharers returns the least number of instances that share the link.
+func (e Entry) LinkSharers() int {
+	if e.LinkInstances <= 0 {
+		return DefaultLinkInstances
+	}
+	return e.LinkInstances
+}
--- a/routing/hedge.go
+++ b/routing/hedge.go
@@ -33,11 +33,12 @@
 // hedged.
 func (h *Hedger) Delay(class pipeline.Class) (time.Duration, bool) {
 	h.tokens = min(hedgeBurst, h.tokens+HedgeBudget)
-	answers := &h.pool.whole[classIndex(class)]
-	if class == pipeline.ClassLong || answers.total < hedgeMinSamples || h.pool.overloaded() {
+	c := classIndex(class)
+	if c == longIndex || h.pool.whole[c].total < hedgeMinSamples || h.pool.overloaded() {
 		return 0, false
 	}
-	return answers.quantile(hedgeQuantile), true
+	delay := h.pool.hedgeAfter[c]
+	return delay, delay > 0
 }
 
 // Take takes one hedge from the budget.
--- a/routing/plan.go
+++ b/routing/plan.go
@@ -22,13 +22,22 @@
 	Known bool
 }
 
-// Times returns the measured durations of calls of a class to the pool.
+// Times returns the measured durations of calls of a class to the pool, as of
+// the last maintenance.
 func (p *Pool) Times(class pipeline.Class) StageTimes {
-	h := &p.whole[classIndex(class)]
-	return StageTimes{
-		Fast:    h.quantile(fastQuantile),
-		Typical: h.quantile(typicalQuantile),
-		Known:   h.total >= timesMinSamples,
+	return p.times[classIndex(class)]
+}
+
+// computeTimes updates what is derived from the histograms.
+func (p *Pool) computeTimes() {
+	for class := range p.whole {
+		h := &p.whole[class]
+		p.times[class] = StageTimes{
+			Fast:    h.quantile(fastQuantile),
+			Typical: h.quantile(typicalQuantile),
+			Known:   h.total >= timesMinSamples,
+		}
+		p.hedgeAfter[class] = h.quantile(hedgeQuantile)
 	}
 }
 
@@ -36,6 +45,11 @@
 // order in which they run.
 type Plan []StageTimes
 
+// leastMultiple of its typical duration is what a stage may use if the later
+// ones still have their typical time, so that a short stage is not cut off by
+// an ordinary delay.
+const leastMultiple = 4
+
 // StageBudget returns the share of the remaining time that a stage may use: as
 // much as its typical duration has of the typical rest. It returns remaining
 // while the duration of a stage is unknown.
@@ -50,7 +64,9 @@
 	if rest == 0 {
 		return remaining
 	}
-	return time.Duration(float64(remaining) * float64(p[stage].Typical) / float64(rest))
+	own := p[stage].Typical
+	share := time.Duration(float64(remaining) * float64(own) / float64(rest))
+	return max(share, min(leastMultiple*own, remaining-(rest-own)))
 }
 
 // Feasible reports whether the remaining time can be enough for a stage and
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -67,6 +68,8 @@
 	halveAt    int64
 	medians    [seriesCount][classCount]float64
 	whole      [classCount]histogram
+	times      [classCount]StageTimes
+	hedgeAfter [classCount]time.Duration
 	scratch    []float64
 	lowered    int
 	sinceProbe int
@@ -178,16 +181,32 @@
 // Local reports whether a server is in the instance's region.
 func (p *Pool) Local(i ServerIndex) bool { return p.servers[i].tier < tierRemote }
 
-// Slots returns the sum of the slots of the servers that the instance may use
-// without the link, and the number of those servers.
-func (p *Pool) Slots() (slots, servers int) {
-	for _, index := range p.ordered[:p.tierEnd[tierRegion]] {
+// Slots returns the sum of the slots of the servers in the instance's region, or
+// in all regions when its own has none.
+func (p *Pool) Slots() int {
+	if slots := p.slotsOf(p.ordered[:p.tierEnd[tierRegion]]); slots > 0 {
+		return slots
+	}
+	return p.slotsOf(p.ordered)
+}
+
+func (p *Pool) slotsOf(servers []ServerIndex) int {
+	slots := 0
+	for _, index := range servers {
 		if !p.servers[index].drained {
 			slots += p.servers[index].Slots
-			servers++
 		}
 	}
-	return slots, servers
+	return slots
+}
+
+// Random returns a random live server of the instance's region, for a load report.
+func (p *Pool) Random(random *rand.Rand) (ServerIndex, bool) {
+	near := p.ordered[:p.tierEnd[tierRegion]]
+	if len(near) == 0 {
+		return none, false
+	}
+	return near[random.IntN(len(near))], true
 }
 
 // Started counts a call in flight.
@@ -226,6 +245,9 @@
 		whole.addAtLeast(result.Latency)
 	case Refused:
 		return
+	case Unreachable:
+		p.lowerFully(s, now.UnixNano())
+		return
 	}
 	p.judge(s, c, result, now.UnixNano())
 }
--- a/routing/pool_test.go
+++ b/routing/pool_test.go
@@ -131,7 +131,7 @@
 				if ended.i%4 == 0 {
 					latency *= 20
 				}
-				outcome := Outcome(rapid.IntRange(0, int(Refused)).Draw(t, "outcome"))
+				outcome := Outcome(rapid.IntRange(0, int(Unreachable)).Draw(t, "outcome"))
 				pool.Finished(ended.i, ended.class, Result{outcome, latency}, now)
 			}
 			inFlight := 0
@@ -152,6 +152,23 @@
 	})
 }
 
+// Guards against a dead server that attracts calls because it fails fast.
+func TestUnreachableServerIsLowered(t *testing.T) {
+	pool, random := newPool(servers(6, "r-a"))
+	dead := 0
+	for range 100 {
+		i, _ := pool.Pick(began, random, Query{})
+		pool.Started(i, pipeline.ClassNormal, began)
+		outcome := Answered
+		if i == 3 {
+			dead++
+			outcome = Unreachable
+		}
+		pool.Finished(i, pipeline.ClassNormal, Result{outcome, time.Millisecond}, began)
+	}
+	qt.Assert(t, dead, qt.Equals, 1)
+}
+
 // Guards against calls that leave the region without need or without budget.
 func TestLinkIsLastResort(t *testing.T) {
 	c := qt.New(t)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -62,6 +62,8 @@
 	Abandoned
 	// Refused calls did not run.
 	Refused
+	// Unreachable calls found no server at the address.
+	Unreachable
 )
 
 // Result is the end of a call.
--- a/routing/straggler.go
+++ b/routing/straggler.go
@@ -118,6 +118,7 @@
 		}
 	}
 	p.agePeers(t)
+	p.computeTimes()
 	p.computeMedians(t)
 	p.lowered = 0
 	for _, index := range p.ordered {
@@ -231,6 +232,19 @@
 	s.probeAt = t + s.backoff
 }
 
+// lowerFully lowers a server to the last step at once. One that refuses
+// connections fails so fast that it would look idle.
+func (p *Pool) lowerFully(s *server, t int64) {
+	p.lower(s, t)
+	if s.level == 0 {
+		return
+	}
+	s.level = len(weights) - 1
+	s.backoff = min(2*s.backoff, probeMaxEvery)
+	s.probeAt = t + s.backoff
+	s.scale = 1 / (weights[s.level] * float64(s.Slots))
+}
+
 // restoreExcess restores servers when the pool shrank below the allowed share.
 func (p *Pool) restoreExcess() {
 	for _, index := range p.ordered {
