Fit the decisions to the request path and measure the hop with them

Cause: the merged request path passes the request to StageBudget, and the overhead was measured without admission and routing.

--- /dev/null
+++ b/internal/entry/admission_test.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+	"github.com/coltsfootdrift/coltsfootdrift/routing"
+)
+
+// Guards against callers that wait forever, run above the limit, or leave their
+// place taken when they go away while they wait.
+func TestAdmissionKeepsLimitUnderConcurrency(t *testing.T) {
+	c := qt.New(t)
+	set := &pipeline.Set{Deployment: pipeline.Deployment{Pools: []pipeline.Pool{{Name: "shelf", Slots: 3}}}}
+	discard := slog.New(slog.NewTextHandler(io.Discard, nil))
+	servers := NewServers(routing.Location{}, 1, discard, time.Now)
+	servers.Update([]platform.Member{{ID: "s", Role: platform.RoleBackend, Pool: "shelf", State: platform.StateLive}}, set)
+	control := NewAdmissionControl(servers, NewDecisionMetrics(tally.NoopScope), discard, time.Now)
+	request := &Request{
+		Pipeline: &pipeline.Pipeline{Stages: []pipeline.Stage{{Name: "fetch", Pool: "shelf"}}},
+		Kind:     pipeline.Kind{Class: pipeline.ClassNormal},
+		Deadline: time.Now().Add(time.Minute),
+	}
+	var running, over atomic.Int32
+	var callers sync.WaitGroup
+	for i := range 200 {
+		callers.Go(func() {
+			ctx, cancel := context.WithCancel(c.Context())
+			defer cancel()
+			if i%5 == 0 {
+				cancel()
+			}
+			release, problem := control.Admit(ctx, request)
+			if problem != nil {
+				return
+			}
+			if running.Add(1) > 3 {
+				over.Add(1)
+			}
+			time.Sleep(time.Millisecond)
+			running.Add(-1)
+			release(OutcomeCompleted)
+		})
+	}
+	callers.Wait()
+	control.Tick()
+	left, waiting := control.queues["shelf"].queue.Load()
+	c.Assert([]int{int(over.Load()), left, waiting, len(control.queues["shelf"].waiting)}, qt.DeepEquals, []int{0, 0, 0, 0})
+}
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -72,12 +72,19 @@
 func (fakePicker) Pick(query Query) (Picked, bool) {
 	for _, id := range []string{"s1", "s2", "s3"} {
 		if !slices.Contains(query.Excluded, id) {
-			return randomPick{backend.Server{ID: id}}, true
+			return fakePicked{id}, true
 		}
 	}
 	return nil, false
 }
 
+// fakePicked is a server of a fakePicker.
+type fakePicked struct{ id string }
+
+func (p fakePicked) Server() backend.Server { return backend.Server{ID: p.id} }
+func (p fakePicked) FirstByte()             {}
+func (p fakePicked) Done(error, int64)      {}
+
 // retries is a retry budget of a fixed number.
 type retries struct{ left int }
 
--- a/internal/entry/serverviews.go
+++ b/internal/entry/serverviews.go
@@ -29,19 +29,9 @@
 	return p.hedger.Take()
 }
 
-// StageBudget returns the time one call of a stage may take. Calls of all
-// classes are measured together with the class that is slowest.
-func (s *Servers) StageBudget(p *pipeline.Pipeline, stage int, remaining time.Duration) time.Duration {
-	plan := make(routing.Plan, len(p.Stages))
-	for i := range p.Stages {
-		plan[i] = s.times(p.Stages[i].Pool, pipeline.ClassNormal)
-		for _, class := range []pipeline.Class{pipeline.ClassInteractive, pipeline.ClassLong} {
-			if times := s.times(p.Stages[i].Pool, class); times.Known && times.Typical > plan[i].Typical {
-				plan[i] = times
-			}
-		}
-	}
-	return plan.StageBudget(stage, remaining)
+// StageBudget returns the time one call of a stage may take.
+func (s *Servers) StageBudget(request *Request, stage int, remaining time.Duration) time.Duration {
+	return s.plan(request).StageBudget(stage, remaining)
 }
 
 // plan returns the measured durations of a request's stages.
--- a/internal/experiment/overhead.go
+++ b/internal/experiment/overhead.go
@@ -6,17 +6,21 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
 	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+	"github.com/coltsfootdrift/coltsfootdrift/routing"
 )
 
 // relayRounds is the number of interleaved batches, so that noise of a shared
@@ -142,18 +146,23 @@
 
 // entryHop is the request path of an entry instance with a pipeline of one stage.
 func entryHop(address string) http.Handler {
-	servers := &entry.Servers{}
-	servers.Update([]platform.Member{{ID: "r1", Role: platform.RoleBackend, Address: address, Pool: "shelf", State: platform.StateLive}})
 	set := &pipeline.Set{
-		Deployment: pipeline.Deployment{Organisations: []pipeline.Organisation{{Name: "acme"}}},
+		Deployment: pipeline.Deployment{
+			Pools:         []pipeline.Pool{{Name: "shelf", Type: pipeline.StageRetrieve, Slots: 64}},
+			Organisations: []pipeline.Organisation{{Name: "acme"}},
+		},
 		Pipelines: []pipeline.Pipeline{{
 			Name:   "notes",
 			Stages: []pipeline.Stage{{Name: "fetch", Type: pipeline.StageRetrieve, Pool: "shelf"}},
 			Kinds:  []pipeline.Kind{{Name: "note", Repeat: pipeline.RepeatIdempotent, Class: pipeline.ClassNormal, MaxWaitMS: 10000}},
 		}},
 	}
+	servers := entry.NewServers(routing.Location{}, 1, slog.New(slog.DiscardHandler), time.Now)
+	servers.Update([]platform.Member{{ID: "r1", Role: platform.RoleBackend, Address: address, Pool: "shelf", State: platform.StateLive}}, set)
 	executor := entry.NewExecutor(backend.NewHTTPCaller(backend.NewTransport()), servers, time.Now)
-	handler := &entry.Handler{Configuration: fixedConfiguration{set}, Executor: executor, Now: time.Now}
+	executor.Hedges, executor.Budgets = servers, servers
+	control := entry.NewAdmissionControl(servers, entry.NewDecisionMetrics(tally.NoopScope), slog.New(slog.DiscardHandler), time.Now)
+	handler := &entry.Handler{Configuration: fixedConfiguration{set}, Executor: executor, Admission: control, Now: time.Now}
 	return handler.Router()
 }
 
