Measure the decisions against baselines in one run

Cause: design decisions were not measured under load. Change: the experiment command runs swing, straggler, head-of-line, regions and overhead with an open-loop generator, fixed arrivals and four baselines.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -38,6 +38,7 @@
 		{"entry", "run an entry instance", entryHelp, &entryCommand{streams: s}},
 		{"standin", "run stand-ins of the platform on loopback", standinHelp, &standinCommand{streams: s}},
 		{"demo", "serve requests of two example deployments", demoHelp, &demoCommand{streams: s}},
+		{"experiment", "measure a design decision against baselines", experimentHelp, &experimentCommand{streams: s}},
 	}
 }
 
--- /dev/null
+++ b/internal/experiment/baselines.go
@@ -0,0 +1,123 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
+)
+
+// Policies that are compared. PolicyOwn is the system's.
+const (
+	PolicyOwn          = "coltsfootdrift"
+	PolicyRoundRobin   = "round robin"
+	PolicyLeast        = "least requests"
+	PolicyTwoReported  = "two choices, reported load"
+	PolicyLatency      = "latency average"
+	latencyGain        = 0.2
+	unmeasuredIsFaster = 0
+)
+
+// Policies lists all policies, the system's own first.
+var Policies = []string{PolicyOwn, PolicyRoundRobin, PolicyLeast, PolicyTwoReported, PolicyLatency}
+
+// baseline is a Picker that knows nothing of regions, peers or stragglers.
+type baseline struct {
+	policy  string
+	servers []backend.Server
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	next     int
+	inFlight []int
+	reported []int
+	mean     []float64
+}
+
+func newBaseline(policy string, servers []backend.Server, seed uint64) *baseline {
+	random := rand.New(rand.NewPCG(seed, 2))
+	return &baseline{
+		policy: policy, servers: servers, random: random, next: random.IntN(len(servers)),
+		inFlight: make([]int, len(servers)), reported: make([]int, len(servers)), mean: make([]float64, len(servers)),
+	}
+}
+
+// Pick chooses a server by the policy.
+func (b *baseline) Pick(query entry.Query) (entry.Picked, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var candidates []int
+	for i, server := range b.servers {
+		if !slices.Contains(query.Excluded, server.ID) {
+			candidates = append(candidates, i)
+		}
+	}
+	if len(candidates) == 0 {
+		return nil, false
+	}
+	chosen := b.choose(candidates)
+	b.inFlight[chosen]++
+	return &baselinePicked{b, chosen, time.Now()}, true
+}
+
+func (b *baseline) choose(candidates []int) int {
+	b.next++
+	switch b.policy {
+	case PolicyLeast:
+		return b.lowest(candidates, func(i int) float64 { return float64(b.inFlight[i]) })
+	case PolicyLatency:
+		return b.lowest(candidates, func(i int) float64 { return b.mean[i] })
+	case PolicyTwoReported:
+		two := []int{candidates[b.random.IntN(len(candidates))], candidates[b.random.IntN(len(candidates))]}
+		return b.lowest(two, func(i int) float64 { return float64(b.reported[i]) })
+	default:
+		return candidates[b.next%len(candidates)]
+	}
+}
+
+// lowest returns a random one of the candidates with the lowest value.
+func (b *baseline) lowest(candidates []int, value func(int) float64) int {
+	start := b.random.IntN(len(candidates))
+	best := candidates[start]
+	for step := range candidates {
+		i := candidates[(start+step)%len(candidates)]
+		if value(i) < value(best) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (b *baseline) report(i int, report backend.LoadReport) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reported[i] = report.Running + report.Waiting
+}
+
+// baselinePicked is a call in flight.
+type baselinePicked struct {
+	*baseline
+	index   int
+	started time.Time
+}
+
+// Server returns the chosen server.
+func (p *baselinePicked) Server() backend.Server { return p.servers[p.index] }
+
+// FirstByte does nothing.
+func (p *baselinePicked) FirstByte() {}
+
+// Done ends the call. A server without a measurement counts as the fastest.
+func (p *baselinePicked) Done(error, int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inFlight[p.index]--
+	took := time.Since(p.started).Seconds()
+	if p.mean[p.index] == unmeasuredIsFaster {
+		p.mean[p.index] = took
+	}
+	p.mean[p.index] += latencyGain * (took - p.mean[p.index])
+}
--- /dev/null
+++ b/internal/experiment/fleet.go
@@ -0,0 +1,228 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+	"github.com/coltsfootdrift/coltsfootdrift/routing"
+)
+
+// Names of the only pool, pipeline and organisation of an experiment.
+const (
+	poolName         = "pool"
+	pipelineName     = "work"
+	organisationName = "acme"
+)
+
+// layout describes the servers and instances of an experiment.
+type layout struct {
+	regions   int
+	servers   int // per region
+	instances int // per region
+	slots     int
+	service   time.Duration
+	stage     pipeline.StageType
+	kinds     []kind
+}
+
+const (
+	// heartbeatInterval stands for the heartbeats that carry counts to peers.
+	heartbeatInterval = time.Second
+	// reportInterval and reportLag are those of load reports.
+	reportInterval    = 250 * time.Millisecond
+	reportLag         = 500 * time.Millisecond
+	admissionInterval = 20 * time.Millisecond
+	linkMbits         = 30
+	answerBytes       = 2048
+	// callerConnections is above the number of requests that run at once.
+	callerConnections = 4096
+)
+
+// fleet is the running servers and instances of one run.
+type fleet struct {
+	layout
+	backends []*standin.Backend
+	servers  []backend.Server
+	// urls holds the instances' addresses by region.
+	urls   [][]string
+	link   *linkCounter
+	client *http.Client
+	close  []func()
+}
+
+func startFleet(l layout, policy string, seed uint64) *fleet {
+	f := &fleet{layout: l, link: &linkCounter{}, urls: make([][]string, l.regions)}
+	f.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callerConnections}}
+	for region := range l.regions {
+		for i := range l.servers {
+			f.startServer(region, i)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.close = append(f.close, cancel)
+	var peers []*entry.Servers
+	for region := range l.regions {
+		for i := range l.instances {
+			id := fmt.Sprintf("i%d-%d", region, i)
+			if policy == PolicyOwn {
+				peers = append(peers, f.startOwn(ctx, region, id))
+				continue
+			}
+			f.startBaseline(ctx, policy, region, seed+uint64(i))
+		}
+	}
+	go exchange(ctx, peers)
+	return f
+}
+
+// stop ends all servers and instances.
+func (f *fleet) stop() {
+	f.client.CloseIdleConnections()
+	for i := len(f.close) - 1; i >= 0; i-- {
+		f.close[i]()
+	}
+}
+
+func regionName(region int) string { return fmt.Sprintf("region-%d", region) }
+
+func (f *fleet) startServer(region, i int) {
+	id := fmt.Sprintf("s%d-%d", region, i)
+	b := standin.NewBackend(standin.BackendConfig{
+		ID: id, Pool: poolName, Slots: f.slots, ServiceTime: f.service,
+		AnswerBytes: answerBytes, ChunkBytes: answerBytes, LoadLag: reportLag,
+	})
+	server := httptest.NewServer(b.Handler())
+	f.close = append(f.close, server.CloseClientConnections, server.Close)
+	f.backends = append(f.backends, b)
+	f.servers = append(f.servers, backend.Server{
+		ID: id, Address: server.Listener.Addr().String(), Pool: poolName,
+		Region: regionName(region), FailureDomain: regionName(region),
+	})
+}
+
+// set is the configuration of the experiment.
+func (f *fleet) set() *pipeline.Set {
+	kinds := make([]pipeline.Kind, len(f.kinds))
+	for i, k := range f.kinds {
+		kinds[i] = pipeline.Kind{
+			Name: k.name, Repeat: pipeline.RepeatIdempotent, Class: pipeline.Class(k.class),
+			MaxWaitMS: k.deadline.Milliseconds(), Cost: pipeline.Cost{LinkBytes: k.linkBytes},
+		}
+	}
+	return &pipeline.Set{
+		Deployment: pipeline.Deployment{
+			Pools:         []pipeline.Pool{{Name: poolName, Type: f.stage, Slots: f.slots}},
+			LinkMbits:     linkMbits,
+			Organisations: []pipeline.Organisation{{Name: organisationName}},
+		},
+		Pipelines: []pipeline.Pipeline{{
+			Name:   pipelineName,
+			Stages: []pipeline.Stage{{Name: "run", Type: f.stage, Pool: poolName}},
+			Kinds:  kinds,
+		}},
+	}
+}
+
+func (f *fleet) members() []platform.Member {
+	var members []platform.Member
+	for _, s := range f.servers {
+		members = append(members, platform.Member{
+			ID: s.ID, Role: platform.RoleBackend, Address: s.Address, Pool: s.Pool,
+			Region: s.Region, FailureDomain: s.FailureDomain, State: platform.StateLive,
+		})
+	}
+	for region := range f.regions {
+		for i := range f.instances {
+			members = append(members, platform.Member{
+				ID: fmt.Sprintf("i%d-%d", region, i), Role: platform.RoleEntry,
+				Region: regionName(region), State: platform.StateLive,
+			})
+		}
+	}
+	return members
+}
+
+// serve starts an instance around an executor.
+func (f *fleet) serve(region int, executor *entry.Executor, control entry.Admission) {
+	handler := &entry.Handler{
+		Configuration: fixedConfiguration{f.set()}, Executor: executor, Admission: control, Now: time.Now,
+	}
+	server := httptest.NewServer(handler.Router())
+	f.close = append(f.close, server.CloseClientConnections, server.Close)
+	f.urls[region] = append(f.urls[region], server.URL)
+}
+
+func (f *fleet) caller(region int) backend.Caller {
+	return &linkCaller{
+		Caller: backend.NewHTTPCaller(backend.NewTransport()), region: regionName(region), counter: f.link,
+	}
+}
+
+func (f *fleet) startOwn(ctx context.Context, region int, id string) *entry.Servers {
+	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	location := routing.Location{Region: regionName(region), FailureDomain: regionName(region)}
+	servers := entry.NewServers(location, f.instances, logger, time.Now)
+	servers.Update(f.members(), f.set())
+	control := entry.NewAdmissionControl(servers, entry.NewDecisionMetrics(tally.NoopScope), logger, time.Now)
+	executor := entry.NewExecutor(f.caller(region), servers, time.Now)
+	executor.Hedges, executor.Budgets = servers, servers
+	f.serve(region, executor, control)
+	go servers.PollLoad(ctx, &backend.HTTPLoadReader{Client: f.client})
+	go repeatEvery(ctx, admissionInterval, control.Tick)
+	return servers
+}
+
+func (f *fleet) startBaseline(ctx context.Context, policy string, region int, seed uint64) {
+	picker := newBaseline(policy, f.servers, seed)
+	f.serve(region, entry.NewExecutor(f.caller(region), picker, time.Now), nil)
+	if policy != PolicyTwoReported {
+		return
+	}
+	reader := &backend.HTTPLoadReader{Client: f.client}
+	go repeatEvery(ctx, reportInterval, func() {
+		for i, server := range f.servers {
+			if report, err := reader.Load(ctx, server); err == nil {
+				picker.report(i, report)
+			}
+		}
+	})
+}
+
+// exchange hands the counts of each instance to the others, as heartbeats do.
+func exchange(ctx context.Context, peers []*entry.Servers) {
+	repeatEvery(ctx, heartbeatInterval, func() {
+		for from, sender := range peers {
+			counts := sender.Counts()[poolName]
+			for to, receiver := range peers {
+				if to != from {
+					receiver.PeerCounts(fmt.Sprint(from), poolName, counts)
+				}
+			}
+		}
+	})
+}
+
+func repeatEvery(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f()
+		}
+	}
+}
--- /dev/null
+++ b/internal/experiment/generate.go
@@ -0,0 +1,125 @@
+package experiment
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
+)
+
+// Range and precision of latency histograms, in microseconds.
+const (
+	histogramMax    = int64(time.Minute / time.Microsecond)
+	histogramDigits = 3
+)
+
+// answered is what became of one arrival.
+type answered struct {
+	// took is the time from the intended start to the end of the answer.
+	took    time.Duration
+	outcome entry.Outcome
+	inTime  bool
+}
+
+// results holds the outcome of each arrival of a run.
+type results struct {
+	kinds    []kind
+	arrivals []arrival
+	answers  []answered
+}
+
+// generate sends each arrival at its intended time, whether earlier ones were
+// answered or not, and waits for all answers. events run at their times.
+func (f *fleet) generate(arrivals []arrival, events map[time.Duration]func()) *results {
+	r := &results{f.kinds, arrivals, make([]answered, len(arrivals))}
+	start := time.Now()
+	for at, event := range events {
+		defer time.AfterFunc(at, event).Stop()
+	}
+	var sent sync.WaitGroup
+	for i, a := range arrivals {
+		time.Sleep(time.Until(start.Add(a.at)))
+		sent.Go(func() { r.answers[i] = f.send(a, start.Add(a.at)) })
+	}
+	sent.Wait()
+	return r
+}
+
+// send posts one request. The caller gives up at twice the deadline.
+func (f *fleet) send(a arrival, intended time.Time) answered {
+	k := f.kinds[a.kind]
+	ctx, cancel := context.WithDeadline(context.Background(), intended.Add(2*k.deadline))
+	defer cancel()
+	outcome := f.post(ctx, a, k)
+	took := time.Since(intended)
+	return answered{took, outcome, outcome == entry.OutcomeCompleted && took <= k.deadline}
+}
+
+func (f *fleet) post(ctx context.Context, a arrival, k kind) entry.Outcome {
+	instances := f.urls[a.region]
+	url := instances[int(a.pick)%len(instances)] + "/v1/organisations/" + organisationName +
+		"/pipelines/" + pipelineName + "/kinds/" + k.name
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(k.body))
+	if err != nil {
+		return entry.OutcomeFailed
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return entry.OutcomeFailed
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return entry.OutcomeFailed
+	}
+	return entry.Outcome(response.Header.Get(entry.HeaderOutcome))
+}
+
+// selection chooses arrivals of one kind and phase, -1 for all.
+type selection struct{ kind, phase int }
+
+func (s selection) holds(a arrival) bool {
+	return (s.kind < 0 || s.kind == a.kind) && (s.phase < 0 || s.phase == a.phase)
+}
+
+// latency returns the histogram of completed requests in microseconds, without
+// those that started before from.
+func (r *results) latency(s selection, from time.Duration) *hdrhistogram.Histogram {
+	h := hdrhistogram.New(1, histogramMax, histogramDigits)
+	for i, a := range r.arrivals {
+		if s.holds(a) && a.at >= from && r.answers[i].outcome == entry.OutcomeCompleted {
+			_ = h.RecordValue(max(1, r.answers[i].took.Microseconds()))
+		}
+	}
+	return h
+}
+
+// inTime returns the share of requests that were answered by their deadline.
+func (r *results) inTime(s selection) float64 {
+	all, good := 0, 0
+	for i, a := range r.arrivals {
+		if s.holds(a) {
+			all++
+			if r.answers[i].inTime {
+				good++
+			}
+		}
+	}
+	return float64(good) / float64(max(1, all))
+}
+
+// delivered returns the answers in time per second that ended within a window.
+func (r *results) delivered(from, to time.Duration) float64 {
+	count := 0
+	for i, a := range r.arrivals {
+		if end := a.at + r.answers[i].took; r.answers[i].inTime && end >= from && end < to {
+			count++
+		}
+	}
+	return float64(count) / (to - from).Seconds()
+}
--- /dev/null
+++ b/internal/experiment/link.go
@@ -0,0 +1,75 @@
+package experiment
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+)
+
+// linkDelay is the one-way delay between regions.
+const linkDelay = 12 * time.Millisecond
+
+// linkCounter counts the bytes that cross the link by the second in which a
+// call ended.
+type linkCounter struct {
+	mu      sync.Mutex
+	seconds map[int64]int64
+	total   int64
+}
+
+func (c *linkCounter) add(bytes int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.seconds == nil {
+		c.seconds = map[int64]int64{}
+	}
+	c.seconds[time.Now().Unix()] += bytes
+	c.total += bytes
+}
+
+// result returns all bytes and those of the busiest second.
+func (c *linkCounter) result() (total, busiest int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, bytes := range c.seconds {
+		busiest = max(busiest, bytes)
+	}
+	return c.total, busiest
+}
+
+// linkCaller delays and counts calls to servers of another region.
+type linkCaller struct {
+	backend.Caller
+	region  string
+	counter *linkCounter
+}
+
+// Call sends a request, over the link when the server is in another region.
+func (c *linkCaller) Call(ctx context.Context, server backend.Server, request backend.StageRequest) (backend.StageStream, error) {
+	if server.Region == c.region {
+		return c.Caller.Call(ctx, server, request)
+	}
+	time.Sleep(linkDelay)
+	c.counter.add(int64(len(request.Input)))
+	stream, err := c.Caller.Call(ctx, server, request)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(linkDelay)
+	return &linkStream{stream, c.counter}, nil
+}
+
+// linkStream counts the bytes of an answer.
+type linkStream struct {
+	backend.StageStream
+	counter *linkCounter
+}
+
+// Next returns the next piece.
+func (s *linkStream) Next() ([]byte, error) {
+	piece, err := s.StageStream.Next()
+	s.counter.add(int64(len(piece)))
+	return piece, err
+}
