--- a/pipeline/files.go
+++ b/pipeline/files.go
@@ -29,6 +29,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("collect operators' files: %w", err)
 	}
+	set.Index()
 	return &set, nil
 }
 
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -181,6 +181,19 @@
 type Set struct {
 	Deployment Deployment `json:"deployment"`
 	Pipelines  []Pipeline `json:"pipelines"`
+	// organisations holds indices of Deployment.Organisations by name.
+	organisations map[string]int
+}
+
+// Index prepares lookups of organisations. Call it after the last change and
+// before the set is shared between goroutines.
+func (s *Set) Index() {
+	s.organisations = make(map[string]int, len(s.Deployment.Organisations))
+	for i, organisation := range s.Deployment.Organisations {
+		if _, taken := s.organisations[organisation.Name]; !taken {
+			s.organisations[organisation.Name] = i
+		}
+	}
 }
 
 // Pipeline returns the pipeline with the given name.
@@ -205,6 +218,13 @@
 
 // Organisation returns the organisation with the given name.
 func (s *Set) Organisation(name string) (Organisation, bool) {
+	if s.organisations != nil {
+		i, ok := s.organisations[name]
+		if !ok {
+			return Organisation{}, false
+		}
+		return s.Deployment.Organisations[i], true
+	}
 	for _, organisation := range s.Deployment.Organisations {
 		if organisation.Name == name {
 			return organisation, true
