Add the core of versioned configuration

Cause: operators' changes had no revision, no order and no record.

Change: config holds the head with its audit trail and references to content-addressed parts, the typed difference of two sets, the steps of publishing as a state machine and the configuration in force.

--- /dev/null
+++ b/config/current.go
@@ -0,0 +1,95 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+)
+
+// LowerRevisionError reports a head that is older than the one in force.
+type LowerRevisionError struct {
+	InForce, Offered int64
+}
+
+func (e *LowerRevisionError) Error() string {
+	return fmt.Sprintf("configuration revision %d was offered, revision %d is in force", e.Offered, e.InForce)
+}
+
+// DivergentError reports two heads with the same revision, which compare-and-swap
+// rules out unless the store lost a write.
+type DivergentError struct {
+	Revision         int64
+	InForce, Offered string
+}
+
+func (e *DivergentError) Error() string {
+	return fmt.Sprintf("configuration revision %d has publish ID %q, %q was offered", e.Revision, e.InForce, e.Offered)
+}
+
+// Current is the configuration in force. The zero value holds none.
+type Current struct {
+	head  *Head
+	parts Parts
+	set   *pipeline.Set
+}
+
+// Revision returns the revision in force, 0 when there is none.
+func (c *Current) Revision() int64 {
+	if c.head == nil {
+		return 0
+	}
+	return c.head.Revision
+}
+
+// Set returns the set in force, nil when there is none.
+func (c *Current) Set() *pipeline.Set { return c.set }
+
+// Head returns the head in force, nil when there is none.
+func (c *Current) Head() *Head { return c.head }
+
+// Part returns a part in force.
+func (c *Current) Part(digest Digest) ([]byte, bool) {
+	data, ok := c.parts[digest]
+	return data, ok
+}
+
+// Missing returns the parts of a head that are not held.
+func (c *Current) Missing(h *Head) []Digest {
+	var missing []Digest
+	for _, digest := range h.Digests() {
+		if _, held := c.parts[digest]; !held {
+			missing = append(missing, digest)
+		}
+	}
+	return missing
+}
+
+// Offer puts a head in force when its revision is higher than the one in force.
+// The parts need only be those that Missing returned. A lower revision is
+// refused with a *LowerRevisionError.
+func (c *Current) Offer(h *Head, parts Parts) (changed bool, err error) {
+	if c.head != nil {
+		switch {
+		case h.Revision < c.head.Revision:
+			return false, &LowerRevisionError{c.head.Revision, h.Revision}
+		case h.Revision == c.head.Revision && h.PublishID != c.head.PublishID:
+			return false, &DivergentError{h.Revision, c.head.PublishID, h.PublishID}
+		case h.Revision == c.head.Revision:
+			return false, nil
+		}
+	}
+	held := make(Parts, len(h.Parts))
+	for _, digest := range h.Digests() {
+		if data, ok := c.parts[digest]; ok {
+			held[digest] = data
+		} else if data, ok := parts[digest]; ok {
+			held[digest] = data
+		}
+	}
+	set, err := Assemble(h, held)
+	if err != nil {
+		return false, err
+	}
+	c.head, c.parts, c.set = h, held, set
+	return true, nil
+}
