Decide a publish only by a head that follows its base

Cause: a stale read after a lost answer has an older version than the base. It was taken for another operator's change, and the parts of the head in force were then deleted.

Change: only a version after the base is a conflict; an older one leads to another compare-and-swap, which tells the truth. An undecided publish whose writes were all refused is reported as failed, not as unknown.

Taken out (any other version is a conflict): TestStaleReadBackIsNoConflict got 'revision 1 by author of a came first' for its own accepted change.

Conclusion: a stale store can delay a publish, but not undo its parts.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -30,6 +30,8 @@
 	parts   Parts
 	// beforeHead runs before a head write.
 	beforeHead func()
+	// stale is returned by the next read after a write.
+	stale *Head
 	// loseAnswer drops the answers of that many head writes after they took effect.
 	loseAnswer int
 }
@@ -54,6 +56,10 @@
 func (w *world) carryOut(output Output) Input {
 	switch out := output.(type) {
 	case ReadHead:
+		if stale := w.stale; stale != nil && w.version > 1 {
+			w.stale = nil
+			return HeadRead{Head: stale, Version: 0}
+		}
 		return HeadRead{Head: w.head, Version: w.version}
 	case ReadParts:
 		return PartsRead{Parts: w.parts}
@@ -155,6 +161,20 @@
 	c.Assert(w.head.Revision, qt.Equals, int64(3))
 }
 
+// Guards against a stale read back that is taken for another operator's change:
+// the parts of the head in force would be deleted.
+func TestStaleReadBackIsNoConflict(t *testing.T) {
+	c := qt.New(t)
+	w := &world{parts: Parts{}}
+	c.Assert(w.publish("a", largeSet(3)).Err, qt.IsNil)
+	w.loseAnswer, w.stale = 1, w.head
+	done := w.publish("b", largeSet(4))
+	c.Assert(done.Err, qt.IsNil)
+	c.Assert(done.Result.Revision, qt.Equals, int64(2))
+	_, err := Assemble(w.head, w.parts)
+	c.Assert(err, qt.IsNil)
+}
+
 // Guards against a store that fills up with old parts, a collected part that one
 // of the last heads still uses, and an audit trail that grows without bound.
 func TestOldPartsAndAuditEntriesAreDropped(t *testing.T) {
--- a/config/publish.go
+++ b/config/publish.go
@@ -14,135 +14,6 @@
 // maxHeadWrites bounds the attempts to write the head after lost answers.
 const maxHeadWrites = 3
 
-// Request is the change that an operator asks for.
-type Request struct {
-	// PublishID is unique to this publish.
-	PublishID string
-	Author    string
-	Reason    string
-	Set       *pipeline.Set
-	// Base is the revision that the operator started from; 0 accepts any.
-	Base int64
-}
-
-// ConflictError reports that another operator's change came first.
-type ConflictError struct {
-	// Winner is the audit entry of the other change.
-	Winner AuditEntry
-}
-
-func (e *ConflictError) Error() string {
-	return fmt.Sprintf("revision %d by %s came first (%s):\n%s", e.Winner.ToRevision, e.Winner.Author, e.Winner.Reason, e.Winner.Difference)
-}
-
-// UnknownOutcomeError reports that the answer of the head write was lost and the
-// head couldn't be read back.
-type UnknownOutcomeError struct {
-	PublishID string
-	Err       error
-}
-
-func (e *UnknownOutcomeError) Error() string {
-	return fmt.Sprintf("the outcome of publish %s is unknown, look for it with audit: %v", e.PublishID, e.Err)
-}
-
-func (e *UnknownOutcomeError) Unwrap() error { return e.Err }
-
-// StepError reports a step that failed before the head was written.
-type StepError struct {
-	Step string
-	Err  error
-}
-
-func (e *StepError) Error() string { return fmt.Sprintf("publish: %s: %v", e.Step, e.Err) }
-
-func (e *StepError) Unwrap() error { return e.Err }
-
-// Result is the end of a successful publish.
-type Result struct {
-	Revision int64 `json:"revision"`
-	// Changed is false when the set in force is the same.
-	Changed    bool       `json:"changed"`
-	Difference Difference `json:"difference"`
-	// Written is the number of parts that were written.
-	Written int `json:"written"`
-}
-
-// Output is an action that the adapter carries out.
-type Output interface{ publishOutput() }
-
-// Input is the result of the last output.
-type Input interface{ publishInput() }
-
-func (ReadHead) publishOutput()    {}
-func (ReadParts) publishOutput()   {}
-func (WriteParts) publishOutput()  {}
-func (WriteHead) publishOutput()   {}
-func (DeleteParts) publishOutput() {}
-func (Done) publishOutput()        {}
-
-func (HeadRead) publishInput()     {}
-func (PartsRead) publishInput()    {}
-func (PartsWritten) publishInput() {}
-func (HeadWritten) publishInput()  {}
-
-// Outputs of a publish. The adapter carries out each and passes the matching
-// input to Step.
-type (
-	// ReadHead asks for the head. Input: HeadRead.
-	ReadHead struct{}
-	// ReadParts asks for parts. Input: PartsRead.
-	ReadParts struct{ Digests []Digest }
-	// WriteParts asks to create parts; an existing one is a success. Input: PartsWritten.
-	WriteParts struct{ Parts Parts }
-	// WriteHead asks for a compare-and-swap of the head. Input: HeadWritten.
-	WriteHead struct {
-		Expect int64
-		Value  []byte
-	}
-	// DeleteParts asks to delete parts that nobody needs. Failures don't matter. It
-	// has no input.
-	DeleteParts struct{ Digests []Digest }
-	// Done ends the publish.
-	Done struct {
-		Result Result
-		Err    error
-	}
-)
-
-// Inputs of a publish.
-type (
-	// HeadRead is the head with its store version; Head is nil when there is none.
-	HeadRead struct {
-		Head    *Head
-		Version int64
-		Err     error
-	}
-	// PartsRead holds the parts that were asked for.
-	PartsRead struct {
-		Parts Parts
-		Err   error
-	}
-	// PartsWritten ends WriteParts.
-	PartsWritten struct{ Err error }
-	// HeadWritten is the outcome of the compare-and-swap.
-	HeadWritten struct {
-		Outcome WriteOutcome
-		Err     error
-	}
-)
-
-// WriteOutcome says what is known of a compare-and-swap.
-type WriteOutcome int
-
-// Outcomes of a compare-and-swap.
-const (
-	WriteDone WriteOutcome = iota
-	WriteConflict
-	WriteUnknown
-	WriteNotSent
-)
-
 // Publish puts one change in force. It is driven by Start and Step.
 type Publish struct {
 	request Request
@@ -156,6 +27,8 @@
 	// writes counts attempts to write the head; once positive, a read of the head
 	// is a read back.
 	writes int
+	// uncertain is true once the answer of a head write was lost.
+	uncertain bool
 }
 
 // NewPublish returns a publish of the request. A dry run ends after the
@@ -309,9 +182,10 @@
 	switch {
 	case in.Outcome == WriteDone:
 		return p.accepted(p.next.Revision)
-	case in.Outcome == WriteNotSent && p.writes == 1:
+	case in.Outcome == WriteNotSent && !p.uncertain:
 		return append(p.withdraw(), p.fail("write head", in.Err)...)
 	}
+	p.uncertain = p.uncertain || in.Outcome == WriteUnknown
 	// A conflict may be with an own write whose answer was lost.
 	return []Output{ReadHead{}}
 }
@@ -319,20 +193,30 @@
 // readBack decides with the publish ID whether the write took effect.
 func (p *Publish) readBack(in HeadRead) []Output {
 	if in.Err != nil || in.Head == nil {
-		return []Output{Done{Err: &UnknownOutcomeError{p.request.PublishID, in.Err}}}
+		return p.undecided(in.Err)
 	}
 	if entry, ok := in.Head.Accepted(p.request.PublishID); ok {
 		return p.accepted(entry.ToRevision)
 	}
+	// A read can be stale: only a version after the base proves that another
+	// change took the place of this one.
 	switch {
-	case in.Version != p.version:
+	case in.Version > p.version:
 		return append(p.withdraw(), Done{Err: p.conflict(in.Head)})
 	case p.writes >= maxHeadWrites:
-		return []Output{Done{Err: &UnknownOutcomeError{p.request.PublishID, fmt.Errorf("%d writes had no answer", p.writes)}}}
+		return p.undecided(fmt.Errorf("%d writes were not decided", p.writes))
 	}
 	return p.writeHead()
 }
 
+// undecided ends a publish whose head can't be read back.
+func (p *Publish) undecided(err error) []Output {
+	if !p.uncertain {
+		return append(p.withdraw(), p.fail("read head after a conflict", err)...)
+	}
+	return []Output{Done{Err: &UnknownOutcomeError{p.request.PublishID, err}}}
+}
+
 // accepted ends the publish and deletes old parts.
 func (p *Publish) accepted(revision int64) []Output {
 	p.result.Revision, p.result.Changed, p.result.Written = revision, true, len(p.parts)
