Add the commands check, publish, status and audit

Cause: operators could neither check nor publish their files, nor see what is in force.

Conclusion: the whole path from files to store works over the HTTP wire form.

--- a/config/messages.go
+++ b/config/messages.go
@@ -134,4 +134,3 @@
 	WriteUnknown
 	WriteNotSent
 )
-
--- /dev/null
+++ b/internal/cli/script_test.go
@@ -0,0 +1,49 @@
+package cli
+
+import (
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"coltsfootdrift": func() { os.Exit(Run(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// Guards against commands whose output or exit code differs from docs/OPERATIONS.md.
+// $STORE is the address of a stand-in store.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			server := httptest.NewServer(standin.NewStore().Handler())
+			env.Defer(server.Close)
+			env.Setenv("STORE", server.Listener.Addr().String())
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){"exits": exits},
+	})
+}
+
+// exits runs a command and checks its exit code: exits CODE NAME ARG...
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec(args[1], args[2:]...)
+	got := 0
+	if coded, ok := err.(interface{ ExitCode() int }); ok {
+		got = coded.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, expected %d", got, want)
+	}
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,90 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+)
+
+const statusHelp = `Shows what one instance sees: configuration revision, peers, backend servers and
+limits. ADDRESS is the admin address of the instance.`
+
+// PathStatus is the path of the status on the admin address. The answer is an
+// object with one member per section.
+const PathStatus = "/v1/status"
+
+// maxStatusBytes bounds the answer.
+const maxStatusBytes = 16 << 20
+
+// statusCommand shows the status of one instance.
+type statusCommand struct {
+	streams
+	Address string `long:"address" required:"true" value-name:"ADMIN" description:"admin address of an instance, IP number and port"`
+	JSON    bool   `long:"json" description:"print the status as JSON"`
+}
+
+// Execute reads and prints the status.
+func (c *statusCommand) Execute([]string) error {
+	sections, err := c.read()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return writeJSON(c.stdout, sections)
+	}
+	for _, name := range slices.Sorted(maps.Keys(sections)) {
+		fmt.Fprintf(c.stdout, "%s:\n", name)
+		printValue(c.stdout, "  ", sections[name])
+	}
+	return nil
+}
+
+func (c *statusCommand) read() (map[string]any, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Address+PathStatus, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status of %s: %s", c.Address, response.Status)
+	}
+	var sections map[string]any
+	err = json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&sections)
+	return sections, err
+}
+
+// printValue prints a JSON value as indented lines.
+func printValue(w io.Writer, indent string, value any) {
+	switch v := value.(type) {
+	case map[string]any:
+		for _, name := range slices.Sorted(maps.Keys(v)) {
+			printMember(w, indent, name+":", v[name])
+		}
+	case []any:
+		for _, element := range v {
+			printMember(w, indent, "-", element)
+		}
+	default:
+		fmt.Fprintf(w, "%s%v\n", indent, v)
+	}
+}
+
+func printMember(w io.Writer, indent, label string, value any) {
+	switch value.(type) {
+	case map[string]any, []any:
+		fmt.Fprintf(w, "%s%s\n", indent, label)
+		printValue(w, indent+"  ", value)
+	default:
+		fmt.Fprintf(w, "%s%s %v\n", indent, label, value)
+	}
+}
--- /dev/null
+++ b/internal/configuration/publisher.go
@@ -0,0 +1,184 @@
+// Package configuration puts configurations in force: it carries out the steps
+// of publishing at the store, and keeps the configuration of an entry instance
+// up to date from the store and from peers.
+package configuration
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/samber/oops"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/coltsfootdrift/coltsfootdrift/config"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+)
+
+// Errors of the package.
+var (
+	// ErrNone reports that there is no configuration.
+	ErrNone = errors.New("no configuration is in force")
+	// ErrUnavailable reports that the configuration couldn't be read.
+	ErrUnavailable = errors.New("configuration is unavailable")
+)
+
+// Bounds of the calls of one publish.
+const (
+	// parallelCalls keeps a publish within the store's rate.
+	parallelCalls = 8
+	// partWrites bounds the attempts to create a part whose answer was lost.
+	// Creating a part twice does no harm.
+	partWrites = 3
+)
+
+// Publish puts a request in force and returns its result. The publish ID is set
+// when it is empty.
+func Publish(ctx context.Context, s store.Store, request config.Request, dryRun bool) (config.Result, error) {
+	if request.PublishID == "" {
+		request.PublishID = uuid.NewString()
+	}
+	p := config.NewPublish(request, dryRun)
+	outputs := p.Start()
+	for {
+		var input config.Input
+		for _, output := range outputs {
+			if done, ok := output.(config.Done); ok {
+				return done.Result, done.Err
+			}
+			if in := carryOut(ctx, s, output); in != nil {
+				input = in
+			}
+		}
+		outputs = p.Step(time.Now(), input)
+	}
+}
+
+// carryOut runs one output at the store and returns its input, if it has one.
+func carryOut(ctx context.Context, s store.Store, output config.Output) config.Input {
+	switch out := output.(type) {
+	case config.ReadHead:
+		head, version, err := readHead(ctx, s)
+		return config.HeadRead{Head: head, Version: int64(version), Err: err}
+	case config.ReadParts:
+		parts, err := readParts(ctx, s, out.Digests)
+		return config.PartsRead{Parts: parts, Err: err}
+	case config.WriteParts:
+		return config.PartsWritten{Err: writeParts(ctx, s, out.Parts)}
+	case config.WriteHead:
+		_, err := s.CompareAndSwap(ctx, config.KeyHead, store.Version(out.Expect), out.Value, 0)
+		return config.HeadWritten{Outcome: outcome(err), Err: wrap(err, "write head")}
+	case config.DeleteParts:
+		deleteParts(ctx, s, out.Digests)
+	}
+	return nil
+}
+
+// wrap turns an error of the store into one of this package.
+func wrap(err error, step string) error {
+	if err == nil {
+		return nil
+	}
+	return oops.In("configuration").Code("store").Wrap(fmt.Errorf("%w: %s: %w", ErrUnavailable, step, err))
+}
+
+func outcome(err error) config.WriteOutcome {
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		return config.WriteDone
+	case errors.As(err, &conflict):
+		return config.WriteConflict
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrTooLarge):
+		return config.WriteNotSent
+	}
+	return config.WriteUnknown
+}
+
+// readHead returns nil and version 0 when the store holds no head.
+func readHead(ctx context.Context, s store.Store) (*config.Head, store.Version, error) {
+	entry, err := s.Get(ctx, config.KeyHead)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, wrap(err, "read head")
+	}
+	head, err := config.DecodeHead(entry.Value)
+	return head, entry.Version, err
+}
+
+func readParts(ctx context.Context, s store.Store, digests []config.Digest) (config.Parts, error) {
+	values := make([][]byte, len(digests))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelCalls)
+	for i, digest := range digests {
+		group.Go(func() error {
+			entry, err := s.Get(ctx, digest.Key())
+			values[i] = entry.Value
+			return wrap(err, "read part")
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	parts := make(config.Parts, len(digests))
+	for i, digest := range digests {
+		parts[digest] = values[i]
+	}
+	return parts, nil
+}
+
+func writeParts(ctx context.Context, s store.Store, parts config.Parts) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelCalls)
+	for digest, data := range parts {
+		group.Go(func() error { return writePart(ctx, s, digest, data) })
+	}
+	return group.Wait()
+}
+
+// writePart creates a part. A conflict means that an earlier attempt created it.
+func writePart(ctx context.Context, s store.Store, digest config.Digest, data []byte) error {
+	var err error
+	for range partWrites {
+		_, err = s.CompareAndSwap(ctx, digest.Key(), 0, data, 0)
+		switch outcome(err) {
+		case config.WriteDone, config.WriteConflict:
+			return nil
+		case config.WriteNotSent:
+			return wrap(err, "write part")
+		}
+	}
+	return wrap(err, "write part")
+}
+
+// deleteParts deletes parts that nobody needs. What stays behind only takes room.
+func deleteParts(ctx context.Context, s store.Store, digests []config.Digest) {
+	var group errgroup.Group
+	group.SetLimit(parallelCalls)
+	for _, digest := range digests {
+		group.Go(func() error {
+			entry, err := s.Get(ctx, digest.Key())
+			if err != nil {
+				return err
+			}
+			return s.Delete(ctx, digest.Key(), entry.Version)
+		})
+	}
+	_ = group.Wait()
+}
+
+// Audit returns the audit trail, oldest change first.
+func Audit(ctx context.Context, s store.Store) ([]config.AuditEntry, error) {
+	head, _, err := readHead(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	if head == nil {
+		return nil, ErrNone
+	}
+	return head.Audit, nil
+}
