Add the core of membership

Cause: instances did not know each other.

Change: membership is a state machine for heartbeats with gossiped counters, suspicion and refutation, leave, summaries of other failure domains, drain markers, counts, straggler markers, demand and revisions. Every message keeps to 1,200 bytes; lists that don't fit take turns. Heartbeats walk through the members in random order.

Faults found on the way, each with a test: a marker that had expired was learned again from a late copy and went around for ever; a restart with a clock that went back was never heard again.

--- /dev/null
+++ b/membership/receive.go
@@ -0,0 +1,164 @@
+package membership
+
+import "time"
+
+// Receive takes a message of another instance.
+func (s *State) Receive(now time.Time, message Message) []Output {
+	s.outputs = nil
+	from := message.From
+	if from.ID == s.self.ID || !validName(from.ID) || !validName(from.FailureDomain) || !validName(from.Address) {
+		return nil
+	}
+	local := from.FailureDomain == s.self.FailureDomain
+	m, known := s.members[from.ID]
+	fresh := !known || from.Incarnation > m.record.Incarnation
+	s.hearRevision(from.Revision, from.Address)
+	if local {
+		s.receiveLocal(now, message)
+	} else {
+		s.hearDomain(now, from)
+		s.forwardLeave(message)
+	}
+	for _, summary := range message.Summaries {
+		s.mergeSummary(now, summary)
+	}
+	s.receiveMarkers(now, message, local)
+	switch {
+	case !local || from.State == Left:
+	case fresh:
+		// A member that started just now may know nobody yet.
+		s.send(from.Address, s.heartbeat(now))
+	case from.Incarnation < m.record.Incarnation:
+		// A clock that went back gave a restarted member too low an incarnation. It
+		// raises it when it hears of the higher one.
+		s.send(from.Address, s.urgent([]Record{m.record}, nil))
+	}
+	return s.outputs
+}
+
+// forwardLeave tells the members that a contact in another failure domain left.
+func (s *State) forwardLeave(message Message) {
+	if message.Urgent && message.From.State == Left && s.mayBroadcast() {
+		s.broadcast(s.urgent([]Record{message.From}, nil))
+	}
+}
+
+func (s *State) receiveLocal(now time.Time, message Message) {
+	from := message.From
+	s.domainRevision = max(s.domainRevision, from.Revision)
+	s.mergeRecord(now, from)
+	for _, record := range message.Records {
+		switch {
+		case !validName(record.ID) || !validName(record.Address):
+		case record.FailureDomain == s.self.FailureDomain:
+			s.mergeRecord(now, record)
+		case record.State == Left:
+			s.dropContact(record)
+		}
+	}
+	for _, beat := range message.Beats {
+		s.mergeBeat(now, beat)
+	}
+	if len(message.Counts) > 0 {
+		s.outputs = append(s.outputs, CountsHeard{from.ID, message.Counts})
+	}
+	if len(message.Demand) > 0 {
+		s.mergeDemand(from.ID, message.Demand)
+	}
+}
+
+// hearRevision reports a revision that is new here.
+func (s *State) hearRevision(revision int64, address string) {
+	if revision <= s.highest {
+		return
+	}
+	s.highest = revision
+	s.outputs = append(s.outputs, RevisionHeard{revision, address})
+}
+
+// mergeRecord takes what another member knows of a member.
+func (s *State) mergeRecord(now time.Time, record Record) {
+	if record.ID == s.self.ID {
+		s.refute(record)
+		return
+	}
+	m, known := s.members[record.ID]
+	if !known {
+		// A member that is only known as dead needs no entry.
+		if record.State <= Suspected {
+			s.join(now, record)
+		}
+		return
+	}
+	if record.Incarnation >= m.recorded {
+		m.recorded, m.record.Address = record.Incarnation, record.Address
+	}
+	m.record.Revision = max(m.record.Revision, record.Revision)
+	fresh := record.newer(m.record)
+	if fresh {
+		m.record.Load = record.Load
+		s.advance(now, m, record.Incarnation, record.Counter)
+	}
+	// Suspicion spreads by silence: each member hears the counters itself. Only a
+	// leave is taken over, since it comes from the member.
+	if record.State == Left && (fresh || !m.record.newer(record)) {
+		s.setState(m, Left, now)
+	}
+}
+
+// mergeBeat takes a heartbeat counter that another member heard.
+func (s *State) mergeBeat(now time.Time, beat Beat) {
+	m, known := s.members[s.byHash[beat.Hash]]
+	if known && (Record{Incarnation: beat.Incarnation, Counter: beat.Counter}).newer(m.record) {
+		s.advance(now, m, beat.Incarnation, beat.Counter)
+	}
+}
+
+// advance notes a later heartbeat. It brings a suspected or removed member back;
+// the heartbeat with which a member left is its last one.
+func (s *State) advance(now time.Time, m *member, incarnation, counter uint64) {
+	m.record.Incarnation, m.record.Counter = incarnation, counter
+	m.heard = now
+	s.setState(m, Alive, now)
+}
+
+func (s *State) join(now time.Time, record Record) {
+	record.State = Alive
+	m := &member{record: record, heard: now, since: now, news: newsRepeats, recorded: record.Incarnation}
+	s.members[record.ID] = m
+	s.byHash[hashID(record.ID)] = record.ID
+	s.sorted = nil
+	s.outputs = append(s.outputs, Changed{record})
+}
+
+// refute answers a suspicion of this instance, or an older incarnation of it,
+// with a higher incarnation.
+func (s *State) refute(record Record) {
+	stale := record.Incarnation > s.self.Incarnation
+	accused := record.State != Alive && record.Incarnation == s.self.Incarnation
+	if s.self.State == Alive && (stale || accused) {
+		s.self.Incarnation = record.Incarnation + 1
+		s.self.Counter = 1
+	}
+}
+
+// mergeDemand keeps the newest rate by organisation. A heartbeat may hold a part
+// of the list only.
+func (s *State) mergeDemand(instance string, demand []Demand) {
+	merged := append([]Demand(nil), demand...)
+	for _, old := range s.peerDemand[instance] {
+		if len(merged) < MaxDemand && !containsOrganisation(demand, old.Organisation) {
+			merged = append(merged, old)
+		}
+	}
+	s.peerDemand[instance] = merged[:min(len(merged), MaxDemand)]
+}
+
+func containsOrganisation(demand []Demand, name string) bool {
+	for _, d := range demand {
+		if d.Organisation == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/membership/size.go
@@ -0,0 +1,93 @@
+package membership
+
+import "time"
+
+// Sizes are upper bounds of the protobuf encoding in bytes. Every field has a
+// tag of one byte; a length or number below 128 takes one byte.
+const (
+	tagBytes = 1
+	// nestedBytes is the tag and length of an embedded message.
+	nestedBytes = tagBytes + 2
+	// fixedBytes is a 64-bit hash in a packed list.
+	fixedBytes = 8
+	// packedHeaders are tags and lengths of the three lists of beats.
+	packedHeaders = 3 * nestedBytes
+)
+
+func stringBytes(s string) int { return tagBytes + varintBytes(uint64(len(s))) + len(s) }
+
+func numberBytes[T ~int | ~int64 | ~uint64](n T) int { return tagBytes + varintBytes(uint64(n)) }
+
+func varintBytes(n uint64) int {
+	size := 1
+	for n >= 1<<7 {
+		n >>= 7
+		size++
+	}
+	return size
+}
+
+func millisBytes(d time.Duration) int { return numberBytes(d.Milliseconds()) }
+
+func (r Record) bytes() int {
+	return nestedBytes + stringBytes(r.ID) + stringBytes(r.FailureDomain) + stringBytes(r.Address) +
+		numberBytes(r.Incarnation) + numberBytes(r.Counter) + numberBytes(int(r.State)) + numberBytes(r.Load) + numberBytes(r.Revision)
+}
+
+func (b Beat) bytes() int { return fixedBytes + varintBytes(b.Incarnation) + varintBytes(b.Counter) }
+
+func (m DrainMarker) bytes() int {
+	return nestedBytes + stringBytes(m.Server) + numberBytes(m.Incarnation) + numberBytes(1) + millisBytes(m.Remaining)
+}
+
+func (s Straggler) bytes() int { return nestedBytes + stringBytes(s.Server) + millisBytes(s.Remaining) }
+
+func (c Count) bytes() int { return nestedBytes + stringBytes(c.Server) + numberBytes(c.InFlight) }
+
+func (d Demand) bytes() int {
+	return nestedBytes + stringBytes(d.Organisation) + numberBytes(d.MilliPerSecond)
+}
+
+func (c Contact) bytes() int { return nestedBytes + stringBytes(c.ID) + stringBytes(c.Address) }
+
+func (s Summary) bytes() int {
+	return nestedBytes + stringBytes(s.FailureDomain) + numberBytes(s.Members) + numberBytes(s.Load) +
+		numberBytes(s.Revision) + millisBytes(s.Age) + listBytes(s.Contacts) + listBytes(s.Demand)
+}
+
+func listBytes[T sized](items []T) int {
+	total := 0
+	for _, item := range items {
+		total += item.bytes()
+	}
+	return total
+}
+
+// Bytes returns an upper bound of the encoded size.
+func (m Message) Bytes() int {
+	return m.From.bytes() + numberBytes(1) + packedHeaders + listBytes(m.Beats) + listBytes(m.Records) +
+		listBytes(m.Drains) + listBytes(m.Stragglers) + listBytes(m.Counts) + listBytes(m.Demand) + listBytes(m.Summaries)
+}
+
+type sized interface{ bytes() int }
+
+// room is the space left in a message.
+type room struct{ left int }
+
+// fill returns as many items as fit into a number of bytes, starting after those
+// that the last call returned, so that every item gets its turn.
+func fill[T sized](r *room, most int, items []T, cursor *int) []T {
+	most = min(most, r.left)
+	var taken []T
+	for range items {
+		item := items[*cursor%len(items)]
+		if item.bytes() > most {
+			break
+		}
+		most -= item.bytes()
+		r.left -= item.bytes()
+		taken = append(taken, item)
+		*cursor = (*cursor + 1) % len(items)
+	}
+	return taken
+}
