Send heartbeats over UDP and serve calls between instances with twirp

Cause: the membership core had no way to other instances.

Change: internal/peer encodes heartbeats as protobuf, drives the core with UDP and serves PullConfiguration, AppendClaims, AwaitClaim, HandOverJob and Leave. Claims and jobs are opaque bytes; their handlers are registered by interface. Requests, answers and pulls at once are bounded, and errors are the package's own.

--- a/config/parts.go
+++ b/config/parts.go
@@ -19,8 +19,8 @@
 // Names of parts.
 const (
 	partDeployment     PartName = "deployment"
-	pipelinePartPrefix          = "pipeline/"
-	bucketPartPrefix            = "organisations/"
+	pipelinePartPrefix PartName = "pipeline/"
+	bucketPartPrefix   PartName = "organisations/"
 )
 
 // part is the value of a part. Exactly one of the contents is set.
@@ -66,7 +66,7 @@
 	named := []namedPart{{partDeployment, part{Deployment: &deployment}}}
 	for i := range set.Pipelines {
 		p := &set.Pipelines[i]
-		named = append(named, namedPart{PartName(pipelinePartPrefix + p.Name), part{Pipeline: p}})
+		named = append(named, namedPart{pipelinePartPrefix + PartName(p.Name), part{Pipeline: p}})
 	}
 	slices.SortFunc(named[1:], func(a, b namedPart) int { return strings.Compare(string(a.name), string(b.name)) })
 	buckets := make([][]pipeline.Organisation, organisationBuckets)
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,107 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
+	"github.com/coltsfootdrift/coltsfootdrift/membership"
+)
+
+// Timeouts of calls. AwaitClaim is bounded by its context and maxAwait.
+const (
+	callTimeout  = 3 * time.Second
+	leaveTimeout = 500 * time.Millisecond
+	maxAwait     = 30 * time.Second
+)
+
+// maxResponseBytes leaves room for the framing of maxPartsBytes and of a head.
+const maxResponseBytes = 1 << 20
+
+// Client calls other instances.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client with its own connections.
+func NewClient() *Client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost:    2,
+		IdleConnTimeout:        30 * time.Second,
+		MaxResponseHeaderBytes: 16 << 10,
+	}
+	return &Client{http: &http.Client{Transport: limitedTransport{transport}}}
+}
+
+// limitedTransport bounds the bodies of answers.
+type limitedTransport struct{ next http.RoundTripper }
+
+func (t limitedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.next.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = limitedBody{io.LimitReader(response.Body, maxResponseBytes), response.Body}
+	return response, nil
+}
+
+type limitedBody struct {
+	io.Reader
+	io.Closer
+}
+
+func (c *Client) peer(address string) peerpb.Peer {
+	return peerpb.NewPeerProtobufClient("http://"+address, c.http)
+}
+
+// Head returns the encoded head of a peer when its revision is higher than the
+// given one, otherwise nil.
+func (c *Client) Head(ctx context.Context, address string, have int64) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	response, err := c.peer(address).PullConfiguration(ctx, &peerpb.PullConfigurationRequest{HaveRevision: have})
+	return response.GetHead(), fromTwirp(err, "pull_configuration", address)
+}
+
+// Parts returns the first of the parts with the given SHA-256 digests that the
+// peer holds and that fit one answer.
+func (c *Client) Parts(ctx context.Context, address string, digests [][]byte) ([][]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	response, err := c.peer(address).PullConfiguration(ctx, &peerpb.PullConfigurationRequest{PartDigests: digests})
+	return response.GetParts(), fromTwirp(err, "pull_configuration", address)
+}
+
+// AppendClaims passes records to the appender of a shard.
+func (c *Client) AppendClaims(ctx context.Context, address string, shard int, records [][]byte) ([][]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	response, err := c.peer(address).AppendClaims(ctx, &peerpb.AppendClaimsRequest{Shard: int32(shard), Records: records})
+	return response.GetResults(), fromTwirp(err, "append_claims", address)
+}
+
+// AwaitClaim waits at the holder of an attempt for its outcome.
+func (c *Client) AwaitClaim(ctx context.Context, address string, claim []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxAwait)
+	defer cancel()
+	response, err := c.peer(address).AwaitClaim(ctx, &peerpb.AwaitClaimRequest{Claim: claim})
+	return response.GetOutcome(), fromTwirp(err, "await_claim", address)
+}
+
+// HandOverJob offers a durable job to another instance.
+func (c *Client) HandOverJob(ctx context.Context, address string, job []byte) (accepted bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	response, err := c.peer(address).HandOverJob(ctx, &peerpb.HandOverJobRequest{Job: job})
+	return response.GetAccepted(), fromTwirp(err, "hand_over_job", address)
+}
+
+// Leave reports that a member stops.
+func (c *Client) Leave(ctx context.Context, address string, member membership.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	_, err := c.peer(address).Leave(ctx, &peerpb.LeaveRequest{Member: encodeRecord(member)})
+	return fromTwirp(err, "leave", address)
+}
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,124 @@
+// Package peer is the way from instance to instance: heartbeats over UDP and a
+// twirp service for calls that need an answer.
+package peer
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
+	"github.com/coltsfootdrift/coltsfootdrift/membership"
+)
+
+// Encode returns the datagram of a message.
+func Encode(m membership.Message) ([]byte, error) {
+	heartbeat := &peerpb.Heartbeat{From: encodeRecord(m.From), Urgent: m.Urgent}
+	for _, b := range m.Beats {
+		heartbeat.BeatHashes = append(heartbeat.BeatHashes, b.Hash)
+		heartbeat.BeatIncarnations = append(heartbeat.BeatIncarnations, b.Incarnation)
+		heartbeat.BeatCounters = append(heartbeat.BeatCounters, b.Counter)
+	}
+	heartbeat.Records = encodeList(m.Records, encodeRecord)
+	heartbeat.Drains = encodeList(m.Drains, func(d membership.DrainMarker) *peerpb.DrainMarker {
+		return &peerpb.DrainMarker{Server: d.Server, Incarnation: d.Incarnation, Cleared: d.Cleared, RemainingMs: d.Remaining.Milliseconds()}
+	})
+	heartbeat.Stragglers = encodeList(m.Stragglers, func(s membership.Straggler) *peerpb.Straggler {
+		return &peerpb.Straggler{Server: s.Server, RemainingMs: s.Remaining.Milliseconds()}
+	})
+	heartbeat.Counts = encodeList(m.Counts, func(c membership.Count) *peerpb.Count {
+		return &peerpb.Count{Server: c.Server, InFlight: int64(c.InFlight)}
+	})
+	heartbeat.Demand = encodeList(m.Demand, encodeDemand)
+	heartbeat.Summaries = encodeList(m.Summaries, encodeSummary)
+	data, err := proto.Marshal(heartbeat)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if len(data) > membership.MaxMessageBytes {
+		return nil, fmt.Errorf("%w: heartbeat has %d bytes", ErrTooLarge, len(data))
+	}
+	return data, nil
+}
+
+func encodeList[T, P any](items []T, encode func(T) P) []P {
+	var list []P
+	for _, item := range items {
+		list = append(list, encode(item))
+	}
+	return list
+}
+
+func encodeRecord(r membership.Record) *peerpb.Record {
+	return &peerpb.Record{Id: r.ID, FailureDomain: r.FailureDomain, Address: r.Address, Incarnation: r.Incarnation,
+		Counter: r.Counter, State: int64(r.State), Load: int64(r.Load), Revision: r.Revision}
+}
+
+func encodeDemand(d membership.Demand) *peerpb.Demand {
+	return &peerpb.Demand{Organisation: d.Organisation, MilliPerSecond: d.MilliPerSecond}
+}
+
+func encodeSummary(s membership.Summary) *peerpb.Summary {
+	return &peerpb.Summary{FailureDomain: s.FailureDomain, Members: int64(s.Members), Load: int64(s.Load), Revision: s.Revision,
+		AgeMs: s.Age.Milliseconds(), Demand: encodeList(s.Demand, encodeDemand),
+		Contacts: encodeList(s.Contacts, func(c membership.Contact) *peerpb.Contact {
+			return &peerpb.Contact{Id: c.ID, Address: c.Address}
+		})}
+}
+
+// Decode reads a datagram.
+func Decode(data []byte) (membership.Message, error) {
+	var h peerpb.Heartbeat
+	if len(data) > membership.MaxMessageBytes {
+		return membership.Message{}, fmt.Errorf("%w: heartbeat has %d bytes", ErrTooLarge, len(data))
+	}
+	if err := proto.Unmarshal(data, &h); err != nil {
+		return membership.Message{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if len(h.BeatHashes) != len(h.BeatIncarnations) || len(h.BeatHashes) != len(h.BeatCounters) {
+		return membership.Message{}, fmt.Errorf("%w: lists of beats differ in length", ErrMalformed)
+	}
+	m := membership.Message{From: decodeRecord(h.From), Urgent: h.Urgent}
+	for i, hash := range h.BeatHashes {
+		m.Beats = append(m.Beats, membership.Beat{Hash: hash, Incarnation: h.BeatIncarnations[i], Counter: h.BeatCounters[i]})
+	}
+	m.Records = encodeList(h.Records, decodeRecord)
+	m.Drains = encodeList(h.Drains, func(d *peerpb.DrainMarker) membership.DrainMarker {
+		return membership.DrainMarker{Server: d.GetServer(), Incarnation: d.GetIncarnation(), Cleared: d.GetCleared(), Remaining: millis(d.GetRemainingMs())}
+	})
+	m.Stragglers = encodeList(h.Stragglers, func(s *peerpb.Straggler) membership.Straggler {
+		return membership.Straggler{Server: s.GetServer(), Remaining: millis(s.GetRemainingMs())}
+	})
+	m.Counts = encodeList(h.Counts, func(c *peerpb.Count) membership.Count {
+		return membership.Count{Server: c.GetServer(), InFlight: int(c.GetInFlight())}
+	})
+	m.Demand = encodeList(h.Demand, decodeDemand)
+	m.Summaries = encodeList(h.Summaries, decodeSummary)
+	return m, nil
+}
+
+// decodeRecord takes an unknown state for alive: only the member itself can say
+// that it left.
+func decodeRecord(r *peerpb.Record) membership.Record {
+	state := membership.MemberState(r.GetState())
+	if state < membership.Alive || state > membership.Left {
+		state = membership.Alive
+	}
+	return membership.Record{ID: r.GetId(), FailureDomain: r.GetFailureDomain(), Address: r.GetAddress(), Incarnation: r.GetIncarnation(),
+		Counter: r.GetCounter(), State: state, Load: int(r.GetLoad()), Revision: r.GetRevision()}
+}
+
+func decodeDemand(d *peerpb.Demand) membership.Demand {
+	return membership.Demand{Organisation: d.GetOrganisation(), MilliPerSecond: d.GetMilliPerSecond()}
+}
+
+func decodeSummary(s *peerpb.Summary) membership.Summary {
+	return membership.Summary{FailureDomain: s.GetFailureDomain(), Members: int(s.GetMembers()), Load: int(s.GetLoad()),
+		Revision: s.GetRevision(), Age: millis(s.GetAgeMs()), Demand: encodeList(s.GetDemand(), decodeDemand),
+		Contacts: encodeList(s.GetContacts(), func(c *peerpb.Contact) membership.Contact {
+			return membership.Contact{ID: c.GetId(), Address: c.GetAddress()}
+		})}
+}
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,183 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
+	"github.com/coltsfootdrift/coltsfootdrift/membership"
+)
+
+// Bounds of calls.
+const (
+	maxRequestBytes = 1 << 20
+	// maxPartsBytes bounds the parts of one answer. The first part is always
+	// returned; it has at most 512 KB.
+	maxPartsBytes = 768 << 10
+	// maxPulls bounds the pulls that are served at once; the others try another peer.
+	maxPulls = 4
+	// digestBytes is the length of a SHA-256.
+	digestBytes = 32
+)
+
+// ConfigurationHandler serves the configuration in force.
+type ConfigurationHandler interface {
+	// HeadAfter returns the encoded head without audit trail when its revision is
+	// higher, otherwise nil.
+	HeadAfter(revision int64) ([]byte, error)
+	// Part returns a part by its SHA-256.
+	Part(digest []byte) ([]byte, bool)
+}
+
+// ClaimHandler serves at-most-once claims. The bytes are those of its package.
+type ClaimHandler interface {
+	AppendClaims(ctx context.Context, shard int, records [][]byte) (results [][]byte, err error)
+	// AwaitClaim waits for the outcome of an attempt that this instance holds.
+	AwaitClaim(ctx context.Context, claim []byte) (outcome []byte, err error)
+}
+
+// JobHandler takes over durable jobs.
+type JobHandler interface {
+	HandOverJob(ctx context.Context, job []byte) (accepted bool, err error)
+}
+
+// Server serves the other instances. Handlers may be registered while it runs;
+// until then their calls end with ErrUnsupported.
+type Server struct {
+	node  *Node
+	pulls chan struct{}
+
+	mu            sync.Mutex
+	configuration ConfigurationHandler
+	claims        ClaimHandler
+	jobs          JobHandler
+}
+
+// NewServer returns a server without handlers. The node learns who leaves; it
+// may be nil.
+func NewServer(node *Node) *Server {
+	return &Server{node: node, pulls: make(chan struct{}, maxPulls)}
+}
+
+// HandleConfiguration registers the handler of PullConfiguration.
+func (s *Server) HandleConfiguration(h ConfigurationHandler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configuration = h
+}
+
+// HandleClaims registers the handler of AppendClaims and AwaitClaim.
+func (s *Server) HandleClaims(h ClaimHandler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.claims = h
+}
+
+// HandleJobs registers the handler of HandOverJob.
+func (s *Server) HandleJobs(h JobHandler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.jobs = h
+}
+
+// Handler returns the HTTP handler.
+func (s *Server) Handler() http.Handler {
+	return http.MaxBytesHandler(peerpb.NewPeerServer(s), maxRequestBytes)
+}
+
+// PullConfiguration implements peerpb.Peer.
+func (s *Server) PullConfiguration(_ context.Context, request *peerpb.PullConfigurationRequest) (*peerpb.PullConfigurationResponse, error) {
+	s.mu.Lock()
+	handler := s.configuration
+	s.mu.Unlock()
+	if handler == nil {
+		return nil, toTwirp(ErrUnsupported)
+	}
+	select {
+	case s.pulls <- struct{}{}:
+		defer func() { <-s.pulls }()
+	default:
+		return nil, toTwirp(ErrBusy)
+	}
+	if len(request.PartDigests) > 0 {
+		return &peerpb.PullConfigurationResponse{Parts: fittingParts(handler, request.PartDigests)}, nil
+	}
+	head, err := handler.HeadAfter(request.HaveRevision)
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	return &peerpb.PullConfigurationResponse{Head: head}, nil
+}
+
+// fittingParts returns the first of the parts that are held and fit.
+func fittingParts(handler ConfigurationHandler, digests [][]byte) [][]byte {
+	var parts [][]byte
+	size := 0
+	for _, digest := range digests {
+		data, held := handler.Part(digest)
+		if !held || len(parts) > 0 && size+len(data) > maxPartsBytes {
+			break
+		}
+		parts = append(parts, data)
+		size += len(data)
+	}
+	return parts
+}
+
+// AppendClaims implements peerpb.Peer.
+func (s *Server) AppendClaims(ctx context.Context, request *peerpb.AppendClaimsRequest) (*peerpb.AppendClaimsResponse, error) {
+	handler := s.claimHandler()
+	if handler == nil {
+		return nil, toTwirp(ErrUnsupported)
+	}
+	results, err := handler.AppendClaims(ctx, int(request.Shard), request.Records)
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	return &peerpb.AppendClaimsResponse{Results: results}, nil
+}
+
+// AwaitClaim implements peerpb.Peer.
+func (s *Server) AwaitClaim(ctx context.Context, request *peerpb.AwaitClaimRequest) (*peerpb.AwaitClaimResponse, error) {
+	handler := s.claimHandler()
+	if handler == nil {
+		return nil, toTwirp(ErrUnsupported)
+	}
+	outcome, err := handler.AwaitClaim(ctx, request.Claim)
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	return &peerpb.AwaitClaimResponse{Outcome: outcome}, nil
+}
+
+func (s *Server) claimHandler() ClaimHandler {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.claims
+}
+
+// HandOverJob implements peerpb.Peer.
+func (s *Server) HandOverJob(ctx context.Context, request *peerpb.HandOverJobRequest) (*peerpb.HandOverJobResponse, error) {
+	s.mu.Lock()
+	handler := s.jobs
+	s.mu.Unlock()
+	if handler == nil {
+		return nil, toTwirp(ErrUnsupported)
+	}
+	accepted, err := handler.HandOverJob(ctx, request.Job)
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	return &peerpb.HandOverJobResponse{Accepted: accepted}, nil
+}
+
+// Leave implements peerpb.Peer. The record is taken as an urgent message of the
+// member itself.
+func (s *Server) Leave(_ context.Context, request *peerpb.LeaveRequest) (*peerpb.LeaveResponse, error) {
+	record := decodeRecord(request.GetMember())
+	if s.node != nil && record.State == membership.Left {
+		s.node.receive(membership.Message{From: record, Urgent: true})
+	}
+	return &peerpb.LeaveResponse{}, nil
+}
--- a/membership/build.go
+++ b/membership/build.go
@@ -135,8 +135,8 @@
 
 func everyDomain(*domain) bool { return true }
 
-// Leave returns the messages of an instance that stops. The state must not be
-// used any more.
+// Leave returns the messages of an instance that stops. Afterwards Tick and
+// Receive do nothing.
 func (s *State) Leave(time.Time) []Output {
 	s.outputs = nil
 	s.self.State = Left
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -6,7 +6,7 @@
 func (s *State) Receive(now time.Time, message Message) []Output {
 	s.outputs = nil
 	from := message.From
-	if from.ID == s.self.ID || !validName(from.ID) || !validName(from.FailureDomain) || !validName(from.Address) {
+	if s.self.State == Left || from.ID == s.self.ID || !validName(from.ID) || !validName(from.FailureDomain) || !validName(from.Address) {
 		return nil
 	}
 	local := from.FailureDomain == s.self.FailureDomain
--- a/membership/state.go
+++ b/membership/state.go
@@ -155,6 +155,9 @@
 // Tick advances the state by one interval and returns the heartbeats to send.
 func (s *State) Tick(now time.Time) []Output {
 	s.outputs = nil
+	if s.self.State == Left {
+		return nil
+	}
 	if gap := now.Sub(s.last); gap > pausedAfter {
 		s.excuse(gap)
 	}
