--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,6 +40,8 @@
 		{"publish", "put operators' files in force", publishHelp, &publishCommand{streams: s}},
 		{"status", "show what an instance sees", statusHelp, &statusCommand{streams: s}},
 		{"audit", "show the changes of the configuration", auditHelp, &auditCommand{streams: s}},
+		{"standin", "run stand-ins of the platform on loopback", standinHelp, &standinCommand{streams: s}},
+		{"demo", "serve requests of two example deployments", demoHelp, &demoCommand{streams: s}},
 	}
 }
 
