Keep the configuration of an instance in force from store and peers

Cause: an instance read its configuration from a folder once.

Change: internal/configuration loads the highest revision of store and peers at the start and is ready only then. Two instances per failure domain, by rendezvous hashing over live members, watch the head; the others pull the head and the parts they lack from peers that have the revision, at a random moment within half a second and from a random holder. Gaps are looked for every second. After an outage only the watchers return, with jittered backoff. The files of the settings are used only when the store answers that it is empty.

--- /dev/null
+++ b/internal/configuration/loader.go
@@ -0,0 +1,302 @@
+package configuration
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/coltsfootdrift/coltsfootdrift/config"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+)
+
+// Peers pulls the configuration from other instances.
+type Peers interface {
+	// Head returns the encoded head of a peer when its revision is higher than the
+	// given one, otherwise nil.
+	Head(ctx context.Context, address string, have int64) ([]byte, error)
+	// Parts returns the first of the parts with the given SHA-256 digests that the
+	// peer holds and that fit one answer.
+	Parts(ctx context.Context, address string, digests [][]byte) ([][]byte, error)
+}
+
+// Members is what the loader needs of membership.
+type Members interface {
+	// Self returns the ID of this instance.
+	Self() string
+	// Live returns the IDs of the live members of the failure domain, this instance
+	// included.
+	Live() []string
+	// Seeds returns addresses to ask at the start.
+	Seeds() []string
+	// Highest returns the highest revision in force that was heard of.
+	Highest() int64
+	// Holders returns addresses of instances that have at least a revision.
+	Holders(revision int64) []string
+	// SetRevision reports the revision in force here.
+	SetRevision(revision int64, fromStore bool)
+}
+
+// Times of the loader.
+type Times struct {
+	// Read bounds one read of the store or of a peer at the start.
+	Read time.Duration
+	// BackoffMin and BackoffMax bound the jittered backoff.
+	BackoffMin, BackoffMax time.Duration
+	// PullSpread is the time over which the members of a failure domain spread
+	// their pulls of a new revision.
+	PullSpread time.Duration
+	// Check is how often the role of the watcher and gaps are looked at.
+	Check time.Duration
+}
+
+// partsTimeout bounds the reading of all parts of a head.
+const partsTimeout = 10 * time.Second
+
+// DefaultTimes puts a revision in force well within the 13 s of the design page.
+var DefaultTimes = Times{
+	Read:       2 * time.Second,
+	BackoffMin: 100 * time.Millisecond,
+	BackoffMax: 5 * time.Second,
+	PullSpread: 500 * time.Millisecond,
+	Check:      time.Second,
+}
+
+// Options of a loader.
+type Options struct {
+	// Store is nil for an instance without a store.
+	Store   store.Store
+	Peers   Peers
+	Members Members
+	// Files is used while the store holds no configuration; nil to wait.
+	Files  fs.FS
+	Logger *slog.Logger
+	Times  Times
+}
+
+// Loader keeps the configuration of an instance in force. It implements
+// entry.ConfigurationSource and peer.ConfigurationHandler.
+type Loader struct {
+	Options
+	set  atomic.Pointer[pipeline.Set]
+	wake chan struct{}
+	// watching is true while this instance watches the store.
+	watching atomic.Bool
+
+	mu      sync.Mutex
+	current config.Current
+	// encoded is the head in force without audit trail.
+	encoded []byte
+}
+
+// NewLoader returns a loader without a configuration.
+func NewLoader(options Options) *Loader {
+	return &Loader{Options: options, wake: make(chan struct{}, 1)}
+}
+
+// Current returns the set in force, nil before the first one.
+func (l *Loader) Current() *pipeline.Set { return l.set.Load() }
+
+// Revision returns the revision in force, 0 for files of the settings or none.
+func (l *Loader) Revision() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current.Revision()
+}
+
+// Watching reports whether this instance watches the store.
+func (l *Loader) Watching() bool { return l.watching.Load() }
+
+// Wake reports that a higher revision was heard of. It doesn't block.
+func (l *Loader) Wake() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// HeadAfter returns the encoded head when its revision is higher, otherwise nil.
+func (l *Loader) HeadAfter(revision int64) ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current.Revision() <= revision {
+		return nil, nil
+	}
+	return l.encoded, nil
+}
+
+// Part returns a part in force by its SHA-256.
+func (l *Loader) Part(digest []byte) ([]byte, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current.Part(config.Digest(hex.EncodeToString(digest)))
+}
+
+// source gives heads and parts: the store, or a peer.
+type source interface {
+	// head returns nil when the source has none after the revision in force.
+	head(ctx context.Context, have int64) (*config.Head, error)
+	parts(ctx context.Context, digests []config.Digest) (config.Parts, error)
+	fromStore() bool
+	String() string
+}
+
+type storeSource struct{ store store.Store }
+
+func (s storeSource) head(ctx context.Context, _ int64) (*config.Head, error) {
+	head, _, err := readHead(ctx, s.store)
+	return head, err
+}
+
+func (s storeSource) parts(ctx context.Context, digests []config.Digest) (config.Parts, error) {
+	return readParts(ctx, s.store, digests)
+}
+
+func (s storeSource) fromStore() bool { return true }
+
+func (s storeSource) String() string { return "store" }
+
+type peerSource struct {
+	peers   Peers
+	address string
+}
+
+func (p peerSource) head(ctx context.Context, have int64) (*config.Head, error) {
+	data, err := p.peers.Head(ctx, p.address, have)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if data == nil {
+		return nil, nil
+	}
+	return config.DecodeHead(data)
+}
+
+// parts asks again for those that didn't fit an answer.
+func (p peerSource) parts(ctx context.Context, digests []config.Digest) (config.Parts, error) {
+	parts := config.Parts{}
+	for len(digests) > 0 {
+		var wanted [][]byte
+		for _, digest := range digests {
+			raw, err := hex.DecodeString(string(digest))
+			if err != nil {
+				return nil, &config.FormatError{What: "digest", Err: err}
+			}
+			wanted = append(wanted, raw)
+		}
+		got, err := p.peers.Parts(ctx, p.address, wanted)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+		if len(got) == 0 || len(got) > len(digests) {
+			return nil, fmt.Errorf("%w: peer %s lacks part %s", ErrUnavailable, p.address, digests[0])
+		}
+		for i, data := range got {
+			parts[digests[i]] = data
+		}
+		digests = digests[len(got):]
+	}
+	return parts, nil
+}
+
+func (p peerSource) fromStore() bool { return false }
+
+func (p peerSource) String() string { return p.address }
+
+// load puts a head in force when it is higher than the one in force. The missing
+// parts come from the source.
+func (l *Loader) load(ctx context.Context, head *config.Head, from source) error {
+	head = head.WithoutAudit()
+	l.mu.Lock()
+	missing, inForce := l.current.Missing(head), l.current.Revision()
+	l.mu.Unlock()
+	var parts config.Parts
+	if head.Revision > inForce {
+		var err error
+		ctx, cancel := context.WithTimeout(ctx, partsTimeout)
+		defer cancel()
+		if parts, err = from.parts(ctx, missing); err != nil {
+			return err
+		}
+	}
+	changed, err := l.offer(head, parts)
+	if err != nil {
+		events.ConfigurationRefused.Log(ctx, l.Logger, slog.String("source", from.String()), slog.Any("error", err))
+		return err
+	}
+	if changed {
+		events.ConfigurationInForce.Log(ctx, l.Logger, slog.Int64("revision", head.Revision), slog.String("source", from.String()))
+		l.Members.SetRevision(head.Revision, from.fromStore())
+	}
+	return nil
+}
+
+func (l *Loader) offer(head *config.Head, parts config.Parts) (changed bool, err error) {
+	encoded, err := head.Encode()
+	if err != nil {
+		return false, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if changed, err = l.current.Offer(head, parts); changed {
+		l.encoded = encoded
+		l.set.Store(l.current.Set())
+	}
+	return changed, err
+}
+
+// Run loads a configuration and keeps it up to date until the context ends.
+func (l *Loader) Run(ctx context.Context) {
+	if !l.start(ctx) {
+		return
+	}
+	var group errgroup.Group
+	if l.Store != nil {
+		group.Go(func() error { l.watchAll(ctx); return nil })
+	}
+	group.Go(func() error { l.pullAll(ctx); return nil })
+	_ = group.Wait()
+}
+
+// backoff grows from BackoffMin to BackoffMax; each wait is jittered, so that
+// instances don't return in step after an outage.
+type backoff struct {
+	times Times
+	next  time.Duration
+}
+
+func (b *backoff) reset() { b.next = 0 }
+
+// wait returns false when the context ended.
+func (b *backoff) wait(ctx context.Context) bool {
+	b.next = min(max(2*b.next, b.times.BackoffMin), b.times.BackoffMax)
+	return sleep(ctx, b.next/2+rand.N(b.next/2+1))
+}
+
+// sleep returns false when the context ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// stale reports an error that only says that the source is behind.
+func stale(err error) bool {
+	var lower *config.LowerRevisionError
+	return errors.As(err, &lower)
+}
--- /dev/null
+++ b/internal/configuration/loader_test.go
@@ -0,0 +1,180 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/fstest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/config"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+)
+
+// Guards against two operators whose changes both count as published although one
+// undid the other, on the wire form of the store.
+func TestTwoOperatorsAtOnce(t *testing.T) {
+	f := newCluster(t)
+	f.publish(f.store(), 1)
+	var racing sync.WaitGroup
+	errs := make([]error, 4)
+	for i := range errs {
+		racing.Go(func() {
+			_, errs[i] = Publish(f.ctx, f.store(), config.Request{Author: fmt.Sprint("operator ", i), Base: 1, Set: setOf(i + 2)}, false)
+		})
+	}
+	racing.Wait()
+	won := -1
+	for i, err := range errs {
+		var conflict *config.ConflictError
+		switch {
+		case err == nil:
+			f.c.Assert(won, qt.Equals, -1)
+			won = i
+		default:
+			f.c.Assert(errors.As(err, &conflict), qt.IsTrue, qt.Commentf("%v", err))
+			f.c.Assert(conflict.Winner.Difference, qt.Contains, "added organisation")
+		}
+	}
+	trail, err := Audit(f.ctx, f.store())
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(trail[1].Author, qt.Equals, fmt.Sprint("operator ", won))
+}
+
+// Guards against a change that took effect but is reported as failed or written
+// twice because the store's answers were lost.
+func TestLostAnswersOfThePublish(t *testing.T) {
+	f := newCluster(t)
+	f.publish(f.store(), 1)
+	result, err := Publish(f.ctx, &losingStore{Store: f.store()}, config.Request{Set: setOf(9)}, false)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(result.Revision, qt.Equals, int64(2))
+	trail, err := Audit(f.ctx, f.store())
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(trail, qt.HasLen, 2)
+}
+
+// losingStore loses the answer of the first write of each key.
+type losingStore struct {
+	store.Store
+	lost sync.Map
+}
+
+func (s *losingStore) CompareAndSwap(ctx context.Context, key string, expect store.Version, value []byte, lease store.LeaseID) (store.Version, error) {
+	version, err := s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+	if _, lost := s.lost.LoadOrStore(key, true); !lost {
+		return 0, store.ErrUnknownOutcome
+	}
+	return version, err
+}
+
+// Guards against an instance that can't start during an outage of the store, and
+// against one that takes its files for the configuration because the store is
+// unreachable.
+func TestStartsFromPeersWhileStoreIsDown(t *testing.T) {
+	f := newCluster(t)
+	alone := f.start("b", brokenStore(), someFiles())
+	time.Sleep(50 * time.Millisecond)
+	f.c.Assert(alone.loader.Current(), qt.IsNil)
+	f.publish(f.store(), 3)
+	f.start("a", f.store(), nil)
+	f.allAt(1)
+	late := f.start("b", brokenStore(), nil)
+	f.allAt(1)
+	f.c.Assert(late.loader.Current().Deployment.Organisations, qt.HasLen, 3)
+}
+
+// Guards against a restarted instance that takes an old revision from a stale
+// store, and against a watch of such a store that takes a newer one back.
+func TestStaleStoreAfterRestart(t *testing.T) {
+	f, old := newCluster(t), newCluster(t)
+	f.publish(f.store(), 1)
+	f.publish(f.store(), 2)
+	old.publish(old.store(), 1)
+	f.start("a", f.store(), nil)
+	f.allAt(2)
+	restarted := f.start("b", old.store(), nil)
+	f.allAt(2)
+	f.eventually("watch", restarted.loader.Watching)
+	time.Sleep(50 * time.Millisecond)
+	f.c.Assert(restarted.loader.Revision(), qt.Equals, int64(2))
+	f.c.Assert(restarted.loader.Current().Deployment.Organisations, qt.HasLen, 2)
+}
+
+// Guards against a lower revision that is offered by a peer or a store and undoes
+// the one in force.
+func TestLowerRevisionIsNotTaken(t *testing.T) {
+	f, old := newCluster(t), newCluster(t)
+	f.publish(f.store(), 1)
+	f.publish(f.store(), 2)
+	old.publish(old.store(), 7)
+	n := f.start("a", f.store(), nil)
+	f.allAt(2)
+	head, _, err := readHead(f.ctx, old.store())
+	f.c.Assert(err, qt.IsNil)
+	err = n.loader.load(f.ctx, head, storeSource{old.store()})
+	f.c.Assert(stale(err), qt.IsTrue, qt.Commentf("%v", err))
+	f.c.Assert(n.loader.Current().Deployment.Organisations, qt.HasLen, 2)
+}
+
+// Guards against a failure domain that keeps an old configuration while it is cut
+// off from the store but not from its peers.
+func TestFailureDomainCutOffFromStore(t *testing.T) {
+	f := newCluster(t)
+	f.publish(f.store(), 1)
+	for range 3 {
+		f.start("a", f.store(), nil)
+		f.start("b", brokenStore(), nil)
+	}
+	f.allAt(1)
+	f.publish(f.store(), 2)
+	f.allAt(2)
+}
+
+func someFiles() fstest.MapFS {
+	return fstest.MapFS{"deployment.jsonc": {Data: []byte(`{"deployment": "from-files", "regions": [{"name": "r", "failure_domains": ["r-a"]}]}`)}}
+}
+
+// Guards against pipeline files that stay in force, or are used, although the
+// store holds a configuration.
+func TestFilesOnlyWhileStoreIsEmpty(t *testing.T) {
+	f := newCluster(t)
+	n := f.start("a", f.store(), someFiles())
+	f.eventually("files in force", func() bool { return n.loader.Current() != nil })
+	f.c.Assert(n.loader.Current().Deployment.Name, qt.Equals, "from-files")
+	f.publish(f.store(), 1)
+	f.allAt(1)
+	second := f.start("a", f.store(), someFiles())
+	f.eventually("second in force", func() bool { return second.loader.Current() != nil })
+	f.c.Assert(second.loader.Current().Deployment.Name, qt.Equals, "d")
+}
+
+// Guards against a fleet that reads the store at once: only two instances of a
+// failure domain watch, also after an outage, and a change is read by them alone.
+func TestOnlyWatchersReadTheStore(t *testing.T) {
+	f := newCluster(t)
+	f.publish(f.store(), 1)
+	for range 10 {
+		f.start("a", f.store(), nil)
+	}
+	f.allAt(1)
+	f.eventually("two watches", func() bool { return f.service.Counts().WaitingWatches == watchersPerDomain })
+	start, faults := f.service.Counts(), f.service.Faults()
+	faults.Outage = true
+	f.service.SetFaults(faults)
+	f.eventually("refused watches", func() bool { return f.service.Counts().Unavailable >= 2*watchersPerDomain })
+	faults.Outage = false
+	f.service.SetFaults(faults)
+	f.eventually("two watches after the outage", func() bool { return f.service.Counts().Watches == start.Watches+watchersPerDomain })
+	before := f.service.Counts()
+	f.publish(f.store(), 2)
+	f.allAt(2)
+	after := f.service.Counts()
+	// The publish reads the head and two parts of revision 1, each watcher the one
+	// part that changed.
+	f.c.Assert(after.Gets-before.Gets <= 3+watchersPerDomain, qt.IsTrue, qt.Commentf("%d reads", after.Gets-before.Gets))
+}
--- /dev/null
+++ b/internal/configuration/watch.go
@@ -0,0 +1,153 @@
+package configuration
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/coltsfootdrift/coltsfootdrift/config"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+)
+
+// watchersPerDomain is the number of instances of a failure domain that watch
+// the store: a second one in case the first fails.
+const watchersPerDomain = 2
+
+// pollTimeout ends a poll that the store doesn't answer; the store itself ends
+// polls after 30 s.
+const pollTimeout = 45 * time.Second
+
+// Watchers returns the members that watch the store, by rendezvous hashing.
+func Watchers(live []string) []string {
+	ranked := slices.Clone(live)
+	slices.SortFunc(ranked, func(a, b string) int {
+		if x, y := watchScore(a), watchScore(b); x != y {
+			if x > y {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a, b)
+	})
+	return ranked[:min(watchersPerDomain, len(ranked))]
+}
+
+func watchScore(id string) uint64 { return xxhash.Sum64String("configuration watch\x00" + id) }
+
+func (l *Loader) isWatcher() bool {
+	return slices.Contains(Watchers(l.Members.Live()), l.Members.Self())
+}
+
+// watchAll watches the store whenever this instance is one of the watchers.
+func (l *Loader) watchAll(ctx context.Context) {
+	wait := backoff{times: l.Times}
+	for ctx.Err() == nil {
+		if !l.isWatcher() {
+			l.setWatching(ctx, false)
+			if !sleep(ctx, l.Times.Check) {
+				return
+			}
+			continue
+		}
+		l.setWatching(ctx, true)
+		err := l.watchSession(ctx, &wait)
+		if err != nil && ctx.Err() == nil {
+			events.WatchFailed.Log(ctx, l.Logger, slog.Any("error", err))
+			wait.wait(ctx)
+		}
+	}
+}
+
+func (l *Loader) setWatching(ctx context.Context, watching bool) {
+	if l.watching.Swap(watching) == watching {
+		return
+	}
+	event := events.WatchStopped
+	if watching {
+		event = events.WatchStarted
+	}
+	event.Log(ctx, l.Logger)
+}
+
+// watchSession reads the head and watches it until an error or until another
+// instance takes over, which ends without an error.
+func (l *Loader) watchSession(ctx context.Context, wait *backoff) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go l.endWhenReplaced(ctx, cancel)
+	head, version, err := l.readHead(ctx)
+	if err != nil {
+		return l.unlessReplaced(ctx, err)
+	}
+	if head != nil {
+		if err := l.loadFromStore(ctx, head); err != nil && !stale(err) {
+			return l.unlessReplaced(ctx, err)
+		}
+	}
+	for {
+		result, err := l.poll(ctx, version)
+		if err != nil {
+			return l.unlessReplaced(ctx, wrap(err, "watch head"))
+		}
+		wait.reset()
+		version = result.Version
+		if err := l.loadChanged(ctx, result.Changed); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *Loader) readHead(ctx context.Context) (*config.Head, store.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.Times.Read)
+	defer cancel()
+	return readHead(ctx, l.Store)
+}
+
+// poll waits for one answer to a watch.
+func (l *Loader) poll(ctx context.Context, version store.Version) (store.WatchResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	return l.Store.Watch(ctx, config.KeyHead, version)
+}
+
+// unlessReplaced drops an error that is due to the end of the session.
+func (l *Loader) unlessReplaced(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// endWhenReplaced ends a session when this instance is no watcher any more.
+func (l *Loader) endWhenReplaced(ctx context.Context, cancel context.CancelFunc) {
+	for sleep(ctx, l.Times.Check) {
+		if !l.isWatcher() {
+			cancel()
+		}
+	}
+}
+
+func (l *Loader) loadChanged(ctx context.Context, changed []store.Entry) error {
+	for _, entry := range changed {
+		if entry.Key != config.KeyHead {
+			continue
+		}
+		head, err := config.DecodeHead(entry.Value)
+		if err != nil {
+			return err
+		}
+		if err := l.loadFromStore(ctx, head); err != nil && !stale(err) {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Loader) loadFromStore(ctx context.Context, head *config.Head) error {
+	return l.load(ctx, head, storeSource{l.Store})
+}
