Give quota one token bucket

Change: the store budget uses the bucket of the shares; its rates are kept beside the buckets. Conclusion: one implementation.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -24,16 +24,28 @@
 
 // take takes n tokens, or returns how long it takes until there are as many.
 func (b *bucket) take(n, rate float64) (ok bool, retryAfter time.Duration) {
+	if wait := b.wait(n, rate); wait > 0 {
+		return false, wait
+	}
+	b.tokens -= n
+	return true, 0
+}
+
+// wait returns how long it takes until there are n tokens, 0 when there are.
+func (b *bucket) wait(n, rate float64) time.Duration {
 	if b.tokens >= n {
-		b.tokens -= n
-		return true, 0
+		return 0
 	}
 	if rate <= 0 {
-		return false, maxRetryAfter
+		return maxRetryAfter
 	}
 	missing := (n - b.tokens) / rate * float64(time.Second)
-	return false, time.Duration(min(missing, float64(maxRetryAfter)))
+	return time.Duration(min(missing, float64(maxRetryAfter))) + bucketMargin
 }
 
+// bucketMargin covers the rounding of a wait, so that a caller who comes back
+// after it finds the tokens there.
+const bucketMargin = time.Millisecond
+
 // maxRetryAfter bounds the time that a refused caller is told to wait.
 const maxRetryAfter = 30 * time.Second
--- a/quota/storebudget.go
+++ b/quota/storebudget.go
@@ -65,6 +65,8 @@
 type StoreBudget struct {
 	limits  StoreLimits
 	buckets [storeOps]bucket
+	// rates are this instance's shares, in calls per second.
+	rates   [storeOps]float64
 	waiting [storeOps][storeClasses]int
 	// failures counts the failed calls since the last one that succeeded.
 	failures int
@@ -76,17 +78,27 @@
 func NewStoreBudget(limits StoreLimits, instances int, now time.Time) *StoreBudget {
 	b := &StoreBudget{limits: limits}
 	b.SetInstances(instances, now)
-	for op := range b.buckets {
-		b.buckets[op].tokens = b.buckets[op].burst()
-	}
 	return b
 }
 
 // SetInstances divides the limits by the number of live instances.
 func (b *StoreBudget) SetInstances(instances int, now time.Time) {
 	share := 1 / float64(max(instances, 1))
-	b.buckets[StoreRead].setRate(b.limits.Reads*share, now)
-	b.buckets[StoreWrite].setRate((b.limits.Writes-b.limits.Appends)*share, now)
+	rates := [storeOps]float64{
+		StoreRead:  b.limits.Reads * share,
+		StoreWrite: (b.limits.Writes - b.limits.Appends) * share,
+	}
+	for op, rate := range rates {
+		if b.rates[op] > 0 {
+			b.refill(now, StoreOp(op)) // the time until now counts at the earlier rate
+		}
+		b.rates[op] = rate
+		b.refill(now, StoreOp(op))
+	}
+}
+
+func (b *StoreBudget) refill(now time.Time, op StoreOp) {
+	b.buckets[op].refill(now, b.rates[op], storeBurst(b.rates[op]))
 }
 
 // Allow decides on one call. A granted call ends with Finished.
@@ -97,7 +109,8 @@
 	if class != StoreAppends || op == StoreRead {
 		// A class gets a token only when one is left for each waiting call before it.
 		need := 1 + float64(b.waitingBefore(op, class))
-		if wait := b.buckets[op].wait(now, need); wait > 0 {
+		b.refill(now, op)
+		if wait := b.buckets[op].wait(need, b.rates[op]); wait > 0 {
 			return StoreVerdict{RetryAfter: wait}
 		}
 		b.buckets[op].tokens--
@@ -148,37 +161,8 @@
 	b.probing = b.probing && !probe
 }
 
-// bucket is a token bucket that holds at most one second of its rate.
-type bucket struct {
-	rate   float64
-	tokens float64
-	at     time.Time
-}
-
-// burst is at least one token, so that a small share lets single calls through.
-func (b *bucket) burst() float64 {
-	return max(b.rate, 1)
-}
-
-func (b *bucket) setRate(rate float64, now time.Time) {
-	b.refill(now)
-	b.rate = rate
-	b.tokens = min(b.tokens, b.burst())
-}
-
-func (b *bucket) refill(now time.Time) {
-	if elapsed := now.Sub(b.at); elapsed > 0 {
-		b.tokens = min(b.tokens+elapsed.Seconds()*b.rate, b.burst())
-		b.at = now
-	}
-}
-
-// wait returns how long it takes until the bucket holds n tokens, 0 for now.
-func (b *bucket) wait(now time.Time, n float64) time.Duration {
-	b.refill(now)
-	missing := n - b.tokens
-	if missing <= 0 {
-		return 0
-	}
-	return time.Duration(missing/b.rate*float64(time.Second)) + time.Millisecond
+// storeBurst is the size of a bucket: one second of its rate, and at least one
+// token, so that a small share lets single calls through.
+func storeBurst(rate float64) float64 {
+	return max(rate, 1)
 }
