--- a/tools/protogen/main.go
+++ b/tools/protogen/main.go
@@ -33,31 +33,35 @@
 	}
 }
 
+// run generates the code of each file on its own, because protoc-gen-twirp takes
+// files of one package only.
 func run(root string, files []string) error {
-	request, err := compile(root, files)
-	if err != nil {
-		return err
-	}
-	for _, plugin := range []string{"protoc-gen-go", "protoc-gen-twirp"} {
-		if err := generate(plugin, root, request); err != nil {
-			return fmt.Errorf("%s: %w", plugin, err)
+	for _, file := range files {
+		request, err := compile(root, file)
+		if err != nil {
+			return err
+		}
+		for _, plugin := range []string{"protoc-gen-go", "protoc-gen-twirp"} {
+			if err := generate(plugin, root, request); err != nil {
+				return fmt.Errorf("%s of %s: %w", plugin, file, err)
+			}
 		}
 	}
 	return nil
 }
 
-// compile parses the files and returns them as a plugin request.
-func compile(root string, files []string) (*pluginpb.CodeGeneratorRequest, error) {
+// compile parses a file and returns it as a plugin request.
+func compile(root, file string) (*pluginpb.CodeGeneratorRequest, error) {
 	compiler := protocompile.Compiler{
 		Resolver:       &protocompile.SourceResolver{ImportPaths: []string{root}},
 		SourceInfoMode: protocompile.SourceInfoStandard,
 	}
-	linked, err := compiler.Compile(context.Background(), files...)
+	linked, err := compiler.Compile(context.Background(), file)
 	if err != nil {
-		return nil, fmt.Errorf("compile protobuf files: %w", err)
+		return nil, fmt.Errorf("compile %s: %w", file, err)
 	}
 	request := &pluginpb.CodeGeneratorRequest{
-		FileToGenerate: files,
+		FileToGenerate: []string{file},
 		Parameter:      proto.String("paths=source_relative"),
 	}
 	for _, file := range linked {
