Close gaps that a mutation run of the request path found

Cause: of 22 protections removed one at a time, three were missed by the tests: a once call that survives the failure of an independent stage, the cancellation of a hedge's loser before the request ends, and a 503 whose body denies a refusal.

--- a/internal/backend/http_test.go
+++ b/internal/backend/http_test.go
@@ -86,6 +86,7 @@
 		{307, jsonType, "", "", ErrMayHaveRun, false},
 		{500, jsonType, "oops", "", ErrMayHaveRun, false},
 		{503, jsonType, "", "", ErrMayHaveRun, false},
+		{503, jsonType, `{"refused":false}`, "", ErrMayHaveRun, false},
 		{503, jsonType, `{"refused":true}`, "", ErrRefused, true},
 		{503, jsonType, `{"refused":true,"draining":true}`, "", ErrDraining, true},
 		{429, jsonType, `{"refused":true}`, "", ErrRefused, true},
