Join membership and configuration to the daemon

Cause: the daemon read its pipeline files once and knew no other instance.

A refuted suspicion keeps the heartbeat counter, so that it is not taken for a restart and answered.

--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
 )
 
@@ -18,7 +19,8 @@
 }
 
 // Guards against commands whose output or exit code differs from docs/OPERATIONS.md.
-// $STORE is the address of a stand-in store.
+// $STORE is the address of a stand-in store, $ADMIN that of a status with two
+// sections.
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
@@ -26,6 +28,12 @@
 			server := httptest.NewServer(standin.NewStore().Handler())
 			env.Defer(server.Close)
 			env.Setenv("STORE", server.Listener.Addr().String())
+			status := &entry.Status{}
+			status.Add("configuration", func() any { return map[string]any{"revision": 7, "watching": true} })
+			status.Add("peers", func() any { return map[string]any{"members": []any{map[string]any{"id": "entry-1"}}} })
+			admin := httptest.NewServer(status)
+			env.Defer(admin.Close)
+			env.Setenv("ADMIN", admin.Listener.Addr().String())
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){"exits": exits},
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -8,15 +8,13 @@
 	"maps"
 	"net/http"
 	"slices"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
 )
 
 const statusHelp = `Shows what one instance sees: configuration revision, peers, backend servers and
 limits. ADDRESS is the admin address of the instance.`
 
-// PathStatus is the path of the status on the admin address. The answer is an
-// object with one member per section.
-const PathStatus = "/v1/status"
-
 // maxStatusBytes bounds the answer.
 const maxStatusBytes = 16 << 20
 
@@ -46,7 +44,7 @@
 func (c *statusCommand) read() (map[string]any, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Address+PathStatus, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Address+entry.PathStatus, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/configuration/loader.go
+++ b/internal/configuration/loader.go
@@ -90,6 +90,8 @@
 	Options
 	set  atomic.Pointer[pipeline.Set]
 	wake chan struct{}
+	// loaded is closed when the first configuration is in force.
+	loaded chan struct{}
 	// watching is true while this instance watches the store.
 	watching atomic.Bool
 
@@ -101,12 +103,15 @@
 
 // NewLoader returns a loader without a configuration.
 func NewLoader(options Options) *Loader {
-	return &Loader{Options: options, wake: make(chan struct{}, 1)}
+	return &Loader{Options: options, wake: make(chan struct{}, 1), loaded: make(chan struct{})}
 }
 
 // Current returns the set in force, nil before the first one.
 func (l *Loader) Current() *pipeline.Set { return l.set.Load() }
 
+// Loaded is closed when the first configuration is in force.
+func (l *Loader) Loaded() <-chan struct{} { return l.loaded }
+
 // Revision returns the revision in force, 0 for files of the settings or none.
 func (l *Loader) Revision() int64 {
 	l.mu.Lock()
@@ -260,6 +265,7 @@
 	if !l.start(ctx) {
 		return
 	}
+	close(l.loaded)
 	var group errgroup.Group
 	if l.Store != nil {
 		group.Go(func() error { l.watchAll(ctx); return nil })
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -21,7 +20,6 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
-	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
 )
 
 // listInterval is how often the platform's list is read. The list lags by
@@ -42,16 +40,15 @@
 			metrics.New,
 			newLister,
 			newCaller,
-			newFileConfiguration,
 			newExecutor,
 			newHandler,
 			func() *Servers { return &Servers{} },
 			func(logger *slog.Logger) *Readiness { return &Readiness{Logger: logger} },
 			func() *StopSteps { return &StopSteps{} },
 			func(s *Servers) Picker { return s },
-			func(c *fileConfiguration) ConfigurationSource { return c },
 		),
 		fx.Invoke(serveAdmin),
+		control,
 		fx.Options(options...),
 		fx.Invoke(refreshServers, serveCallers),
 	)
@@ -93,25 +90,6 @@
 	return backend.NewHTTPCaller(backend.NewTransport())
 }
 
-// fileConfiguration is a configuration read from a folder at start.
-type fileConfiguration struct {
-	set atomic.Pointer[pipeline.Set]
-}
-
-func newFileConfiguration(entry settings.Entry) (*fileConfiguration, error) {
-	set, err := pipeline.Collect(os.DirFS(entry.PipelineFiles))
-	if err != nil {
-		return nil, err
-	}
-	c := &fileConfiguration{}
-	c.set.Store(set)
-	return c, nil
-}
-
-func (c *fileConfiguration) Current() *pipeline.Set {
-	return c.set.Load()
-}
-
 // refreshServers reads the instance list until the daemon stops.
 func refreshServers(lc fx.Lifecycle, lister platform.Lister, servers *Servers, logger *slog.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -193,11 +171,12 @@
 
 // serveAdmin serves health, readiness and metrics. It starts first and stops
 // last, so that readiness can be read during the whole shutdown.
-func serveAdmin(lc fx.Lifecycle, entry settings.Entry, m *metrics.Metrics, readiness *Readiness, logger *slog.Logger) {
+func serveAdmin(lc fx.Lifecycle, entry settings.Entry, m *metrics.Metrics, readiness *Readiness, status *Status, logger *slog.Logger) {
 	router := http.NewServeMux()
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.Handle("/readyz", readiness)
 	router.Handle("/metrics", m.Handler)
+	router.Handle(PathStatus, status)
 	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,225 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/membership"
+)
+
+// candidateInterval is how often the candidates to contact are renewed.
+const candidateInterval = 5 * time.Second
+
+// Members is the membership of this instance. Without a peer address, it knows
+// only itself.
+type Members struct {
+	entry settings.Entry
+	// Node is nil without a peer address.
+	Node *peer.Node
+}
+
+func newMembers(entry settings.Entry, logger *slog.Logger, m *metrics.Metrics) (*Members, error) {
+	members := &Members{entry: entry}
+	if entry.PeerAddress == "" {
+		return members, nil
+	}
+	identity := membership.Identity{ID: entry.Instance, FailureDomain: entry.FailureDomain, Address: entry.PeerAddress,
+		Incarnation: uint64(time.Now().Unix())}
+	node, err := peer.Listen(identity, logger, m.Scope)
+	members.Node = node
+	return members, err
+}
+
+// View reads the membership state. It does nothing without a peer address.
+func (m *Members) View(read func(*membership.State)) {
+	if m.Node != nil {
+		m.Node.View(read)
+	}
+}
+
+// Do changes the membership state. It does nothing without a peer address.
+func (m *Members) Do(change func(*membership.State) []membership.Output) {
+	if m.Node != nil {
+		m.Node.Do(change)
+	}
+}
+
+// Self returns the ID of this instance.
+func (m *Members) Self() string { return m.entry.Instance }
+
+// Live returns the IDs of the live members of the failure domain.
+func (m *Members) Live() []string {
+	live := []string{m.entry.Instance}
+	m.View(func(s *membership.State) {
+		live = live[:0]
+		for _, record := range s.Live() {
+			live = append(live, record.ID)
+		}
+	})
+	return live
+}
+
+// Instances returns the number of live instances in all failure domains.
+func (m *Members) Instances() int {
+	n := 1
+	m.View(func(s *membership.State) { n = s.Instances(time.Now()) })
+	return n
+}
+
+// Seeds returns addresses of other instances: those that are known to hold a
+// configuration, those of the settings and those of the instance list.
+func (m *Members) Seeds() (seeds []string) {
+	m.View(func(s *membership.State) { seeds = append(s.Holders(1), s.Candidates()...) })
+	slices.Sort(seeds)
+	return slices.Compact(seeds)
+}
+
+// Highest returns the highest revision that was heard of.
+func (m *Members) Highest() (highest int64) {
+	m.View(func(s *membership.State) { highest = s.HighestRevision() })
+	return highest
+}
+
+// Holders returns addresses of instances that have at least a revision.
+func (m *Members) Holders(revision int64) (holders []string) {
+	m.View(func(s *membership.State) { holders = s.Holders(revision) })
+	return holders
+}
+
+// SetRevision reports the configuration revision in force here.
+func (m *Members) SetRevision(revision int64, fromStore bool) {
+	m.Do(func(s *membership.State) []membership.Output { return s.SetRevision(revision, fromStore) })
+}
+
+// MarkDraining reports a backend server that refused because it leaves.
+func (m *Members) MarkDraining(server string, incarnation int64, lifetime time.Duration) {
+	m.Do(func(s *membership.State) []membership.Output {
+		return s.MarkDraining(time.Now(), server, incarnation, lifetime)
+	})
+}
+
+// hint passes on the candidates of the settings and of the instance list.
+func (m *Members) hint(listed []platform.Member) {
+	var candidates []membership.Candidate
+	for _, address := range m.entry.Peers {
+		candidates = append(candidates, membership.Candidate{Address: address})
+	}
+	for _, member := range listed {
+		if member.Role == platform.RoleEntry {
+			candidates = append(candidates, membership.Candidate{FailureDomain: member.FailureDomain, Address: member.Address})
+		}
+	}
+	m.Do(func(s *membership.State) []membership.Output {
+		s.Hint(candidates)
+		return nil
+	})
+}
+
+// peerService is what servePeers starts and stops.
+type peerService struct {
+	fx.In
+	Entry   settings.Entry
+	Members *Members
+	Server  *peer.Server
+	Client  *peer.Client
+	Lister  platform.Lister
+	Steps   *StopSteps
+	Status  *Status
+	Logger  *slog.Logger
+}
+
+// servePeers runs membership and the service for other instances.
+func servePeers(lc fx.Lifecycle, p peerService) {
+	p.Status.Add("peers", p.Members.status)
+	if p.Members.Node == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	server := &http.Server{Handler: p.Server.Handler(), ReadHeaderTimeout: headerTimeout}
+	p.Steps.Add(StopStep{StopMembership, "membership", func(ctx context.Context) error {
+		p.Members.Node.Leave(ctx, p.Client)
+		return nil
+	}})
+	lc.Append(fx.Hook{
+		OnStart: func(start context.Context) error {
+			p.Members.hint(listOnce(start, p.Lister))
+			running.Go(func() { p.Members.Node.Run(ctx) })
+			running.Go(func() {
+				every(ctx, candidateInterval, func() {
+					if listed := listOnce(ctx, p.Lister); listed != nil {
+						p.Members.hint(listed)
+					}
+				})
+			})
+			return listenAndServe(start, server, p.Entry.PeerAddress, p.Logger)
+		},
+		OnStop: func(stop context.Context) error {
+			err := server.Shutdown(stop)
+			cancel()
+			running.Wait()
+			return err
+		},
+	})
+}
+
+// listOnce returns nil when the list can't be read; refreshServers reports that.
+func listOnce(ctx context.Context, lister platform.Lister) []platform.Member {
+	listed, err := lister.List(ctx)
+	if err != nil {
+		return nil
+	}
+	return listed
+}
+
+// memberStatus is one member as the status shows it.
+type memberStatus struct {
+	ID       string `json:"id"`
+	Address  string `json:"address"`
+	State    string `json:"state"`
+	Load     int    `json:"load"`
+	Revision int64  `json:"revision"`
+}
+
+// domainStatus is another failure domain as the status shows it.
+type domainStatus struct {
+	FailureDomain string `json:"failure_domain"`
+	Members       int    `json:"members"`
+	Load          int    `json:"load"`
+	Revision      int64  `json:"revision"`
+	AgeMS         int64  `json:"age_ms"`
+}
+
+// peersStatus is the section "peers" of the status.
+type peersStatus struct {
+	Members        []memberStatus `json:"members"`
+	FailureDomains []domainStatus `json:"failure_domains"`
+	Draining       []string       `json:"draining_servers"`
+}
+
+func (m *Members) status() any {
+	var status peersStatus
+	m.View(func(s *membership.State) {
+		now := time.Now()
+		for _, r := range s.Live() {
+			status.Members = append(status.Members, memberStatus{r.ID, r.Address, r.State.String(), r.Load, r.Revision})
+		}
+		for _, d := range s.Summaries(now) {
+			status.FailureDomains = append(status.FailureDomains, domainStatus{d.FailureDomain, d.Members, d.Load, d.Revision, d.Age.Milliseconds()})
+		}
+		for _, marker := range s.Draining(now) {
+			status.Draining = append(status.Draining, marker.Server)
+		}
+	})
+	return status
+}
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+)
+
+// PathStatus is the path of the status on the admin address. The answer is an
+// object with one member per section.
+const PathStatus = "/v1/status"
+
+// Status is what the instance tells about itself. Each part of the daemon
+// registers its section.
+type Status struct {
+	mu       sync.Mutex
+	sections map[string]func() any
+}
+
+// Add registers a section. Its value is encoded as JSON at each request.
+func (s *Status) Add(name string, section func() any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sections == nil {
+		s.sections = map[string]func() any{}
+	}
+	s.sections[name] = section
+}
+
+func (s *Status) values() map[string]any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	values := make(map[string]any, len(s.sections))
+	for name, section := range s.sections {
+		values[name] = section()
+	}
+	return values
+}
+
+// ServeHTTP answers with all sections.
+func (s *Status) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.values())
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,8 +17,6 @@
 	maxPartsBytes = 768 << 10
 	// maxPulls bounds the pulls that are served at once; the others try another peer.
 	maxPulls = 4
-	// digestBytes is the length of a SHA-256.
-	digestBytes = 32
 )
 
 // ConfigurationHandler serves the configuration in force.
--- a/membership/domains.go
+++ b/membership/domains.go
@@ -175,6 +175,9 @@
 	return live
 }
 
+// Candidates returns the addresses that may belong to other instances.
+func (s *State) Candidates() []string { return sortedKeys(s.candidates) }
+
 // Self returns the record of this instance.
 func (s *State) Self() Record { return s.self }
 
--- a/membership/message.go
+++ b/membership/message.go
@@ -41,7 +41,7 @@
 	Address string
 	// Incarnation rises with each restart and with each refuted suspicion.
 	Incarnation uint64
-	// Counter is the number of heartbeats sent in this incarnation.
+	// Counter is the number of heartbeats since the start.
 	Counter uint64
 	State   MemberState
 	// Load is the number of requests in flight.
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -11,7 +11,8 @@
 	}
 	local := from.FailureDomain == s.self.FailureDomain
 	m, known := s.members[from.ID]
-	fresh := !known || from.Incarnation > m.record.Incarnation
+	// A refuted suspicion raises the incarnation but keeps the counter.
+	fresh := !known || from.Incarnation > m.record.Incarnation && from.Counter < m.record.Counter
 	s.hearRevision(from.Revision, from.Address)
 	if local {
 		s.receiveLocal(now, message)
@@ -138,7 +139,6 @@
 	accused := record.State != Alive && record.Incarnation == s.self.Incarnation
 	if s.self.State == Alive && (stale || accused) {
 		s.self.Incarnation = record.Incarnation + 1
-		s.self.Counter = 1
 	}
 }
 
