--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -42,15 +42,19 @@
 			newCaller,
 			newExecutor,
 			newHandler,
-			func() *Servers { return &Servers{} },
+			newServers,
+			newDecisionMetrics,
+			newAdmissionControl,
+			newLoadReader,
 			func(logger *slog.Logger) *Readiness { return &Readiness{Logger: logger} },
 			func() *StopSteps { return &StopSteps{} },
-			func(s *Servers) Picker { return s },
+			func(s *Servers) (Picker, Hedges, StageBudgets) { return s, s, s },
+			func(a *AdmissionControl) Admission { return a },
 		),
 		fx.Invoke(serveAdmin),
 		control,
 		fx.Options(options...),
-		fx.Invoke(refreshServers, serveCallers),
+		fx.Invoke(refreshServers, driveDecisions, serveCallers),
 	)
 }
 
@@ -91,7 +95,7 @@
 }
 
 // refreshServers reads the instance list until the daemon stops.
-func refreshServers(lc fx.Lifecycle, lister platform.Lister, servers *Servers, logger *slog.Logger) {
+func refreshServers(lc fx.Lifecycle, lister platform.Lister, servers *Servers, configuration ConfigurationSource, logger *slog.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	refresh := func() {
 		members, err := lister.List(ctx)
@@ -99,7 +103,7 @@
 			events.ListUnavailable.Log(ctx, logger, slog.Any("error", err))
 			return
 		}
-		servers.Update(members)
+		servers.Update(members, configuration.Current())
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
