Pass drain markers and requests in flight between instances

Cause: a refusal of a leaving server was known only to the instance that got it, and the choice of servers did not see the load of the other instances.

Change: internal/entry/gossip.go reports refusals to membership and applies the markers of others, unless the instance list already shows a later incarnation; a later incarnation in the list clears the marker. Every second the own requests in flight go to membership, and those of peers to the choice of servers. Counts carry the requests of class long.

Conclusion: a server that leaves gets no new work from the failure domain after one refusal and one datagram to each member.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -29,12 +29,13 @@
 		func() *Status { return &Status{} },
 		newStoreAccess,
 		newMembers,
+		newGossip,
 		peer.NewClient,
 		func(m *Members) *peer.Server { return peer.NewServer(m.Node) },
 		newLoader,
 		func(l *configuration.Loader) ConfigurationSource { return l },
 	),
-	fx.Invoke(servePeers, runLoader),
+	fx.Invoke(servePeers, runGossip, runLoader),
 )
 
 // StoreAccess is the way to the store within this instance's share of its rate.
--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -11,9 +11,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/fx"
 
 	"github.com/coltsfootdrift/coltsfootdrift/config"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/configuration"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
@@ -55,13 +58,51 @@
 	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
 }
 
+// Guards against a refusal that only the instance knows that got it: the others
+// would send new work to the leaving server.
+func TestRefusalReachesOtherInstances(t *testing.T) {
+	c := qt.New(t)
+	list := &standin.Platform{}
+	list.Set([]platform.Member{{ID: "e1", Role: platform.RoleBackend, Address: "127.0.0.1:1", Pool: "p", Region: "r",
+		FailureDomain: "a", State: platform.StateLive, Incarnation: 3}})
+	address := serve(c, list.Handler())
+	first, second := controlSettings(c, address, "a"), controlSettings(c, address, "a")
+	second.Instance, second.Peers = "entry-2", []string{first.PeerAddress}
+	var picker, other Picker
+	startControl(c, first, fx.Populate(&picker))
+	startControl(c, second, fx.Populate(&other))
+	waitForStatus(c, first, func(s controlStatus) bool { return len(s.Peers.Members) == 2 })
+	query := Query{Pool: "p", Class: pipeline.ClassNormal, Idempotent: true, Remaining: time.Second}
+	c.Assert(canPick(other, query), qt.IsTrue)
+
+	picked, ok := picker.Pick(query)
+	c.Assert(ok, qt.IsTrue)
+	picked.Done(backend.ErrDraining, 0)
+	waitForStatus(c, second, func(controlStatus) bool { return !canPick(other, query) })
+	c.Assert(readStatus(c, second).Peers.Draining, qt.DeepEquals, []string{"e1"})
+
+	// The server comes back with a new incarnation.
+	list.Put(platform.Member{ID: "e1", Role: platform.RoleBackend, Address: "127.0.0.1:1", Pool: "p", Region: "r",
+		FailureDomain: "a", State: platform.StateLive, Incarnation: 4})
+	waitForStatus(c, second, func(s controlStatus) bool { return len(s.Peers.Draining) == 0 && canPick(other, query) })
+}
+
+// canPick ends the call at once.
+func canPick(picker Picker, query Query) bool {
+	picked, ok := picker.Pick(query)
+	if ok {
+		picked.Done(nil, 0)
+	}
+	return ok
+}
+
 func controlSettings(c *qt.C, list, domain string) settings.Entry {
 	return settings.Entry{Instance: "entry-" + domain, Region: "r", FailureDomain: domain, CallerAddress: freeAddress(c),
 		PeerAddress: freeAddress(c), AdminAddress: freeAddress(c), PlatformAddress: list, DrainGraceMS: 1}
 }
 
-func startControl(c *qt.C, entry settings.Entry) {
-	app := New(entry, slog.New(slog.NewTextHandler(io.Discard, nil)))
+func startControl(c *qt.C, entry settings.Entry, options ...fx.Option) {
+	app := New(entry, slog.New(slog.NewTextHandler(io.Discard, nil)), options...)
 	c.Assert(app.Start(c.Context()), qt.IsNil)
 	c.Cleanup(func() { c.Check(app.Stop(context.Background()), qt.IsNil) })
 }
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -28,7 +28,7 @@
 		return &peerpb.Straggler{Server: s.Server, RemainingMs: s.Remaining.Milliseconds()}
 	})
 	heartbeat.Counts = encodeList(m.Counts, func(c membership.Count) *peerpb.Count {
-		return &peerpb.Count{Server: c.Server, InFlight: int64(c.InFlight)}
+		return &peerpb.Count{Server: c.Server, InFlight: int64(c.InFlight), Long: int64(c.Long)}
 	})
 	heartbeat.Demand = encodeList(m.Demand, encodeDemand)
 	heartbeat.Summaries = encodeList(m.Summaries, encodeSummary)
@@ -91,7 +91,7 @@
 		return membership.Straggler{Server: s.GetServer(), Remaining: millis(s.GetRemainingMs())}
 	})
 	m.Counts = encodeList(h.Counts, func(c *peerpb.Count) membership.Count {
-		return membership.Count{Server: c.GetServer(), InFlight: int(c.GetInFlight())}
+		return membership.Count{Server: c.GetServer(), InFlight: int(c.GetInFlight()), Long: int(c.GetLong())}
 	})
 	m.Demand = encodeList(h.Demand, decodeDemand)
 	m.Summaries = encodeList(h.Summaries, decodeSummary)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -28,7 +28,7 @@
 		Records:    []membership.Record{record},
 		Drains:     []membership.DrainMarker{{Server: "s", Incarnation: 6, Cleared: true, Remaining: time.Second}},
 		Stragglers: []membership.Straggler{{Server: "s", Remaining: time.Second}},
-		Counts:     []membership.Count{{Server: "s", InFlight: 7}},
+		Counts:     []membership.Count{{Server: "s", InFlight: 7, Long: 2}},
 		Demand:     []membership.Demand{{Organisation: "o", MilliPerSecond: 8}},
 		Summaries: []membership.Summary{{FailureDomain: "e", Members: 9, Load: 10, Revision: 11, Age: time.Second,
 			Contacts: []membership.Contact{{ID: "b", Address: "10.0.0.2:1"}}, Demand: []membership.Demand{{Organisation: "o", MilliPerSecond: 8}}}}}
--- a/membership/message.go
+++ b/membership/message.go
@@ -90,6 +90,8 @@
 type Count struct {
 	Server   string
 	InFlight int
+	// Long is how many of them are of class long.
+	Long int
 }
 
 // Demand is the rate at which an organisation sends requests.
--- a/membership/size.go
+++ b/membership/size.go
@@ -42,7 +42,9 @@
 
 func (s Straggler) bytes() int { return nestedBytes + stringBytes(s.Server) + millisBytes(s.Remaining) }
 
-func (c Count) bytes() int { return nestedBytes + stringBytes(c.Server) + numberBytes(c.InFlight) }
+func (c Count) bytes() int {
+	return nestedBytes + stringBytes(c.Server) + numberBytes(c.InFlight) + numberBytes(c.Long)
+}
 
 func (d Demand) bytes() int {
 	return nestedBytes + stringBytes(d.Organisation) + numberBytes(d.MilliPerSecond)
--- a/membership/state_test.go
+++ b/membership/state_test.go
@@ -269,7 +269,7 @@
 		var counts []Count
 		var demand []Demand
 		for i := range 200 {
-			counts = append(counts, Count{longName(i), i})
+			counts = append(counts, Count{longName(i), i, i})
 			demand = append(demand, Demand{longName(i), int64(1000 + i)})
 		}
 		f.nodes[address].SetCounts(counts)
