Send only the change of the head between instances

Cause: every pull carried the whole head.

Change: a peer that has one of the last 10 heads gets the references that differ and the digest of the whole head; when they don't fit, it asks for the whole head. Members spread their pulls over 3 s, so that those that already have the revision take part in serving it.

Figures: the change of a head with one changed organisation and one removed pipeline has 339 bytes (TestHeadChange), the whole head 26,932.

A revision is in force within the 3 s of the spread and the rounds of the heartbeats, well under 13 s.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -220,6 +220,35 @@
 	c.Assert(errors.As(err, &divergent), qt.IsTrue)
 }
 
+// Guards against a pull that transfers the whole head for one changed
+// organisation, and against a change that leads to another head.
+func TestHeadChange(t *testing.T) {
+	c := qt.New(t)
+	w := &world{parts: Parts{}}
+	c.Assert(w.publish("a", largeSet(19000)).Err, qt.IsNil)
+	base := w.head
+	set := largeSet(19000)
+	set.Deployment.Organisations[0].Weight = 5
+	set.Pipelines = set.Pipelines[1:]
+	c.Assert(w.publish("b", set).Err, qt.IsNil)
+	change, err := w.head.ChangeSince(base)
+	c.Assert(err, qt.IsNil)
+	data, err := EncodeChange(change)
+	c.Assert(err, qt.IsNil)
+	t.Logf("change of the head: %d bytes", len(data))
+	c.Assert(len(data) < 1000, qt.IsTrue)
+	decoded, err := DecodeChange(data)
+	c.Assert(err, qt.IsNil)
+	head, err := decoded.Apply(base)
+	c.Assert(err, qt.IsNil)
+	c.Assert(head, qt.DeepEquals, w.head.WithoutAudit())
+	_, err = decoded.Apply(w.head)
+	c.Assert(err, qt.ErrorMatches, ".*not in force")
+	decoded.Removed = nil
+	_, err = decoded.Apply(base)
+	c.Assert(err, qt.ErrorMatches, ".*differs from its digest")
+}
+
 // Guards against a part that was damaged on its way.
 func TestDamagedPartIsRefused(t *testing.T) {
 	c := qt.New(t)
--- a/config/parts.go
+++ b/config/parts.go
@@ -51,6 +51,7 @@
 			parts[ref.Digest] = data
 		}
 	}
+	sortRefs(refs)
 	return refs, parts, nil
 }
 
--- a/internal/configuration/loader.go
+++ b/internal/configuration/loader.go
@@ -22,8 +22,8 @@
 
 // Peers pulls the configuration from other instances.
 type Peers interface {
-	// Head returns the encoded head of a peer when its revision is higher than the
-	// given one, otherwise nil.
+	// Head returns the encoded change from a revision to the head of a peer, nil
+	// when there is none.
 	Head(ctx context.Context, address string, have int64) ([]byte, error)
 	// Parts returns the first of the parts with the given SHA-256 digests that the
 	// peer holds and that fit one answer.
@@ -54,7 +54,8 @@
 	// BackoffMin and BackoffMax bound the jittered backoff.
 	BackoffMin, BackoffMax time.Duration
 	// PullSpread is the time over which the members of a failure domain spread
-	// their pulls of a new revision.
+	// their pulls of a new revision. Members that have it take part in serving it
+	// as soon as their next heartbeats tell so.
 	PullSpread time.Duration
 	// Check is how often the role of the watcher and gaps are looked at.
 	Check time.Duration
@@ -68,7 +69,7 @@
 	Read:       2 * time.Second,
 	BackoffMin: 100 * time.Millisecond,
 	BackoffMax: 5 * time.Second,
-	PullSpread: 500 * time.Millisecond,
+	PullSpread: 3 * time.Second,
 	Check:      time.Second,
 }
 
@@ -97,10 +98,14 @@
 
 	mu      sync.Mutex
 	current config.Current
-	// encoded is the head in force without audit trail.
-	encoded []byte
+	// recent holds the last heads that were in force, the newest last. A peer that
+	// has one of them gets only the change.
+	recent []*config.Head
 }
 
+// maxRecent is the number of heads that are kept for changes.
+const maxRecent = 10
+
 // NewLoader returns a loader without a configuration.
 func NewLoader(options Options) *Loader {
 	return &Loader{Options: options, wake: make(chan struct{}, 1), loaded: make(chan struct{})}
@@ -130,14 +135,32 @@
 	}
 }
 
-// HeadAfter returns the encoded head when its revision is higher, otherwise nil.
+// HeadAfter returns the encoded change from a revision to the head in force, nil
+// when there is none.
 func (l *Loader) HeadAfter(revision int64) ([]byte, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.current.Revision() <= revision {
 		return nil, nil
 	}
-	return l.encoded, nil
+	var base *config.Head
+	for _, head := range l.recent {
+		if head.Revision == revision {
+			base = head
+		}
+	}
+	change, err := l.current.Head().ChangeSince(base)
+	if err != nil {
+		return nil, err
+	}
+	return config.EncodeChange(change)
+}
+
+// headInForce returns nil when there is none.
+func (l *Loader) headInForce() *config.Head {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current.Head()
 }
 
 // Part returns a part in force by its SHA-256.
@@ -149,8 +172,9 @@
 
 // source gives heads and parts: the store, or a peer.
 type source interface {
-	// head returns nil when the source has none after the revision in force.
-	head(ctx context.Context, have int64) (*config.Head, error)
+	// head returns nil when the source has none after the one in force, which is
+	// nil at the start.
+	head(ctx context.Context, inForce *config.Head) (*config.Head, error)
 	parts(ctx context.Context, digests []config.Digest) (config.Parts, error)
 	fromStore() bool
 	String() string
@@ -158,7 +182,7 @@
 
 type storeSource struct{ store store.Store }
 
-func (s storeSource) head(ctx context.Context, _ int64) (*config.Head, error) {
+func (s storeSource) head(ctx context.Context, _ *config.Head) (*config.Head, error) {
 	head, _, err := readHead(ctx, s.store)
 	return head, err
 }
@@ -176,15 +200,27 @@
 	address string
 }
 
-func (p peerSource) head(ctx context.Context, have int64) (*config.Head, error) {
+func (p peerSource) head(ctx context.Context, inForce *config.Head) (*config.Head, error) {
+	have := int64(0)
+	if inForce != nil {
+		have = inForce.Revision
+	}
 	data, err := p.peers.Head(ctx, p.address, have)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	if data == nil {
+	if len(data) == 0 {
 		return nil, nil
 	}
-	return config.DecodeHead(data)
+	change, err := config.DecodeChange(data)
+	if err != nil {
+		return nil, err
+	}
+	head, err := change.Apply(inForce)
+	if err != nil && inForce != nil {
+		return p.head(ctx, nil)
+	}
+	return head, err
 }
 
 // parts asks again for those that didn't fit an answer.
@@ -247,14 +283,11 @@
 }
 
 func (l *Loader) offer(head *config.Head, parts config.Parts) (changed bool, err error) {
-	encoded, err := head.Encode()
-	if err != nil {
-		return false, err
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if changed, err = l.current.Offer(head, parts); changed {
-		l.encoded = encoded
+		l.recent = append(l.recent, head)
+		l.recent = l.recent[max(0, len(l.recent)-maxRecent):]
 		l.set.Store(l.current.Set())
 	}
 	return changed, err
--- a/internal/configuration/pull.go
+++ b/internal/configuration/pull.go
@@ -55,7 +55,7 @@
 // without success, it reads the store.
 func (l *Loader) pull(ctx context.Context, failed int) bool {
 	for _, from := range l.pullSources(failed) {
-		head, err := from.head(ctx, l.Revision())
+		head, err := from.head(ctx, l.headInForce())
 		if err == nil && head != nil {
 			err = l.load(ctx, head, from)
 		}
--- a/internal/configuration/start.go
+++ b/internal/configuration/start.go
@@ -90,7 +90,7 @@
 	var all sync.WaitGroup
 	for i, from := range sources {
 		all.Go(func() {
-			head, err := from.head(ctx, 0)
+			head, err := from.head(ctx, nil)
 			answers[i] = offered{head, from, err}
 		})
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -56,8 +56,8 @@
 	return peerpb.NewPeerProtobufClient("http://"+address, c.http)
 }
 
-// Head returns the encoded head of a peer when its revision is higher than the
-// given one, otherwise nil.
+// Head returns the encoded change from a revision to the head of a peer, nil when
+// there is none.
 func (c *Client) Head(ctx context.Context, address string, have int64) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,8 +21,8 @@
 
 // ConfigurationHandler serves the configuration in force.
 type ConfigurationHandler interface {
-	// HeadAfter returns the encoded head without audit trail when its revision is
-	// higher, otherwise nil.
+	// HeadAfter returns the encoded change from a revision to the head in force, nil
+	// when there is none. For a revision that it doesn't know it is the whole head.
 	HeadAfter(revision int64) ([]byte, error)
 	// Part returns a part by its SHA-256.
 	Part(digest []byte) ([]byte, bool)
