Divide the slots of a pool among the instances

A trace shows all 5 slots of an instance taken and requests waiting, but a mean duration of 115 ms instead of 80 ms: instances met at the same servers, since peers' counts are a second old and a call takes 80 ms. Change: each instance computes the same division of all slots and takes its own home slots first; long kinds are dealt 60 % of each server's slots. The share of an instance is its whole number of home slots. A running call that is older than 1.5 times the 95th percentile and 3 times the median lowers its server at once, and probes take 1 of 400 picks instead of 1 of 200.

--- a/internal/entry/admission_test.go
+++ b/internal/entry/admission_test.go
@@ -23,7 +23,7 @@
 	c := qt.New(t)
 	set := &pipeline.Set{Deployment: pipeline.Deployment{Pools: []pipeline.Pool{{Name: "shelf", Slots: 3}}}}
 	discard := slog.New(slog.NewTextHandler(io.Discard, nil))
-	servers := NewServers(routing.Location{}, 1, discard, time.Now)
+	servers := NewServers("i", routing.Location{}, 1, discard, time.Now)
 	servers.Update([]platform.Member{{ID: "s", Role: platform.RoleBackend, Pool: "shelf", State: platform.StateLive}}, set)
 	control := NewAdmissionControl(servers, NewDecisionMetrics(tally.NoopScope), discard, time.Now)
 	request := &Request{
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -20,6 +20,7 @@
 // Servers holds the backend servers by pool and chooses among them. It is the
 // Picker, the Hedges and the StageBudgets of the request path.
 type Servers struct {
+	instance string
 	location routing.Location
 	link     *linkBudget
 	logger   *slog.Logger
@@ -27,15 +28,13 @@
 
 	mu    sync.RWMutex
 	pools map[string]*serverPool
-	// instances is the number of live entry instances of the region.
-	instances int
 }
 
 // NewServers returns an instance's view of the backend servers.
-func NewServers(location routing.Location, linkSharers int, logger *slog.Logger, now func() time.Time) *Servers {
+func NewServers(instance string, location routing.Location, linkSharers int, logger *slog.Logger, now func() time.Time) *Servers {
 	return &Servers{
-		location: location, logger: logger, now: now,
-		link: newLinkBudget(linkSharers), pools: map[string]*serverPool{}, instances: 1,
+		instance: instance, location: location, logger: logger, now: now,
+		link: newLinkBudget(linkSharers), pools: map[string]*serverPool{},
 	}
 }
 
@@ -53,28 +52,28 @@
 // slots of the pools and the capacity of the link; nil when there is none yet.
 func (s *Servers) Update(members []platform.Member, set *pipeline.Set) {
 	byPool := map[string][]backend.Server{}
-	instances := 0
+	var instances []routing.Instance
 	for _, member := range members {
 		switch {
 		case member.State != platform.StateLive:
 		case member.Role == platform.RoleBackend:
 			byPool[member.Pool] = append(byPool[member.Pool], server(member))
 		case member.Region == s.location.Region:
-			instances++
+			instances = append(instances, routing.Instance{ID: member.ID, FailureDomain: member.FailureDomain})
 		}
 	}
 	s.mu.Lock()
-	s.instances = max(1, instances)
 	for name := range byPool {
 		if s.pools[name] == nil {
 			s.pools[name] = s.newPool()
 		}
 	}
 	for name, p := range s.pools {
+		p.divide(s.instance, instances)
 		p.update(byPool[name], slotsOf(set, name), s.now())
 	}
 	s.mu.Unlock()
-	s.link.update(set, instances)
+	s.link.update(set, len(instances))
 }
 
 func (s *Servers) newPool() *serverPool {
@@ -106,6 +105,12 @@
 	}
 }
 
+func (p *serverPool) divide(instance string, instances []routing.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pool.Divide(instance, instances)
+}
+
 func (p *serverPool) update(servers []backend.Server, slots int, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/entry/serverviews.go
+++ b/internal/entry/serverviews.go
@@ -59,12 +59,9 @@
 	if p == nil {
 		return 0
 	}
-	s.mu.RLock()
-	instances := s.instances
-	s.mu.RUnlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return float64(p.pool.Slots()) / float64(instances)
+	return p.pool.HomeSlots()
 }
 
 // PeerCounts takes the calls that another instance has in flight at the servers
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -147,7 +147,7 @@
 		for i := range f.instances {
 			members = append(members, platform.Member{
 				ID: fmt.Sprintf("i%d-%d", region, i), Role: platform.RoleEntry,
-				Region: regionName(region), State: platform.StateLive,
+				Region: regionName(region), FailureDomain: regionName(region), State: platform.StateLive,
 			})
 		}
 	}
@@ -173,7 +173,7 @@
 func (f *fleet) startOwn(ctx context.Context, region int, id string) *entry.Servers {
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	location := routing.Location{Region: regionName(region), FailureDomain: regionName(region)}
-	servers := entry.NewServers(location, f.instances, logger, time.Now)
+	servers := entry.NewServers(id, location, f.instances, logger, time.Now)
 	servers.Update(f.members(), f.set())
 	control := entry.NewAdmissionControl(servers, entry.NewDecisionMetrics(tally.NoopScope), logger, time.Now)
 	executor := entry.NewExecutor(f.caller(region), servers, time.Now)
--- a/internal/experiment/overhead.go
+++ b/internal/experiment/overhead.go
@@ -157,7 +157,7 @@
 			Kinds:  []pipeline.Kind{{Name: "note", Repeat: pipeline.RepeatIdempotent, Class: pipeline.ClassNormal, MaxWaitMS: 10000}},
 		}},
 	}
-	servers := entry.NewServers(routing.Location{}, 1, slog.New(slog.DiscardHandler), time.Now)
+	servers := entry.NewServers("i", routing.Location{}, 1, slog.New(slog.DiscardHandler), time.Now)
 	servers.Update([]platform.Member{{ID: "r1", Role: platform.RoleBackend, Address: address, Pool: "shelf", State: platform.StateLive}}, set)
 	executor := entry.NewExecutor(backend.NewHTTPCaller(backend.NewTransport()), servers, time.Now)
 	executor.Hedges, executor.Budgets = servers, servers
--- /dev/null
+++ b/routing/home_test.go
@@ -0,0 +1,59 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+)
+
+// Guards against slots that two instances own or none, and against long calls
+// of all instances together above their share of a server.
+func TestHomeSlotsAreDividedWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains := []string{"r-a", "r-b"}
+		var list []Server
+		for _, domain := range domains {
+			list = append(list, servers(rapid.IntRange(0, 8).Draw(t, "servers"), domain)...)
+		}
+		instances := make([]Instance, rapid.IntRange(1, 9).Draw(t, "instances"))
+		for i := range instances {
+			instances[i] = Instance{ID: fmt.Sprint("i", i), FailureDomain: rapid.SampledFrom(domains).Draw(t, "domain")}
+		}
+		owned, long := map[string]int{}, map[string]int{}
+		for _, instance := range instances {
+			pool, _ := newPool(nil)
+			pool.Divide(instance.ID, instances)
+			pool.Update(list, began)
+			for i := range pool.servers {
+				owned[pool.servers[i].ID] += pool.servers[i].home
+			}
+			for range pool.homeSlots {
+				if i := pool.pickHome(began.UnixNano(), &Query{Class: pipeline.ClassLong}); i != none {
+					pool.Started(i, pipeline.ClassLong, began)
+					long[pool.ID(i)]++
+				}
+			}
+		}
+		for _, s := range list {
+			if owned[s.ID] != s.Slots || float64(long[s.ID]) > LongShare*float64(s.Slots) {
+				t.Fatalf("%s: %d of %d slots owned, %d long calls", s.ID, owned[s.ID], s.Slots, long[s.ID])
+			}
+		}
+	})
+}
+
+// Guards against a slow server that is noticed only when its first call ends.
+func TestOverdueCallLowersItsServer(t *testing.T) {
+	pool, random := newPool(servers(12, "r-a"))
+	now := began
+	serve(pool, random, &now, 500, func(ServerIndex) time.Duration { return 10 * time.Millisecond })
+	pool.Started(3, pipeline.ClassInteractive, now)
+	now = now.Add(60 * time.Millisecond)
+	pool.Pick(now, random, Query{})
+	qt.Assert(t, pool.Lowered(), qt.Equals, 1)
+}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -99,9 +99,17 @@
 	if t >= p.maintainAt {
 		p.refresh(t)
 	}
+	if t >= p.overdueAt {
+		p.checkOverdue(t)
+	}
 	if i := p.probe(t, &q); i != none {
 		return i, true
 	}
+	if q.Prefix == 0 {
+		if i := p.pickHome(t, &q); i != none {
+			return i, true
+		}
+	}
 	for mode := strict; mode <= relaxed; mode++ {
 		if i := p.pickByTier(t, random, &q, mode); i != none {
 			return i, true
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -23,6 +23,9 @@
 	Server
 	hash uint64
 	live bool
+	// home is the number of home slots of this instance, homeLong of those that
+	// long kinds may use.
+	home, homeLong int
 	// tier is the distance class of the server.
 	tier int
 	// drained is true from a drain marker until the next incarnation.
@@ -62,9 +65,15 @@
 	tierEnd [tierCount]int
 	peers   map[string]peerView
 	// slots is the sum over live servers.
-	slots int
+	slots     int
+	self      string
+	instances []Instance
+	// home lists the servers with home slots of this instance.
+	home      []ServerIndex
+	homeSlots int
 
 	maintainAt int64
+	overdueAt  int64
 	halveAt    int64
 	medians    [seriesCount][classCount]float64
 	whole      [classCount]histogram
@@ -95,12 +104,14 @@
 	t := now.UnixNano()
 	first := len(p.ordered) == 0
 	for i := range p.servers {
-		p.servers[i].live = false
+		s := &p.servers[i]
+		s.live, s.home, s.homeLong = false, 0, 0
 	}
 	for _, listed := range servers {
 		p.update(listed, first, t)
 	}
 	p.reorder()
+	p.divide()
 	p.refresh(t)
 }
 
--- a/routing/straggler.go
+++ b/routing/straggler.go
@@ -93,7 +93,7 @@
 	probeMaxEvery = int64(8 * time.Second)
 	// picksPerProbe bounds probes to a share of the requests that leaves the
 	// 99th percentile alone.
-	picksPerProbe = 200
+	picksPerProbe = 400
 
 	// Bounds of the relative latency in the score.
 	leastRelative = 0.5
