Count calls rescued by hedges as evidence against their server

Cause: after a slowdown p99 was 52 ms, the hedge delay plus one service time: the hedge cancelled each slow call before it was old enough to lower its server, and its latency so far was below three times the median. Calls with a prompt prefix went past the home slots, so that instances met at the servers of a prefix. Change: two calls in a row that were given up after the 95th percentile lower a server, and one doubles its score. A prefix decides alone while half of its server's slots are free; otherwise it decides among the free home slots. With nine instances a prefix may be cached at more servers than before.

--- a/routing/affinity.go
+++ b/routing/affinity.go
@@ -37,7 +37,7 @@
 		slots += float64(s.Slots)
 	}
 	bound := BoundedLoad * load / slots
-	if h := p.hints[q.Prefix%hintCount]; h.prefix == q.Prefix && h.until > t && p.holds(h.server, candidates) {
+	if h := p.hints[q.Prefix%hintCount]; h.prefix == q.Prefix && h.until > t && p.holds(h.server) {
 		if p.within(t, h.server, q, mode, bound) {
 			return h.server
 		}
@@ -53,9 +53,9 @@
 	return best
 }
 
-// holds reports whether i is one of the candidates, which are all of one tier.
-func (p *Pool) holds(i ServerIndex, candidates []ServerIndex) bool {
-	return p.servers[i].live && p.servers[i].tier == p.servers[candidates[0]].tier
+// holds reports whether i is a live server of the region.
+func (p *Pool) holds(i ServerIndex) bool {
+	return p.servers[i].live && p.servers[i].tier < tierRemote
 }
 
 // within reports whether a server may take one more call of a shared prefix. A
--- a/routing/home.go
+++ b/routing/home.go
@@ -119,7 +119,25 @@
 	return float64(p.Slots()) / float64(max(1, len(p.instances)))
 }
 
-// pickHome returns the best server with a free home slot for the call.
+// roomyShare is the load per slot up to which a prompt prefix decides alone.
+const roomyShare = 0.5
+
+// pickRoomy returns the server of a prompt prefix while so many of its slots are
+// free that calls of other instances, seen late, do not fill it.
+func (p *Pool) pickRoomy(t int64, q *Query) ServerIndex {
+	near := p.ordered[:p.tierEnd[tierRegion]]
+	if q.Prefix == 0 || len(p.home) == 0 || classIndex(q.Class) == longIndex {
+		return none
+	}
+	i := p.affine(t, q, strict, near)
+	if i == none || p.servers[i].load(t)+1 > roomyShare*float64(p.servers[i].Slots) {
+		return none
+	}
+	return i
+}
+
+// pickHome returns the best server with a free home slot for the call: the first
+// one in rendezvous order of the prompt prefix, or the one with the lowest score.
 func (p *Pool) pickHome(t int64, q *Query) ServerIndex {
 	best := none
 	bestScore := 0.0
@@ -131,7 +149,11 @@
 		if classIndex(q.Class) == longIndex && s.long >= s.homeLong {
 			continue
 		}
-		if score := s.score(t); best == none || score < bestScore {
+		score := s.score(t)
+		if q.Prefix != 0 {
+			score = -float64(mix(s.hash ^ q.Prefix))
+		}
+		if best == none || score < bestScore {
 			best, bestScore = i, score
 		}
 	}
--- a/routing/home_test.go
+++ b/routing/home_test.go
@@ -57,3 +57,17 @@
 	pool.Pick(now, random, Query{})
 	qt.Assert(t, pool.Lowered(), qt.Equals, 1)
 }
+
+// Guards against a slow server whose calls are all rescued by hedges, so that it
+// never shows a slow answer and keeps its share of the calls.
+func TestRescuedCallsLowerTheirServer(t *testing.T) {
+	pool, random := newPool(servers(12, "r-a"))
+	now := began
+	serve(pool, random, &now, 500, func(ServerIndex) time.Duration { return 10 * time.Millisecond })
+	for range suspectsToLower {
+		pool.Started(3, pipeline.ClassInteractive, now)
+		now = now.Add(15 * time.Millisecond)
+		pool.Finished(3, pipeline.ClassInteractive, Result{Abandoned, 15 * time.Millisecond}, now)
+	}
+	qt.Assert(t, pool.Lowered(), qt.Equals, 1)
+}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -105,10 +105,11 @@
 	if i := p.probe(t, &q); i != none {
 		return i, true
 	}
-	if q.Prefix == 0 {
-		if i := p.pickHome(t, &q); i != none {
-			return i, true
-		}
+	if i := p.pickRoomy(t, &q); i != none {
+		return i, true
+	}
+	if i := p.pickHome(t, &q); i != none {
+		return i, true
 	}
 	for mode := strict; mode <= relaxed; mode++ {
 		if i := p.pickByTier(t, random, &q, mode); i != none {
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -252,8 +252,11 @@
 	switch result.Outcome {
 	case Answered:
 		whole.add(result.Latency)
-	case Failed, Abandoned:
+		s.suspects = 0
+	case Failed:
 		whole.addAtLeast(result.Latency)
+	case Abandoned:
+		whole.addAtLeast(p.suspect(s, c, result.Latency, now.UnixNano()))
 	case Refused:
 		return
 	case Unreachable:
--- a/routing/straggler.go
+++ b/routing/straggler.go
@@ -74,6 +74,8 @@
 	good    int
 	probeAt int64
 	backoff int64
+	// suspects counts calls in a row that were given up as too slow.
+	suspects int
 }
 
 // weights by level. Servers from levelProbed on get probes only.
@@ -192,9 +194,31 @@
 		s.slowStartFrom = 0
 	}
 	bounded := min(mostRelative, max(leastRelative, s.relative))
-	s.scale = bounded / (weights[s.level] * float64(s.Slots))
+	s.scale = bounded * float64(1+s.suspects) / (weights[s.level] * float64(s.Slots))
 }
 
+// suspect takes a call that was given up after a hedge: its server would have
+// taken longer. It returns what to count as the latency.
+func (p *Pool) suspect(s *server, class int, latency time.Duration, t int64) time.Duration {
+	if latency < p.hedgeAfter[class] || p.hedgeAfter[class] == 0 {
+		return 0
+	}
+	s.suspects++
+	s.scale *= 2
+	if s.suspects >= suspectsToLower && s.level < levelProbed {
+		s.suspects = 0
+		p.lower(s, t)
+	}
+	return censoredFactor * latency
+}
+
+const (
+	// suspectsToLower is the number of calls given up in a row for one step down.
+	suspectsToLower = 2
+	// censoredFactor estimates the latency of a call that was given up.
+	censoredFactor = 2
+)
+
 // compare sets the relative latency of a server to its highest ratio to a pool
 // median, and reports whether there is any.
 func (p *Pool) compare(s *server, t int64) (known bool) {
