--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -36,7 +36,7 @@
 	case reply.Answer != nil:
 		return nil, recordedAnswer(reply.Answer), nil
 	default:
-		return nil, nil, refusal(reply.Refusal)
+		return nil, nil, claimRefusal(reply.Refusal)
 	}
 }
 
@@ -54,8 +54,8 @@
 	return recorded
 }
 
-// refusal is the answer to a caller whose key is neither granted nor recorded.
-func refusal(reason claims.Refusal) *Problem {
+// claimRefusal is the answer to a caller whose key is neither granted nor recorded.
+func claimRefusal(reason claims.Refusal) *Problem {
 	switch reason {
 	case claims.RefusedBody:
 		return notRun(http.StatusConflict, ProblemInvalid, "key used with another body",
--- a/internal/jobs/keeper.go
+++ b/internal/jobs/keeper.go
@@ -89,14 +89,7 @@
 	case lease.WriteKey:
 		return k.writeKey(ctx, out.Lease)
 	case lease.KeepAlive:
-		err := k.config.Store.KeepAlive(ctx, store.LeaseID(out.Lease))
-		if errors.Is(err, store.ErrNotFound) {
-			return lease.Gone{Lease: out.Lease}
-		}
-		if err != nil {
-			return nil
-		}
-		return lease.Extended{Lease: out.Lease, AskedAt: asked}
+		return k.keepAlive(ctx, out.Lease, asked)
 	case lease.Lost:
 		events.JobLeaseLost.Log(ctx, k.config.Log, slog.Int64("fence", out.Number))
 		k.lost()
@@ -104,6 +97,17 @@
 	return nil
 }
 
+func (k *keeper) keepAlive(ctx context.Context, id lease.ID, asked time.Time) lease.Input {
+	err := k.config.Store.KeepAlive(ctx, store.LeaseID(id))
+	if errors.Is(err, store.ErrNotFound) {
+		return lease.Gone{Lease: id}
+	}
+	if err != nil {
+		return nil
+	}
+	return lease.Extended{Lease: id, AskedAt: asked}
+}
+
 // writeKey replaces the key of an earlier process of the same instance, whose
 // jobs can then be taken over.
 func (k *keeper) writeKey(ctx context.Context, id lease.ID) lease.Input {
