Elect the leader of a failure domain and run the order loop in the daemon

Cause: the order loop had no leader, and nothing ran it. After a late write of its key, the lease is extended at once: before, a holder whose write took two tries lost its lease 7 s after the grant, before its first keep-alive.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -55,7 +55,7 @@
 		fx.Invoke(serveAdmin),
 		control,
 		fx.Options(options...),
-		fx.Invoke(refreshServers, driveDecisions, serveCallers),
+		fx.Invoke(refreshServers, driveDecisions, runOrders, serveCallers),
 	)
 }
 
--- a/internal/entry/serverviews.go
+++ b/internal/entry/serverviews.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
 	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
 	"github.com/coltsfootdrift/coltsfootdrift/routing"
 )
@@ -103,3 +104,18 @@
 	}
 	return pools
 }
+
+// InDomain returns the servers of a failure domain.
+func (s *Servers) InDomain(failureDomain string) []backend.Server {
+	var servers []backend.Server
+	for _, p := range s.snapshot() {
+		p.mu.Lock()
+		for _, server := range p.servers {
+			if server.FailureDomain == failureDomain {
+				servers = append(servers, server)
+			}
+		}
+		p.mu.Unlock()
+	}
+	return servers
+}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -63,7 +63,7 @@
 
 // Step makes one comparison and sends the orders that it gives.
 func (l *Loop) Step(ctx context.Context) {
-	if !l.lead(ctx) {
+	if !l.lead() {
 		return
 	}
 	wanted := l.Wanted()
@@ -78,17 +78,15 @@
 }
 
 // lead reports whether this instance leads, and starts a reconciler when it begins to.
-func (l *Loop) lead(ctx context.Context) bool {
+func (l *Loop) lead() bool {
 	leadership := l.Leader.Leadership(l.Now())
 	if leadership.Held == l.wasLeader {
 		return leadership.Held
 	}
 	l.wasLeader = leadership.Held
 	if !leadership.Held {
-		events.LeadershipLost.Log(ctx, l.Logger)
 		return false
 	}
-	events.LeadershipTaken.Log(ctx, l.Logger, slog.Int64("fencing", leadership.Fencing))
 	l.reconciler = order.NewReconciler(order.Config{LoadsPerMinute: l.LoadRate(), LoadBurst: 1})
 	return true
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -95,6 +95,11 @@
 	return h.number, true
 }
 
+// Expires returns when the lease lapses by the local clock, zero without one.
+func (h *Holder) Expires() time.Time {
+	return h.expires
+}
+
 // Lease returns the lease that is held, 0 for none.
 func (h *Holder) Lease() ID {
 	return h.lease
@@ -110,6 +115,8 @@
 			// Of two writes of the key the later one has the higher number, whichever
 			// answer comes first.
 			h.number = max(h.number, in.Number)
+			// The write may have taken several tries, so that little of the lease is left.
+			h.nextCall = now
 		}
 	case Extended:
 		if in.Lease == h.lease {
