Reach appenders, holders and heirs through the service between instances

Cause: main has the twirp service with opaque bytes for claims and jobs; nothing translated the typed messages. Change: claims.Peers is Forwarder and Awaiter over peer.Client; Claims serves AppendClaims and AwaitClaim, Jobs serves HandOverJob. A result says whether the operation was not appended or is unresolved, so that an outage leaves nothing to release. The tests of claims now run through the encoding. Protections removed, and the test that then failed: digest of the body lost in the encoding: TestTwoInstancesWithOneKey; not appended reported as unresolved: TestStoreDownBeforeTheClaim; heirs not told: TestCloseHandsJobsOver (did not end within 10 s). The daemon still has to build Claims and Jobs.

--- a/claim/segment.go
+++ b/claim/segment.go
@@ -110,3 +110,26 @@
 	}
 	return false
 }
+
+// EncodeOp returns an operation in the form of a record, for other instances.
+func EncodeOp(op Op) ([]byte, error) {
+	return proto.Marshal(record(op, time.UnixMilli(0)))
+}
+
+// DecodeOp reads what EncodeOp returned.
+func DecodeOp(data []byte) (Op, error) {
+	var r StoredRecord
+	if err := proto.Unmarshal(data, &r); err != nil {
+		return Op{}, fmt.Errorf("claim operation: %w", err)
+	}
+	if !r.valid() {
+		return Op{}, fmt.Errorf("claim operation %v has fields of a wrong size", r.Op)
+	}
+	op := Op{
+		Kind: OpKind(r.Op), ID: ID(r.Id), Token: Token(r.Token), Holder: r.Holder,
+		Retention: time.Duration(r.RetentionMs) * time.Millisecond, Outcome: r.Outcome, Answer: r.Answer,
+	}
+	copy(op.Body[:], r.Body)
+	copy(op.AnswerSHA256[:], r.AnswerSha256)
+	return op, nil
+}
--- a/internal/claims/bench_test.go
+++ b/internal/claims/bench_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/claim"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store/storetest"
-	"github.com/coltsfootdrift/coltsfootdrift/rendezvous"
 )
 
 const (
@@ -25,15 +24,13 @@
 	storeDelay  = 5 * time.Millisecond
 )
 
-// fleet forwards appends to the instance that rendezvous hashing names.
+// fleet is a network in which every instance may append.
 type fleet struct {
 	*network
 	names []string
 }
 
-func (f *fleet) Appender(shard int) string {
-	return rendezvous.Choose(claim.ShardPrefix(shard), f.names)
-}
+func (f *fleet) Appenders() []string { return f.names }
 
 // BenchmarkFleet offers 2,500 requests/s, each a claim and a finish, to a store
 // that takes 5 ms per call.
@@ -54,11 +51,12 @@
 		return nil
 	}
 	f := &fleet{network: &network{instances: map[string]*Claims{}}}
+	peers := Peers{Client: f, Directory: f}
 	for i := range instances {
 		name := fmt.Sprintf("i%d", i)
 		f.names = append(f.names, name)
 		f.instances[name] = New(Config{
-			Instance: name, Store: fake, Forwarder: f, Awaiter: f, Boot: time.Now, Wall: time.Now,
+			Instance: name, Store: fake, Forwarder: peers, Awaiter: peers, Boot: time.Now, Wall: time.Now,
 			Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler), WriteInterval: WriteInterval, SettleInterval: time.Second,
 		})
 	}
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -52,24 +52,23 @@
 	loseAnswers bool
 }
 
-func (n *network) Appender(int) string { return n.appender }
+func (n *network) Appenders() []string { return []string{n.appender} }
 
-func (n *network) Append(ctx context.Context, instance string, request AppendRequest) (AppendResponse, error) {
-	if n.instances[instance] == nil {
-		return AppendResponse{}, ErrNotReached
-	}
-	response, err := n.instances[instance].Append(ctx, request)
+// Address returns the name itself.
+func (n *network) Address(instance string) (string, bool) {
+	return instance, n.instances[instance] != nil
+}
+
+func (n *network) AppendClaims(ctx context.Context, instance string, shard int, records [][]byte) ([][]byte, error) {
+	results, err := n.instances[instance].AppendClaims(ctx, shard, records)
 	if n.loseAnswers {
-		return AppendResponse{}, errors.New("connection reset")
+		return nil, errors.New("connection reset")
 	}
-	return response, err
+	return results, err
 }
 
-func (n *network) Await(ctx context.Context, holder string, request AwaitRequest) (AwaitResponse, error) {
-	if n.instances[holder] == nil {
-		return AwaitResponse{}, ErrNotReached
-	}
-	return n.instances[holder].Await(ctx, request)
+func (n *network) AwaitClaim(ctx context.Context, holder string, claim []byte) ([]byte, error) {
+	return n.instances[holder].AwaitClaim(ctx, claim)
 }
 
 type world struct {
@@ -80,9 +79,10 @@
 
 func newWorld(names ...string) *world {
 	w := &world{network: &network{instances: map[string]*Claims{}}, fake: storetest.New(), clock: newClock()}
+	peers := Peers{Client: w, Directory: w}
 	for _, name := range names {
 		w.instances[name] = New(Config{
-			Instance: name, Store: w.fake, Forwarder: w, Awaiter: w, Boot: w.clock.Now, Wall: w.clock.Now,
+			Instance: name, Store: w.fake, Forwarder: peers, Awaiter: peers, Boot: w.clock.Now, Wall: w.clock.Now,
 			Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler), SettleInterval: time.Millisecond,
 		})
 	}
@@ -156,13 +156,16 @@
 // Guards against a keyed request that waits, or is told anything but not_run,
 // while the store is down, and against a claim left behind by it.
 func TestStoreDownBeforeTheClaim(t *testing.T) {
-	c := qt.New(t)
-	w := newWorld("a")
-	w.fake.Before = func(context.Context, storetest.Op, string) error { return store.ErrUnavailable }
-	c.Assert(w.claim(c.Context(), "a", 1).Refusal, qt.Equals, RefusedStore)
-	c.Assert(w.instances["a"].Settle(c.Context()), qt.Equals, 0)
-	w.fake.Before = nil
-	c.Assert(w.claim(c.Context(), "a", 1).Grant, qt.IsNotNil)
+	for _, appender := range []string{"a", "b"} {
+		c := qt.New(t)
+		w := newWorld("a", "b")
+		w.appender = appender
+		w.fake.Before = func(context.Context, storetest.Op, string) error { return store.ErrUnavailable }
+		c.Assert(w.claim(c.Context(), "a", 1).Refusal, qt.Equals, RefusedStore)
+		c.Assert(w.instances["a"].unsettled, qt.HasLen, 0)
+		w.fake.Before = nil
+		c.Assert(w.claim(c.Context(), "a", 1).Grant, qt.IsNotNil)
+	}
 }
 
 // Guards against a key that stays blocked, or is granted while its claim is
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -25,8 +25,8 @@
 // alone is a failure domain of one instance.
 type alone struct{}
 
-func (alone) Domain() []string             { return []string{"a"} }
-func (alone) JobsReleased(context.Context) {}
+func (alone) Domain() []string                       { return []string{"a"} }
+func (alone) JobsReleased(context.Context, []string) {}
 
 // newDurableHandler serves the durable kind k of pipeline read from a store.
 func newDurableHandler(c *qt.C, caller *fakeCaller) *Handler {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -46,8 +46,9 @@
 type Members interface {
 	// Domain returns the live instances of the own failure domain with this one.
 	Domain() []string
-	// JobsReleased tells the peers that jobs wait for a holder.
-	JobsReleased(ctx context.Context)
+	// JobsReleased offers the jobs with the given IDs to the peers, whose HandOverJob
+	// takes them over. Jobs that nobody takes are found by a scan.
+	JobsReleased(ctx context.Context, ids []string)
 }
 
 // Job is a durable request.
@@ -151,24 +152,32 @@
 		runs = append(runs, r)
 	}
 	j.mu.Unlock()
+	var released []string
 	for _, r := range runs {
-		j.handOver(ctx, r)
+		if id, ok := j.handOver(ctx, r); ok {
+			released = append(released, id)
+		}
 	}
 	j.keeper.revoke(leaseContext(ctx))
-	if len(runs) > 0 {
-		j.Members.JobsReleased(ctx)
+	if len(released) > 0 {
+		j.Members.JobsReleased(ctx, released)
 	}
 }
 
-func (j *Jobs) handOver(ctx context.Context, r *run) {
+// handOver frees a job for another instance unless it ends first.
+func (j *Jobs) handOver(ctx context.Context, r *run) (id string, released bool) {
 	if r.onceSent() {
 		select {
 		case <-r.done:
-			return
+			return "", false
 		case <-ctx.Done():
 		}
 	}
 	_ = j.step(ctx, r, job.HandOver{})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record := r.machine.Record()
+	return record.ID, record.Holder == ""
 }
 
 // stopAll ends every run when the lease is lost.
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -23,6 +23,8 @@
 	fake    *storetest.Fake
 	wall    atomic.Int64
 	members []string
+	// heir takes over the jobs of an instance that stops.
+	heir *instance
 }
 
 func newWorld() *world {
@@ -44,8 +46,12 @@
 	}
 }
 
-func (w *world) Domain() []string             { return w.members }
-func (w *world) JobsReleased(context.Context) {}
+func (w *world) Domain() []string { return w.members }
+func (w *world) JobsReleased(ctx context.Context, ids []string) {
+	for _, id := range ids {
+		_, _ = w.heir.HandOverJob(ctx, []byte(id))
+	}
+}
 
 // instance is Jobs with a runner that a test drives.
 type instance struct {
@@ -275,8 +281,8 @@
 	sending, idle := <-a.runs, <-a.runs
 	c.Assert(sending.progress.OnceAllowed(), qt.IsTrue)
 	sending.result <- Result{Outcome: "completed", Answer: []byte(`1`)}
+	w.heir = b
 	a.Close(c.Context())
-	w.scan(c, b)
 	second := <-b.runs
 	second.result <- Result{Outcome: "completed", Answer: []byte(`2`)}
 	var answers []string
--- a/internal/jobs/scan.go
+++ b/internal/jobs/scan.go
@@ -106,6 +106,26 @@
 	return nil
 }
 
+// HandOverJob takes over the job with the given ID if it has no holder. It serves
+// instances that shut down.
+func (j *Jobs) HandOverJob(ctx context.Context, id []byte) (accepted bool, err error) {
+	ctx = jobContext(ctx)
+	if _, _, err := job.ParseID(string(id)); err != nil {
+		return false, err
+	}
+	entry, err := j.Store.Get(ctx, job.RecordKey(string(id)))
+	if err != nil {
+		return false, unavailable(err)
+	}
+	if err := j.look(ctx, entry, map[job.Owner]bool{}); err != nil {
+		return false, unavailable(err)
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	_, accepted = j.running[string(id)]
+	return accepted, nil
+}
+
 // room reports whether a job that does not run here may be taken over.
 func (j *Jobs) room(id string) bool {
 	j.mu.Lock()
