Keep the lease of durable jobs with the shared lease keeper

Cause: internal/jobs and internal/leases kept a lease with the same steps. Change: jobs use leases.Keeper; their own keeper is gone.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -13,6 +13,8 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/leases"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/job"
 	"github.com/coltsfootdrift/coltsfootdrift/quota"
@@ -99,7 +101,7 @@
 // Jobs runs the durable work of one instance.
 type Jobs struct {
 	Config
-	keeper    *keeper
+	keeper    *leases.Keeper
 	values    values
 	takeovers tally.Counter
 	lost      tally.Counter
@@ -123,13 +125,19 @@
 		lost:      config.Scope.Counter("jobs_lost"),
 		running:   map[string]*run{},
 	}
-	j.keeper = newKeeper(config, j.stopAll)
+	// The key of an earlier process of the same instance is replaced, so that its
+	// jobs can be taken over.
+	j.keeper = leases.New(leases.Config{
+		Store: config.Store, Key: job.HolderKey(config.Instance), Instance: config.Instance,
+		Lost: j.stopAll, Boot: config.Boot, Log: config.Log,
+		HeldEvent: events.JobLeaseHeld, LostEvent: events.JobLeaseLost,
+	})
 	return j
 }
 
 // Work keeps the lease and scans for jobs until ctx ends.
 func (j *Jobs) Work(ctx context.Context) {
-	go j.keeper.work(ctx)
+	go j.keeper.Work(ctx)
 	ticker := time.NewTicker(ScanInterval)
 	defer ticker.Stop()
 	for {
@@ -158,7 +166,7 @@
 			released = append(released, id)
 		}
 	}
-	j.keeper.revoke(leaseContext(ctx))
+	j.keeper.Revoke(ctx)
 	if len(released) > 0 {
 		j.Members.JobsReleased(ctx, released)
 	}
@@ -193,6 +201,8 @@
 	return store.WithClass(ctx, quota.StoreJobs)
 }
 
-func leaseContext(ctx context.Context) context.Context {
-	return store.WithClass(ctx, quota.StoreLeases)
+// owner returns the fencing number under which this instance may act now.
+func (j *Jobs) owner() (job.Owner, bool) {
+	fence, ok := j.keeper.Fence()
+	return job.Owner{Instance: j.Instance, Fence: fence}, ok
 }
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/leases"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store/storetest"
 	"github.com/coltsfootdrift/coltsfootdrift/job"
@@ -41,7 +42,7 @@
 		w.wall.Add(time.Second.Milliseconds())
 		w.fake.Advance(time.Second)
 		for _, i := range awake {
-			i.keeper.tick(c.Context())
+			i.keeper.Tick(c.Context())
 		}
 	}
 }
@@ -79,7 +80,7 @@
 		Instance: name, Store: w.fake, Members: w, Runner: i, Boot: w.now, Wall: w.now,
 		Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
 	})
-	i.keeper.tick(c.Context())
+	i.keeper.Tick(c.Context())
 	return i
 }
 
@@ -118,7 +119,7 @@
 	status, err := b.Status(c.Context(), id)
 	c.Assert(err, qt.IsNil)
 	c.Assert(status.Record.Holder, qt.Equals, "a")
-	w.pass(c, leaseTTL+time.Second, b)
+	w.pass(c, leases.TTL+time.Second, b)
 	w.scan(c, b)
 	second := <-b.runs
 	c.Assert(bytes.Equal(second.progress.Results["s1"], large), qt.IsTrue)
@@ -140,14 +141,14 @@
 		a, b := w.instance(c, "a"), w.instance(c, "b")
 		id := a.submit(c)
 		run := <-a.runs
-		w.pass(c, leaseTTL+time.Second, b)
+		w.pass(c, leases.TTL+time.Second, b)
 		var second *testRun
 		if taken {
 			w.scan(c, b)
 			second = <-b.runs
 			// The former holder gets a new lease before it notices.
-			a.keeper.tick(c.Context())
-			a.keeper.tick(c.Context())
+			a.keeper.Tick(c.Context())
+			a.keeper.Tick(c.Context())
 		}
 		before, err := w.fake.Get(c.Context(), job.RecordKey(id))
 		c.Assert(err, qt.IsNil)
@@ -186,7 +187,7 @@
 	w.fake.Before = func(_ context.Context, op storetest.Op, key string) error {
 		if op == storetest.Swap && key == job.RecordKey(id) {
 			w.fake.Before = nil
-			w.pass(c, leaseTTL+time.Second, b)
+			w.pass(c, leases.TTL+time.Second, b)
 			w.scan(c, b)
 		}
 		return nil
@@ -208,7 +209,7 @@
 	id := a.submit(c)
 	run := <-a.runs
 	c.Assert(run.progress.OnceAllowed(), qt.IsTrue)
-	w.pass(c, leaseTTL+time.Second, b)
+	w.pass(c, leases.TTL+time.Second, b)
 	w.scan(c, b)
 	c.Assert(b.finished(c, id).Record.Outcome, qt.Equals, job.OutcomeUnknown)
 	c.Assert(b.runs, qt.HasLen, 0)
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -40,7 +40,7 @@
 // the returned ID.
 func (j *Jobs) Submit(ctx context.Context, request Job) (id string, err error) {
 	ctx = jobContext(ctx)
-	owner, ok := j.keeper.owner()
+	owner, ok := j.owner()
 	if !ok {
 		return "", ErrNotAccepted
 	}
@@ -114,7 +114,7 @@
 	key, value := job.RecordKey(out.Record.ID), out.Record.Encode()
 	sent := false
 	for {
-		if owner, ok := j.keeper.owner(); !ok || out.Record.Fence != 0 && owner.Fence != out.Record.Fence {
+		if owner, ok := j.owner(); !ok || out.Record.Fence != 0 && owner.Fence != out.Record.Fence {
 			return j.leaseLost(out, sent)
 		}
 		version, err := j.Store.CompareAndSwap(ctx, key, store.Version(out.Expect), value, 0)
@@ -226,7 +226,7 @@
 // keep stores a result, with new tries while the lease is valid.
 func (j *Jobs) keep(r *run, id string, value job.Value, data []byte) error {
 	for {
-		if _, ok := j.keeper.owner(); !ok {
+		if _, ok := j.owner(); !ok {
 			return errStopped
 		}
 		err := j.values.put(r.ctx, id, value, data)
--- a/internal/jobs/scan.go
+++ b/internal/jobs/scan.go
@@ -75,7 +75,7 @@
 		j.afterWrite(ctx, record, int64(entry.Version))
 		return nil
 	}
-	own, ok := j.keeper.owner()
+	own, ok := j.owner()
 	if !ok || !j.room(record.ID) {
 		return nil
 	}
