Join claims and durable work to the daemon, and read the list once

Cause: the cores and adapters of claims and jobs stood, but the daemon used neither, so that at-most-once and durable requests were refused. Three parts of the daemon each read the platform's list. Change: internal/entry/state.go provides Claims and Jobs, serves them to other instances and adds them to the shutdown; appenders are the live instances of the region where the store stands (store_region in the deployment file), taken from the platform's list so that all instances agree; ListFeed reads the list once a second for all parts; a server that the list shows as leaving is marked for instances that can't read the list.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -20,6 +20,10 @@
 // boot-time clock.
 const GrantLife = 10 * time.Second
 
+// SettleInterval is the time between two tries to record the ends of claims that
+// the store did not take.
+const SettleInterval = time.Second
+
 // claimRounds bounds how often one request asks again after an attempt that it
 // waited for was released.
 const claimRounds = 8
@@ -36,8 +40,9 @@
 	Wall  func() time.Time
 	Scope tally.Scope
 	Log   *slog.Logger
-	// WriteInterval and SettleInterval are the constants of the same names, but
-	// for tests.
+	// WriteInterval is the least time between two writes of a busy shard,
+	// SettleInterval that between two tries to record the ends of claims. They are
+	// the constants of the same names, but for tests.
 	WriteInterval  time.Duration
 	SettleInterval time.Duration
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -39,6 +39,7 @@
 		fx.Provide(
 			metrics.New,
 			newLister,
+			newListFeed,
 			newCaller,
 			newExecutor,
 			newHandler,
@@ -52,25 +53,23 @@
 			func(s *Servers) (Hedges, StageBudgets) { return s, s },
 			func(a *AdmissionControl) Admission { return a },
 		),
-		fx.Invoke(serveAdmin),
+		fx.Invoke(serveAdmin, runListFeed),
 		control,
+		state,
 		fx.Options(options...),
-		fx.Invoke(refreshServers, driveDecisions, runOrders, serveCallers),
+		fx.Invoke(observeServers, driveDecisions, runOrders, serveCallers),
 	)
 }
 
-// policies are the parts of the request path that other packages fill. A missing
-// one has the default that Handler or NewExecutor documents.
-type policies struct {
+// executionPolicies are the parts of an execution that other packages fill. A
+// missing one has the default that NewExecutor documents.
+type executionPolicies struct {
 	fx.In
-	Admission Admission    `optional:"true"`
-	Claims    Claims       `optional:"true"`
-	Jobs      Jobs         `optional:"true"`
-	Budgets   StageBudgets `optional:"true"`
-	Hedges    Hedges       `optional:"true"`
+	Budgets StageBudgets `optional:"true"`
+	Hedges  Hedges       `optional:"true"`
 }
 
-func newExecutor(entry settings.Entry, caller backend.Caller, picker Picker, p policies, m *metrics.Metrics, logger *slog.Logger) *Executor {
+func newExecutor(entry settings.Entry, caller backend.Caller, picker Picker, p executionPolicies, m *metrics.Metrics, logger *slog.Logger) *Executor {
 	e := NewExecutor(caller, picker, time.Now)
 	e.Metrics = NewRequestMetrics(m.Scope, entry.Region)
 	e.Logger = logger
@@ -83,7 +82,16 @@
 	return e
 }
 
-func newHandler(c ConfigurationSource, e *Executor, p policies) *Handler {
+// requestPolicies are the parts of the handler that other packages fill. A
+// missing one has the default that Handler documents.
+type requestPolicies struct {
+	fx.In
+	Admission Admission `optional:"true"`
+	Claims    Claims    `optional:"true"`
+	Jobs      Jobs      `optional:"true"`
+}
+
+func newHandler(c ConfigurationSource, e *Executor, p requestPolicies) *Handler {
 	return &Handler{Configuration: c, Executor: e, Admission: p.Admission, Claims: p.Claims, Jobs: p.Jobs, Now: time.Now}
 }
 
@@ -95,28 +103,9 @@
 	return backend.NewHTTPCaller(backend.NewTransport())
 }
 
-// refreshServers reads the instance list until the daemon stops.
-func refreshServers(lc fx.Lifecycle, lister platform.Lister, servers *Servers, configuration ConfigurationSource, logger *slog.Logger) {
-	ctx, cancel := context.WithCancel(context.Background())
-	refresh := func() {
-		members, err := lister.List(ctx)
-		if err != nil {
-			events.ListUnavailable.Log(ctx, logger, slog.Any("error", err))
-			return
-		}
-		servers.Update(members, configuration.Current())
-	}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			refresh()
-			go every(ctx, listInterval, refresh)
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			return nil
-		},
-	})
+// observeServers keeps the backend servers those of the list.
+func observeServers(feed *ListFeed, servers *Servers, configuration ConfigurationSource) {
+	feed.Observe(func(members []platform.Member) { servers.Update(members, configuration.Current()) })
 }
 
 // every calls f at each interval until ctx ends.
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -46,16 +46,16 @@
 }
 
 // runGossip starts the exchange.
-func runGossip(lc fx.Lifecycle, g *gossip, lister platform.Lister) {
+func runGossip(lc fx.Lifecycle, g *gossip, feed *ListFeed) {
 	if g.members.Node == nil {
 		return
 	}
 	g.members.Node.Observe(g.observe)
+	feed.Observe(g.listed)
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go every(ctx, membership.Interval, g.report)
-			go every(ctx, candidateInterval, func() { g.listed(listOnce(ctx, lister)) })
 			return nil
 		},
 		OnStop: func(context.Context) error {
@@ -139,16 +139,18 @@
 	})
 }
 
-// listed clears the markers of servers that the list shows with a new incarnation
-// and applies the others to servers that are new in it.
+// listed marks the servers that the list shows as leaving, for instances that
+// can't read it, clears the markers of servers with a new incarnation and applies
+// the others to servers that are new in the list.
 func (g *gossip) listed(members []platform.Member) {
-	if members == nil {
-		return
-	}
 	incarnations := map[string]int64{}
 	for _, member := range members {
-		if member.Role == platform.RoleBackend {
-			incarnations[member.ID] = member.Incarnation
+		if member.Role != platform.RoleBackend {
+			continue
+		}
+		incarnations[member.ID] = member.Incarnation
+		if member.State == platform.StateLeaving {
+			g.members.MarkDraining(member.ID, member.Incarnation, drainLifetime)
 		}
 	}
 	g.mu.Lock()
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -17,9 +17,6 @@
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
 )
 
-// candidateInterval is how often the candidates to contact are renewed.
-const candidateInterval = 5 * time.Second
-
 // Members is the membership of this instance. Without a peer address, it knows
 // only itself.
 type Members struct {
@@ -69,6 +66,18 @@
 	return live
 }
 
+// others returns the peer addresses of the other live members of the failure domain.
+func (m *Members) others() (addresses []string) {
+	m.View(func(s *membership.State) {
+		for _, record := range s.Live() {
+			if record.ID != m.entry.Instance && record.State == membership.Alive {
+				addresses = append(addresses, record.Address)
+			}
+		}
+	})
+	return addresses
+}
+
 // Instances returns the number of live instances in all failure domains.
 func (m *Members) Instances() int {
 	n := 1
@@ -132,7 +141,7 @@
 	Members *Members
 	Server  *peer.Server
 	Client  *peer.Client
-	Lister  platform.Lister
+	Feed    *ListFeed
 	Steps   *StopSteps
 	Status  *Status
 	Logger  *slog.Logger
@@ -144,6 +153,9 @@
 	if p.Members.Node == nil {
 		return
 	}
+	// The settings' peers are known even when the list can't be read.
+	p.Members.hint(nil)
+	p.Feed.Observe(p.Members.hint)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	server := &http.Server{Handler: p.Server.Handler(), ReadHeaderTimeout: headerTimeout}
@@ -153,15 +165,7 @@
 	}})
 	lc.Append(fx.Hook{
 		OnStart: func(start context.Context) error {
-			p.Members.hint(listOnce(start, p.Lister))
 			running.Go(func() { p.Members.Node.Run(ctx) })
-			running.Go(func() {
-				every(ctx, candidateInterval, func() {
-					if listed := listOnce(ctx, p.Lister); listed != nil {
-						p.Members.hint(listed)
-					}
-				})
-			})
 			return listenAndServe(start, server, p.Entry.PeerAddress, p.Logger)
 		},
 		OnStop: func(stop context.Context) error {
@@ -173,15 +177,6 @@
 	})
 }
 
-// listOnce returns nil when the list can't be read; refreshServers reports that.
-func listOnce(ctx context.Context, lister platform.Lister) []platform.Member {
-	listed, err := lister.List(ctx)
-	if err != nil {
-		return nil
-	}
-	return listed
-}
-
 // memberStatus is one member as the status shows it.
 type memberStatus struct {
 	ID       string `json:"id"`
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -170,6 +170,9 @@
 	Name    string   `json:"deployment"`
 	Regions []Region `json:"regions"`
 	Pools   []Pool   `json:"pools"`
+	// StoreRegion is the region in which the key-value service stands; empty when
+	// it is as near to every region.
+	StoreRegion string `json:"store_region,omitempty"`
 	// LinkMbits is the capacity of the link between regions, each way, in megabits per second.
 	LinkMbits float64 `json:"link_mbits"`
 	// WeightLoadsPerMinute is the rate limit of the weight store.
--- a/pipeline/rules.go
+++ b/pipeline/rules.go
@@ -28,9 +28,17 @@
 	v.checkPools(d.Pools)
 	checkRange(v, deploymentFile, path{"link_mbits"}, d.LinkMbits, 0, maxMbits)
 	checkRange(v, deploymentFile, path{"weight_loads_per_minute"}, d.WeightLoadsPerMinute, 0, math.MaxInt32)
+	v.checkStoreRegion(d)
 	v.checkOrganisations(d.Organisations)
 }
 
+func (v *validator) checkStoreRegion(d *Deployment) {
+	known := slices.ContainsFunc(d.Regions, func(r Region) bool { return r.Name == d.StoreRegion })
+	if d.StoreRegion != "" && !known {
+		v.report(deploymentFile, path{"store_region"}, "store region %q does not exist, expected the name of a region", d.StoreRegion)
+	}
+}
+
 func (v *validator) checkRegions(regions []Region) {
 	if len(regions) == 0 {
 		v.report(deploymentFile, path{"regions"}, "no regions, expected at least 1")
--- a/pipeline/validate_test.go
+++ b/pipeline/validate_test.go
@@ -30,6 +30,7 @@
 // another place than where it was made.
 func TestEachMistakeIsReportedWithPosition(t *testing.T) {
 	tests := []struct{ old, new, want string }{
+		{`"organisations": [`, `"store_region": "x", "organisations": [`, `deployment.jsonc:3:17: store region "x" does not exist, expected the name of a region`},
 		{`"slots": 4`, `"slot": 4`, `deployment.jsonc:2:51: unknown field "slot", expected one of name, type, slots`},
 		{`"slots": 4`, `"slots": "4"`, `deployment.jsonc:2:60: found "4", expected a whole number`},
 		{`"slots": 4`, `"slots": -4`, `deployment.jsonc:2:60: slots is -4, expected at least 1`},
