Run the first call of a hedged stage in the goroutine of the stage

Cause: with the routing core in force every idempotent call is hedgeable, and each paid for a goroutine, a channel and a select although few calls reach the delay. Change: a timer starts the second call; the first one runs in place. Which answer came first is decided by one atomic flag.

--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -3,52 +3,86 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 )
 
-// hedgedResult is the answer of one of two calls.
+// hedge is a call with a second one that starts when no answer came within a
+// delay. The first call runs in the goroutine of the stage, because most calls
+// end before the delay and need no other.
+type hedge struct {
+	call *stageCall
+	// won is true once one of the calls has its answer; the other's is dropped.
+	won                       atomic.Bool
+	cancelFirst, cancelSecond context.CancelFunc
+	second                    chan hedgedResult
+}
+
+// hedgedResult is the answer of the second call; both fields are empty when
+// there was no such call.
 type hedgedResult struct {
 	output json.RawMessage
-	err    error
+	won    bool
 }
 
 // hedged calls a server, and a second one when no answer came within the delay.
 // The first answer wins and the other call is cancelled.
 func (c *stageCall) hedged(ctx context.Context, first Picked, delay time.Duration) (json.RawMessage, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan hedgedResult, 2)
-	launch := func(picked Picked) {
-		output, err := c.send(ctx, picked)
-		results <- hedgedResult{output, err}
+	h := &hedge{call: c, second: make(chan hedgedResult, 1)}
+	firstCtx, cancelFirst := context.WithCancel(ctx)
+	secondCtx, cancelSecond := context.WithCancel(ctx)
+	defer cancelFirst()
+	h.cancelFirst, h.cancelSecond = cancelFirst, cancelSecond
+	timer := time.AfterFunc(delay, func() { h.runSecond(secondCtx) })
+	output, err := c.send(firstCtx, first)
+	if timer.Stop() {
+		cancelSecond()
+		return output, err
+	}
+	return h.settle(output, err)
+}
+
+// runSecond sends the second call when it is allowed.
+func (h *hedge) runSecond(ctx context.Context) {
+	defer h.cancelSecond()
+	picked, ok := h.call.pickHedge(ctx)
+	if !ok {
+		h.second <- hedgedResult{}
+		return
+	}
+	output, err := h.call.send(ctx, picked)
+	won := err == nil && h.win()
+	if won {
+		h.cancelFirst()
 	}
-	go launch(first)
-	pending := 1
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	for {
-		select {
-		case <-timer.C:
-			if second, ok := c.pickHedge(); ok {
-				go launch(second)
-				pending++
-			}
-		case result := <-results:
-			pending--
-			if result.err == nil && pending > 0 {
-				go c.dropLate(results)
-			}
-			if result.err == nil || pending == 0 {
-				return result.output, result.err
-			}
-		}
+	h.second <- hedgedResult{output, won}
+}
+
+// win reports whether an answer is the first one, and counts a late one.
+func (h *hedge) win() bool {
+	if h.won.CompareAndSwap(false, true) {
+		return true
 	}
+	h.call.Metrics.dropped.Inc(1)
+	return false
+}
+
+// settle decides between the result of the first call and that of the second.
+func (h *hedge) settle(output json.RawMessage, err error) (json.RawMessage, error) {
+	if err == nil && h.win() {
+		h.cancelSecond()
+		return output, nil
+	}
+	if second := <-h.second; second.won {
+		return second.output, nil
+	}
+	return nil, err
 }
 
 // pickHedge chooses the second server when a hedge is allowed.
-func (c *stageCall) pickHedge() (Picked, bool) {
+func (c *stageCall) pickHedge(ctx context.Context) (Picked, bool) {
 	query := c.query()
-	if !c.Hedges.Allow(query) {
+	if ctx.Err() != nil || !c.Hedges.Allow(query) {
 		return nil, false
 	}
 	picked, ok := c.pick(query)
@@ -57,10 +91,3 @@
 	}
 	return picked, ok
 }
-
-// dropLate counts an answer that arrives after the other one won.
-func (c *stageCall) dropLate(results <-chan hedgedResult) {
-	if late := <-results; late.err == nil {
-		c.Metrics.dropped.Inc(1)
-	}
-}
