Move callers, plan and verifier of the demo to a package of their own

Cause: the fault scenarios need the same callers and the same comparison with the stand-ins' records as the demo. Change: internal/traffic holds them. A durable request that was accepted and ends other than completed now counts as lost, a caller may ask any instance about it, and attempts whose connection broke are kept apart from those that were told not_run. Conclusion: the demo's tests and the verifier's test pass unchanged in what they check.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -17,6 +17,7 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/examples"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/traffic"
 )
 
 // The demo stays under 30 s: no request starts after sendLimit, none runs longer
@@ -46,7 +47,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeLimit)
 	defer cancel()
 
-	report := &Report{Kinds: map[string]*Counts{}}
+	report := &Report{Kinds: map[string]*traffic.Counts{}}
 	var mu sync.Mutex
 	var group errgroup.Group
 	for _, name := range examples.Deployments() {
@@ -70,7 +71,7 @@
 
 // serve starts one deployment, sends its requests and stops it. The records are
 // complete once the deployment has stopped.
-func serve(ctx context.Context, name, folder string, logger *slog.Logger) (*deployment, []sent, error) {
+func serve(ctx context.Context, name, folder string, logger *slog.Logger) (*deployment, []traffic.Sent, error) {
 	folder, err := unpack(name, folder)
 	if err != nil {
 		return nil, nil, err
@@ -79,23 +80,23 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	results := d.send(ctx, plan(d.cluster.Set, rand.New(rand.NewPCG(seed, 1))))
+	results := d.send(ctx, traffic.Plan(d.cluster.Set, rand.New(rand.NewPCG(seed, 1)), ""))
 	return d, results, d.stop()
 }
 
 // collect counts the requests of a deployment.
-func (r *Report) collect(d *deployment, results []sent) {
-	v := newVerifier(d.cluster.Set, d.cluster.Runs())
+func (r *Report) collect(d *deployment, results []traffic.Sent) {
+	v := traffic.NewVerifier(d.cluster.Set, d.cluster.Runs())
 	for _, s := range results {
-		r.kind(d.name, s.kind.Name).add(v.count(s))
+		r.kind(d.name, s.Kind.Name).Add(v.Count(s))
 	}
 }
 
 // send sends all requests with a bounded number at once.
-func (d *deployment) send(ctx context.Context, requests []request) []sent {
-	c := &caller{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callersPerDeployment}}}
-	defer c.client.CloseIdleConnections()
-	results := make([]sent, len(requests))
+func (d *deployment) send(ctx context.Context, requests []traffic.Request) []traffic.Sent {
+	c := &traffic.Caller{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callersPerDeployment}}}
+	defer c.HTTP.CloseIdleConnections()
+	results := make([]traffic.Sent, len(requests))
 	var group errgroup.Group
 	group.SetLimit(callersPerDeployment)
 	started := time.Now()
@@ -106,7 +107,7 @@
 		}
 		d.disturb(i, len(requests))
 		group.Go(func() error {
-			results[i] = sent{request: r, answers: d.sendAll(ctx, c, i, r)}
+			results[i] = traffic.Sent{Request: r, Answers: d.sendAll(ctx, c, i, r)}
 			return nil
 		})
 	}
@@ -114,10 +115,10 @@
 	return results
 }
 
-// sendAll sends a request and its repeats. Every other request is repeated while
+// sendAll sends a request and its repeats. Every other traffic.Request is repeated while
 // it runs, the rest after its answer; each time at another instance.
-func (d *deployment) sendAll(ctx context.Context, c *caller, i int, r request) []answer {
-	answers := make([]answer, r.repeats+1)
+func (d *deployment) sendAll(ctx context.Context, c *traffic.Caller, i int, r traffic.Request) []traffic.Answer {
+	answers := make([]traffic.Answer, r.Repeats+1)
 	var group errgroup.Group
 	if i%2 == 0 {
 		group.SetLimit(1)
@@ -125,7 +126,7 @@
 	for n := range answers {
 		address := d.addresses[(i+n)%len(d.addresses)]
 		group.Go(func() error {
-			answers[n] = c.send(ctx, address, r)
+			answers[n] = c.Send(ctx, address, r)
 			return nil
 		})
 	}
--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -27,6 +27,9 @@
 // between the search and the start.
 const startAttempts = 3
 
+// pollInterval is the time between two questions about readiness.
+const pollInterval = 50 * time.Millisecond
+
 // shutdownDeadline bounds the stop of an instance.
 const shutdownDeadline = 5 * time.Second
 
--- a/internal/demo/client.go
+++ b/internal/traffic/client.go
@@ -1,4 +1,4 @@
-package demo
+package traffic
 
 import (
 	"bytes"
@@ -22,91 +22,106 @@
 // pollInterval is the time between two questions about a durable request.
 const pollInterval = 50 * time.Millisecond
 
-// answer is what a caller got.
-type answer struct {
-	// outcome is empty when no final answer arrived.
-	outcome entry.Outcome
-	// body is the whole answer when the outcome is completed.
-	body []byte
-	// digest is set instead of the body for a repeat whose answer isn't kept: the
+// Answer is what a caller got.
+type Answer struct {
+	// Outcome is empty when no final answer arrived.
+	Outcome entry.Outcome
+	// Body is the whole answer when the outcome is completed.
+	Body []byte
+	// Digest is set instead of the body for a repeat whose answer isn't kept: the
 	// SHA-256 in hexadecimal.
-	digest string
-	// detail says what went wrong.
-	detail string
+	Digest string
+	// Accepted is true when a durable request was accepted.
+	Accepted bool
+	// Detail says what went wrong.
+	Detail string
 }
 
-func lost(err error) answer {
-	return answer{detail: err.Error()}
+func lost(err error) Answer {
+	return Answer{Detail: err.Error()}
 }
 
-// caller sends requests to entry instances.
-type caller struct {
-	client *http.Client
+// Caller sends requests to entry instances.
+type Caller struct {
+	HTTP *http.Client
+	// Elsewhere returns an instance that is asked about a durable request; nil to ask
+	// only the instance that accepted it.
+	Elsewhere func() string
 }
 
-// send sends one request to an instance and waits for the final answer.
-func (c *caller) send(ctx context.Context, address string, r request) answer {
-	url := fmt.Sprintf("http://%s/v1/organisations/%s/pipelines/%s/kinds/%s", address, r.organisation, r.pipeline, r.kind.Name)
-	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(r.body))
+// Send sends one request to an instance and waits for the final answer.
+func (c *Caller) Send(ctx context.Context, address string, r Request) Answer {
+	url := fmt.Sprintf("http://%s/v1/organisations/%s/pipelines/%s/kinds/%s", address, r.Organisation, r.Pipeline, r.Kind.Name)
+	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(r.Body))
 	if err != nil {
 		return lost(err)
 	}
 	httpRequest.Header.Set("Content-Type", "application/json")
-	if r.key != "" {
-		httpRequest.Header.Set("Idempotency-Key", r.key)
+	if r.Key != "" {
+		httpRequest.Header.Set("Idempotency-Key", r.Key)
 	}
-	if r.stream {
+	if r.Stream {
 		httpRequest.Header.Set("Accept", "text/event-stream")
 	}
-	if r.async {
+	if r.Async {
 		httpRequest.Header.Set("Prefer", "respond-async")
 	}
-	response, err := c.client.Do(httpRequest)
+	response, err := c.HTTP.Do(httpRequest)
 	if err != nil {
 		return lost(err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusAccepted {
-		return c.poll(ctx, address, response.Header.Get("Location"))
+		answer := c.poll(ctx, address, response.Header.Get("Location"))
+		answer.Accepted = true
+		return answer
 	}
 	return read(response)
 }
 
-// poll asks for the answer of a durable request until there is one.
-func (c *caller) poll(ctx context.Context, address, location string) answer {
+// poll asks for the answer of an accepted durable request until there is one. Any
+// other end than a completed one is a loss.
+func (c *Caller) poll(ctx context.Context, address, location string) Answer {
 	for {
 		got, pending := c.ask(ctx, "http://"+address+location)
-		if !pending {
+		if c.Elsewhere != nil {
+			address = c.Elsewhere()
+			pending = pending || got.Outcome == ""
+		}
+		switch {
+		case got.Outcome == entry.OutcomeCompleted:
 			return got
+		case !pending:
+			return lost(fmt.Errorf("accepted, then outcome %q: %s", got.Outcome, got.Detail))
 		}
 		select {
 		case <-time.After(pollInterval):
 		case <-ctx.Done():
-			return lost(ctx.Err())
+			return lost(fmt.Errorf("accepted as %s: %w", location, ctx.Err()))
 		}
 	}
 }
 
 // ask returns the answer of a durable request, or true while there is none.
-func (c *caller) ask(ctx context.Context, url string) (answer, bool) {
+func (c *Caller) ask(ctx context.Context, url string) (Answer, bool) {
 	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return lost(err), false
 	}
-	response, err := c.client.Do(httpRequest)
+	response, err := c.HTTP.Do(httpRequest)
 	if err != nil {
 		return lost(err), false
 	}
 	defer response.Body.Close()
 	switch response.StatusCode {
 	case http.StatusAccepted, http.StatusServiceUnavailable:
-		return answer{}, true
+		return Answer{}, true
 	}
 	return read(response), false
 }
 
 // read returns the final answer that a response holds.
-func read(response *http.Response) answer {
+func read(response *http.Response) Answer {
 	contentType := response.Header.Get("Content-Type")
 	if strings.HasPrefix(contentType, "text/event-stream") {
 		return readStream(response.Body)
@@ -123,7 +138,7 @@
 	if outcome != entry.OutcomeCompleted {
 		return lost(fmt.Errorf("status %d with outcome %q: %.200s", response.StatusCode, outcome, body))
 	}
-	return answer{outcome: outcome, body: plainText(body)}
+	return Answer{Outcome: outcome, Body: plainText(body)}
 }
 
 // plainText takes generated text out of its JSON string.
@@ -135,7 +150,7 @@
 	return body
 }
 
-func readProblem(body []byte) answer {
+func readProblem(body []byte) Answer {
 	var problem struct {
 		entry.Problem
 		SHA256 string `json:"sha256"`
@@ -143,14 +158,14 @@
 	if err := json.Unmarshal(body, &problem); err != nil {
 		return lost(fmt.Errorf("problem: %w", err))
 	}
-	return answer{outcome: problem.Outcome, digest: problem.SHA256, detail: problem.Error()}
+	return Answer{Outcome: problem.Outcome, Digest: problem.SHA256, Detail: problem.Error()}
 }
 
 // errNoEnd reports a stream that stopped without its end mark.
 var errNoEnd = errors.New("stream has no end mark")
 
 // readStream reads a streamed answer up to its end mark.
-func readStream(body io.Reader) answer {
+func readStream(body io.Reader) Answer {
 	var text bytes.Buffer
 	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
@@ -172,7 +187,7 @@
 	return lost(errNoEnd)
 }
 
-func endOfStream(data string, text []byte) answer {
+func endOfStream(data string, text []byte) Answer {
 	var end entry.End
 	if err := json.Unmarshal([]byte(data), &end); err != nil {
 		return lost(err)
@@ -180,5 +195,5 @@
 	if end.Bytes != int64(len(text)) {
 		return lost(fmt.Errorf("%d of %d bytes arrived", len(text), end.Bytes))
 	}
-	return answer{outcome: end.Outcome, body: text}
+	return Answer{Outcome: end.Outcome, Body: text}
 }
--- /dev/null
+++ b/internal/traffic/counts.go
@@ -0,0 +1,64 @@
+// Package traffic sends callers' requests and compares what the callers got with
+// what backend servers recorded. The demo and the fault scenarios use it.
+package traffic
+
+import "github.com/coltsfootdrift/coltsfootdrift/internal/entry"
+
+// Counts says what became of requests. Each request has one of the four outcomes
+// or is lost.
+type Counts struct {
+	Requests  int `json:"requests"`
+	Completed int `json:"completed"`
+	NotRun    int `json:"not_run"`
+	Failed    int `json:"failed"`
+	Unknown   int `json:"unknown"`
+	// Lost counts requests without a final answer or whose whole answer did not
+	// arrive.
+	Lost int `json:"lost"`
+	// Doubled counts runs of a once stage beyond the first one for a key.
+	Doubled int `json:"doubled"`
+	// MixedUp counts answers that belong to another request.
+	MixedUp int `json:"mixed_up"`
+	// NotRunButRan counts requests that a backend server ran although the caller
+	// was told not_run.
+	NotRunButRan int `json:"not_run_but_ran"`
+	// Streams and RepeatedKeys count requests of these sorts.
+	Streams      int `json:"streams"`
+	RepeatedKeys int `json:"repeated_keys"`
+}
+
+// Faulty returns the sum of the counts that must be 0.
+func (c Counts) Faulty() int {
+	return c.Lost + c.Doubled + c.MixedUp + c.NotRunButRan
+}
+
+// Add adds other counts.
+func (c *Counts) Add(other Counts) {
+	c.Requests += other.Requests
+	c.Completed += other.Completed
+	c.NotRun += other.NotRun
+	c.Failed += other.Failed
+	c.Unknown += other.Unknown
+	c.Lost += other.Lost
+	c.Doubled += other.Doubled
+	c.MixedUp += other.MixedUp
+	c.NotRunButRan += other.NotRunButRan
+	c.Streams += other.Streams
+	c.RepeatedKeys += other.RepeatedKeys
+}
+
+// count adds the outcome of one request.
+func (c *Counts) count(outcome entry.Outcome) {
+	switch outcome {
+	case entry.OutcomeCompleted:
+		c.Completed++
+	case entry.OutcomeNotRun:
+		c.NotRun++
+	case entry.OutcomeFailed:
+		c.Failed++
+	case entry.OutcomeUnknown:
+		c.Unknown++
+	default:
+		c.Lost++
+	}
+}
--- a/internal/demo/plan.go
+++ b/internal/traffic/plan.go
@@ -1,4 +1,4 @@
-package demo
+package traffic
 
 import (
 	"encoding/json"
@@ -28,20 +28,20 @@
 	largeAnswerBytes = 1 << 20
 )
 
-// request is one request of the demo.
-type request struct {
-	id           string
-	organisation string
-	pipeline     string
-	kind         pipeline.Kind
-	// lastStage is the type of the stage that gives the answer.
-	lastStage pipeline.StageType
-	key       string
-	stream    bool
-	async     bool
-	// repeats is how many times the request is sent again with its key.
-	repeats int
-	body    []byte
+// Request is one request of a caller.
+type Request struct {
+	ID           string
+	Organisation string
+	Pipeline     string
+	Kind         pipeline.Kind
+	// LastStage is the type of the stage that gives the answer.
+	LastStage pipeline.StageType
+	Key       string
+	Stream    bool
+	Async     bool
+	// Repeats is how many times the request is sent again with its key.
+	Repeats int
+	Body    []byte
 }
 
 // callerBody is the JSON document of a request. The stand-ins find their way to
@@ -52,15 +52,16 @@
 	AnswerBytes int    `json:"answer_bytes"`
 }
 
-// plan returns the requests of a deployment in random order.
-func plan(set *pipeline.Set, random *rand.Rand) []request {
-	var requests []request
+// Plan returns requests of all kinds of a deployment in random order. Plans with
+// different prefixes have no request ID or key in common.
+func Plan(set *pipeline.Set, random *rand.Rand, prefix string) []Request {
+	var requests []Request
 	for i := range set.Pipelines {
 		p := &set.Pipelines[i]
 		for _, kind := range p.Kinds {
 			for n := range amount(kind) {
 				organisation := set.Deployment.Organisations[len(requests)%len(set.Deployment.Organisations)]
-				requests = append(requests, newRequest(p, kind, organisation.Name, n))
+				requests = append(requests, newRequest(p, kind, organisation.Name, prefix, n))
 			}
 		}
 	}
@@ -82,30 +83,30 @@
 
 // newRequest returns the n-th request of a kind. The first one of a long kind is
 // a large stream; the other durable ones are fetched later.
-func newRequest(p *pipeline.Pipeline, kind pipeline.Kind, organisation string, n int) request {
-	r := request{
-		id:           fmt.Sprintf("%s-%s-%d", p.Name, kind.Name, n),
-		organisation: organisation,
-		pipeline:     p.Name,
-		kind:         kind,
-		lastStage:    p.Stages[len(p.Stages)-1].Type,
+func newRequest(p *pipeline.Pipeline, kind pipeline.Kind, organisation, prefix string, n int) Request {
+	r := Request{
+		ID:           fmt.Sprintf("%s%s-%s-%d", prefix, p.Name, kind.Name, n),
+		Organisation: organisation,
+		Pipeline:     p.Name,
+		Kind:         kind,
+		LastStage:    p.Stages[len(p.Stages)-1].Type,
 	}
 	length := shortAnswerBytes + n
 	switch {
 	case kind.Durable && n == 0:
-		r.stream = true
+		r.Stream = true
 		length = largeAnswerBytes
 	case kind.Durable:
-		r.async = true
+		r.Async = true
 		length = longAnswerBytes + n
 	case kind.AtMostOnce():
-		r.key = "key-" + r.id
+		r.Key = "key-" + r.ID
 		if n%repeatEvery == 0 {
-			r.repeats = 1 + n%2
+			r.Repeats = 1 + n%2
 		}
 	default:
-		r.stream = r.lastStage == pipeline.StageGenerate && n%streamEvery == 0
+		r.Stream = r.LastStage == pipeline.StageGenerate && n%streamEvery == 0
 	}
-	r.body, _ = json.Marshal(callerBody{RequestID: r.id, Text: "demo request " + r.id, AnswerBytes: length})
+	r.Body, _ = json.Marshal(callerBody{RequestID: r.ID, Text: "request " + r.ID, AnswerBytes: length})
 	return r
 }
--- a/internal/demo/verify.go
+++ b/internal/traffic/verify.go
@@ -1,4 +1,4 @@
-package demo
+package traffic
 
 import (
 	"bytes"
@@ -12,21 +12,24 @@
 	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
 )
 
-// sent is one request with the answers to it and to its repeats.
-type sent struct {
-	request
-	answers []answer
+// Sent is one request with the answers to it and to its repeats.
+type Sent struct {
+	Request
+	Answers []Answer
+	// Interrupted counts attempts whose connection broke. They were sent again.
+	Interrupted int
 }
 
-// verifier compares what callers got with what backend servers recorded.
-type verifier struct {
+// Verifier compares what callers got with what backend servers recorded.
+type Verifier struct {
 	set *pipeline.Set
 	// byRequest and byInput hold the runs by request ID and by input hash.
 	byRequest, byInput map[string][]standin.Run
 }
 
-func newVerifier(set *pipeline.Set, runs []standin.Run) *verifier {
-	v := &verifier{set: set, byRequest: map[string][]standin.Run{}, byInput: map[string][]standin.Run{}}
+// NewVerifier takes the configuration and the record of all backend servers.
+func NewVerifier(set *pipeline.Set, runs []standin.Run) *Verifier {
+	v := &Verifier{set: set, byRequest: map[string][]standin.Run{}, byInput: map[string][]standin.Run{}}
 	for _, run := range runs {
 		v.byRequest[run.RequestID] = append(v.byRequest[run.RequestID], run)
 		v.byInput[run.InputHash] = append(v.byInput[run.InputHash], run)
@@ -34,42 +37,42 @@
 	return v
 }
 
-// count returns the counts of one request with its repeats.
-func (v *verifier) count(s sent) Counts {
+// Count returns the counts of one request with its repeats.
+func (v *Verifier) Count(s Sent) Counts {
 	var counts Counts
-	allNotRun := true
-	for i, a := range s.answers {
+	allNotRun := s.Interrupted == 0
+	for i, a := range s.Answers {
 		counts.Requests++
-		if s.stream {
+		if s.Stream {
 			counts.Streams++
 		}
 		if i > 0 {
 			counts.RepeatedKeys++
 		}
-		allNotRun = allNotRun && a.outcome == entry.OutcomeNotRun
+		allNotRun = allNotRun && a.Outcome == entry.OutcomeNotRun
 		v.countAnswer(&counts, s, a)
 	}
-	if allNotRun && len(v.byRequest[s.id]) > 0 {
-		counts.NotRunButRan += len(s.answers)
+	if allNotRun && len(v.byRequest[s.ID]) > 0 {
+		counts.NotRunButRan += len(s.Answers)
 	}
-	counts.Doubled = max(0, v.onceRuns(s.request)-1)
+	counts.Doubled = max(0, v.onceRuns(s.Request)-1)
 	return counts
 }
 
 // countAnswer counts a completed answer only when it is the whole answer to its request.
-func (v *verifier) countAnswer(counts *Counts, s sent, a answer) {
+func (v *Verifier) countAnswer(counts *Counts, s Sent, a Answer) {
 	switch {
-	case a.outcome != entry.OutcomeCompleted:
-		counts.count(a.outcome)
+	case a.Outcome != entry.OutcomeCompleted:
+		counts.count(a.Outcome)
 		return
-	case a.body == nil && !s.delivered(a.digest):
+	case a.Body == nil && !s.delivered(a.Digest):
 		counts.Lost++
 		return
-	case a.body == nil:
+	case a.Body == nil:
 		counts.Completed++
 		return
 	}
-	switch v.check(s.request, a.body) {
+	switch v.check(s.Request, a.Body) {
 	case answerWhole:
 		counts.Completed++
 	case answerCut:
@@ -80,10 +83,10 @@
 }
 
 // delivered reports whether the caller already got an answer with the digest.
-func (s sent) delivered(digest string) bool {
-	for _, a := range s.answers {
-		sum := sha256.Sum256(a.body)
-		if a.body != nil && hex.EncodeToString(sum[:]) == digest {
+func (s Sent) delivered(digest string) bool {
+	for _, a := range s.Answers {
+		sum := sha256.Sum256(a.Body)
+		if a.Body != nil && hex.EncodeToString(sum[:]) == digest {
 			return true
 		}
 	}
@@ -99,8 +102,8 @@
 	answerOfAnother
 )
 
-func (v *verifier) check(r request, body []byte) verdict {
-	if r.lastStage == pipeline.StageGenerate {
+func (v *Verifier) check(r Request, body []byte) verdict {
+	if r.LastStage == pipeline.StageGenerate {
 		return v.checkText(r, string(body))
 	}
 	return v.checkDocument(r, body)
@@ -108,7 +111,7 @@
 
 // checkText compares generated text with what the engine was to generate for the
 // input that the text names.
-func (v *verifier) checkText(r request, text string) verdict {
+func (v *Verifier) checkText(r Request, text string) verdict {
 	hash, _, _ := strings.Cut(text, "\n")
 	run, ok := v.own(r, hash)
 	switch {
@@ -124,7 +127,7 @@
 
 // checkDocument compares the answer of a service with the input that the service
 // recorded for the request.
-func (v *verifier) checkDocument(r request, body []byte) verdict {
+func (v *Verifier) checkDocument(r Request, body []byte) verdict {
 	var document struct {
 		RequestID string          `json:"request_id"`
 		Input     json.RawMessage `json:"input"`
@@ -138,17 +141,17 @@
 	}
 	sum := sha256.Sum256(input.Bytes())
 	_, ok := v.own(r, hex.EncodeToString(sum[:]))
-	if !ok || document.RequestID != r.id {
+	if !ok || document.RequestID != r.ID {
 		return answerOfAnother
 	}
 	return answerWhole
 }
 
 // own returns the run of a request's last stage with the input hash.
-func (v *verifier) own(r request, hash string) (standin.Run, bool) {
+func (v *Verifier) own(r Request, hash string) (standin.Run, bool) {
 	for _, run := range v.byInput[hash] {
-		same := run.RequestID == r.id && run.Organisation == r.organisation && run.Kind == r.kind.Name
-		if same && run.Type == r.lastStage {
+		same := run.RequestID == r.ID && run.Organisation == r.Organisation && run.Kind == r.Kind.Name
+		if same && run.Type == r.LastStage {
 			return run, true
 		}
 	}
@@ -156,14 +159,14 @@
 }
 
 // onceRuns returns how often the once stage of a request ran.
-func (v *verifier) onceRuns(r request) int {
-	p, ok := v.set.Pipeline(r.pipeline)
+func (v *Verifier) onceRuns(r Request) int {
+	p, ok := v.set.Pipeline(r.Pipeline)
 	if !ok {
 		return 0
 	}
 	runs := 0
 	for _, stage := range p.Stages {
-		for _, run := range v.byRequest[r.id] {
+		for _, run := range v.byRequest[r.ID] {
 			if stage.Once && run.Pool == stage.Pool {
 				runs++
 			}
--- a/internal/demo/verify_test.go
+++ b/internal/traffic/verify_test.go
@@ -1,4 +1,4 @@
-package demo
+package traffic
 
 import (
 	"crypto/sha256"
@@ -32,34 +32,34 @@
 	service, engine := pipeline.StageService, pipeline.StageGenerate
 	document := func(id string) string { return fmt.Sprintf(`{"request_id": %q, "input": %s}`, id, id) }
 	text := func(id string) string { return standin.GeneratedText(hashOf(id), 200) }
-	completed := func(body string) answer { return answer{outcome: entry.OutcomeCompleted, body: []byte(body)} }
-	notRun := answer{outcome: entry.OutcomeNotRun}
+	completed := func(body string) Answer { return Answer{Outcome: entry.OutcomeCompleted, Body: []byte(body)} }
+	notRun := Answer{Outcome: entry.OutcomeNotRun}
 	for _, test := range []struct {
 		name    string
 		last    pipeline.StageType
 		runs    []standin.Run
-		answers []answer
+		answers []Answer
 		want    Counts
 	}{
-		{"whole document", service, []standin.Run{run("1", service)}, []answer{completed(document("1"))}, Counts{Completed: 1}},
-		{"whole text", engine, []standin.Run{run("1", engine)}, []answer{completed(text("1"))}, Counts{Completed: 1}},
-		{"no answer", service, nil, []answer{{}}, Counts{Lost: 1}},
-		{"digest of a delivered answer", service, []standin.Run{run("1", service)}, []answer{completed(document("1")), {outcome: entry.OutcomeCompleted, digest: hashOf(document("1"))}}, Counts{Completed: 2, RepeatedKeys: 1}},
-		{"digest only", service, []standin.Run{run("1", service)}, []answer{{outcome: entry.OutcomeCompleted, digest: hashOf(document("1"))}}, Counts{Lost: 1}},
-		{"cut text", engine, []standin.Run{run("1", engine)}, []answer{completed(text("1")[:150])}, Counts{Lost: 1}},
-		{"cut document", service, []standin.Run{run("1", service)}, []answer{completed(document("1")[:9])}, Counts{Lost: 1}},
-		{"other document", service, []standin.Run{run("1", service), run("2", service)}, []answer{completed(document("2"))}, Counts{MixedUp: 1}},
-		{"other text", engine, []standin.Run{run("1", engine), run("2", engine)}, []answer{completed(text("2"))}, Counts{MixedUp: 1}},
-		{"text of two", engine, []standin.Run{run("1", engine)}, []answer{completed(text("1")[:65] + text("2")[:135])}, Counts{MixedUp: 1}},
-		{"answer without a run", service, nil, []answer{completed(document("1"))}, Counts{MixedUp: 1}},
-		{"two runs", service, []standin.Run{run("1", service), run("1", service)}, []answer{completed(document("1"))}, Counts{Completed: 1, Doubled: 1}},
-		{"not run", service, nil, []answer{notRun}, Counts{NotRun: 1}},
-		{"ran", service, []standin.Run{run("1", service)}, []answer{notRun}, Counts{NotRun: 1, NotRunButRan: 1}},
-		{"repeat", service, []standin.Run{run("1", service)}, []answer{completed(document("1")), notRun}, Counts{Completed: 1, NotRun: 1, RepeatedKeys: 1}},
+		{"whole document", service, []standin.Run{run("1", service)}, []Answer{completed(document("1"))}, Counts{Completed: 1}},
+		{"whole text", engine, []standin.Run{run("1", engine)}, []Answer{completed(text("1"))}, Counts{Completed: 1}},
+		{"no answer", service, nil, []Answer{{}}, Counts{Lost: 1}},
+		{"digest of a delivered answer", service, []standin.Run{run("1", service)}, []Answer{completed(document("1")), {Outcome: entry.OutcomeCompleted, Digest: hashOf(document("1"))}}, Counts{Completed: 2, RepeatedKeys: 1}},
+		{"digest only", service, []standin.Run{run("1", service)}, []Answer{{Outcome: entry.OutcomeCompleted, Digest: hashOf(document("1"))}}, Counts{Lost: 1}},
+		{"cut text", engine, []standin.Run{run("1", engine)}, []Answer{completed(text("1")[:150])}, Counts{Lost: 1}},
+		{"cut document", service, []standin.Run{run("1", service)}, []Answer{completed(document("1")[:9])}, Counts{Lost: 1}},
+		{"other document", service, []standin.Run{run("1", service), run("2", service)}, []Answer{completed(document("2"))}, Counts{MixedUp: 1}},
+		{"other text", engine, []standin.Run{run("1", engine), run("2", engine)}, []Answer{completed(text("2"))}, Counts{MixedUp: 1}},
+		{"text of two", engine, []standin.Run{run("1", engine)}, []Answer{completed(text("1")[:65] + text("2")[:135])}, Counts{MixedUp: 1}},
+		{"answer without a run", service, nil, []Answer{completed(document("1"))}, Counts{MixedUp: 1}},
+		{"two runs", service, []standin.Run{run("1", service), run("1", service)}, []Answer{completed(document("1"))}, Counts{Completed: 1, Doubled: 1}},
+		{"not run", service, nil, []Answer{notRun}, Counts{NotRun: 1}},
+		{"ran", service, []standin.Run{run("1", service)}, []Answer{notRun}, Counts{NotRun: 1, NotRunButRan: 1}},
+		{"repeat", service, []standin.Run{run("1", service)}, []Answer{completed(document("1")), notRun}, Counts{Completed: 1, NotRun: 1, RepeatedKeys: 1}},
 	} {
-		r := request{id: "1", organisation: "o", pipeline: "p", kind: pipeline.Kind{Name: "k"}, lastStage: test.last}
+		r := Request{ID: "1", Organisation: "o", Pipeline: "p", Kind: pipeline.Kind{Name: "k"}, LastStage: test.last}
 		test.want.Requests = len(test.answers)
-		got := newVerifier(set, test.runs).count(sent{request: r, answers: test.answers})
+		got := NewVerifier(set, test.runs).Count(Sent{Request: r, Answers: test.answers})
 		c.Assert(got, qt.Equals, test.want, qt.Commentf("%s", test.name))
 	}
 }
