Give repeated keys and streamed records their whole answer

Cause: the demo under load (six at once) showed three faults. A repeated key got "only the digest is kept" for a 572-byte answer, because a refused read of the store was taken for an answer without a body. A streamed answer of a durable request or of a repeated key was the JSON string of the generated text instead of the text. The demo's client could not read the status of a durable request. Ruled out: the answer cache and the forwarding of records, which carry the body.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -24,6 +24,12 @@
 // the store did not take.
 const SettleInterval = time.Second
 
+// Tries to read a recorded answer, and the time between them.
+const (
+	readAttempts = 3
+	readInterval = 150 * time.Millisecond
+)
+
 // claimRounds bounds how often one request asks again after an attempt that it
 // waited for was released.
 const claimRounds = 8
@@ -103,6 +109,9 @@
 	// RefusedReleasing means that an earlier attempt had no effect but its release
 	// is not recorded yet: nothing ran.
 	RefusedReleasing
+	// RefusedUnread means that an earlier attempt finished and that its answer can't
+	// be read now.
+	RefusedUnread
 	// RefusedWaiting means that an earlier attempt was still running when ctx ended.
 	RefusedWaiting
 )
@@ -200,33 +209,57 @@
 	case claim.OtherBody:
 		return Reply{Refusal: RefusedBody}, false
 	case claim.Recorded:
-		answer := c.recorded(ctx, call.request.ID, decision)
-		return Reply{Answer: &answer}, false
+		return c.recorded(ctx, call.request.ID, decision), false
 	case claim.Running:
 		return c.await(ctx, call, decision)
 	}
 	return Reply{}, true
 }
 
-// recorded fetches the answer of a finished attempt. Without it, the outcome
-// alone is known.
-func (c *Claims) recorded(ctx context.Context, id claim.ID, decision claim.Decision) claim.Answer {
-	answer := claim.Answer{Outcome: decision.Outcome}
-	key := claim.SegmentKey(id.Shard(), decision.Segment)
-	if entry, err := c.Store.Get(appendContext(ctx, true), key); err == nil {
-		segment := claim.Segment{Number: decision.Segment, Data: entry.Value}
-		if found, ok, err := claim.FindAnswer(segment, decision.Token); err == nil && ok {
-			answer = found
-		}
+// recorded fetches the answer of a finished attempt.
+func (c *Claims) recorded(ctx context.Context, id claim.ID, decision claim.Decision) Reply {
+	answer, err := c.readAnswer(ctx, id, decision)
+	if err != nil {
+		return Reply{Refusal: RefusedUnread}
 	}
 	if answer.Body != nil || answer.SHA256 == sha256.Sum256(nil) {
-		return answer
+		return Reply{Answer: &answer}
 	}
 	response, err := c.awaitAt(ctx, decision.Holder, AwaitRequest{ID: id, Token: decision.Token})
 	if err == nil && response.State == AwaitFinished {
-		return response.Answer
+		return Reply{Answer: &response.Answer}
+	}
+	return Reply{Answer: &answer}
+}
+
+// errNoRecord reports a segment without the record that the index names.
+var errNoRecord = errors.New("claim segment does not hold the record")
+
+// readAnswer reads a recorded answer. A store that just refused a call is often
+// back after the first backoff, so that a caller need not come again.
+func (c *Claims) readAnswer(ctx context.Context, id claim.ID, decision claim.Decision) (claim.Answer, error) {
+	key := claim.SegmentKey(id.Shard(), decision.Segment)
+	var err error
+	for range readAttempts {
+		var entry store.Entry
+		if entry, err = c.Store.Get(appendContext(ctx, true), key); err == nil {
+			return findAnswer(claim.Segment{Number: decision.Segment, Data: entry.Value}, decision.Token)
+		}
+		select {
+		case <-time.After(readInterval):
+		case <-ctx.Done():
+			return claim.Answer{}, ctx.Err()
+		}
+	}
+	return claim.Answer{}, err
+}
+
+func findAnswer(segment claim.Segment, token claim.Token) (claim.Answer, error) {
+	answer, ok, err := claim.FindAnswer(segment, token)
+	if err == nil && !ok {
+		err = errNoRecord
 	}
-	return answer
+	return answer, err
 }
 
 // await joins an attempt at its holder. The first time that the holder reports
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -127,6 +127,26 @@
 	}
 }
 
+// Guards against a recorded answer that counts as one whose digest alone was
+// kept, because the store refused the read: the caller would never get it.
+func TestUnreadAnswerIsNotTakenForADigest(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld("a", "b")
+	grant := w.claim(c.Context(), "a", 1).Grant
+	c.Assert(grant.Finish(c.Context(), "completed", []byte("answer")), qt.IsNil)
+	failures := 1
+	w.fake.Before = func(_ context.Context, op storetest.Op, _ string) error {
+		if op == storetest.Get && failures > 0 {
+			failures--
+			return store.ErrUnavailable
+		}
+		return nil
+	}
+	c.Assert(string(w.claim(c.Context(), "b", 1).Answer.Body), qt.Equals, "answer")
+	failures = 100
+	c.Assert(w.claim(c.Context(), "b", 1).Refusal, qt.Equals, RefusedUnread)
+}
+
 // Guards against a key that runs again after its holder died.
 func TestDeadHolderLeavesUnknown(t *testing.T) {
 	c := qt.New(t)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -88,7 +88,11 @@
 func (r *Report) collect(d *deployment, results []traffic.Sent) {
 	v := traffic.NewVerifier(d.cluster.Set, d.cluster.Runs())
 	for _, s := range results {
-		r.kind(d.name, s.Kind.Name).Add(v.Count(s))
+		counts := v.Count(s)
+		r.kind(d.name, s.Kind.Name).Add(counts)
+		if counts.Faulty() > 0 {
+			r.note(d.name, s)
+		}
 	}
 }
 
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -14,9 +14,26 @@
 type Report struct {
 	traffic.Counts
 	// Kinds holds the counts by deployment and request kind, as "tavares/dossier".
-	Kinds     map[string]*traffic.Counts `json:"kinds"`
-	Instances int                        `json:"instances"`
-	Seconds   float64                    `json:"seconds"`
+	Kinds map[string]*traffic.Counts `json:"kinds"`
+	// Faults describes the first requests whose counts must be 0 and are not.
+	Faults    []string `json:"faults,omitempty"`
+	Instances int      `json:"instances"`
+	Seconds   float64  `json:"seconds"`
+}
+
+// maxFaults bounds the descriptions in a report.
+const maxFaults = 10
+
+// note adds the description of a request with a fault.
+func (r *Report) note(deployment string, s traffic.Sent) {
+	if len(r.Faults) == maxFaults {
+		return
+	}
+	fault := deployment + "/" + s.Kind.Name + " " + s.ID + ":"
+	for _, answer := range s.Answers {
+		fault += fmt.Sprintf(" [%s %s, %d bytes]", answer.Outcome, answer.Detail, len(answer.Body))
+	}
+	r.Faults = append(r.Faults, fault)
 }
 
 func (r *Report) kind(deployment, kind string) *traffic.Counts {
@@ -46,6 +63,9 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
+	for _, fault := range r.Faults {
+		fmt.Fprintln(w, fault)
+	}
 	_, err := fmt.Fprintf(w, "\n%d entry instances, %d streams, %d repeated keys, %.1f s\n",
 		r.Instances, r.Streams, r.RepeatedKeys, r.Seconds)
 	return err
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -116,10 +116,10 @@
 	}
 }
 
-// asJSON returns data itself when it is a JSON document, and a JSON string of it
-// otherwise, as for generated text.
+// asJSON returns generated text as a JSON document: data itself when it is one,
+// unless it is a JSON string, and otherwise a JSON string of it. asText reverses it.
 func asJSON(data []byte) json.RawMessage {
-	if json.Valid(data) {
+	if json.Valid(data) && !isJSONString(data) {
 		return data
 	}
 	text, err := json.Marshal(string(data))
@@ -129,6 +129,20 @@
 	return text
 }
 
+// asText returns an answer as it is streamed: the text of a JSON string, and any
+// other document itself.
+func asText(answer json.RawMessage) []byte {
+	var text string
+	if isJSONString(answer) && json.Unmarshal(answer, &text) == nil {
+		return []byte(text)
+	}
+	return answer
+}
+
+func isJSONString(data []byte) bool {
+	return bytes.HasPrefix(bytes.TrimLeft(data, " \t\r\n"), []byte(`"`))
+}
+
 // countAttempt records that an attempt may have run (1), or did not (-1).
 func (c *stageCall) countAttempt(n int32) {
 	c.maybeRan.Add(n)
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -64,6 +64,12 @@
 		return retryLater("the store cannot be reached", storeRetryAfter)
 	case claims.RefusedReleasing:
 		return retryLater("an earlier attempt had no effect and its key is being freed", releaseRetryAfter)
+	case claims.RefusedUnread:
+		return &Problem{
+			Type: ProblemUnavailable, Title: "the recorded answer cannot be read now", Status: http.StatusServiceUnavailable,
+			Detail: "an earlier request with the same key has finished", Outcome: OutcomeUnknown,
+			RetryAfterMS: storeRetryAfter.Milliseconds(),
+		}
 	case claims.RefusedWaiting:
 		return &Problem{
 			Type: ProblemDeadline, Title: "deadline expired", Status: http.StatusGatewayTimeout,
--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -202,7 +202,7 @@
 	if index != x.last || x.options.Emit == nil {
 		return nil
 	}
-	return x.options.Emit(result)
+	return x.options.Emit(asText(result))
 }
 
 func (x *execution) keep(stage string, result json.RawMessage) {
--- a/internal/entry/handler_test.go
+++ b/internal/entry/handler_test.go
@@ -208,3 +208,18 @@
 	c.Assert(answer, qt.Contains, "event: "+EventError)
 	c.Assert(answer, qt.Not(qt.Contains), "event: "+EventEnd)
 }
+
+// Guards against a streamed answer from a record that differs from the one that
+// was streamed first: generated text is recorded as a JSON string.
+func TestRecordedTextIsStreamedAsGenerated(t *testing.T) {
+	c := qt.New(t)
+	for _, text := range []string{"plain text", `{"json": true}`, ` "quoted"`, "", "line\nline"} {
+		c.Check(string(asText(asJSON([]byte(text)))), qt.Equals, text)
+	}
+	var streamed []byte
+	replay(&RecordedAnswer{Outcome: OutcomeCompleted, Answer: asJSON([]byte("a note"))}, func(piece []byte) error {
+		streamed = append(streamed, piece...)
+		return nil
+	})
+	c.Assert(string(streamed), qt.Equals, "a note")
+}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -182,7 +182,7 @@
 		return
 	}
 	stream := newEventWriter(w)
-	if result.Problem == nil && stream.piece(result.Answer) != nil {
+	if result.Problem == nil && stream.piece(asText(result.Answer)) != nil {
 		return
 	}
 	_ = stream.finish(result)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -91,7 +91,7 @@
 	if recorded.Outcome == OutcomeCompleted && recorded.Answer != nil {
 		if emit != nil {
 			// A failed write ends the caller's connection, which it notices itself.
-			_ = emit(recorded.Answer)
+			_ = emit(asText(recorded.Answer))
 		}
 		return Result{Outcome: OutcomeCompleted, Answer: recorded.Answer}
 	}
--- a/internal/traffic/client.go
+++ b/internal/traffic/client.go
@@ -14,6 +14,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
+	"github.com/coltsfootdrift/coltsfootdrift/job"
 )
 
 // maxEventBytes bounds one event of a streamed answer.
@@ -116,10 +117,25 @@
 	switch response.StatusCode {
 	case http.StatusAccepted, http.StatusServiceUnavailable:
 		return Answer{}, true
+	case http.StatusOK:
+		return readStatus(response.Body)
 	}
 	return read(response), false
 }
 
+// readStatus returns the answer that the status of a durable request holds, or
+// true while it is not finished.
+func readStatus(body io.Reader) (Answer, bool) {
+	var status entry.JobStatus
+	if err := json.NewDecoder(body).Decode(&status); err != nil {
+		return lost(fmt.Errorf("status: %w", err)), false
+	}
+	if status.State != job.StateFinished {
+		return Answer{}, true
+	}
+	return Answer{Outcome: status.Outcome, Body: plainText(status.Answer), Detail: status.Detail}, false
+}
+
 // read returns the final answer that a response holds.
 func read(response *http.Response) Answer {
 	contentType := response.Header.Get("Content-Type")
