Lend interactive work slots and send overflow to another region

Change: interactive work may borrow a quarter of the limit while requests take their usual time. A refused request of one stage goes to another region when the link budget and a server there have room and the deadline allows it. Failure found by the property test: borrowed slots kept long work out for ever; nothing is lent while long work waits for its reserve.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -15,6 +16,8 @@
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
 	retryJitter   = 0.5
+	// borrowShare is the part of the limit that interactive requests may borrow.
+	borrowShare = 0.25
 	// durationGain is the weight of a new duration in its mean.
 	durationGain = 0.1
 )
@@ -164,6 +167,9 @@
 func (q *Queue) mayStart(class int) bool {
 	running, _ := q.Load()
 	limit := q.Limit()
+	if class == classInteractive {
+		return running < limit+q.borrow()
+	}
 	if running >= limit {
 		return false
 	}
@@ -173,6 +179,18 @@
 	return true
 }
 
+// borrow is the number of interactive requests that may start above the limit,
+// in slots that other instances probably leave free. There are none while
+// requests take longer than usual, nor while long work waits for its reserve:
+// it starts within the limit only, and would starve behind borrowed slots.
+func (q *Queue) borrow() int {
+	starved := q.waiting[classLong].size > 0 && q.running[classLong] < q.reserve()
+	if starved || q.limiter.factor < mostShare {
+		return 0
+	}
+	return int(math.Ceil(borrowShare * float64(q.Limit())))
+}
+
 // reserve is the number of long requests that start before any other.
 func (q *Queue) reserve() int {
 	return max(1, int(LongReserve*float64(q.Limit())))
--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -92,11 +92,30 @@
 		decision = a.await(ctx, q, ticket, decided)
 	}
 	if decision.Verdict == admission.Refused {
+		if a.leave(request, pool) {
+			return func(Outcome) {}, nil
+		}
 		return nil, refusal(decision)
 	}
 	return a.releaser(q, ticket), nil
 }
 
+// leave sends a request to another region when its own cannot answer in time:
+// while the deadline can still be met there and the link has room. Only
+// pipelines of one stage leave, since each stage of others would cross the link.
+func (a *AdmissionControl) leave(request *Request, pool string) bool {
+	remaining := request.Deadline.Sub(a.now())
+	fits := a.servers.plan(request).Feasible(0, remaining-linkAllowance)
+	if len(request.Pipeline.Stages) > 1 || !fits || !a.servers.remoteRoom(pool, request.Kind.Cost.LinkBytes) {
+		return false
+	}
+	request.leave = true
+	return true
+}
+
+// linkAllowance is the time that a call to another region takes in addition.
+const linkAllowance = 50 * time.Millisecond
+
 func newTicket(id uint64, request *Request) admission.Ticket {
 	return admission.Ticket{
 		ID:           id,
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -62,6 +62,9 @@
 	// LinkBytes bounds what may cross the link between regions; 0 keeps the call
 	// in the region.
 	LinkBytes int64
+	// Leave is true when the request was admitted for another region, because its
+	// own could not answer in time.
+	Leave bool
 	// Remaining is the time left for the stage.
 	Remaining time.Duration
 	// Excluded lists the IDs of servers that were already tried.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -35,6 +35,9 @@
 	Deadline time.Time
 	// Stream is true when the caller wants server-sent events.
 	Stream bool
+
+	// leave is set by admission control when the own region cannot answer in time.
+	leave bool
 	// Async is true when the caller wants durable work that it fetches later.
 	Async bool
 }
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -160,7 +160,7 @@
 }
 
 func (p *serverPool) query(query Query) routing.Query {
-	q := routing.Query{Class: query.Class, Probe: query.Idempotent, Remaining: query.Remaining}
+	q := routing.Query{Class: query.Class, Probe: query.Idempotent, Leave: query.Leave, Remaining: query.Remaining}
 	if query.PrefixKey != "" {
 		q.Prefix = xxhash.Sum64String(query.PrefixKey)
 	}
--- a/internal/entry/serverviews.go
+++ b/internal/entry/serverviews.go
@@ -64,6 +64,18 @@
 	return p.pool.HomeSlots()
 }
 
+// remoteRoom reports whether a request may run in another region now.
+func (s *Servers) remoteRoom(pool string, linkBytes int64) bool {
+	now := s.now()
+	p := s.find(pool)
+	if p == nil || !s.link.room(linkBytes, now) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool.RemoteRoom(now)
+}
+
 // PeerCounts takes the calls that another instance has in flight at the servers
 // of a pool. The slice must not be changed any more.
 func (s *Servers) PeerCounts(instance, pool string, counts []routing.ServerCount) {
--- a/internal/entry/stagecall.go
+++ b/internal/entry/stagecall.go
@@ -121,6 +121,7 @@
 		Class:        c.request.Kind.Class,
 		Idempotent:   !c.stage.Once,
 		LinkBytes:    c.request.Kind.Cost.LinkBytes,
+		Leave:        c.request.leave,
 		Remaining:    c.timeout(),
 		Excluded:     c.excluded,
 	}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -102,6 +102,11 @@
 	if t >= p.overdueAt {
 		p.checkOverdue(t)
 	}
+	if q.Leave && q.Link {
+		if i := p.pickRemote(t, random, &q); i != none {
+			return i, true
+		}
+	}
 	if i := p.probe(t, &q); i != none {
 		return i, true
 	}
@@ -119,6 +124,29 @@
 	return none, false
 }
 
+// pickRemote chooses a server of another region that has room.
+func (p *Pool) pickRemote(t int64, random *rand.Rand, q *Query) ServerIndex {
+	far := p.ordered[p.tierEnd[tierRegion]:]
+	if len(far) == 0 {
+		return none
+	}
+	i := p.choose(t, random, q, strict, far)
+	if i == none || p.servers[i].saturated(t) {
+		return none
+	}
+	return i
+}
+
+// RemoteRoom reports whether a server of another region is believed to have room.
+func (p *Pool) RemoteRoom(now time.Time) bool {
+	for _, i := range p.ordered[p.tierEnd[tierRegion]:] {
+		if s := &p.servers[i]; !s.drained && s.level == 0 && !s.saturated(now.UnixNano()) {
+			return true
+		}
+	}
+	return false
+}
+
 // pickByTier takes the nearest tier that has room. Another region is used only
 // when the own region has no server or cannot answer within the deadline.
 func (p *Pool) pickByTier(t int64, random *rand.Rand, q *Query, mode strictness) ServerIndex {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -40,6 +40,9 @@
 	// Link is true when the call may leave the region and the link budget has
 	// room for it.
 	Link bool
+	// Leave is true when the own region cannot answer in time. It counts only
+	// with Link.
+	Leave bool
 	// Probe is true when the call may go to a server with a lowered weight:
 	// idempotent calls that can be hedged.
 	Probe bool
