--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -21,7 +20,6 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
-	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
 )
 
 // listInterval is how often the platform's list is read. The list lags by
@@ -42,7 +40,6 @@
 			metrics.New,
 			newLister,
 			newCaller,
-			newFileConfiguration,
 			newExecutor,
 			newHandler,
 			newServers,
@@ -51,11 +48,12 @@
 			newLoadReader,
 			func(logger *slog.Logger) *Readiness { return &Readiness{Logger: logger} },
 			func() *StopSteps { return &StopSteps{} },
-			func(s *Servers) (Picker, Hedges, StageBudgets) { return s, s, s },
+			newPicker,
+			func(s *Servers) (Hedges, StageBudgets) { return s, s },
 			func(a *AdmissionControl) Admission { return a },
-			func(c *fileConfiguration) ConfigurationSource { return c },
 		),
 		fx.Invoke(serveAdmin),
+		control,
 		fx.Options(options...),
 		fx.Invoke(refreshServers, driveDecisions, serveCallers),
 	)
@@ -97,25 +95,6 @@
 	return backend.NewHTTPCaller(backend.NewTransport())
 }
 
-// fileConfiguration is a configuration read from a folder at start.
-type fileConfiguration struct {
-	set atomic.Pointer[pipeline.Set]
-}
-
-func newFileConfiguration(entry settings.Entry) (*fileConfiguration, error) {
-	set, err := pipeline.Collect(os.DirFS(entry.PipelineFiles))
-	if err != nil {
-		return nil, err
-	}
-	c := &fileConfiguration{}
-	c.set.Store(set)
-	return c, nil
-}
-
-func (c *fileConfiguration) Current() *pipeline.Set {
-	return c.set.Load()
-}
-
 // refreshServers reads the instance list until the daemon stops.
 func refreshServers(lc fx.Lifecycle, lister platform.Lister, servers *Servers, configuration ConfigurationSource, logger *slog.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -197,11 +176,12 @@
 
 // serveAdmin serves health, readiness and metrics. It starts first and stops
 // last, so that readiness can be read during the whole shutdown.
-func serveAdmin(lc fx.Lifecycle, entry settings.Entry, m *metrics.Metrics, readiness *Readiness, logger *slog.Logger) {
+func serveAdmin(lc fx.Lifecycle, entry settings.Entry, m *metrics.Metrics, readiness *Readiness, status *Status, logger *slog.Logger) {
 	router := http.NewServeMux()
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.Handle("/readyz", readiness)
 	router.Handle("/metrics", m.Handler)
+	router.Handle(PathStatus, status)
 	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
