Measure the cost of each role at several sizes

Add the command capacity. It measures the request path, routing, limits, membership, configuration, claims, durable work, orders and metrics at several sizes each, takes the median of three repetitions and fits a line per figure with gonum's stat.LinearRegression. Where time matters, the cores run on a simulated clock; the request path and the order loop run against stand-ins on loopback.

The counts (messages, bytes, store calls) do not depend on the machine; processor times do.

--- /dev/null
+++ b/internal/capacity/metrics.go
@@ -0,0 +1,143 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+)
+
+func metricsSweeps() []sweep {
+	return []sweep{
+		{
+			role: RoleMetrics, per: "pipeline of 6 stages and 4 kinds", sizes: []int{1, 5, 10, targetPipelines}, target: targetPipelines,
+			once:    true,
+			prepare: fixed(func(n int) ([]figure, error) { return measureSeries(1, n, "") }),
+		},
+		{
+			role: RoleMetrics, per: "organisation with calls to another region", sizes: []int{5, 100, 500, 1500}, target: targetOrganisations,
+			once:    true,
+			prepare: fixed(func(n int) ([]figure, error) { return measureSeries(n, 1, "region-far") }),
+		},
+	}
+}
+
+// oneServer picks the same server for every call and answers for it.
+type oneServer struct{ server backend.Server }
+
+// Pick implements entry.Picker.
+func (o oneServer) Pick(entry.Query) (entry.Picked, bool) { return o, true }
+
+// Server implements entry.Picked.
+func (o oneServer) Server() backend.Server { return o.server }
+
+// FirstByte implements entry.Picked.
+func (oneServer) FirstByte() {}
+
+// Done implements entry.Picked.
+func (oneServer) Done(error, int64) {}
+
+// Call implements backend.Caller.
+func (oneServer) Call(context.Context, backend.Server, backend.StageRequest) (backend.StageStream, error) {
+	return &oneAnswer{}, nil
+}
+
+// oneAnswer is a stream of one piece.
+type oneAnswer struct{ read bool }
+
+// Next implements backend.StageStream.
+func (a *oneAnswer) Next() ([]byte, error) {
+	if a.read {
+		return nil, io.EOF
+	}
+	a.read = true
+	return []byte(`{"ok":true}`), nil
+}
+
+// Close implements backend.StageStream.
+func (*oneAnswer) Close() error { return nil }
+
+// countingWriter counts the bytes of log lines.
+type countingWriter struct{ bytes, lines int }
+
+// Write implements io.Writer.
+func (c *countingWriter) Write(p []byte) (int, error) {
+	c.bytes += len(p)
+	c.lines++
+	return len(p), nil
+}
+
+// measureSeries sends one request of each kind and organisation to servers in a
+// region, the instance being in another one unless the name is empty.
+func measureSeries(organisations, pipelines int, region string) ([]figure, error) {
+	set := sampleSet(organisations, pipelines)
+	for i := range set.Pipelines {
+		for k := range set.Pipelines[i].Stages {
+			set.Pipelines[i].Stages[k].Name = fmt.Sprintf("p%d-stage-%d", i, k)
+			set.Pipelines[i].Stages[k].After = nil
+		}
+	}
+	set.Index()
+	m := metrics.New()
+	logged := &countingWriter{}
+	handler := seriesHandler(set, m, region, logged)
+	state, requests, err := retained(func() (int, error) { return sendAll(handler, set) })
+	if err != nil {
+		return nil, err
+	}
+	var scrape *httptest.ResponseRecorder
+	if err := m.Close(); err != nil {
+		return nil, err
+	}
+	took, err := processorTime(func() error {
+		scrape = httptest.NewRecorder()
+		m.Handler.ServeHTTP(scrape, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		return nil
+	})
+	series := bytes.Count(scrape.Body.Bytes(), []byte("\ncoltsfootdrift_"))
+	return []figure{
+		{"series", "series", float64(series)},
+		{"bytes of a scrape", "B", float64(scrape.Body.Len())},
+		{"processor time of a scrape", "us", float64(took.Microseconds())},
+		{"memory of metrics", "B", state},
+		{"log lines per request", "lines", float64(logged.lines) / float64(requests)},
+		{"log bytes per request", "B", float64(logged.bytes) / float64(requests)},
+	}, err
+}
+
+func seriesHandler(set *pipeline.Set, m *metrics.Metrics, region string, logged io.Writer) http.Handler {
+	server := oneServer{backend.Server{ID: "r1", Region: region}}
+	executor := entry.NewExecutor(server, server, time.Now)
+	executor.Metrics = entry.NewRequestMetrics(m.Scope, "")
+	executor.Logger = slog.New(slog.NewJSONHandler(logged, nil))
+	handler := &entry.Handler{Configuration: fixedConfiguration{set}, Executor: executor, Now: time.Now}
+	return handler.Router()
+}
+
+// sendAll returns the number of requests that it sent.
+func sendAll(handler http.Handler, set *pipeline.Set) (requests int, err error) {
+	for _, organisation := range set.Deployment.Organisations {
+		for _, p := range set.Pipelines {
+			for _, kind := range p.Kinds {
+				path := "/v1/organisations/" + organisation.Name + "/pipelines/" + p.Name + "/kinds/" + kind.Name
+				answer := httptest.NewRecorder()
+				handler.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, path, strings.NewReader(`{}`)))
+				if answer.Code != http.StatusOK {
+					return requests, fmt.Errorf("%s: status %d: %s", path, answer.Code, answer.Body)
+				}
+				requests++
+			}
+		}
+	}
+	return requests, nil
+}
--- /dev/null
+++ b/internal/capacity/orders.go
@@ -0,0 +1,108 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/orders"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+	"github.com/coltsfootdrift/coltsfootdrift/order"
+)
+
+func ordersSweeps() []sweep {
+	return []sweep{{
+		role: RoleOrders, per: "engine of a leader", sizes: []int{12, 56, targetAccelerators / targetDomains, 500, targetAccelerators},
+		target: targetAccelerators, prepare: prepareOrders,
+	}}
+}
+
+// byteCounter counts the bytes of connections in both directions.
+type byteCounter struct{ sent, received, dials atomic.Int64 }
+
+type countedConn struct {
+	net.Conn
+	counter *byteCounter
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counter.received.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counter.sent.Add(int64(n))
+	return n, err
+}
+
+func (b *byteCounter) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	b.dials.Add(1)
+	return countedConn{conn, b}, err
+}
+
+// leading is a Leader that always leads.
+type leading struct{}
+
+// Leadership implements orders.Leader.
+func (leading) Leadership(now time.Time) order.Leadership {
+	return order.Leadership{Held: true, Fencing: 1, Since: now.Add(-time.Minute), Until: now.Add(time.Minute)}
+}
+
+// prepareOrders starts one stand-in engine that stands for all engines.
+func prepareOrders() (func(int) ([]figure, error), func(), error) {
+	engine := standin.NewBackend(standin.BackendConfig{ID: "engine", Engine: standin.EngineConfig{Models: []string{"model-01"}, Role: "decode"}})
+	server := httptest.NewServer(engine.Handler())
+	counter := &byteCounter{}
+	client := &http.Client{Transport: &http.Transport{DialContext: counter.dial, MaxIdleConnsPerHost: 64}}
+	measure := func(engines int) ([]figure, error) {
+		return measureOrders(engines, server.Listener.Addr().String(), client, counter)
+	}
+	end := func() {
+		client.CloseIdleConnections()
+		server.Close()
+	}
+	return measure, end, nil
+}
+
+func wantedEngines(n int, address string) []order.Wanted {
+	wanted := make([]order.Wanted, n)
+	for i := range wanted {
+		wanted[i] = order.Wanted{
+			Server: fmt.Sprintf("engine-%04d", i), Address: address, Pool: "engines", Models: []string{"model-01"}, Role: "decode",
+		}
+	}
+	return wanted
+}
+
+// measureOrders runs the control loop over engines that are as wanted.
+func measureOrders(engines int, address string, client *http.Client, counter *byteCounter) ([]figure, error) {
+	wanted := wantedEngines(engines, address)
+	loop := &orders.Loop{
+		Leader: leading{}, Engines: &backend.HTTPEngines{Client: client}, Now: time.Now, Logger: slog.New(slog.DiscardHandler),
+		Wanted:   func() []order.Wanted { return wanted },
+		LoadRate: func() float64 { return 1 },
+	}
+	loop.Step(context.Background())
+	sent, received := counter.sent.Load(), counter.received.Load()
+	elapsed := stopwatch()
+	took, err := processorTime(func() error {
+		loop.Step(context.Background())
+		return nil
+	})
+	return []figure{
+		{"engine calls of a loop", "calls", float64(engines)},
+		{"bytes sent by a loop", "B", float64(counter.sent.Load() - sent)},
+		{"bytes received by a loop", "B", float64(counter.received.Load() - received)},
+		{"processor time of a loop with the engines' side", "us", float64(took.Microseconds())},
+		{"duration of a loop on loopback", "ms", milliseconds(elapsed())},
+	}, err
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -43,6 +43,7 @@
 		{"standin", "run stand-ins of the platform on loopback", standinHelp, &standinCommand{streams: s}},
 		{"demo", "serve requests of two example deployments", demoHelp, &demoCommand{streams: s}},
 		{"experiment", "measure a design decision against baselines", experimentHelp, &experimentCommand{streams: s}},
+		{"capacity", "measure the cost of each role at several sizes", capacityHelp, &capacityCommand{streams: s}},
 	}
 }
 
