Bound the counters of link bytes of an instance

An instance has 128 MB for all control work. The cause is a counter for each stage and organisation.

The accounting of the link budget by organisation in package quota is unchanged.

--- a/internal/entry/requestmetrics.go
+++ b/internal/entry/requestmetrics.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -14,6 +15,14 @@
 // stageBuckets are the bounds of the stage latency histogram.
 var stageBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
 
+// Bounds of the counters of link bytes. Each takes about 2 KB, so that one for
+// each stage and organisation would exceed an instance's memory for control work.
+// Organisations beyond the bound are counted together.
+const (
+	maxLinkCounters    = 2000
+	otherOrganisations = "other"
+)
+
 // RequestMetrics reports the request path. Tagged metrics are kept, because
 // looking one up in its scope allocates.
 type RequestMetrics struct {
@@ -21,6 +30,7 @@
 	region                            string
 	retries, resumes, hedges, dropped tally.Counter
 	tagged                            sync.Map
+	linkCounters                      atomic.Int64
 }
 
 // Keys of the tagged metrics.
@@ -95,7 +105,12 @@
 	}
 	key := linkKey{stage, organisation}
 	kept, ok := m.tagged.Load(key)
+	if !ok && m.linkCounters.Load() >= maxLinkCounters {
+		key.organisation = otherOrganisations
+		kept, ok = m.tagged.Load(key)
+	}
 	if !ok {
+		m.linkCounters.Add(1)
 		tags := map[string]string{"stage": stage, "organisation": organisation}
 		kept, _ = m.tagged.LoadOrStore(key, m.scope.Tagged(tags).Counter("link_bytes"))
 	}
--- /dev/null
+++ b/internal/entry/requestmetrics_test.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+)
+
+// Guards against counters of link bytes that grow with the organisations, and
+// against bytes that are not counted once there are too many.
+func TestLinkCountersAreBounded(t *testing.T) {
+	c := qt.New(t)
+	scope := tally.NewTestScope("", nil)
+	m := NewRequestMetrics(scope, "near")
+	for i := range 2 * maxLinkCounters {
+		m.moved(backend.Server{Region: "far"}, "stage", fmt.Sprint("o", i), 3)
+	}
+	counters, total := 0, int64(0)
+	for _, counter := range scope.Snapshot().Counters() {
+		if counter.Name() == "link_bytes" {
+			counters++
+			total += counter.Value()
+		}
+	}
+	// One more counter holds the others.
+	c.Assert(counters, qt.Equals, maxLinkCounters+1)
+	c.Assert(total, qt.Equals, int64(2*maxLinkCounters*3))
+}
