Benchmark routing decisions among 2,100 servers

Benchmarks of the decision stopped at 1,000 servers, the replicas of two years. A pool of engines may hold all 2,100 accelerators.

--- a/internal/capacity/metrics.go
+++ b/internal/capacity/metrics.go
@@ -25,7 +25,7 @@
 			prepare: fixed(func(n int) ([]figure, error) { return measureSeries(1, n, "") }),
 		},
 		{
-			role: RoleMetrics, per: "organisation with calls to another region", sizes: []int{5, 100, 500, 1500}, target: targetOrganisations,
+			role: RoleMetrics, per: "organisation with calls to another region", sizes: []int{5, 100, 300, 3000, targetOrganisations}, target: targetOrganisations,
 			once:    true,
 			prepare: fixed(func(n int) ([]figure, error) { return measureSeries(n, 1, "region-far") }),
 		},
--- a/routing/pool_test.go
+++ b/routing/pool_test.go
@@ -220,8 +220,10 @@
 
 func BenchmarkDecision56(b *testing.B)         { benchmarkPick(b, 56, Query{}) }
 func BenchmarkDecision1000(b *testing.B)       { benchmarkPick(b, 1000, Query{}) }
+func BenchmarkDecision2100(b *testing.B)       { benchmarkPick(b, 2100, Query{}) }
 func BenchmarkDecisionPrefix56(b *testing.B)   { benchmarkPick(b, 56, Query{Prefix: 77}) }
 func BenchmarkDecisionPrefix1000(b *testing.B) { benchmarkPick(b, 1000, Query{Prefix: 77}) }
+func BenchmarkDecisionPrefix2100(b *testing.B) { benchmarkPick(b, 2100, Query{Prefix: 77}) }
 
 // Guards against a decision that allocates.
 func TestDecisionAllocatesNothing(t *testing.T) {
