End a shortened difference of the audit trail with its line

Cause: a difference over the size limit was cut in the middle of a line, so that audit printed the next change on the same line. Change: the shortened text ends with a newline within the limit.

--- a/config/diff.go
+++ b/config/diff.go
@@ -168,7 +168,8 @@
 	if len(text) <= MaxDifferenceBytes {
 		return text
 	}
-	return truncate(fmt.Sprintf("%d changes\n%s", len(d), text), MaxDifferenceBytes)
+	const end = "\n" // readers print entry after entry
+	return truncate(fmt.Sprintf("%d changes\n%s", len(d), text), MaxDifferenceBytes-len(end)) + end
 }
 
 func orAbsent(value string) string {
--- /dev/null
+++ b/config/diff_test.go
@@ -0,0 +1,18 @@
+package config
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against an audit trail in which the entry after a long difference
+// doesn't start on a line of its own.
+func TestBoundedDifferenceEndsItsLine(t *testing.T) {
+	c := qt.New(t)
+	long := make(Difference, MaxDifferenceBytes)
+	text := long.Bounded()
+	c.Assert(len(text) <= MaxDifferenceBytes, qt.IsTrue)
+	c.Assert(strings.HasSuffix(text, "...\n"), qt.IsTrue)
+}
