Let an instance advertise another address than it binds

Cause: an instance behind address translation told others the address that it binds, which they can't reach. Change: the optional setting advertise_address; peer.ListenAt binds one address under an identity with another. Conclusion: without the setting nothing changes.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -33,9 +33,9 @@
 	if entry.PeerAddress == "" {
 		return members, nil
 	}
-	identity := membership.Identity{ID: entry.Instance, FailureDomain: entry.FailureDomain, Address: entry.PeerAddress,
+	identity := membership.Identity{ID: entry.Instance, FailureDomain: entry.FailureDomain, Address: entry.PeersReach(),
 		Incarnation: uint64(time.Now().Unix())}
-	node, err := peer.Listen(identity, logger, m.Scope)
+	node, err := peer.ListenAt(entry.PeerAddress, identity, logger, m.Scope)
 	members.Node = node
 	return members, err
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -32,13 +32,18 @@
 
 // Listen binds the UDP port of the identity's address.
 func Listen(identity membership.Identity, logger *slog.Logger, scope tally.Scope) (*Node, error) {
-	address, err := netip.ParseAddrPort(identity.Address)
+	return ListenAt(identity.Address, identity, logger, scope)
+}
+
+// ListenAt binds a UDP address that others reach as the identity's address.
+func ListenAt(local string, identity membership.Identity, logger *slog.Logger, scope tally.Scope) (*Node, error) {
+	address, err := netip.ParseAddrPort(local)
 	if err != nil {
 		return nil, fmt.Errorf("peer address: %w", err)
 	}
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
-		return nil, fmt.Errorf("listen for heartbeats on %s: %w", identity.Address, err)
+		return nil, fmt.Errorf("listen for heartbeats on %s: %w", local, err)
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Node{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,9 @@
 	CallerAddress string `json:"caller_address"`
 	// PeerAddress serves other instances, TCP and UDP on the same port.
 	PeerAddress string `json:"peer_address"`
+	// AdvertiseAddress is the address at which other instances reach PeerAddress when
+	// it is another one, for example behind address translation.
+	AdvertiseAddress string `json:"advertise_address,omitempty"`
 	// AdminAddress serves health, readiness, metrics and status.
 	AdminAddress string `json:"admin_address"`
 	// StoreAddress is the platform's key-value service.
@@ -40,6 +43,14 @@
 	ShutdownDeadlineMS int64 `json:"shutdown_deadline_ms,omitempty"`
 }
 
+// PeersReach returns the address that other instances are told.
+func (e Entry) PeersReach() string {
+	if e.AdvertiseAddress != "" {
+		return e.AdvertiseAddress
+	}
+	return e.PeerAddress
+}
+
 // DefaultDrainGrace lets a balancer that polls readiness every second see it withdrawn.
 const DefaultDrainGrace = 2 * time.Second
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -40,6 +40,7 @@
 		{`"127.0.0.1:7001"`, `"127.0.0.1"`, `f:4:55: setting "admin_address": "127.0.0.1" is not an IP number with a port`},
 		{`"127.0.0.1:7001"`, `"127.0.0.1:0"`, `f:4:55: setting "admin_address": "127.0.0.1:0" is not an IP number with a port`},
 		{`["127.0.0.1:8000"]`, `["127.0.0.1:8000", "127.0.0.1:8000"]`, `f:6:30: setting "peers" lists 127.0.0.1:8000 twice`},
+		{`["127.0.0.1:8000"]`, `[], "advertise_address": "a:1"`, `f:6:36: setting "advertise_address": "a:1" is not an IP number with a port`},
 		{`["127.0.0.1:8000"]`, `["x"]`, `f:6:12: setting "peers": "x" is not an IP number with a port`},
 		{`["127.0.0.1:8000"]`, `[], "drain_grace_ms": -1`, `f:6:33: setting "drain_grace_ms" is negative`},
 		{`["127.0.0.1:8000"]`, `[], "drain_grace_ms": 9000`, `f:6:33: a drain grace of 9000 ms needs "shutdown_deadline_ms", whose default leaves 5000 ms`},
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -167,7 +167,7 @@
 // the platform may serve its store and its instance list at one address.
 func (c *checker) addresses() {
 	taken := map[netip.AddrPort]string{}
-	for _, name := range []string{"caller_address", "peer_address", "admin_address", "store_address", "platform_address"} {
+	for _, name := range []string{"caller_address", "peer_address", "advertise_address", "admin_address", "store_address", "platform_address"} {
 		value, given := c.values[name]
 		if !given {
 			continue
