Read the status of durable requests as the caller API gives it

Cause: the status of a job is a document with state, outcome and answer; the callers of the demo took it for the answer itself. Change: the caller decodes the status, asks again while the job isn't finished, and bounds each question, since an instance may be paused.

--- a/internal/traffic/client.go
+++ b/internal/traffic/client.go
@@ -22,6 +22,9 @@
 // pollInterval is the time between two questions about a durable request.
 const pollInterval = 50 * time.Millisecond
 
+// askTimeout bounds one question about a durable request.
+const askTimeout = 2 * time.Second
+
 // Answer is what a caller got.
 type Answer struct {
 	// Outcome is empty when no final answer arrived.
@@ -31,8 +34,8 @@
 	// Digest is set instead of the body for a repeat whose answer isn't kept: the
 	// SHA-256 in hexadecimal.
 	Digest string
-	// Accepted is true when a durable request was accepted.
-	Accepted bool
+	// Location is the path of the status of an accepted durable request.
+	Location string
 	// Detail says what went wrong.
 	Detail string
 }
@@ -73,7 +76,7 @@
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusAccepted {
 		answer := c.poll(ctx, address, response.Header.Get("Location"))
-		answer.Accepted = true
+		answer.Location = response.Header.Get("Location")
 		return answer
 	}
 	return read(response)
@@ -104,6 +107,8 @@
 
 // ask returns the answer of a durable request, or true while there is none.
 func (c *Caller) ask(ctx context.Context, url string) (Answer, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return lost(err), false
@@ -117,9 +122,33 @@
 	case http.StatusAccepted, http.StatusServiceUnavailable:
 		return Answer{}, true
 	}
-	return read(response), false
+	return readJob(response)
+}
+
+// readJob returns the answer in the status of a durable request, or true while it
+// has none.
+func readJob(response *http.Response) (Answer, bool) {
+	if response.StatusCode != http.StatusOK {
+		return read(response), false
+	}
+	var status struct {
+		State   string          `json:"state"`
+		Outcome entry.Outcome   `json:"outcome"`
+		Detail  string          `json:"detail"`
+		Answer  json.RawMessage `json:"answer"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+		return lost(err), false
+	}
+	if status.State != stateFinished {
+		return Answer{}, true
+	}
+	return Answer{Outcome: status.Outcome, Body: plainText(status.Answer), Detail: status.Detail}, false
 }
 
+// stateFinished is the state of a durable request that has an outcome.
+const stateFinished = "finished"
+
 // read returns the final answer that a response holds.
 func read(response *http.Response) Answer {
 	contentType := response.Header.Get("Content-Type")
