--- a/internal/capacity/jobs.go
+++ b/internal/capacity/jobs.go
@@ -67,7 +67,7 @@
 func (w *worker) Domain() []string { return []string{"entry-instance-001"} }
 
 // JobsReleased implements jobs.Members.
-func (w *worker) JobsReleased(context.Context) {}
+func (w *worker) JobsReleased(context.Context, []string) {}
 
 // Run implements jobs.Runner.
 func (w *worker) Run(ctx context.Context, _ jobs.Job, progress jobs.Progress) jobs.Result {
