--- a/internal/capacity/jobs.go
+++ b/internal/capacity/jobs.go
@@ -12,10 +12,11 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/jobs"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/leases"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store/storetest"
 	"github.com/coltsfootdrift/coltsfootdrift/job"
-	"github.com/coltsfootdrift/coltsfootdrift/lease"
 )
 
 const (
@@ -212,44 +213,27 @@
 	return []figure{{"store reads of a scan", "calls", w.reads() - reads}}, nil
 }
 
-// Times of the leases of internal/jobs.
-const (
-	leaseTTL    = 10 * time.Second
-	leaseMargin = 3 * time.Second
-	leaseTick   = time.Second
-	// leaseSeconds is how long the leases are kept on a simulated clock.
-	leaseSeconds = 600
-)
+// leaseSeconds is how long the leases are kept on a simulated clock.
+const leaseSeconds = 600
 
 // measureLeases keeps the lease of each instance for its jobs.
 func measureLeases(instances int) ([]figure, error) {
-	calls := 0
-	for range instances {
-		calls += keepLease()
+	now, fake := simulatedStart, storetest.New()
+	keepers := make([]*leases.Keeper, instances)
+	for i := range keepers {
+		name := fmt.Sprint("entry-instance-", i)
+		keepers[i] = leases.New(leases.Config{
+			Store: fake, Key: job.HolderKey(name), Instance: name, Boot: func() time.Time { return now },
+			HeldEvent: events.JobLeaseHeld, LostEvent: events.JobLeaseLost, Log: slog.New(slog.DiscardHandler),
+		})
 	}
-	return []figure{{"store writes", "1/s", float64(calls) / leaseSeconds}}, nil
-}
-
-// keepLease returns the store calls of one lease.
-func keepLease() (calls int) {
-	holder := lease.NewHolder(leaseTTL, leaseMargin)
-	now := simulatedStart
 	for range leaseSeconds {
-		now = now.Add(leaseTick)
-		outputs := holder.Step(now, lease.Tick{})
-		for len(outputs) > 0 {
-			calls++
-			var more []lease.Output
-			switch out := outputs[0].(type) {
-			case lease.Grant:
-				more = holder.Step(now, lease.Granted{Lease: 1, AskedAt: now})
-			case lease.WriteKey:
-				more = holder.Step(now, lease.Fenced{Lease: out.Lease, Number: 1})
-			case lease.KeepAlive:
-				more = holder.Step(now, lease.Extended{Lease: out.Lease, AskedAt: now})
-			}
-			outputs = append(outputs[1:], more...)
+		now = now.Add(time.Second)
+		fake.Advance(time.Second)
+		for _, keeper := range keepers {
+			keeper.Tick(context.Background())
 		}
 	}
-	return calls
+	writes := storeCalls(fake) - float64(fake.Count(storetest.Get))
+	return []figure{{"store writes", "1/s", writes / leaseSeconds}}, nil
 }
