Divide organisation rates by demand and share straggler markers

Cause: SetDemand, Demand, SetStragglers and Stragglers were tested in membership but not called by the daemon, so that each instance enforced an equal part of a rate and nothing was lent.

Change: once a second the daemon reports its 16 largest organisations and its servers with a lowered weight, and takes what the others reported. An organisation that this instance or a peer names gets its part of the demand; others get an equal part. A list that is full may leave out organisations, so that its smallest rate is taken for those. Members report an organisation whose demand ended with a rate of 0, because their last word is otherwise believed for 2 minutes. A peer's straggler marker counts at servers of which the instance has no samples of its own, at no more than 30 % of a pool.

--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -11,6 +11,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
+	"github.com/coltsfootdrift/coltsfootdrift/quota"
 	"github.com/coltsfootdrift/coltsfootdrift/routing"
 )
 
@@ -23,11 +24,16 @@
 	countLifetime = 5 * time.Second
 )
 
-// gossip passes on between membership and the choice of servers: drain markers
-// and requests in flight.
+// stragglerLifetime is how long a straggler marker of a peer is believed. Each
+// peer of a failure domain of 22 is heard every 11 s.
+const stragglerLifetime = 30 * time.Second
+
+// gossip passes on between membership and the decisions: drain and straggler
+// markers, requests in flight and the demand of organisations.
 type gossip struct {
-	members *Members
-	servers *Servers
+	members   *Members
+	servers   *Servers
+	admission *AdmissionControl
 
 	mu sync.Mutex
 	// counts holds what each peer last reported, by server.
@@ -41,8 +47,11 @@
 	at    time.Time
 }
 
-func newGossip(members *Members, servers *Servers) *gossip {
-	return &gossip{members: members, servers: servers, counts: map[string]map[string]heardCount{}, incarnations: map[string]int64{}}
+func newGossip(members *Members, servers *Servers, control *AdmissionControl) *gossip {
+	return &gossip{
+		members: members, servers: servers, admission: control,
+		counts: map[string]map[string]heardCount{}, incarnations: map[string]int64{},
+	}
 }
 
 // runGossip starts the exchange.
@@ -55,7 +64,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go every(ctx, membership.Interval, g.report)
+			go every(ctx, membership.Interval, g.exchange)
 			return nil
 		},
 		OnStop: func(context.Context) error {
@@ -122,6 +131,64 @@
 	g.mu.Unlock()
 }
 
+// exchange reports to the other instances and takes what they reported.
+func (g *gossip) exchange() {
+	g.report()
+	g.exchangeDemand()
+	g.exchangeStragglers()
+}
+
+// exchangeDemand divides the rates of organisations among the instances.
+func (g *gossip) exchangeDemand() {
+	own := demandOf(g.admission.Demand())
+	var peers []quota.Summary
+	g.members.Do(func(s *membership.State) []membership.Output {
+		s.SetDemand(own)
+		for _, report := range s.PeerDemand(time.Now()) {
+			peers = append(peers, summaryOf(report))
+		}
+		return nil
+	})
+	g.admission.SetPeers(peers)
+}
+
+// demandOf drops demand below a thousandth of a request per second.
+func demandOf(summary quota.Summary) (demand []membership.Demand) {
+	for _, d := range summary.Largest {
+		if rate := int64(d.PerSecond * milli); rate > 0 {
+			demand = append(demand, membership.Demand{Organisation: d.Organisation, MilliPerSecond: rate})
+		}
+	}
+	return demand
+}
+
+func summaryOf(report membership.DemandReport) quota.Summary {
+	summary := quota.Summary{Instances: report.Instances, Incomplete: !report.Complete}
+	for _, d := range report.Demand {
+		summary.Largest = append(summary.Largest, quota.Demand{Organisation: d.Organisation, PerSecond: float64(d.MilliPerSecond) / milli})
+	}
+	return summary
+}
+
+const milli = 1000
+
+// exchangeStragglers passes on the servers that look slow. What only the peers
+// see isn't reported again, so that their markers end.
+func (g *gossip) exchangeStragglers() {
+	var own []membership.Straggler
+	for _, id := range g.servers.Stragglers() {
+		own = append(own, membership.Straggler{Server: id, Remaining: stragglerLifetime})
+	}
+	var seen map[string]int
+	g.members.Do(func(s *membership.State) []membership.Output {
+		s.SetStragglers(nil)
+		seen = s.Stragglers()
+		s.SetStragglers(own)
+		return nil
+	})
+	g.servers.PeerStragglers(seen)
+}
+
 // report gives the own requests in flight to membership.
 func (g *gossip) report() {
 	var counts []membership.Count
--- a/internal/entry/serverviews.go
+++ b/internal/entry/serverviews.go
@@ -95,6 +95,26 @@
 	}
 }
 
+// Stragglers returns the servers whose weight this instance has lowered.
+func (s *Servers) Stragglers() (ids []string) {
+	for _, p := range s.snapshot() {
+		p.mu.Lock()
+		ids = append(ids, p.pool.Stragglers()...)
+		p.mu.Unlock()
+	}
+	return ids
+}
+
+// PeerStragglers takes the servers that other instances see as stragglers, with
+// the number of these instances.
+func (s *Servers) PeerStragglers(seen map[string]int) {
+	for _, p := range s.snapshot() {
+		p.mu.Lock()
+		p.pool.PeerStragglers(seen)
+		p.mu.Unlock()
+	}
+}
+
 func (s *Servers) snapshot() map[string]*serverPool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- a/membership/build.go
+++ b/membership/build.go
@@ -172,7 +172,3 @@
 
 // SetCounts reports the requests in flight by backend server.
 func (s *State) SetCounts(counts []Count) { s.counts = counts }
-
-// SetDemand reports the largest organisations by demand; those after MaxDemand
-// are dropped.
-func (s *State) SetDemand(demand []Demand) { s.demand = demand[:min(len(demand), MaxDemand)] }
--- a/membership/domains.go
+++ b/membership/domains.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -46,25 +45,6 @@
 	return summary
 }
 
-// domainDemand returns the largest organisations of the failure domain.
-func (s *State) domainDemand() []Demand {
-	total := map[string]int64{}
-	for _, d := range s.demand {
-		total[d.Organisation] += d.MilliPerSecond
-	}
-	for _, demand := range s.peerDemand {
-		for _, d := range demand {
-			total[d.Organisation] += d.MilliPerSecond
-		}
-	}
-	list := make([]Demand, 0, len(total))
-	for _, name := range sortedKeys(total) {
-		list = append(list, Demand{name, total[name]})
-	}
-	slices.SortStableFunc(list, func(a, b Demand) int { return cmp.Compare(b.MilliPerSecond, a.MilliPerSecond) })
-	return list[:min(len(list), MaxDemand)]
-}
-
 // mergeSummary keeps the newest summary of a failure domain.
 func (s *State) mergeSummary(now time.Time, summary Summary) {
 	if summary.FailureDomain == s.self.FailureDomain || !validName(summary.FailureDomain) || summary.Age > summaryLifetime {
@@ -215,13 +195,3 @@
 	}
 	return n
 }
-
-// Demand returns the largest organisations of the own failure domain and, by
-// name, of the others.
-func (s *State) Demand(now time.Time) (own []Demand, others map[string][]Demand) {
-	others = map[string][]Demand{}
-	for _, summary := range s.summaries(now) {
-		others[summary.FailureDomain] = summary.Demand
-	}
-	return s.domainDemand(), others
-}
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -64,7 +64,7 @@
 		s.outputs = append(s.outputs, CountsHeard{from.ID, message.Counts})
 	}
 	if len(message.Demand) > 0 {
-		s.mergeDemand(from.ID, message.Demand)
+		s.mergeDemand(now, from.ID, message.Demand)
 	}
 }
 
@@ -141,24 +141,3 @@
 		s.self.Incarnation = record.Incarnation + 1
 	}
 }
-
-// mergeDemand keeps the newest rate by organisation. A heartbeat may hold a part
-// of the list only.
-func (s *State) mergeDemand(instance string, demand []Demand) {
-	merged := append([]Demand(nil), demand...)
-	for _, old := range s.peerDemand[instance] {
-		if len(merged) < MaxDemand && !containsOrganisation(demand, old.Organisation) {
-			merged = append(merged, old)
-		}
-	}
-	s.peerDemand[instance] = merged[:min(len(merged), MaxDemand)]
-}
-
-func containsOrganisation(demand []Demand, name string) bool {
-	for _, d := range demand {
-		if d.Organisation == name {
-			return true
-		}
-	}
-	return false
-}
--- a/membership/state.go
+++ b/membership/state.go
@@ -87,7 +87,10 @@
 	stragglers map[string]Straggler
 	counts     []Count
 	demand     []Demand
-	peerDemand map[string][]Demand
+	// demandUntil is the tick until which an organisation is reported.
+	demandUntil map[string]int
+	// peerDemand holds what other members reported, by ID.
+	peerDemand map[string][]heardDemand
 
 	// highest is the highest revision known, domainRevision the highest in force
 	// at another member of the failure domain.
@@ -117,15 +120,16 @@
 	return &State{
 		self: Record{ID: identity.ID, FailureDomain: identity.FailureDomain, Address: identity.Address,
 			Incarnation: identity.Incarnation, Counter: 1},
-		random:     random,
-		last:       now,
-		members:    map[string]*member{},
-		byHash:     map[uint64]string{},
-		domains:    map[string]*domain{},
-		candidates: map[string]Candidate{},
-		drains:     map[string]drain{},
-		stragglers: map[string]Straggler{},
-		peerDemand: map[string][]Demand{},
+		random:      random,
+		last:        now,
+		members:     map[string]*member{},
+		byHash:      map[uint64]string{},
+		domains:     map[string]*domain{},
+		candidates:  map[string]Candidate{},
+		drains:      map[string]drain{},
+		stragglers:  map[string]Straggler{},
+		peerDemand:  map[string][]heardDemand{},
+		demandUntil: map[string]int{},
 	}
 }
 
@@ -210,6 +214,7 @@
 	}
 	s.expireDomains(now)
 	s.expireMarkers(now)
+	s.expireDemand(now)
 }
 
 func (s *State) setState(m *member, state MemberState, now time.Time) {
--- a/quota/share.go
+++ b/quota/share.go
@@ -21,6 +21,9 @@
 	// Instances is the number of instances that the summary covers.
 	Instances int
 	Largest   []Demand
+	// Incomplete reports that organisations that are not named may have demand,
+	// at most as much as the smallest one that is.
+	Incomplete bool
 }
 
 const (
@@ -42,14 +45,20 @@
 // Share enforces this instance's share of the organisations' rates.
 type Share struct {
 	organisations map[string]*organisation
-	// peers holds the demand of the other instances for the named organisations.
-	peers     map[string]float64
+	// peers holds the demand of the other instances for the named organisations,
+	// less what unnamed already counts for them.
+	peers map[string]float64
+	// unnamed bounds the demand of the other instances for an organisation that
+	// no peer names.
+	unnamed   float64
 	instances int
+	// named holds the organisations of the last own summary.
+	named map[string]bool
 }
 
 // NewShare returns a share of an instance that knows no other.
 func NewShare() *Share {
-	return &Share{organisations: map[string]*organisation{}, peers: map[string]float64{}, instances: 1}
+	return &Share{organisations: map[string]*organisation{}, peers: map[string]float64{}, instances: 1, named: map[string]bool{}}
 }
 
 // Observe counts n requests of an organisation, whether they are allowed or not.
@@ -113,17 +122,37 @@
 	slices.SortFunc(largest, func(a, b Demand) int {
 		return cmp.Or(cmp.Compare(b.PerSecond, a.PerSecond), cmp.Compare(a.Organisation, b.Organisation))
 	})
+	s.name(largest[:min(len(largest), NamedOrganisations)])
 	return Summary{Instances: 1, Largest: slices.Clone(largest[:min(len(largest), NamedOrganisations)])}
 }
 
+// name notes the organisations that the peers will know by name.
+func (s *Share) name(largest []Demand) {
+	clear(s.named)
+	for _, d := range largest {
+		s.named[d.Organisation] = true
+	}
+}
+
+// unnamed bounds the demand of an organisation that the summary does not name.
+func (s Summary) unnamed() float64 {
+	if !s.Incomplete || len(s.Largest) == 0 {
+		return 0
+	}
+	least := func(a, b Demand) int { return cmp.Compare(a.PerSecond, b.PerSecond) }
+	return slices.MinFunc(s.Largest, least).PerSecond
+}
+
 // SetPeers replaces what the other instances and failure domains report.
 func (s *Share) SetPeers(summaries []Summary) {
 	clear(s.peers)
-	s.instances = 1
+	s.instances, s.unnamed = 1, 0
 	for _, summary := range summaries {
 		s.instances += summary.Instances
+		floor := summary.unnamed()
+		s.unnamed += floor
 		for _, demand := range summary.Largest {
-			s.peers[demand.Organisation] += demand.PerSecond
+			s.peers[demand.Organisation] += demand.PerSecond - floor
 		}
 	}
 }
@@ -142,15 +171,18 @@
 }
 
 // share is the part of an organisation's rate that is this instance's: its part
-// of the reported demand when a peer names the organisation, and an equal part
-// otherwise.
+// of the demand when this instance or a peer names the organisation, so that idle
+// instances lend their part, and an equal part otherwise. The parts of all
+// instances add up to at most 1 when their reports are current, since each one
+// counts at least the demand of the others.
 func (s *Share) share(name string, o *organisation, now time.Time) float64 {
 	others, named := s.peers[name]
-	if !named {
+	if !named && !s.named[name] {
 		return 1 / float64(s.instances)
 	}
+	others += s.unnamed
 	o.decay(now)
-	if o.demand+others == 0 {
+	if o.demand+others <= 0 {
 		return 1 / float64(s.instances)
 	}
 	return o.demand / (o.demand + others)
--- a/routing/straggler.go
+++ b/routing/straggler.go
@@ -76,6 +76,8 @@
 	backoff int64
 	// suspects counts calls in a row that were given up as too slow.
 	suspects int
+	// reported is true while other instances see the server as a straggler.
+	reported bool
 }
 
 // weights by level. Servers from levelProbed on get probes only.
@@ -194,6 +196,9 @@
 		s.slowStartFrom = 0
 	}
 	bounded := min(mostRelative, max(leastRelative, s.relative))
+	if s.reported && !known {
+		bounded = mostRelative
+	}
 	s.scale = bounded * float64(1+s.suspects) / (weights[s.level] * float64(s.Slots))
 }
 
@@ -348,6 +353,30 @@
 	return none
 }
 
+// PeerStragglers replaces the servers that other instances see as stragglers. A
+// marker counts only at a server of which this instance has no evidence of its
+// own, and at no more servers than may be lowered.
+func (p *Pool) PeerStragglers(seen map[string]int) {
+	left := int(MaxLoweredShare * float64(len(p.ordered)))
+	for _, index := range p.ordered {
+		s := &p.servers[index]
+		s.reported = left > 0 && seen[s.ID] > 0
+		if s.reported {
+			left--
+		}
+	}
+}
+
+// Stragglers returns the live servers whose weight is lowered here, for the peers.
+func (p *Pool) Stragglers() (ids []string) {
+	for _, index := range p.ordered {
+		if s := &p.servers[index]; s.level > 0 {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
 // Lowered returns the number of live servers whose weight is lowered.
 func (p *Pool) Lowered() int {
 	lowered := 0
