Show servers, limits, claims and jobs in the status

Cause: the status had the configuration, the peers and the leadership only.

Change: three sections with typed members. servers holds each pool's servers with calls in flight, weight and straggler, drain and slow start marks. limits holds the queues, the organisations' shares, and the parts of link and store. state holds the running and unsettled claims and the running jobs.

--- a/internal/claims/attempt.go
+++ b/internal/claims/attempt.go
@@ -221,6 +221,19 @@
 	return AwaitResponse{State: AwaitFinished, Answer: *a.answer}, nil
 }
 
+// Counts returns the attempts that run here, and those that have ended without a
+// record of their end.
+func (c *Claims) Counts() (running, unsettled int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range c.attempts {
+		if !a.ended {
+			running++
+		}
+	}
+	return running, len(c.unsettled)
+}
+
 // Settle waits until no operation is unsettled, or until ctx ends. It returns how
 // many are left.
 func (c *Claims) Settle(ctx context.Context) int {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -57,7 +57,7 @@
 		control,
 		state,
 		fx.Options(options...),
-		fx.Invoke(observeServers, driveDecisions, runOrders, serveCallers),
+		fx.Invoke(observeServers, driveDecisions, runOrders, addStatus, serveCallers),
 	)
 }
 
--- /dev/null
+++ b/internal/entry/gossip_test.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/fx"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+	"github.com/coltsfootdrift/coltsfootdrift/membership"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+	"github.com/coltsfootdrift/coltsfootdrift/quota"
+	"github.com/coltsfootdrift/coltsfootdrift/routing"
+)
+
+// Guards against an organisation whose rate is enforced by each instance on its
+// own, so that all together exceed it, and against a share that stays with idle
+// instances. The instances share one simulated clock.
+func TestOrganisationRateHoldsOverAllInstances(t *testing.T) {
+	const rate, burst, seconds, warmUp = 90, 30, 60, 40
+	cases := map[string][]int{"through one": {200, 0, 0}, "through all": {70, 70, 70}, "uneven": {150, 30, 6}}
+	for name, offered := range cases {
+		t.Run(name, func(t *testing.T) {
+			fleet := newShareFleet(len(offered))
+			granted := 0
+			for second := range warmUp + seconds {
+				n := fleet.second(offered, rate, burst)
+				if second >= warmUp {
+					granted += n
+				}
+			}
+			qt.Check(t, granted <= rate*seconds+burst, qt.IsTrue, qt.Commentf("granted %d", granted))
+			qt.Check(t, granted >= rate*seconds*95/100, qt.IsTrue, qt.Commentf("granted %d", granted))
+			// The traffic moves to the last instance: the first one's share is lent.
+			last := make([]int, len(offered))
+			last[len(last)-1] = 2 * rate
+			for range warmUp {
+				fleet.second(last, rate, burst)
+			}
+			moved := fleet.second(last, rate, burst)
+			qt.Check(t, moved >= rate-2 && moved <= 2*rate, qt.IsTrue, qt.Commentf("granted %d", moved))
+		})
+	}
+}
+
+// shareFleet is instances of one failure domain without sockets.
+type shareFleet struct {
+	now    time.Time
+	shares []*quota.Share
+	states []*membership.State
+}
+
+func newShareFleet(n int) *shareFleet {
+	f := &shareFleet{now: time.Unix(1000, 0)}
+	for i := range n {
+		id := string(rune('a' + i))
+		f.shares = append(f.shares, quota.NewShare())
+		f.states = append(f.states, membership.New(membership.Identity{ID: id, FailureDomain: "d", Address: id, Incarnation: 1}, rand.New(rand.NewPCG(uint64(i), 1)), f.now))
+		f.states[i].Hint([]membership.Candidate{{FailureDomain: "d", Address: "a"}})
+	}
+	return f
+}
+
+// second offers requests evenly, exchanges heartbeats and returns the grants.
+func (f *shareFleet) second(offered []int, rate float64, burst int) (granted int) {
+	for i, share := range f.shares {
+		for k := range offered[i] {
+			at := f.now.Add(time.Duration(k) * time.Second / time.Duration(offered[i]))
+			share.Observe("acme", 1, at)
+			if ok, _ := share.Allow("acme", rate, burst, 1, at); ok {
+				granted++
+			}
+		}
+	}
+	f.now = f.now.Add(time.Second)
+	for i, state := range f.states {
+		state.SetDemand(demandOf(f.shares[i].Summary(f.now)))
+		f.carry(state.Tick(f.now))
+		var peers []quota.Summary
+		for _, report := range state.PeerDemand(f.now) {
+			peers = append(peers, summaryOf(report))
+		}
+		f.shares[i].SetPeers(peers)
+	}
+	return granted
+}
+
+func (f *shareFleet) carry(outputs []membership.Output) {
+	for _, output := range outputs {
+		if send, ok := output.(membership.Send); ok {
+			f.carry(f.states[send.Address[0]-'a'].Receive(f.now, send.Message))
+		}
+	}
+}
+
+// Guards against demand and straggler markers that stay in the daemon where they
+// arose: the other instance then grants the whole rate again, and sends to the
+// slow server until it has samples of its own.
+func TestDemandAndStragglersReachOtherInstances(t *testing.T) {
+	c := qt.New(t)
+	list := &standin.Platform{}
+	for _, id := range []string{"e1", "e2", "e3", "e4"} {
+		list.Put(platform.Member{ID: id, Role: platform.RoleBackend, Address: "127.0.0.1:1", Pool: "p", Region: "r", FailureDomain: "a", State: platform.StateLive})
+	}
+	address := serve(c, list.Handler())
+	first, second := controlSettings(c, address, "a"), controlSettings(c, address, "a")
+	second.Instance, second.Peers = "entry-2", []string{first.PeerAddress}
+	var busy, other *AdmissionControl
+	var servers, others *Servers
+	startControl(c, first, fx.Populate(&busy, &servers))
+	startControl(c, second, fx.Populate(&other, &others))
+	waitForStatus(c, first, func(s controlStatus) bool { return len(s.Peers.Members) == 2 && servers.find("p") != nil })
+	request := &Request{Organisation: pipeline.Organisation{Name: "acme", RequestsPerSecond: 0.001, Burst: 2}}
+	waitForStatus(c, second, func(controlStatus) bool {
+		busy.checkRate(request, time.Now())
+		servers.unreachable("p", "e1")
+		shares := other.status().Organisations
+		return len(shares) == 1 && shares[0].Share < 1 && slices.ContainsFunc(others.find("p").status(), func(s serverStatus) bool {
+			return s.ID == "e1" && s.Reported
+		})
+	})
+}
+
+func (s *Servers) unreachable(pool, id string) {
+	p := s.find(pool)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	index, _ := p.pool.Index(id)
+	p.pool.Started(index, pipeline.ClassNormal, time.Now())
+	p.pool.Finished(index, pipeline.ClassNormal, routing.Result{Outcome: routing.Unreachable}, time.Now())
+}
--- /dev/null
+++ b/internal/entry/statusviews_test.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+)
+
+// Guards against sections of the status that a daemon doesn't register or that
+// hold nothing, so that an operator can't see its servers, limits and state.
+func TestStatusShowsServersLimitsAndState(t *testing.T) {
+	c := qt.New(t)
+	list := &standin.Platform{}
+	list.Put(platform.Member{ID: "e1", Role: platform.RoleBackend, Address: "127.0.0.1:1", Pool: "p", Region: "r", FailureDomain: "a", State: platform.StateLive})
+	entry := controlSettings(c, serve(c, list.Handler()), "a")
+	entry.StoreAddress = serve(c, standin.NewStore().Handler())
+	startControl(c, entry)
+	var status struct {
+		Servers serversStatus `json:"servers"`
+		Limits  limitsStatus  `json:"limits"`
+		State   stateStatus   `json:"state"`
+	}
+	for range 600 {
+		response, err := http.Get("http://" + entry.AdminAddress + PathStatus)
+		c.Assert(err, qt.IsNil)
+		c.Assert(json.NewDecoder(response.Body).Decode(&status), qt.IsNil)
+		response.Body.Close()
+		if status.State.JobLease && len(status.Servers.Pools) == 1 {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.Assert(status.State.JobLease, qt.IsTrue)
+	c.Assert(status.Servers.Pools, qt.HasLen, 1)
+	c.Assert(status.Servers.Pools[0].Servers[0], qt.Equals,
+		serverStatus{ID: "e1", Address: "127.0.0.1:1", FailureDomain: "a", Weight: 1})
+	c.Assert(status.Limits.Store.Configured && status.Limits.Store.WritesPerSecond > 0, qt.IsTrue)
+	c.Assert(status.Limits.Instances, qt.Equals, 1)
+}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -188,6 +188,14 @@
 	return record.ID, record.Holder == ""
 }
 
+// Counts returns the jobs that run here, and whether their lease is held.
+func (j *Jobs) Counts() (running int, leased bool) {
+	_, leased = j.owner()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.running), leased
+}
+
 // stopAll ends every run when the lease is lost.
 func (j *Jobs) stopAll() {
 	j.mu.Lock()
--- a/internal/store/budget.go
+++ b/internal/store/budget.go
@@ -176,7 +176,7 @@
 // Watch implements Store. A waiting watch counts as one read. During an outage a
 // short call probes first, since a watch can take longer than the longest backoff.
 func (b *Budgeted) Watch(ctx context.Context, prefix string, after Version) (result WatchResult, err error) {
-	if b.inOutage() {
+	if b.InOutage() {
 		if _, err := b.List(ctx, prefix, "", 1); err != nil {
 			return WatchResult{}, err
 		}
@@ -188,7 +188,15 @@
 	return result, err
 }
 
-func (b *Budgeted) inOutage() bool {
+// Rates returns this instance's shares in calls per second.
+func (b *Budgeted) Rates() (reads, writes float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Rates()
+}
+
+// InOutage reports whether the last call failed for want of an answer.
+func (b *Budgeted) InOutage() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.budget.InOutage()
--- a/quota/link.go
+++ b/quota/link.go
@@ -39,6 +39,9 @@
 // SetCapacity changes the capacity of the link.
 func (l *Link) SetCapacity(capacity float64) { l.capacity = capacity }
 
+// Capacity returns the capacity of the link in bytes per second.
+func (l *Link) Capacity() float64 { return l.capacity }
+
 // Reserve takes the most bytes that a call may send and receive over the link
 // out of this instance's fraction of it, or returns when there is room again.
 func (l *Link) Reserve(bytes int64, fraction float64, now time.Time) (ok bool, retryAfter time.Duration) {
--- a/quota/storebudget.go
+++ b/quota/storebudget.go
@@ -131,6 +131,12 @@
 	return sum
 }
 
+// Rates returns this instance's shares in calls per second. The writes of claim
+// appenders come on top.
+func (b *StoreBudget) Rates() (reads, writes float64) {
+	return b.rates[StoreRead], b.rates[StoreWrite]
+}
+
 // InOutage reports whether the last call failed.
 func (b *StoreBudget) InOutage() bool {
 	return b.failures > 0
