--- a/membership/state_test.go
+++ b/membership/state_test.go
@@ -296,3 +296,21 @@
 	copy(name[7:], []byte{byte('0' + i/100), byte('0' + i/10%10), byte('0' + i%10)})
 	return string(name)
 }
+
+// Guards against demand that ended at a member but is believed for
+// demandLifetime, which keeps a share of the rate from the others.
+func TestEndOfDemandIsReported(t *testing.T) {
+	c := qt.New(t)
+	f := newFabric(c, 4)
+	f.start(1, 2)
+	sender, receiver := f.nodes[f.order[0]], f.nodes[f.order[1]]
+	sender.SetDemand([]Demand{{"acme", 5000}})
+	f.rounds(10)
+	c.Assert(receiver.PeerDemand(f.now)[0].Demand, qt.DeepEquals, []Demand{{"acme", 5000}})
+	sender.SetDemand(nil)
+	f.rounds(10)
+	c.Assert(receiver.PeerDemand(f.now)[0].Demand, qt.DeepEquals, []Demand{{"acme", 0}})
+	f.stop(f.order[0])
+	f.rounds(int(demandLifetime / Interval))
+	c.Assert(receiver.peerDemand["entry-00-000"], qt.HasLen, 0)
+}
