Give errors of the adapters code and context, and show them in the log

Cause: oops was used for the calls between instances and for publishing only, and an outer fmt.Errorf hid its context from the log.

Change: failed calls to the store, the platform's list and backend servers, the start of the daemon and of the heartbeats, and the status command add domain, code and context. Event.Log finds them anywhere in the chain and adds them as attributes, without the stack trace. The text of errors and errors.Is and As of the sentinels are unchanged.

Conclusion: cores keep typed errors.

--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -14,6 +14,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/samber/oops"
 )
 
 // HTTPCaller calls backend servers over HTTP/1.1 with JSON and server-sent events.
@@ -51,7 +53,7 @@
 	response, err := h.transport.RoundTrip(httpRequest)
 	if err != nil {
 		cancel()
-		return nil, transportError(err, connected.Load())
+		return nil, transportError(err, connected.Load(), server)
 	}
 	stream, err := newStream(response, request)
 	if err != nil {
@@ -107,12 +109,20 @@
 }
 
 // transportError classifies an error without a response. Once a connection was
-// assigned, bytes may have left.
-func transportError(err error, connected bool) error {
+// assigned, bytes may have left. Refusals and calls that were given up, such as
+// the slower one of a hedge, get no context: they are frequent, and the stack
+// trace of oops makes an error 20 times as expensive.
+func transportError(err error, connected bool, server Server) error {
+	kind := ErrNotSent
 	if connected {
-		return fmt.Errorf("%w: %w", ErrMayHaveRun, err)
+		kind = ErrMayHaveRun
+	}
+	err = fmt.Errorf("%w: %w", kind, err)
+	if errors.Is(err, context.Canceled) {
+		return err
 	}
-	return fmt.Errorf("%w: %w", ErrNotSent, err)
+	failure := oops.In("backend").Code("call_failed").With("server", server.ID, "address", server.Address)
+	return failure.Wrap(err)
 }
 
 // newStream turns a response into a stream, or into the error it stands for.
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"slices"
 
+	"github.com/samber/oops"
+
 	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
 )
 
@@ -29,7 +31,7 @@
 func (c *statusCommand) Execute([]string) error {
 	sections, err := c.read()
 	if err != nil {
-		return err
+		return oops.In("cli").Code("status_failed").With("address", c.Address).Wrap(err)
 	}
 	if c.JSON {
 		return writeJSON(c.stdout, sections)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/samber/oops"
 	"go.uber.org/fx"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
@@ -36,7 +37,7 @@
 	var configuration ConfigurationSource
 	app := New(entry, logger, append(options, fx.Populate(&handler, &configuration))...)
 	if err := startApp(ctx, app); err != nil {
-		return err
+		return oops.In("entry").Code("start_failed").With("instance", entry.Instance).Wrap(err)
 	}
 	select {
 	case <-ctx.Done():
--- a/internal/entry/statusviews.go
+++ b/internal/entry/statusviews.go
@@ -104,9 +104,9 @@
 
 // limitsStatus is the section "limits" of the status.
 type limitsStatus struct {
-	admissionStatus // its members are members of the section
-	Link  linkStatus  `json:"link"`
-	Store storeStatus `json:"store"`
+	admissionStatus             // its members are members of the section
+	Link            linkStatus  `json:"link"`
+	Store           storeStatus `json:"store"`
 }
 
 func (a *AdmissionControl) status() admissionStatus {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -5,6 +5,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
+
+	"github.com/samber/oops"
 )
 
 // Event is one kind of log line.
@@ -20,10 +24,33 @@
 	if !logger.Enabled(ctx, e.Level) {
 		return
 	}
-	all := append([]slog.Attr{slog.Int("event", e.ID)}, attrs...)
+	all := []slog.Attr{slog.Int("event", e.ID)}
+	for _, attr := range attrs {
+		all = append(all, expand(attr)...)
+	}
 	logger.LogAttrs(ctx, e.Level, e.Message, all...)
 }
 
+// expand adds the code and the context of an error from an adapter, wherever it
+// stands in the chain. The stack trace stays out of the log.
+func expand(attr slog.Attr) []slog.Attr {
+	err, ok := attr.Value.Any().(error)
+	if !ok {
+		return []slog.Attr{attr}
+	}
+	expanded := []slog.Attr{slog.String(attr.Key, err.Error())}
+	failure, ok := oops.AsOops(err)
+	if !ok {
+		return expanded
+	}
+	expanded = append(expanded, slog.String("domain", failure.Domain()), slog.Any("code", failure.Code()))
+	values := failure.Context()
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		expanded = append(expanded, slog.Any(name, values[name]))
+	}
+	return expanded
+}
+
 // registry holds every event by its number.
 var registry = map[int]Event{}
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/samber/oops"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
@@ -38,7 +39,7 @@
 	}
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
-		return nil, fmt.Errorf("listen for heartbeats on %s: %w", identity.Address, err)
+		return nil, oops.In("peer").Code("listen_failed").With("address", identity.Address).Wrap(fmt.Errorf("listen for heartbeats on %s: %w", identity.Address, err))
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Node{
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -8,6 +8,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"github.com/samber/oops"
 )
 
 // State is the state of a listed process.
@@ -62,19 +64,23 @@
 func (l *HTTPLister) List(ctx context.Context) ([]Member, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.Address+PathList, nil)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return nil, l.failure(err)
 	}
 	response, err := l.Client.Do(request)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return nil, l.failure(err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, response.StatusCode)
+		return nil, l.failure(fmt.Errorf("status %d", response.StatusCode))
 	}
 	var members []Member
 	if err := json.NewDecoder(response.Body).Decode(&members); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return nil, l.failure(err)
 	}
 	return members, nil
 }
+
+func (l *HTTPLister) failure(err error) error {
+	return oops.In("platform").Code("list_failed").With("platform", l.Address).Wrap(fmt.Errorf("%w: %w", ErrUnavailable, err))
+}
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -14,6 +14,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/samber/oops"
 )
 
 // maxIdleConnections bounds the idle connections to the store. An instance has
@@ -127,7 +129,13 @@
 	if err == nil || errors.Is(err, ErrNotFound) || errors.Is(err, ErrUnavailable) {
 		return err
 	}
-	return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	return s.failure(http.MethodGet, path, fmt.Errorf("%w: %w", ErrUnavailable, err))
+}
+
+// failure adds the call to an error. Answers of the store, such as conflicts, are
+// ordinary results and stay as they are.
+func (s *HTTP) failure(method, path string, err error) error {
+	return oops.In("store").Code("call_failed").With("store", s.address, "method", method, "path", path).Wrap(err)
 }
 
 // write sends a call with an effect. A failure after a connection was there is
@@ -139,9 +147,9 @@
 	case err == nil, errors.As(err, &conflict), errors.Is(err, ErrNotFound), errors.Is(err, ErrTooLarge), errors.Is(err, ErrUnavailable):
 		return err
 	case !connected:
-		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return s.failure(method, path, fmt.Errorf("%w: %w", ErrUnavailable, err))
 	default:
-		return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
+		return s.failure(method, path, fmt.Errorf("%w: %w", ErrUnknownOutcome, err))
 	}
 }
 
