Hold the lease for durable jobs only while there are jobs

Cause: docs/CAPACITY.md: each of 390 instances keeps its lease with a write every 3.3 s, 98.8 of 300 writes/s in all, which leaves 2.6 jobs/s for the fleet. Change: an instance asks for the lease with its first job or takeover and gives it up after 30 s without one. Callers that need it at the same time wait for one another. An instance that restarts under its name no longer replaces its old key at once, so that its jobs are taken over when the old lease lapses. Conclusion: lease writes follow the instances with jobs, not the fleet.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -109,6 +109,8 @@
 	mu      sync.Mutex
 	running map[string]*run
 	closing bool
+	// usedAt is when the lease was last needed, on the boot-time clock.
+	usedAt time.Time
 
 	// scanning guards cursors: where the deletion of expired results goes on, by
 	// shard.
@@ -129,6 +131,7 @@
 	// jobs can be taken over.
 	j.keeper = leases.New(leases.Config{
 		Store: config.Store, Key: job.HolderKey(config.Instance), Instance: config.Instance,
+		Wanted: j.leaseWanted, ReleaseUnwanted: true,
 		Lost: j.stopAll, Boot: config.Boot, Log: config.Log,
 		HeldEvent: events.JobLeaseHeld, LostEvent: events.JobLeaseLost,
 	})
@@ -209,6 +212,31 @@
 	return store.WithClass(ctx, quota.StoreJobs)
 }
 
+// leaseIdle is how long the lease is kept without a job. The lease of an instance
+// costs a write every 3.3 s, so that instances without jobs hold none.
+const leaseIdle = 30 * time.Second
+
+// leaseWanted reports whether this instance has or recently had jobs.
+func (j *Jobs) leaseWanted() bool {
+	now := j.Boot()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.running) > 0 {
+		j.usedAt = now
+	}
+	return !j.usedAt.IsZero() && now.Sub(j.usedAt) < leaseIdle
+}
+
+// acquire returns the fencing number of this instance and asks for the lease if
+// it is not held.
+func (j *Jobs) acquire(ctx context.Context) (job.Owner, bool) {
+	j.mu.Lock()
+	j.usedAt = j.Boot()
+	j.mu.Unlock()
+	fence, ok := j.keeper.Acquire(ctx)
+	return job.Owner{Instance: j.Instance, Fence: fence}, ok
+}
+
 // owner returns the fencing number under which this instance may act now.
 func (j *Jobs) owner() (job.Owner, bool) {
 	fence, ok := j.keeper.Fence()
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -80,7 +80,6 @@
 		Instance: name, Store: w.fake, Members: w, Runner: i, Boot: w.now, Wall: w.now,
 		Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler),
 	})
-	i.keeper.Tick(c.Context())
 	return i
 }
 
@@ -90,6 +89,28 @@
 	return id
 }
 
+// Guards against a write every few seconds by each instance of a large fleet,
+// most of which have no jobs.
+func TestInstanceWithoutJobsHoldsNoLease(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	a := w.instance(c, "a")
+	w.pass(c, time.Minute, a)
+	w.scan(c, a)
+	c.Assert(w.fake.Count(storetest.Grant), qt.Equals, 0)
+
+	id := a.submit(c)
+	w.pass(c, time.Minute, a)
+	_, leased := a.Counts()
+	c.Assert(leased, qt.IsTrue)
+	(<-a.runs).result <- Result{Outcome: "completed"}
+	a.finished(c, id)
+	w.pass(c, leaseIdle+leases.TTL, a)
+	_, leased = a.Counts()
+	c.Assert(leased, qt.IsFalse)
+	c.Assert(w.fake.Count(storetest.Grant), qt.Equals, 1)
+}
+
 // scan has one instance look at every shard.
 func (w *world) scan(c *qt.C, i *instance) {
 	w.members = []string{i.Instance}
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -40,7 +40,7 @@
 // the returned ID.
 func (j *Jobs) Submit(ctx context.Context, request Job) (id string, err error) {
 	ctx = jobContext(ctx)
-	owner, ok := j.owner()
+	owner, ok := j.acquire(ctx)
 	if !ok {
 		return "", ErrNotAccepted
 	}
--- a/internal/jobs/scan.go
+++ b/internal/jobs/scan.go
@@ -75,10 +75,10 @@
 		j.afterWrite(ctx, record, int64(entry.Version))
 		return nil
 	}
-	own, ok := j.owner()
-	if !ok || !j.room(record.ID) {
+	if !j.room(record.ID) {
 		return nil
 	}
+	own, _ := j.owner()
 	holder := job.Owner{Instance: record.Holder, Fence: record.Fence}
 	if alive[holder] && holder != own {
 		return nil
@@ -93,7 +93,11 @@
 		alive[holder] = true
 		return nil
 	}
-	return j.takeOver(ctx, record, int64(entry.Version), own)
+	leased, ok := j.acquire(ctx)
+	if !ok {
+		return nil
+	}
+	return j.takeOver(ctx, record, int64(entry.Version), leased)
 }
 
 func (j *Jobs) takeOver(ctx context.Context, record job.Record, version int64, own job.Owner) error {
--- a/internal/leases/leases.go
+++ b/internal/leases/leases.go
@@ -34,9 +34,11 @@
 	// Exclusive leaves the key to another lease that holds it. Otherwise the key is
 	// taken from an earlier process of the same instance.
 	Exclusive bool
-	// Wanted reports whether to ask for a lease; nil for always. A lease that is
-	// held is kept whatever it says.
+	// Wanted reports whether to ask for a lease; nil for always.
 	Wanted func() bool
+	// ReleaseUnwanted gives up a lease that is no longer wanted. Otherwise a lease
+	// that is held is kept.
+	ReleaseUnwanted bool
 	// Lost is called when the lease ends; nil for nothing.
 	Lost func()
 	// Boot gives the boot-time clock.
@@ -50,6 +52,9 @@
 type Keeper struct {
 	config Config
 
+	// calls is held while calls to the store are made for the lease.
+	calls sync.Mutex
+
 	mu     sync.Mutex
 	holder *lease.Holder
 	// since is when the current fencing number was learned.
@@ -102,8 +107,28 @@
 // Tick lets time pass and carries out what the holder asks for.
 func (k *Keeper) Tick(ctx context.Context) {
 	if !k.wanted() {
+		if k.config.ReleaseUnwanted {
+			k.Revoke(ctx)
+		}
 		return
 	}
+	k.tick(ctx)
+}
+
+// Acquire asks for a lease at once, wanted or not, unless one is held.
+func (k *Keeper) Acquire(ctx context.Context) (fence int64, ok bool) {
+	if fence, ok = k.Fence(); ok {
+		return fence, ok
+	}
+	k.tick(ctx)
+	return k.Fence()
+}
+
+// tick makes the calls that are due, one caller at a time. A caller that waited
+// finds the lease that the one before it asked for.
+func (k *Keeper) tick(ctx context.Context) {
+	k.calls.Lock()
+	defer k.calls.Unlock()
 	ctx, cancel := context.WithTimeout(leaseContext(ctx), TTL-Margin)
 	defer cancel()
 	outputs := k.step(lease.Tick{})
@@ -117,10 +142,12 @@
 }
 
 func (k *Keeper) wanted() bool {
+	if k.config.Wanted == nil || k.config.Wanted() {
+		return true
+	}
 	k.mu.Lock()
-	held := k.holder.Lease() != 0
-	k.mu.Unlock()
-	return held || k.config.Wanted == nil || k.config.Wanted()
+	defer k.mu.Unlock()
+	return k.holder.Lease() != 0 && !k.config.ReleaseUnwanted
 }
 
 func (k *Keeper) step(input lease.Input) []lease.Output {
--- a/internal/leases/leases_test.go
+++ b/internal/leases/leases_test.go
@@ -100,3 +100,36 @@
 	_, leads = second.Fence()
 	c.Assert(leads, qt.IsTrue)
 }
+
+// Guards against callers that are refused because another one has just asked for
+// the lease, and against a lease that is kept although nothing needs it.
+func TestLeaseIsHeldWhileWanted(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture()
+	wanted := false
+	keeper := New(Config{
+		Store: f.store, Key: "holder/a", Instance: "a", Wanted: func() bool { return wanted }, ReleaseUnwanted: true,
+		Boot: func() time.Time { return f.now }, Log: slog.New(slog.DiscardHandler),
+	})
+	keeper.Tick(c.Context())
+	c.Assert(f.store.Count(storetest.Grant), qt.Equals, 0)
+
+	wanted = true
+	held := make(chan bool)
+	for range 8 {
+		go func() {
+			_, ok := keeper.Acquire(c.Context())
+			held <- ok
+		}()
+	}
+	for range 8 {
+		c.Assert(<-held, qt.IsTrue)
+	}
+	c.Assert(f.store.Count(storetest.Grant), qt.Equals, 1)
+
+	wanted = false
+	keeper.Tick(c.Context())
+	_, ok := keeper.Fence()
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(f.store.Count(storetest.Revoke), qt.Equals, 1)
+}
