--- a/claim/segment.go
+++ b/claim/segment.go
@@ -12,7 +12,7 @@
 // keeps the bytes sent low, and a large one the number of segments.
 const (
 	// SegmentBytes is the size at which a segment is sealed.
-	SegmentBytes = 64 << 10
+	SegmentBytes = 16 << 10
 	// BatchBytes bounds the records of one append. A full segment and a batch
 	// stay below the store's limit of 1 MB.
 	BatchBytes = 256 << 10
--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -26,7 +26,7 @@
 	// answerBytes is the length of a recorded response.
 	answerBytes = 200
 	// segmentsPerList is the page size of internal/claims.
-	segmentsPerList = 16
+	segmentsPerList = 64
 	// claimBatch is the number of operations of one append of a filled shard.
 	claimBatch = 100
 )
--- a/internal/capacity/orders.go
+++ b/internal/capacity/orders.go
@@ -83,7 +83,9 @@
 	return wanted
 }
 
-// measureOrders runs the control loop over engines that are as wanted.
+// measureOrders runs the control loop over engines that are as wanted, for as
+// many periods as it takes to read each of them once. Figures are the mean of a
+// loop.
 func measureOrders(engines int, address string, client *http.Client, counter *byteCounter) ([]figure, error) {
 	wanted := wantedEngines(engines, address)
 	loop := &orders.Loop{
@@ -95,14 +97,16 @@
 	sent, received := counter.sent.Load(), counter.received.Load()
 	elapsed := stopwatch()
 	took, err := processorTime(func() error {
-		loop.Step(context.Background())
+		for range orders.SettledPeriods {
+			loop.Step(context.Background())
+		}
 		return nil
 	})
 	return []figure{
-		{"engine calls of a loop", "calls", float64(engines)},
-		{"bytes sent by a loop", "B", float64(counter.sent.Load() - sent)},
-		{"bytes received by a loop", "B", float64(counter.received.Load() - received)},
-		{"processor time of a loop with the engines' side", "us", float64(took.Microseconds())},
-		{"duration of a loop on loopback", "ms", milliseconds(elapsed())},
+		{"engine calls of a loop", "calls", float64(engines) / orders.SettledPeriods},
+		{"bytes sent by a loop", "B", float64(counter.sent.Load()-sent) / orders.SettledPeriods},
+		{"bytes received by a loop", "B", float64(counter.received.Load()-received) / orders.SettledPeriods},
+		{"processor time of a loop with the engines' side", "us", float64(took.Microseconds()) / orders.SettledPeriods},
+		{"duration of a loop on loopback", "ms", milliseconds(elapsed()) / orders.SettledPeriods},
 	}, err
 }
--- a/internal/claims/chain.go
+++ b/internal/claims/chain.go
@@ -18,8 +18,8 @@
 // created, so that within this bound the write can't recreate a deleted one.
 const maxViewAge = 10 * time.Second
 
-// listPage is the number of segments read at once.
-const listPage = 16
+// listPage is the number of segments read at once: about 1 MB of full segments.
+const listPage = 64
 
 // chain reads and writes the segments of one shard. One goroutine uses it.
 type chain struct {
--- a/internal/entry/statusviews_test.go
+++ b/internal/entry/statusviews_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/fx"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/jobs"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
 )
@@ -20,7 +22,11 @@
 	list.Put(platform.Member{ID: "e1", Role: platform.RoleBackend, Address: "127.0.0.1:1", Pool: "p", Region: "r", FailureDomain: "a", State: platform.StateLive})
 	entry := controlSettings(c, serve(c, list.Handler()), "a")
 	entry.StoreAddress = serve(c, standin.NewStore().Handler())
-	startControl(c, entry)
+	var durable *jobs.Jobs
+	startControl(c, entry, fx.Populate(&durable))
+	// The lease is held only by an instance that has, or just had, a job.
+	_, err := durable.Submit(c.Context(), jobs.Job{Organisation: "o", Pipeline: "p", Kind: "k", Body: []byte("{}"), Retention: time.Hour})
+	c.Assert(err, qt.IsNil)
 	var status struct {
 		Servers serversStatus `json:"servers"`
 		Limits  limitsStatus  `json:"limits"`
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -18,6 +18,11 @@
 // Period is the time between two comparisons of wanted and observed states.
 const Period = 2 * time.Second
 
+// SettledPeriods is the number of periods in which each engine that has its
+// wanted state is read once. Reading 117 engines in each period would take
+// 16 KB/s, four times what an instance may use for control.
+const SettledPeriods = 10
+
 // callTimeout bounds one call to an engine. It is shorter than order.OrderLife,
 // so that an order that arrives at all arrives before the next leader's wait ends.
 const callTimeout = time.Second
@@ -45,6 +50,8 @@
 
 	reconciler *order.Reconciler
 	wasLeader  bool
+	// period numbers the comparisons.
+	period int
 }
 
 // Run runs the loop until ctx ends.
@@ -69,7 +76,7 @@
 	wanted := l.Wanted()
 	l.reconciler.Want(wanted)
 	l.reconciler.SetLoadRate(l.Now(), l.LoadRate())
-	for _, observed := range l.observe(ctx, wanted) {
+	for _, observed := range l.observe(ctx, l.due(wanted)) {
 		l.reconciler.Observe(observed)
 	}
 	// The leadership is read after the engines, because reading them takes time.
@@ -91,7 +98,20 @@
 	return true
 }
 
-// observe reads the states of all engines. One that can't be read is left out.
+// due returns the engines to read in this period: those that are not settled, and
+// a part of the others in turn.
+func (l *Loop) due(wanted []order.Wanted) []order.Wanted {
+	l.period++
+	var due []order.Wanted
+	for i, w := range wanted {
+		if (i+l.period)%SettledPeriods == 0 || !l.reconciler.Settled(w.Server) {
+			due = append(due, w)
+		}
+	}
+	return due
+}
+
+// observe reads the states of engines. One that can't be read is left out.
 func (l *Loop) observe(ctx context.Context, wanted []order.Wanted) []order.Observed {
 	states := make([]*order.Observed, len(wanted))
 	var group errgroup.Group
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,7 +59,7 @@
 	observed, err := engines.State(c.Context(), "e", address)
 	c.Assert(err, qt.IsNil)
 	c.Assert(observed.Models, qt.DeepEquals, []string{"m@2"})
-	c.Assert(engines.sent, qt.Equals, 2)
+	c.Assert(engines.sent.Load(), qt.Equals, int64(2))
 }
 
 // Guards against a paused leader whose orders reach an engine that checks
@@ -87,17 +88,47 @@
 	engines.onState = func() { now = now.Add(8 * time.Second) }
 	loop := newLoop(leader, engines, &now, order.Wanted{Server: "e", Address: engine(c, false), Models: []string{"m@2"}})
 	loop.Step(c.Context())
-	c.Assert(engines.sent, qt.Equals, 0)
+	c.Assert(engines.sent.Load(), qt.Equals, int64(0))
 }
 
-// countingEngines counts orders and lets time pass while a state is read.
+// Guards against a leader that reads every engine in each period, and against an
+// engine that lost its model and is not repaired within the periods of a turn.
+func TestSettledEnginesAreReadInTurn(t *testing.T) {
+	c := qt.New(t)
+	now := start
+	leader := &fakeLeader{order.Leadership{Held: true, Fencing: 1, Since: start.Add(-time.Hour), Until: start.Add(time.Hour)}}
+	engines := &countingEngines{Engines: &backend.HTTPEngines{Client: http.DefaultClient}}
+	address := engine(c, true)
+	var wanted []order.Wanted
+	for i := range 20 {
+		wanted = append(wanted, order.Wanted{Server: string(rune('a' + i)), Address: address, Models: []string{"m@1"}, FencesOrders: true})
+	}
+	loop := newLoop(leader, engines, &now, wanted...)
+	loop.Step(c.Context())
+	c.Assert(engines.reads.Load(), qt.Equals, int64(20))
+	for range SettledPeriods {
+		loop.Step(c.Context())
+	}
+	c.Assert(engines.reads.Load(), qt.Equals, int64(40))
+
+	unload := order.Order{ID: "drift", Address: address, Action: order.ActionUnload, Target: "m@1", Fencing: 1, Life: order.OrderLife}
+	c.Assert(engines.Engines.Send(c.Context(), unload), qt.IsNil)
+	for range SettledPeriods {
+		loop.Step(c.Context())
+	}
+	c.Assert(engines.sent.Load() > 0, qt.IsTrue)
+}
+
+// countingEngines counts calls and lets time pass while a state is read.
 type countingEngines struct {
 	backend.Engines
-	sent    int
+	reads   atomic.Int64
+	sent    atomic.Int64
 	onState func()
 }
 
 func (e *countingEngines) State(ctx context.Context, server, address string) (order.Observed, error) {
+	e.reads.Add(1)
 	if e.onState != nil {
 		e.onState()
 	}
@@ -105,6 +136,6 @@
 }
 
 func (e *countingEngines) Send(ctx context.Context, o order.Order) error {
-	e.sent++
+	e.sent.Add(1)
 	return e.Engines.Send(ctx, o)
 }
--- a/order/reconciler.go
+++ b/order/reconciler.go
@@ -92,6 +92,19 @@
 	}
 }
 
+// Settled reports whether an engine was seen in its wanted state with no order
+// under way.
+func (r *Reconciler) Settled(server string) bool {
+	w, wanted := r.wanted[server]
+	o, observed := r.observed[server]
+	if !wanted || !observed || o.Loading {
+		return false
+	}
+	_, busy := r.pending[server]
+	_, _, differs := difference(w, o)
+	return !busy && !differs
+}
+
 // Refused settles an order that the engine refused to carry out.
 func (r *Reconciler) Refused(order Order) {
 	if sent, ok := r.pending[order.Server]; ok && sent.order.ID == order.ID {
