Pace claim appenders that meet conflicts

Cause: instances that disagree on a shard's appender each wrote at the full rate of 10/s per shard, twice per batch because of the conflict.

Change: a conflict raises the time between two writes of a shard by three doublings, at most to 3.2 s with a random part; a write without a conflict takes one back.

--- a/internal/claims/appender.go
+++ b/internal/claims/appender.go
@@ -24,6 +24,16 @@
 	settleAttempts = 16
 )
 
+// Pacing of a shard to which several instances append. Each step doubles the time
+// between two writes. Without disagreement every write is the only one, and with it
+// each write costs a conflict, so that the steps rise until the sum of all
+// instances is that of a few writes/s.
+const (
+	conflictSteps = 3
+	successSteps  = 1
+	maxPaceStep   = 5 // 3.2 s between two writes
+)
+
 // Intervals of housekeeping.
 const (
 	// cleanInterval bounds the writes that delete expired segments: 1/s per shard.
@@ -43,6 +53,8 @@
 	running bool
 	// The rest is used by the running goroutine only.
 	lastWrite time.Time
+	// paceStep is the number of times that the interval is doubled.
+	paceStep  int
 	lastClean time.Time
 	lastPurge time.Time
 }
@@ -116,7 +128,7 @@
 // run writes batches until the queue is empty.
 func (a *Appender) run() {
 	for {
-		if wait := a.interval - a.chain.boot().Sub(a.lastWrite); wait > 0 {
+		if wait := a.pause() - a.chain.boot().Sub(a.lastWrite); wait > 0 {
 			time.Sleep(wait)
 		}
 		batch := a.take()
@@ -127,6 +139,25 @@
 	}
 }
 
+// pause is the least time between two batches. Part of it is random, so that
+// appenders that disagree don't write in step.
+func (a *Appender) pause() time.Duration {
+	if a.paceStep == 0 {
+		return a.interval
+	}
+	paced := a.interval << a.paceStep
+	return paced/2 + rand.N(paced+1)
+}
+
+// pace slows a shard down after a conflict and lets it recover after a success.
+func (a *Appender) pace(conflict bool) {
+	if conflict {
+		a.paceStep = min(a.paceStep+conflictSteps, maxPaceStep)
+		return
+	}
+	a.paceStep = max(a.paceStep-successSteps, 0)
+}
+
 // take empties the queue, or ends the run when there is nothing in it.
 func (a *Appender) take() []*pending {
 	a.mu.Lock()
@@ -176,15 +207,17 @@
 	sent := false
 	for attempt := range settleAttempts {
 		if attempt > 1 {
-			time.Sleep(rand.N(a.interval + 1))
+			time.Sleep(a.pause() / 2)
 		}
 		decisions, err := a.attempt(ctx, ops)
 		var conflict *store.ConflictError
 		switch {
 		case err == nil:
+			a.pace(false)
 			return decisions, nil
 		case errors.As(err, &conflict):
 			a.counters.conflicts.Inc(1)
+			a.pace(true)
 		case errors.Is(err, errLate), errors.Is(err, store.ErrUnknownOutcome):
 			sent = true
 			a.counters.lost.Inc(1)
--- a/internal/claims/bench_test.go
+++ b/internal/claims/bench_test.go
@@ -14,7 +14,9 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/coltsfootdrift/coltsfootdrift/claim"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store/storetest"
+	"github.com/coltsfootdrift/coltsfootdrift/quota"
 )
 
 const (
@@ -38,25 +40,49 @@
 	for _, instances := range []int{3, 9, 40} {
 		b.Run(fmt.Sprint(instances), func(b *testing.B) {
 			for b.Loop() {
-				offer(b, instances)
+				offer(b, instances, false)
 			}
 		})
 	}
 }
 
-func offer(b *testing.B, instances int) {
+// BenchmarkDisagreement offers the same to instances that each take themselves
+// for the appender of every shard.
+func BenchmarkDisagreement(b *testing.B) {
+	for _, instances := range []int{3, 9} {
+		b.Run(fmt.Sprint(instances), func(b *testing.B) {
+			for b.Loop() {
+				offer(b, instances, true)
+			}
+		})
+	}
+}
+
+// loner is a directory that knows one instance only.
+type loner struct {
+	*fleet
+	name string
+}
+
+func (l loner) Appenders() []string { return []string{l.name} }
+
+func offer(b *testing.B, instances int, disagree bool) {
 	fake := storetest.New()
 	fake.Before = func(context.Context, storetest.Op, string) error {
 		time.Sleep(storeDelay)
 		return nil
 	}
 	f := &fleet{network: &network{instances: map[string]*Claims{}}}
-	peers := Peers{Client: f, Directory: f}
 	for i := range instances {
 		name := fmt.Sprintf("i%d", i)
 		f.names = append(f.names, name)
+		peers := Peers{Client: f, Directory: f}
+		if disagree {
+			peers.Directory = loner{f, name}
+		}
+		budget := quota.NewStoreBudget(quota.DefaultStoreLimits, instances, time.Now())
 		f.instances[name] = New(Config{
-			Instance: name, Store: fake, Forwarder: peers, Awaiter: peers, Boot: time.Now, Wall: time.Now,
+			Instance: name, Store: store.NewBudgeted(fake, budget, time.Now, tally.NoopScope), Forwarder: peers, Awaiter: peers, Boot: time.Now, Wall: time.Now,
 			Scope: tally.NoopScope, Log: slog.New(slog.DiscardHandler), WriteInterval: WriteInterval, SettleInterval: time.Second,
 		})
 	}
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"strings"
 	"sync"
@@ -324,3 +325,26 @@
 	}
 	return s.Fake.CompareAndSwap(ctx, key, expect, value, lease)
 }
+
+// Guards against appenders that disagree on the owner of a shard and write at the
+// full rate each, which exceeds the store's limit.
+func TestConflictsSlowAnAppenderDown(t *testing.T) {
+	c := qt.New(t)
+	fake := storetest.New()
+	first, second := newTestAppender(fake), newTestAppender(fake)
+	first.interval, second.interval = time.Microsecond, time.Microsecond
+	write := func(a *Appender, key string) {
+		op := claim.Op{Kind: claim.OpClaim, ID: claim.NewID("acme", "p", "k", key), Retention: time.Hour}
+		_, err := a.settle(c.Context(), []*pending{{op: op}})
+		c.Assert(err, qt.IsNil)
+	}
+	for i := range 4 {
+		write(first, fmt.Sprint("first", i))
+		write(second, fmt.Sprint("second", i))
+	}
+	c.Assert(second.pause() >= second.interval<<(maxPaceStep-successSteps)/2, qt.IsTrue)
+	for i := range maxPaceStep {
+		write(second, fmt.Sprint("alone", i))
+	}
+	c.Assert(second.pause(), qt.Equals, second.interval)
+}
--- a/internal/standin/store_http.go
+++ b/internal/standin/store_http.go
@@ -198,6 +198,7 @@
 	case <-timer.C:
 	case <-r.Context().Done():
 	case <-s.faults.interrupted():
+		s.keys.forget(waiting)
 		panic(http.ErrAbortHandler) // an outage also ends waiting watches
 	}
 	s.keys.forget(waiting)
