Publish although a part in force is lost from the store

Cause: publish compares with the set in force, and failed for good when a part of it was missing, so that operators couldn't repair the loss by publishing.

Change: a missing or damaged part is left out on both sides of the comparison, is written again, and the difference says which part it doesn't cover. The new head never refers to the lost part. A dry run shows the same difference.

Conclusion: a part that a stale read doesn't show is treated alike; it is written again under another digest, which does no harm.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -260,3 +260,22 @@
 	_, err := current.Offer(w.head, w.parts)
 	c.Assert(err, qt.ErrorMatches, ".*differs from its digest.*")
 }
+
+// Guards against a part lost from the store that keeps operators from publishing
+// for good, and against a new head that refers to the lost part.
+func TestPublishWritesLostPartsAgain(t *testing.T) {
+	c := qt.New(t)
+	w := &world{parts: Parts{}}
+	c.Assert(w.publish("a", largeSet(3)).Err, qt.IsNil)
+	ref := w.head.Parts[0]
+	delete(w.parts, ref.Digest)
+	done := w.publish("b", largeSet(4))
+	c.Assert(done.Err, qt.IsNil)
+	text := done.Result.Difference.Text()
+	c.Assert(text, qt.Contains, "added organisation organisation-00003\n")
+	c.Assert(text, qt.Contains, "unknown part "+string(ref.Name)+", which is lost from the store\n")
+	var current Current
+	_, err := current.Offer(w.head, w.parts)
+	c.Assert(err, qt.IsNil)
+	c.Assert(Compare(largeSet(4), current.Set()), qt.HasLen, 0)
+}
--- a/config/diff.go
+++ b/config/diff.go
@@ -19,6 +19,8 @@
 	ActionAdded   Action = "added"
 	ActionRemoved Action = "removed"
 	ActionChanged Action = "changed"
+	// ActionUnknown is a change that can't be told, because the old state is lost.
+	ActionUnknown Action = "unknown"
 )
 
 // Change is one object that differs between two sets.
--- a/config/parts.go
+++ b/config/parts.go
@@ -128,6 +128,35 @@
 	return set, nil
 }
 
+// lost returns the names of the parts that are missing or damaged.
+func (h *Head) lost(parts Parts) map[PartName]bool {
+	lost := map[PartName]bool{}
+	for _, ref := range h.Parts {
+		if data, ok := parts[ref.Digest]; !ok || DigestOf(data) != ref.Digest {
+			lost[ref.Name] = true
+		}
+	}
+	return lost
+}
+
+// without returns a copy of a head that lacks the named parts.
+func (h *Head) without(names map[PartName]bool) *Head {
+	rest := *h
+	rest.Parts = slices.DeleteFunc(slices.Clone(h.Parts), func(ref Ref) bool { return names[ref.Name] })
+	return &rest
+}
+
+// setWithout returns the objects of a set that don't belong to the named parts.
+func setWithout(set *pipeline.Set, names map[PartName]bool) *pipeline.Set {
+	rest := &pipeline.Set{}
+	for _, named := range namedParts(set) {
+		if !names[named.name] {
+			add(rest, named.part)
+		}
+	}
+	return rest
+}
+
 func add(set *pipeline.Set, p part) {
 	if p.Deployment != nil {
 		organisations := set.Deployment.Organisations
--- a/config/publish.go
+++ b/config/publish.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
-
-	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
 )
 
 // keptRevisions is the number of heads whose parts stay in the store, so that an
@@ -21,9 +21,11 @@
 
 	base    *Head
 	version int64
-	next    *Head
-	parts   Parts
-	result  Result
+	// kept is the base without the parts that are lost from the store.
+	kept   *Head
+	next   *Head
+	parts  Parts
+	result Result
 	// writes counts attempts to write the head; once positive, a read of the head
 	// is a read back.
 	writes int
@@ -95,15 +97,11 @@
 	if in.Err != nil {
 		return p.fail("read parts", in.Err)
 	}
-	var inForce *pipeline.Set
-	if p.base.Revision > 0 {
-		set, err := Assemble(p.base, in.Parts)
-		if err != nil {
-			return p.fail("read parts", err)
-		}
-		inForce = set
+	difference, err := p.compare(in.Parts)
+	if err != nil {
+		return p.fail("read parts", err)
 	}
-	p.result.Difference = Compare(inForce, p.request.Set)
+	p.result.Difference = difference
 	p.result.Revision = p.base.Revision
 	if len(p.result.Difference) == 0 || p.dryRun {
 		p.result.Changed = len(p.result.Difference) > 0
@@ -115,9 +113,30 @@
 	return []Output{WriteParts{p.parts}}
 }
 
+// compare returns the difference to the set in force. Parts that are lost from the
+// store are written again, and the difference says that it doesn't cover them.
+func (p *Publish) compare(parts Parts) (Difference, error) {
+	p.kept = p.base
+	if p.base.Revision == 0 {
+		return Compare(nil, p.request.Set), nil
+	}
+	lost := p.base.lost(parts)
+	if len(lost) == 0 {
+		inForce, err := Assemble(p.base, parts)
+		return Compare(inForce, p.request.Set), err
+	}
+	p.kept = p.base.without(lost)
+	inForce, err := Assemble(p.kept, parts)
+	difference := Compare(inForce, setWithout(p.request.Set, lost))
+	for _, name := range slices.Sorted(maps.Keys(lost)) {
+		difference = append(difference, Change{Action: ActionUnknown, Object: fmt.Sprintf("part %s, which is lost from the store", name)})
+	}
+	return difference, err
+}
+
 // buildNext builds the head that follows the base.
 func (p *Publish) buildNext(now time.Time) error {
-	refs, parts, err := split(p.request.Set, p.base, p.request.PublishID)
+	refs, parts, err := split(p.request.Set, p.kept, p.request.PublishID)
 	if err != nil {
 		return err
 	}
--- a/internal/configuration/publisher.go
+++ b/internal/configuration/publisher.go
@@ -110,6 +110,7 @@
 	return head, entry.Version, err
 }
 
+// readParts leaves out the parts that the store doesn't hold.
 func readParts(ctx context.Context, s store.Store, digests []config.Digest) (config.Parts, error) {
 	values := make([][]byte, len(digests))
 	group, ctx := errgroup.WithContext(ctx)
@@ -117,6 +118,9 @@
 	for i, digest := range digests {
 		group.Go(func() error {
 			entry, err := s.Get(ctx, digest.Key())
+			if errors.Is(err, store.ErrNotFound) {
+				return nil
+			}
 			values[i] = entry.Value
 			return wrap(err, "read part")
 		})
@@ -126,7 +130,9 @@
 	}
 	parts := make(config.Parts, len(digests))
 	for i, digest := range digests {
-		parts[digest] = values[i]
+		if values[i] != nil {
+			parts[digest] = values[i]
+		}
 	}
 	return parts, nil
 }
