--- a/internal/standin/store_test.go
+++ b/internal/standin/store_test.go
@@ -159,3 +159,17 @@
 	s.Assert((<-deleted).Deleted, qt.DeepEquals, []string{"w/k"})
 	s.Assert(s.call(http.MethodPost, path+store.KeepAliveSuffix, "", nil), qt.Equals, http.StatusNotFound)
 }
+
+// Guards against watches that an outage ended and that still count as waiting
+// calls afterwards.
+func TestOutageEndsWaitingWatches(t *testing.T) {
+	s := startStore(t)
+	ended := make(chan int)
+	go func() { ended <- s.call(http.MethodGet, "/v1/watch?prefix=w/&after=0", "", nil) }()
+	for s.keys.waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.call(http.MethodPut, PathFaults, `{"outage": true}`, nil)
+	s.Assert(<-ended, qt.Equals, 0)
+	s.Assert(s.keys.waiting(), qt.Equals, 0)
+}
