Tell calls whose connection broke before any byte left

Cause: a call counted as one that may have run once it had a connection. A once call then ended as unknown although nothing was sent.

Change: connections to backend servers count the writes that have begun. After an error the connection is sealed against further writes, and the call was not sent when no write began since it got the connection. WroteHeaders of httptrace isn't used: net/http reports it before its buffer is flushed, and a write could begin after the error was returned. A connection that isn't counted still means that the call may have run.

Conclusion: a write that reached only the buffer of the kernel still counts as may have run, since no side can tell.

--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -12,7 +12,6 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -34,6 +33,7 @@
 // handshake between regions.
 func NewTransport() *http.Transport {
 	return &http.Transport{
+		DialContext:         dialCounted,
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     90 * time.Second,
 		DisableCompression:  true,
@@ -43,8 +43,8 @@
 // Call sends one attempt and returns its answer as a stream.
 func (h *HTTPCaller) Call(ctx context.Context, server Server, request StageRequest) (StageStream, error) {
 	ctx, cancel := context.WithTimeout(ctx, request.Timeout)
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var sending sending
+	trace := &httptrace.ClientTrace{GotConn: sending.gotConn}
 	httpRequest, err := newRequest(httptrace.WithClientTrace(ctx, trace), server, request)
 	if err != nil {
 		cancel()
@@ -53,7 +53,7 @@
 	response, err := h.transport.RoundTrip(httpRequest)
 	if err != nil {
 		cancel()
-		return nil, transportError(err, connected.Load(), server)
+		return nil, transportError(err, sending.end(), server)
 	}
 	stream, err := newStream(response, request)
 	if err != nil {
@@ -108,13 +108,12 @@
 	return append(body, '}'), nil
 }
 
-// transportError classifies an error without a response. Once a connection was
-// assigned, bytes may have left. Refusals and calls that were given up, such as
+// transportError classifies an error without a response. Refusals and calls that were given up, such as
 // the slower one of a hedge, get no context: they are frequent, and the stack
 // trace of oops makes an error 20 times as expensive.
-func transportError(err error, connected bool, server Server) error {
+func transportError(err error, sent bool, server Server) error {
 	kind := ErrNotSent
-	if connected {
+	if sent {
 		kind = ErrMayHaveRun
 	}
 	err = fmt.Errorf("%w: %w", kind, err)
