Keep a missing part an unavailable source for the loader

Cause: since publishing goes on without a lost part, readParts leaves it out, so that the loader would refuse the head as malformed instead of trying again.

Change: the store as a source reports that it lacks parts.

--- a/internal/configuration/loader.go
+++ b/internal/configuration/loader.go
@@ -188,7 +188,11 @@
 }
 
 func (s storeSource) parts(ctx context.Context, digests []config.Digest) (config.Parts, error) {
-	return readParts(ctx, s.store, digests)
+	parts, err := readParts(ctx, s.store, digests)
+	if err == nil && len(parts) < len(digests) {
+		return nil, fmt.Errorf("%w: the store lacks %d parts", ErrUnavailable, len(digests)-len(parts))
+	}
+	return parts, err
 }
 
 func (s storeSource) fromStore() bool { return true }
