--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -26,3 +27,16 @@
 	}
 	return time.Unix(now.Unix())
 }
+
+// Sleep waits, or returns false when the context ends first. Time during which the
+// machine is suspended is not counted.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/configuration/pull.go
+++ b/internal/configuration/pull.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 )
 
@@ -39,7 +40,7 @@
 		}
 		// Watchers get the head from the store; with the spread, the members of a
 		// failure domain don't ask the same peer at once.
-		if !sleep(ctx, rand.N(l.Times.PullSpread+1)) {
+		if !clock.Sleep(ctx, rand.N(l.Times.PullSpread+1)) {
 			return
 		}
 		if l.behind() && !l.pull(ctx, failed) {
--- a/internal/configuration/watch.go
+++ b/internal/configuration/watch.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/coltsfootdrift/coltsfootdrift/config"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 )
@@ -49,7 +50,7 @@
 	for ctx.Err() == nil {
 		if !l.isWatcher() {
 			l.setWatching(ctx, false)
-			if !sleep(ctx, l.Times.Check) {
+			if !clock.Sleep(ctx, l.Times.Check) {
 				return
 			}
 			continue
@@ -125,7 +126,7 @@
 
 // endWhenReplaced ends a session when this instance is no watcher any more.
 func (l *Loader) endWhenReplaced(ctx context.Context, cancel context.CancelFunc) {
-	for sleep(ctx, l.Times.Check) {
+	for clock.Sleep(ctx, l.Times.Check) {
 		if !l.isWatcher() {
 			cancel()
 		}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -16,6 +16,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
@@ -143,7 +144,7 @@
 	s.Steps.Add(StopStep{StopReadiness, "readiness", func(ctx context.Context) error {
 		s.Readiness.Withdraw()
 		s.Handler.Drain()
-		sleep(ctx, s.Entry.DrainGrace())
+		clock.Sleep(ctx, s.Entry.DrainGrace())
 		return nil
 	}})
 	s.Steps.Add(StopStep{StopCallers, "callers", server.Shutdown})
--- a/internal/entry/decisions.go
+++ b/internal/entry/decisions.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
@@ -100,7 +101,7 @@
 // Each instance reads at its own random times.
 func (s *Servers) PollLoad(ctx context.Context, reader backend.LoadReader) {
 	for ctx.Err() == nil {
-		sleep(ctx, loadInterval/2+rand.N(loadInterval))
+		clock.Sleep(ctx, loadInterval/2+rand.N(loadInterval))
 		s.pollOne(ctx, reader)
 	}
 }
--- a/internal/entry/shutdown.go
+++ b/internal/entry/shutdown.go
@@ -91,13 +91,3 @@
 	}
 	return longest
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/job"
@@ -169,7 +170,7 @@
 
 // execute runs the stages of a job that are not finished.
 func (j *Jobs) execute(r *run, record job.Record, delay time.Duration) {
-	if delay > 0 && !sleep(r.ctx, delay) {
+	if delay > 0 && !clock.Sleep(r.ctx, delay) {
 		_ = j.step(r.ctx, r, job.LeaseLost{})
 		return
 	}
@@ -234,18 +235,8 @@
 			return nil
 		}
 		events.JobRecordError.Log(r.ctx, j.Log, slog.String("job", id), slog.Any("error", err))
-		if !sleep(r.ctx, recordRetryDelay) {
+		if !clock.Sleep(r.ctx, recordRetryDelay) {
 			return err
 		}
 	}
 }
-
-// sleep waits for d and returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/jobs/status.go
+++ b/internal/jobs/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/job"
 )
@@ -73,7 +74,7 @@
 			}
 		}
 		status, err := j.Status(read, id)
-		if err != nil || status.Record.State == job.StateFinished || !sleep(ctx, pollInterval) {
+		if err != nil || status.Record.State == job.StateFinished || !clock.Sleep(ctx, pollInterval) {
 			return status, err
 		}
 	}
--- a/internal/standin/admin.go
+++ b/internal/standin/admin.go
@@ -1,11 +1,9 @@
 package standin
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
-	"time"
 )
 
 // Admin paths of every stand-in. GET reads, PUT replaces the fields that the
@@ -54,15 +52,3 @@
 		writeJSON(w, http.StatusOK, faults)
 	}
 }
-
-// sleep waits, or returns false when the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -10,6 +10,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
 )
 
@@ -64,7 +65,7 @@
 
 // whole waits for the service time and sends the input back with the server's name.
 func (a *answering) whole() bool {
-	if !sleep(a.r.Context(), a.backend.serviceTime()) {
+	if !clock.Sleep(a.r.Context(), a.backend.serviceTime()) {
 		return false
 	}
 	encoded, err := json.Marshal(output{
@@ -121,7 +122,7 @@
 func (a *answering) generate() bool {
 	text := GeneratedText(a.run.InputHash, a.run.AnswerBytes)
 	a.w.Header().Set("Content-Type", "text/event-stream")
-	if !sleep(a.r.Context(), a.backend.engine.prefill(a.body.PrefixKey, a.backend.faults.slowdown())) {
+	if !clock.Sleep(a.r.Context(), a.backend.engine.prefill(a.body.PrefixKey, a.backend.faults.slowdown())) {
 		return false
 	}
 	// Each chunk has its own due time, so that the delays of timers don't add up.
@@ -129,7 +130,7 @@
 	for offset := int(a.body.ResumeOffset); offset < len(text); {
 		end := min(offset+a.backend.config.ChunkBytes, len(text))
 		due = due.Add(a.backend.chunkTime())
-		if !sleep(a.r.Context(), time.Until(due)) {
+		if !clock.Sleep(a.r.Context(), time.Until(due)) {
 			return false
 		}
 		if a.run.Fault == FaultHalf && end > len(text)/2 {
--- a/internal/standin/store_http.go
+++ b/internal/standin/store_http.go
@@ -10,6 +10,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 )
 
@@ -65,7 +66,7 @@
 func (s *Store) guard(call storeCall, serve http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		faults, status := s.faults.begin(call)
-		if !sleep(r.Context(), faults.delay()) {
+		if !clock.Sleep(r.Context(), faults.delay()) {
 			return
 		}
 		if status != http.StatusOK {
