--- a/routing/affinity.go
+++ b/routing/affinity.go
@@ -1,34 +1,7 @@
 package routing
 
-import "time"
-
-// hint is the last known place of a prompt prefix. Cache events come late and
-// with gaps, so that a hint is only a preference and expires.
-type hint struct {
-	prefix uint64
-	server ServerIndex
-	until  int64
-}
-
-const (
-	hintCount = 1024
-	hintLife  = time.Minute
-)
-
-// Cached records a cache event: server i holds, or no longer holds, a prefix.
-func (p *Pool) Cached(i ServerIndex, prefix uint64, present bool, now time.Time) {
-	h := &p.hints[prefix%hintCount]
-	if present {
-		*h = hint{prefix, i, now.Add(hintLife).UnixNano()}
-		return
-	}
-	if h.prefix == prefix && h.server == i {
-		*h = hint{}
-	}
-}
-
-// affine returns the server that holds a prefix according to a fresh hint, or
-// the first one in rendezvous order whose load is within the bound.
+// affine returns the first server in rendezvous order whose load is within the
+// bound.
 func (p *Pool) affine(t int64, q *Query, mode strictness, candidates []ServerIndex) ServerIndex {
 	load, slots := 1.0, 0.0
 	for _, i := range candidates {
@@ -37,11 +10,6 @@
 		slots += float64(s.Slots)
 	}
 	bound := BoundedLoad * load / slots
-	if h := p.hints[q.Prefix%hintCount]; h.prefix == q.Prefix && h.until > t && p.holds(h.server) {
-		if p.within(t, h.server, q, mode, bound) {
-			return h.server
-		}
-	}
 	best := none
 	var bestHash uint64
 	for _, i := range candidates {
@@ -53,11 +21,6 @@
 	return best
 }
 
-// holds reports whether i is a live server of the region.
-func (p *Pool) holds(i ServerIndex) bool {
-	return p.servers[i].live && p.servers[i].tier < tierRemote
-}
-
 // within reports whether a server may take one more call of a shared prefix. A
 // call to an idle server is always within the bound.
 func (p *Pool) within(t int64, i ServerIndex, q *Query, mode strictness, bound float64) bool {
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -82,7 +82,6 @@
 	scratch    []float64
 	lowered    int
 	sinceProbe int
-	hints      [hintCount]hint
 }
 
 // Choices is the number of random candidates that a decision compares.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -1,8 +1,8 @@
 // Package routing chooses backend servers. A Pool tracks the servers of one pool
 // as one instance sees them and picks one per call; Hedger decides when a second
-// call is worth sending, Plan divides a deadline among stages, and Transfer
-// decides whether moving a KV cache pays. It does no I/O and reads no clock: the
-// caller passes time and randomness. A value is guarded by one mutex of its caller.
+// call is worth sending, and Plan divides a deadline among stages. It does no I/O
+// and reads no clock: the caller passes time and randomness. A value is guarded by
+// one mutex of its caller.
 package routing
 
 import (
