Read the usual form of an answer without decoding it

Of the time in its handler, a quarter goes into reading the answer, and encoding/json scans the output several times. Change: the attempt and the end of the usual form are compared as bytes, and the output is validated once. Any other form is decoded as before.

--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -42,8 +42,8 @@
 	if int64(data.Len()) > limit {
 		return nil, tooLarge(request)
 	}
-	var answer Answer
-	if err := json.Unmarshal(data.Bytes(), &answer); err != nil {
+	answer, err := decodeAnswer(data.Bytes(), request.Attempt)
+	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
 	}
 	if answer.Attempt != request.Attempt {
@@ -58,6 +58,21 @@
 	return &answerStream{output: answer.Output, body: response.Body}, nil
 }
 
+// decodeAnswer reads an answer. The usual form, whose attempt comes first and
+// whose output comes last, is taken apart by its bytes: encoding/json would scan
+// the output several times.
+func decodeAnswer(data []byte, attempt string) (answer Answer, err error) {
+	output, ok := bytes.CutPrefix(data, []byte(`{"attempt":"`+attempt+`","output":`))
+	if ok {
+		output, ok = bytes.CutSuffix(bytes.TrimRight(output, "\n"), []byte("}"))
+	}
+	if ok && json.Valid(output) {
+		return Answer{Attempt: attempt, Output: output}, nil
+	}
+	err = json.Unmarshal(data, &answer)
+	return answer, err
+}
+
 func tooLarge(request StageRequest) error {
 	return fmt.Errorf("%w: answer exceeds %d bytes", ErrBadAnswer, request.MaxAnswerBytes)
 }
