Spread the calls of instances over servers that they cannot see

Change: a prefix decides only among home slots whose score is within BoundedLoad of the lowest, and no longer beyond home slots. Long calls take the lowest numbered home slots and others the highest, so that the long calls of all instances are spread evenly.

--- a/routing/home.go
+++ b/routing/home.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
 )
 
 // Instance is an entry instance of the region.
@@ -103,6 +106,7 @@
 	if s.home == 0 {
 		p.home = append(p.home, i)
 	}
+	s.numbers = append(s.numbers, number)
 	s.home++
 	p.homeSlots++
 	if float64(number) < s.longLimit() {
@@ -119,47 +123,54 @@
 	return float64(p.Slots()) / float64(max(1, len(p.instances)))
 }
 
-// roomyShare is the load per slot up to which a prompt prefix decides alone.
-const roomyShare = 0.5
-
-// pickRoomy returns the server of a prompt prefix while so many of its slots are
-// free that calls of other instances, seen late, do not fill it.
-func (p *Pool) pickRoomy(t int64, q *Query) ServerIndex {
-	near := p.ordered[:p.tierEnd[tierRegion]]
-	if q.Prefix == 0 || len(p.home) == 0 || classIndex(q.Class) == longIndex {
-		return none
-	}
-	i := p.affine(t, q, strict, near)
-	if i == none || p.servers[i].load(t)+1 > roomyShare*float64(p.servers[i].Slots) {
-		return none
-	}
-	return i
-}
-
-// pickHome returns the best server with a free home slot for the call: the first
-// one in rendezvous order of the prompt prefix, or the one with the lowest score.
+// pickHome returns the best server with a free home slot for the call. Among
+// those whose score is within BoundedLoad of the lowest one, the prompt prefix
+// decides by rendezvous hashing.
 func (p *Pool) pickHome(t int64, q *Query) ServerIndex {
+	lowest := math.Inf(1)
+	for _, i := range p.home {
+		if p.servers[i].homeFree(i, q) {
+			lowest = min(lowest, p.servers[i].homeScore(t, q.Class))
+		}
+	}
 	best := none
-	bestScore := 0.0
+	bestRank := 0.0
 	for _, i := range p.home {
 		s := &p.servers[i]
-		if s.inFlight >= s.home || s.level > 0 || s.slowStartFrom != 0 || !s.eligible(i, q, strict) {
+		if !s.homeFree(i, q) {
 			continue
 		}
-		if classIndex(q.Class) == longIndex && s.long >= s.homeLong {
-			continue
-		}
-		score := s.score(t)
-		if q.Prefix != 0 {
-			score = -float64(mix(s.hash ^ q.Prefix))
+		rank := s.homeScore(t, q.Class)
+		if q.Prefix != 0 && rank <= BoundedLoad*lowest {
+			rank = -float64(mix(s.hash ^ q.Prefix))
 		}
-		if best == none || score < bestScore {
-			best, bestScore = i, score
+		if best == none || rank < bestRank {
+			best, bestRank = i, rank
 		}
 	}
 	return best
 }
 
+// homeFree reports whether a server has a free home slot for the call.
+func (s *server) homeFree(i ServerIndex, q *Query) bool {
+	if s.inFlight >= s.home || s.level > 0 || s.slowStartFrom != 0 || !s.eligible(i, q, strict) {
+		return false
+	}
+	return classIndex(q.Class) != longIndex || s.long < s.homeLong
+}
+
+// homeScore is the place of the next home slot, times the relative latency.
+// Long calls take slots with low numbers first and others those with high
+// numbers. All instances do so, which spreads the long calls evenly over the
+// servers although each instance sees only its own.
+func (s *server) homeScore(t int64, class pipeline.Class) float64 {
+	place := s.numbers[s.long]
+	if classIndex(class) != longIndex {
+		place = s.Slots - 1 - s.numbers[s.home-1-max(0, s.inFlight-s.long)]
+	}
+	return (float64(place+1) + s.excess(t)) * s.scale
+}
+
 // suspectAge is the multiple of the pool's 95th percentile after which a single
 // running call is evidence against its server.
 const suspectAge = 1.5
--- a/routing/home_test.go
+++ b/routing/home_test.go
@@ -71,3 +71,40 @@
 	}
 	qt.Assert(t, pool.Lowered(), qt.Equals, 1)
 }
+
+// Guards against instances that, unable to see each other's calls, put their
+// long calls on the same servers.
+func TestLongCallsOfAllInstancesSpreadOverServers(t *testing.T) {
+	list := servers(8, "r-a")
+	instances := []Instance{{"i0", "r-a"}, {"i1", "r-a"}, {"i2", "r-a"}, {"i3", "r-a"}}
+	const perServer = 2
+	long := map[string]int{}
+	for _, instance := range instances {
+		pool, random := newPool(nil)
+		pool.Divide(instance.ID, instances)
+		pool.Update(list, began)
+		for range perServer * len(list) / len(instances) {
+			i, _ := pool.Pick(began, random, Query{Class: pipeline.ClassLong})
+			pool.Started(i, pipeline.ClassLong, began)
+			long[pool.ID(i)]++
+		}
+	}
+	for _, s := range list {
+		qt.Check(t, long[s.ID], qt.Equals, perServer, qt.Commentf("%s", s.ID))
+	}
+}
+
+// Guards against a prompt prefix that overrules the load: it decides among home
+// slots of about the same score only.
+func TestPrefixDecidesAmongEqualHomeSlots(t *testing.T) {
+	pool, random := newPool(nil)
+	pool.Divide("i0", []Instance{{"i0", "r-a"}})
+	pool.Update(servers(8, "r-a"), began)
+	query := Query{Prefix: 4711}
+	first, _ := pool.Pick(began, random, query)
+	again, _ := pool.Pick(began, random, query)
+	qt.Check(t, again, qt.Equals, first)
+	pool.Started(first, pipeline.ClassInteractive, began)
+	other, _ := pool.Pick(began, random, query)
+	qt.Check(t, other, qt.Not(qt.Equals), first)
+}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -34,11 +34,15 @@
 
 // load is the number of calls that the server is believed to hold.
 func (s *server) load(t int64) float64 {
-	load := float64(s.inFlight) + s.peers
+	return float64(s.inFlight) + s.peers + s.excess(t)
+}
+
+// excess is the load that the last report showed beyond the counts.
+func (s *server) excess(t int64) float64 {
 	if age := t - s.unseenAt; s.unseen > 0 && age < unseenLife {
-		load += s.unseen * (1 - float64(age)/float64(unseenLife))
+		return s.unseen * (1 - float64(age)/float64(unseenLife))
 	}
-	return load
+	return 0
 }
 
 // score is the relative time that one more call would take; lower is better.
@@ -110,12 +114,13 @@
 	if i := p.probe(t, &q); i != none {
 		return i, true
 	}
-	if i := p.pickRoomy(t, &q); i != none {
-		return i, true
-	}
 	if i := p.pickHome(t, &q); i != none {
 		return i, true
 	}
+	if len(p.home) > 0 {
+		// Instances that all followed the prefix beyond their home slots would meet.
+		q.Prefix = 0
+	}
 	for mode := strict; mode <= relaxed; mode++ {
 		if i := p.pickByTier(t, random, &q, mode); i != none {
 			return i, true
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -26,6 +26,8 @@
 	// home is the number of home slots of this instance, homeLong of those that
 	// long kinds may use.
 	home, homeLong int
+	// numbers are those of the home slots at the server, lowest first.
+	numbers []int
 	// tier is the distance class of the server.
 	tier int
 	// drained is true from a drain marker until the next incarnation.
@@ -104,7 +106,7 @@
 	first := len(p.ordered) == 0
 	for i := range p.servers {
 		s := &p.servers[i]
-		s.live, s.home, s.homeLong = false, 0, 0
+		s.live, s.home, s.homeLong, s.numbers = false, 0, 0, s.numbers[:0]
 	}
 	for _, listed := range servers {
 		p.update(listed, first, t)
