Measure the capacity of the swing for 1.6 s

Cause: the delivered share exceeded 1 (1.04), because capacity was measured for 0.4 s, in which cold connections count. Change: 1.6 s, 20 service times instead of 5.

--- a/internal/experiment/scenarios.go
+++ b/internal/experiment/scenarios.go
@@ -91,7 +91,7 @@
 		}
 		f := startFleet(l, policy, seed)
 		defer f.stop()
-		capacity := f.capacity(400 * time.Millisecond)
+		capacity := f.capacity(capacityLength)
 		const base, peak, after = 600 * time.Millisecond, 1600 * time.Millisecond, 600 * time.Millisecond
 		flows := func(load float64) []flow {
 			return []flow{{kind: 0, perSecond: 0.4 * load * capacity}, {kind: 1, perSecond: 0.6 * load * capacity}}
@@ -108,6 +108,10 @@
 	},
 }
 
+// capacityLength is 20 service times, so that cold connections at its start hardly
+// count. Two repetitions of all policies still end within a minute.
+const capacityLength = 1600 * time.Millisecond
+
 // capacity measures what the servers answer per second when every slot is busy.
 func (f *fleet) capacity(length time.Duration) float64 {
 	caller := backend.NewHTTPCaller(backend.NewTransport())
