--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/samber/oops"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
@@ -43,7 +44,7 @@
 	}
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
-		return nil, fmt.Errorf("listen for heartbeats on %s: %w", local, err)
+		return nil, oops.In("peer").Code("listen_failed").With("address", local).Wrap(fmt.Errorf("listen for heartbeats on %s: %w", local, err))
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Node{
