Bound the wait for a claim by the deadline of the request

Cause: a repeated key joined the attempt of its holder with the context of the connection. When the holder was paused, the repeat was answered long after its deadline, or not within 60 s. The scenario of the paused instance found it. Change: the handler asks for the claim until the deadline of the request.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -53,7 +53,7 @@
 		return failedResult(notRun(http.StatusServiceUnavailable, ProblemUnavailable,
 			"claims are unavailable", "this instance cannot serve at-most-once kinds"))
 	}
-	claim, recorded, problem := h.Claims.Claim(ctx, request)
+	claim, recorded, problem := h.claim(ctx, request)
 	switch {
 	case problem != nil:
 		return failedResult(problem)
@@ -65,6 +65,14 @@
 	return result
 }
 
+// claim asks for the claim. It waits for a running attempt with the same key until
+// the deadline of the request.
+func (h *Handler) claim(ctx context.Context, request *Request) (Claim, *RecordedAnswer, *Problem) {
+	ctx, cancel := context.WithTimeout(ctx, request.Deadline.Sub(h.Now()))
+	defer cancel()
+	return h.Claims.Claim(ctx, request)
+}
+
 // settle records the outcome of a claimed request, or frees its key when no
 // non-idempotent call can have run. It outlives the caller.
 func (h *Handler) settle(ctx context.Context, claim Claim, request *Request, result Result) {
--- /dev/null
+++ b/internal/proof/backend_test.go
@@ -0,0 +1,52 @@
+package proof
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+)
+
+// drainLimit is the time after which a leaving server may get no new work.
+const drainLimit = 3 * time.Second
+
+// Guards against new work at a leaving server from an instance that was not
+// refused itself and sees no list.
+func TestServerLeavesWithoutList(t *testing.T) {
+	f := beginLong(t, "server-leaves")
+	const home = "norte-adega" // has a second server of the pool
+	leaving := f.server("labelling", home)
+	first, second := f.in(home)[0], f.in(home)[1]
+	l := f.startLoad(f.in(home)...)
+	f.wait("runs at the server", func() bool { return len(leaving.Backend().Runs()) > 10 })
+	for _, route := range f.lists {
+		route.cut()
+	}
+	l.retarget(first)
+	l.settle()
+	leaving.Backend().SetDraining(true)
+	f.wait("first refusal", func() bool { return slices.Contains(first.status().Peers.Draining, leaving.Member().ID) })
+	learned := time.Now()
+	f.wait("drain limit", func() bool { return time.Since(learned) > drainLimit })
+	// From here on the stand-in would run new work, so that its record shows any.
+	leaving.Backend().SetDraining(false)
+	before := len(leaving.Backend().Runs())
+	l.retarget(second)
+	l.waitMore(150, idempotent)
+	f.Check(len(leaving.Backend().Runs())-before, qt.Equals, 0, qt.Commentf("runs at the leaving server"))
+	l.verify("server leaves", "list cut off")
+}
+
+// server returns the first server of a pool in a failure domain.
+func (f *fleet) server(pool, domain string) *standin.Server {
+	for _, server := range f.cluster.Pool(pool) {
+		if server.Member().FailureDomain == domain {
+			return server
+		}
+	}
+	f.Fatalf("no server of %s in %s", pool, domain)
+	return nil
+}
--- /dev/null
+++ b/internal/proof/burst_test.go
@@ -0,0 +1,95 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/traffic"
+)
+
+// burst is a number of requests whose instances a scenario chooses.
+type burst struct {
+	mu          sync.Mutex
+	sent        []traffic.Sent
+	interrupted []atomic.Int32
+}
+
+// some returns n planned requests of some kinds that the callers won't send.
+func (l *load) some(n int, prefix string, kinds func(traffic.Request) bool) *burst {
+	b := &burst{}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for round := 0; len(b.sent) < n; round++ {
+		for _, r := range traffic.Plan(l.f.cluster.Set, l.random, fmt.Sprintf("%s%d-", prefix, round)) {
+			if kinds(r) && len(b.sent) < n {
+				b.sent = append(b.sent, traffic.Sent{Request: r})
+			}
+		}
+	}
+	b.interrupted = make([]atomic.Int32, len(b.sent))
+	return b
+}
+
+// keyed returns n planned at-most-once requests.
+func (l *load) keyed(n int) *burst { return l.some(n, "burst-", atMostOnce) }
+
+// startAt sends the requests to one instance, and elsewhere when it breaks the connection.
+func (l *load) startAt(first *instance, b *burst) *sync.WaitGroup {
+	var group sync.WaitGroup
+	for n, s := range b.sent {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), finalLimit)
+			defer cancel()
+			answer := l.caller.Send(ctx, first.settings.CallerAddress, s.Request)
+			l.note(s.Request, answer)
+			if answer.Outcome == "" && answer.Location == "" {
+				b.interrupted[n].Add(1)
+				answer = l.send(s.Request, &b.interrupted[n])
+			}
+			b.add(n, answer)
+		})
+	}
+	return &group
+}
+
+// repeatElsewhere sends the requests again to ready instances.
+func (l *load) repeatElsewhere(b *burst) {
+	var group sync.WaitGroup
+	for n, s := range b.sent {
+		group.Go(func() { b.add(n, l.send(s.Request, &b.interrupted[n])) })
+	}
+	group.Wait()
+}
+
+func (b *burst) add(n int, answer traffic.Answer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sent[n].Answers = append(b.sent[n].Answers, answer)
+}
+
+// join adds the answers of a finished burst to those of the load.
+func (l *load) join(b *burst) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for n, s := range b.sent {
+		s.Interrupted = int(b.interrupted[n].Load())
+		l.sent = append(l.sent, s)
+	}
+}
+
+// ran returns the number of runs of the requests.
+func (f *fleet) ran(b *burst) int {
+	ids := map[string]bool{}
+	for _, s := range b.sent {
+		ids[s.ID] = true
+	}
+	n := 0
+	for _, run := range f.cluster.Runs() {
+		if ids[run.RequestID] {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/proof/faulty_test.go
@@ -0,0 +1,38 @@
+package proof
+
+import (
+	"testing"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+)
+
+// Guards against answers of a faulty server that reach a caller, and against
+// calls that are sent again although they may have run.
+func TestFaultyAnswers(t *testing.T) {
+	f := begin(t, "faulty-answers")
+	faults := []standin.Fault{standin.FaultGarbage, standin.FaultHalf, standin.FaultCrossed, standin.FaultError, standin.FaultRefuse}
+	share := map[standin.Fault]float64{standin.FaultTooMuch: 0.002}
+	for _, fault := range faults {
+		share[fault] = 0.02
+	}
+	for _, server := range f.cluster.Servers {
+		server.Backend().SetFaults(standin.BackendFaults{Share: share})
+	}
+	l := f.startLoad()
+	for _, fault := range append(faults[:4:4], standin.FaultTooMuch) {
+		f.wait(string(fault), func() bool { return f.faulted(fault) > 0 })
+	}
+	l.waitMore(150, atMostOnce)
+	l.verify("garbage, half, crossed, error, refused 2 % each", "too much 0.2 %")
+}
+
+// faulted returns the number of runs that a fault hit.
+func (f *fleet) faulted(fault standin.Fault) int {
+	n := 0
+	for _, run := range f.cluster.Runs() {
+		if run.Fault == fault {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/proof/fleet_test.go
@@ -0,0 +1,250 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+)
+
+const (
+	folder = "../../examples/tavares"
+	// speed divides the times of backend servers.
+	speed = 20
+	// perDomain is the number of entry instances of a failure domain.
+	perDomain = 2
+	// conditionLimit bounds the wait for a condition. The longest stated target,
+	// 13 s for a configuration, and a start fit in with a wide margin.
+	conditionLimit = 40 * time.Second
+	// drainGrace lets the load balancer of the load see the readiness withdrawn: it
+	// asks every balanceInterval and waits readinessTimeout at the most.
+	drainGrace = 1500 * time.Millisecond
+	// pollInterval is the time between two looks at a condition.
+	pollInterval = 20 * time.Millisecond
+)
+
+// domain is the failure domain that partitions hit. It is the only one of its region.
+const domain = "centro-arm"
+
+// fleet is one deployment: stand-ins in the test process and entry processes.
+type fleet struct {
+	*qt.C
+	name      string
+	cluster   *standin.Cluster
+	instances []*instance
+	// stores and lists hold the ways to the store and the instance list by failure domain.
+	stores, lists map[string]*route
+	links         *partition
+	ports         func() (int, error)
+	random        *rand.Rand
+}
+
+// begin starts the fleet of a scenario. Scenarios run in parallel.
+func begin(t *testing.T, name string) *fleet {
+	t.Parallel()
+	slots <- struct{}{}
+	t.Cleanup(func() { <-slots })
+	return newFleet(qt.New(t), name)
+}
+
+// beginLong starts the fleet of a scenario that is left out of go test ./..., which
+// is to take less than a minute.
+func beginLong(t *testing.T, name string) *fleet {
+	if !*all {
+		t.Skip("runs with -all")
+	}
+	return begin(t, name)
+}
+
+// newFleet starts the deployment with a published configuration and waits until
+// every instance is ready.
+func newFleet(c *qt.C, name string) *fleet {
+	cluster, err := standin.StartCluster(standin.ClusterConfig{Folder: folder, Speed: speed})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = cluster.Close() }) // connections of killed processes may be broken
+	f := &fleet{C: c, name: name, cluster: cluster, stores: map[string]*route{}, lists: map[string]*route{}, random: randomOf(name, "faults")}
+	f.links = f.newPartition()
+	c.Assert(f.publish(folder, "first"), qt.IsNil)
+	f.configure()
+	f.each(func(i *instance) { i.start() })
+	f.waitReady(f.instances...)
+	f.waitPeers()
+	return f
+}
+
+// configure writes the settings of all instances.
+func (f *fleet) configure() {
+	f.ports = f.cluster.PortAfter()
+	entries, err := f.cluster.EntrySettings(folder, perDomain, f.ports)
+	f.Assert(err, qt.IsNil)
+	proxies := newProxies()
+	for i := range entries {
+		e := &entries[i]
+		if f.stores[e.FailureDomain] == nil {
+			f.stores[e.FailureDomain] = newRoute(f.C, proxies, "store-"+e.FailureDomain, f.cluster.StoreAddress)
+			f.lists[e.FailureDomain] = newRoute(f.C, proxies, "list-"+e.FailureDomain, f.cluster.PlatformAddress)
+		}
+		e.StoreAddress, e.PlatformAddress = f.stores[e.FailureDomain].address(), f.lists[e.FailureDomain].address()
+		e.PipelineFiles = ""
+		e.DrainGraceMS = drainGrace.Milliseconds()
+		f.instances = append(f.instances, &instance{C: f.C, settings: *e})
+	}
+	f.join(entries)
+	paths, err := standin.WriteSettings(f.TempDir(), entries)
+	f.Assert(err, qt.IsNil)
+	for n, i := range f.instances {
+		i.path = paths[n]
+	}
+	f.Cleanup(func() { f.each(func(i *instance) { i.end() }) })
+}
+
+// join makes the instances known to each other by the addresses of their relays.
+func (f *fleet) join(entries []settings.Entry) {
+	for n := range entries {
+		entries[n].AdvertiseAddress = f.links.relay(f.instances[n])
+	}
+	for n := range entries {
+		entries[n].Peers = nil
+		for other := range entries {
+			if other != n {
+				entries[n].Peers = append(entries[n].Peers, entries[other].AdvertiseAddress)
+			}
+		}
+		e := entries[n]
+		f.cluster.Platform.Put(platform.Member{ID: e.Instance, Role: platform.RoleEntry, Address: e.AdvertiseAddress,
+			Region: e.Region, FailureDomain: e.FailureDomain, State: platform.StateLive})
+	}
+}
+
+func (f *fleet) each(do func(*instance)) {
+	for _, i := range f.instances {
+		do(i)
+	}
+}
+
+// in returns the instances of a failure domain.
+func (f *fleet) in(domain string) []*instance {
+	var found []*instance
+	for _, i := range f.instances {
+		if i.settings.FailureDomain == domain {
+			found = append(found, i)
+		}
+	}
+	return found
+}
+
+// any returns a random instance.
+func (f *fleet) any() *instance { return f.instances[f.random.IntN(len(f.instances))] }
+
+// publish runs the publish command on a folder directly at the store.
+func (f *fleet) publish(folder, author string, more ...string) error {
+	arguments := append([]string{"publish", "--store", f.cluster.StoreAddress, "--author", author, "--reason", "proof"}, more...)
+	command := exec.Command(binary, append(arguments, folder)...)
+	output, err := command.CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("%w: %s", err, output)
+	}
+	return nil
+}
+
+// variant copies the operators' files with another link capacity.
+func (f *fleet) variant(mbits int) string {
+	target := filepath.Join(f.TempDir(), fmt.Sprint(mbits))
+	f.Assert(os.CopyFS(target, os.DirFS(folder)), qt.IsNil)
+	path := filepath.Join(target, "deployment.jsonc")
+	text, err := os.ReadFile(path)
+	f.Assert(err, qt.IsNil)
+	changed := replaceOnce(f.C, string(text), `"link_mbits": 30`, fmt.Sprintf(`"link_mbits": %d`, mbits))
+	f.Assert(os.WriteFile(path, []byte(changed), 0o644), qt.IsNil)
+	return target
+}
+
+// wait waits until a condition holds.
+func (f *fleet) wait(what string, condition func() bool) {
+	f.Helper()
+	deadline := time.Now().Add(conditionLimit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			f.Fatalf("%s: %s not reached in %s", f.name, what, conditionLimit)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func (f *fleet) waitReady(instances ...*instance) {
+	f.Helper()
+	for _, i := range instances {
+		f.wait(i.settings.Instance+" ready", i.ready)
+	}
+}
+
+// waitPeers waits until each instance knows the others of its failure domain.
+func (f *fleet) waitPeers() {
+	f.Helper()
+	for _, i := range f.instances {
+		f.wait(i.settings.Instance+" knows its peers", func() bool { return len(i.status().Peers.Members) == perDomain })
+	}
+}
+
+// waitRevision waits until instances have a configuration revision in force.
+func (f *fleet) waitRevision(revision int64, instances ...*instance) {
+	f.Helper()
+	for _, i := range instances {
+		f.wait(fmt.Sprintf("revision %d in %s", revision, i.settings.Instance), func() bool {
+			return i.status().Configuration.Revision == revision
+		})
+	}
+}
+
+// status is the part of an instance's status that scenarios read.
+type status struct {
+	Configuration struct {
+		Revision int64 `json:"revision"`
+	} `json:"configuration"`
+	Peers struct {
+		Members  []json.RawMessage `json:"members"`
+		Draining []string          `json:"draining_servers"`
+	} `json:"peers"`
+}
+
+var adminClient = &http.Client{Timeout: time.Second}
+
+// status returns the zero value when the instance doesn't answer.
+func (i *instance) status() (s status) {
+	response, err := adminClient.Get("http://" + i.settings.AdminAddress + entry.PathStatus)
+	if err != nil {
+		return s
+	}
+	defer response.Body.Close()
+	_ = json.NewDecoder(response.Body).Decode(&s)
+	return s
+}
+
+// ready reports whether the instance answers that it is ready.
+func (i *instance) ready() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), readinessTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.settings.AdminAddress+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := adminClient.Do(request)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/proof/jobs_test.go
@@ -0,0 +1,123 @@
+package proof
+
+import (
+	"encoding/json"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/traffic"
+)
+
+// leaseLife is how long the lease of a holder of jobs lasts.
+const leaseLife = 10 * time.Second
+
+// Guards against dossiers that are lost, or start anew, when their holder dies.
+func TestJobHolderKilled(t *testing.T) {
+	f := begin(t, "job-holder-killed")
+	f.jobs("SIGKILL of the holder of 15 dossiers", func(victim *instance) { victim.kill() })
+}
+
+// Guards against a holder that goes on with dossiers that were taken over while
+// it was paused.
+func TestJobHolderPaused(t *testing.T) {
+	f := beginLong(t, "job-holder-paused")
+	f.jobs("SIGSTOP of the holder of 15 dossiers for 13 s", func(victim *instance) {
+		victim.signal(syscall.SIGSTOP)
+		paused := time.Now()
+		time.AfterFunc(leaseLife+3*time.Second, func() { victim.signal(syscall.SIGCONT) })
+		f.Cleanup(func() {
+			f.wait("end of the pause", func() bool { return time.Since(paused) > leaseLife+3*time.Second })
+		})
+	})
+}
+
+// Guards against dossiers that a planned stop loses or cuts off.
+func TestJobHolderStopped(t *testing.T) {
+	f := beginLong(t, "job-holder-stopped")
+	f.jobs("SIGTERM of the holder of 15 dossiers", func(victim *instance) {
+		f.Check(victim.stop(), qt.IsNil)
+	})
+}
+
+// jobs makes one instance accept dossiers, brings a fault about while they run, and
+// checks that all arrive and that no recorded stage runs again.
+func (f *fleet) jobs(fault string, bring func(victim *instance)) {
+	f.Helper()
+	for _, engine := range f.cluster.Pool("assistant") {
+		engine.Backend().SetSlowdown(10)
+	}
+	l := f.startLoadOf(func(r traffic.Request) bool { return !r.Kind.Durable })
+	victim := f.any()
+	dossiers := l.some(15, "job-", durable)
+	running := l.startAt(victim, dossiers)
+	f.wait("recorded stages", func() bool { return len(f.recordedStages()) >= 10 })
+	recorded, before := f.recordedStages(), f.stageRuns()
+	bring(victim)
+	f.Check(len(recorded) >= 10, qt.IsTrue, qt.Commentf("%d recorded stages", len(recorded)))
+	running.Wait()
+	l.join(dossiers)
+	l.verify(fault)
+	f.checkRunOnce(dossiers, recorded, before)
+}
+
+// jobStage is a stage of a job.
+type jobStage struct{ job, stage string }
+
+// recordedStages returns the stages that the store's records of unfinished jobs hold.
+func (f *fleet) recordedStages() map[jobStage]bool {
+	stages := map[jobStage]bool{}
+	records, err := store.NewHTTP(f.cluster.StoreAddress).List(f.Context(), "job/", "", 1000)
+	f.Assert(err, qt.IsNil)
+	for _, stored := range records {
+		var record struct {
+			ID     string `json:"id"`
+			Stages []struct {
+				Name string `json:"name"`
+			} `json:"stages"`
+		}
+		f.Assert(json.Unmarshal(stored.Value, &record), qt.IsNil)
+		for _, stage := range record.Stages {
+			stages[jobStage{record.ID, stage.Name}] = true
+		}
+	}
+	return stages
+}
+
+// stageRun is what a run belongs to. No two stages of a dossier share a pool.
+type stageRun struct{ request, pool string }
+
+func (f *fleet) stageRuns() map[stageRun]int {
+	counts := map[stageRun]int{}
+	for _, run := range f.cluster.Runs() {
+		counts[stageRun{run.RequestID, run.Pool}]++
+	}
+	return counts
+}
+
+func (f *fleet) checkRunOnce(dossiers *burst, recorded map[jobStage]bool, before map[stageRun]int) {
+	f.Helper()
+	after := f.stageRuns()
+	checked := 0
+	for _, s := range dossiers.sent {
+		answer := s.Answers[0]
+		f.Check(answer.Outcome, qt.Equals, entry.OutcomeCompleted, qt.Commentf("%s: %s", s.ID, answer.Detail))
+		p, _ := f.cluster.Set.Pipeline(s.Pipeline)
+		id := answer.Location[strings.LastIndex(answer.Location, "/")+1:]
+		for _, stage := range p.Stages {
+			if !recorded[jobStage{id, stage.Name}] {
+				continue
+			}
+			key := stageRun{s.ID, stage.Pool}
+			f.Check(after[key], qt.Equals, before[key], qt.Commentf("runs of stage %s of %s", stage.Name, s.ID))
+			checked++
+		}
+	}
+	f.Check(checked > 0, qt.IsTrue, qt.Commentf("no recorded stage belongs to a dossier"))
+	f.Logf("%d recorded stages did not run again", checked)
+}
--- /dev/null
+++ b/internal/proof/main_test.go
@@ -0,0 +1,104 @@
+// Package proof brings faults about in deployments of real entry processes and
+// compares what callers were told with what the stand-ins recorded. It holds tests
+// only, because the binary starts no process.
+package proof
+
+import (
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"text/tabwriter"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/traffic"
+)
+
+var (
+	seed = flag.Uint64("seed", 20261204, "seed of the requests, the choice of instances and the victims")
+	all  = flag.Bool("all", false, "run all scenarios; without it those that are part of go test ./...")
+)
+
+// atOnce is the number of scenarios that run at the same time. Each has six entry
+// processes, which share the processors with the load and the stand-ins.
+const atOnce = 4
+
+var slots = make(chan struct{}, atOnce)
+
+// binary is the built command.
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "coltsfootdrift-proof-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(folder)
+	binary = filepath.Join(folder, "coltsfootdrift")
+	build := exec.Command("go", "build", "-o", binary, "../../cmd/coltsfootdrift")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
+		return 1
+	}
+	code := m.Run()
+	report.print()
+	return code
+}
+
+// reported is a row of the table of scenarios.
+type reported struct {
+	scenario string
+	faults   []string
+	counts   traffic.Counts
+}
+
+// reports collects rows while scenarios run in parallel.
+type reports struct {
+	mu   sync.Mutex
+	rows []reported
+}
+
+var report reports
+
+func (r *reports) add(row reported) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rows = append(r.rows, row)
+}
+
+func (r *reports) print() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.rows) == 0 {
+		return
+	}
+	slices.SortFunc(r.rows, func(a, b reported) int { return strings.Compare(a.scenario, b.scenario) })
+	fmt.Printf("\nseed %d\n", *seed)
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "scenario\trequests\tcompleted\tnot_run\tfailed\tunknown\tlost\tdoubled\tmixed_up\tnot_run_but_ran\tfaults")
+	for _, row := range r.rows {
+		c := row.counts
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", row.scenario, c.Requests, c.Completed, c.NotRun,
+			c.Failed, c.Unknown, c.Lost, c.Doubled, c.MixedUp, c.NotRunButRan, strings.Join(row.faults, ", "))
+	}
+	_ = table.Flush()
+}
+
+// randomOf returns the random source of one purpose of a scenario.
+func randomOf(scenario, purpose string) *rand.Rand {
+	hash := fnv.New64a()
+	fmt.Fprint(hash, scenario, "/", purpose)
+	return rand.New(rand.NewPCG(*seed, hash.Sum64()))
+}
--- /dev/null
+++ b/internal/proof/revision_test.go
@@ -0,0 +1,56 @@
+package proof
+
+import (
+	"sync"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// revisionWatch looks for an instance whose revision falls.
+type revisionWatch struct {
+	f       *fleet
+	end     chan struct{}
+	once    sync.Once
+	running sync.WaitGroup
+	// falls holds the instances whose revision fell while their process went on.
+	falls []string
+}
+
+func (f *fleet) watchRevisions() *revisionWatch {
+	w := &revisionWatch{f: f, end: make(chan struct{})}
+	w.running.Go(w.run)
+	f.Cleanup(w.stop)
+	return w
+}
+
+func (w *revisionWatch) run() {
+	highest := map[*instance]int64{}
+	for {
+		for _, i := range w.f.instances {
+			now := i.status().Configuration.Revision
+			// A process that starts, or doesn't answer, has none.
+			if now != 0 && now < highest[i] {
+				w.falls = append(w.falls, i.settings.Instance)
+			}
+			highest[i] = max(highest[i], now)
+		}
+		select {
+		case <-w.end:
+			return
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func (w *revisionWatch) stop() {
+	w.once.Do(func() { close(w.end) })
+	w.running.Wait()
+}
+
+// check ends the watch and fails when a revision fell.
+func (w *revisionWatch) check() {
+	w.f.Helper()
+	w.stop()
+	w.f.Check(w.falls, qt.HasLen, 0)
+}
--- /dev/null
+++ b/internal/proof/stop_test.go
@@ -0,0 +1,21 @@
+package proof
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a planned stop that cuts off a request or fails.
+func TestGracefulStopInTurn(t *testing.T) {
+	f := beginLong(t, "graceful-stop")
+	l := f.startLoad()
+	for _, i := range f.instances {
+		l.waitMore(20, idempotent)
+		f.Check(i.stop(), qt.IsNil, qt.Commentf("exit of %s", i.settings.Instance))
+		i.start()
+		f.waitReady(i)
+	}
+	l.verify("SIGTERM and restart of each instance")
+	f.Check(l.interrupted, qt.Equals, 0, qt.Commentf("requests cut off"))
+}
