--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -48,7 +48,6 @@
 	// stores and lists hold the ways to the store and the instance list by failure domain.
 	stores, lists map[string]*route
 	links         *partition
-	ports         func() (int, error)
 	random        *rand.Rand
 }
 
@@ -87,8 +86,7 @@
 
 // configure writes the settings of all instances.
 func (f *fleet) configure() {
-	f.ports = f.cluster.PortAfter()
-	entries, err := f.cluster.EntrySettings(folder, perDomain, f.ports)
+	entries, err := f.cluster.EntrySettings(folder, perDomain, nextPort)
 	f.Assert(err, qt.IsNil)
 	proxies := newProxies()
 	for i := range entries {
--- a/internal/proof/main_test.go
+++ b/internal/proof/main_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"text/tabwriter"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/traffic"
 )
 
@@ -31,6 +32,19 @@
 
 var slots = make(chan struct{}, atOnce)
 
+// nextPort returns a port that no scenario has. Scenarios that search on their own
+// choose the same ports before either binds them.
+func nextPort() (int, error) {
+	portsMu.Lock()
+	defer portsMu.Unlock()
+	return freePorts()
+}
+
+var (
+	portsMu   sync.Mutex
+	freePorts = standin.FreePorts()
+)
+
 // binary is the built command.
 var binary string
 
--- a/internal/proof/relay_test.go
+++ b/internal/proof/relay_test.go
@@ -55,7 +55,7 @@
 // held by a process of another scenario between its fork and its exec.
 func (p *partition) listen() (net.Listener, net.PacketConn) {
 	for {
-		port, err := p.f.ports()
+		port, err := nextPort()
 		p.f.Assert(err, qt.IsNil)
 		address := fmt.Sprintf("%s:%d", standin.Host, port)
 		listener, err := net.Listen("tcp", address)
--- a/internal/proof/stale_test.go
+++ b/internal/proof/stale_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -20,9 +21,8 @@
 	f.Assert(f.publish(f.variant(32), "third"), qt.IsNil)
 	f.waitRevision(3, f.instances...)
 	watch := f.watchRevisions()
-	f.storeFaults(func(faults *standin.StoreFaults) {
-		faults.StaleShare, faults.StaleMS = 1, time.Since(published).Milliseconds()+20
-	})
+	fresh := f.holdStoreAt(published.Add(-staleMargin))
+	defer fresh()
 	// Durable kinds are left out: what a store that hides later writes says about a
 	// job is that it doesn't exist.
 	l := f.startLoadOf(func(r traffic.Request) bool { return !r.Kind.Durable })
@@ -33,8 +33,39 @@
 		f.Check(victim.status().Configuration.Revision, qt.Equals, int64(3))
 	}
 	l.waitMore(50, idempotent)
-	f.storeFaults(func(faults *standin.StoreFaults) { faults.StaleShare = 0 })
+	fresh()
 	l.waitMore(20, atMostOnce)
 	l.verify("all reads of the store stale", "2 SIGKILL and restart")
 	watch.check()
 }
+
+// staleMargin is how long before the last publish the stale answers are from.
+const staleMargin = 100 * time.Millisecond
+
+// holdStoreAt answers all reads of the store as of one time until the returned
+// function is called.
+func (f *fleet) holdStoreAt(at time.Time) (fresh func()) {
+	hold := func() {
+		f.storeFaults(func(faults *standin.StoreFaults) {
+			faults.StaleShare, faults.StaleMS = 1, time.Since(at).Milliseconds()
+		})
+	}
+	hold()
+	end := make(chan struct{})
+	var holding sync.WaitGroup
+	holding.Go(func() {
+		for {
+			select {
+			case <-time.After(staleMargin / 10):
+				hold()
+			case <-end:
+				return
+			}
+		}
+	})
+	return sync.OnceFunc(func() {
+		close(end)
+		holding.Wait()
+		f.storeFaults(func(faults *standin.StoreFaults) { faults.StaleShare = 0 })
+	})
+}
--- a/internal/proof/story_test.go
+++ b/internal/proof/story_test.go
@@ -38,7 +38,7 @@
 			return err
 		}
 	}
-	entries, err := cluster.EntrySettings(folder, 1, cluster.PortAfter())
+	entries, err := cluster.EntrySettings(folder, 1, nextPort)
 	if err != nil {
 		return err
 	}
