Test straggler markers of peers and shares of unnamed organisations

Guards the parts of the exchange that the daemon's tests don't reach: a marker's effect on the choice of servers, its bounds, and a full list that leaves out an organisation.

--- a/quota/share_test.go
+++ b/quota/share_test.go
@@ -214,3 +214,27 @@
 
 func BenchmarkSummary5(b *testing.B)     { benchmarkSummary(b, 5) }
 func BenchmarkSummary19000(b *testing.B) { benchmarkSummary(b, 19000) }
+
+// Guards against shares of one rate that add up to more than 1 because a peer's
+// list is full and leaves the organisation out, and against an organisation that
+// nobody names and whose rate is granted by each instance.
+func TestSharesOfUnnamedOrganisations(t *testing.T) {
+	c := qt.New(t)
+	busy, quiet := NewShare(), NewShare()
+	for range 10 {
+		busy.Observe("acme", 1, shareBegan)
+	}
+	for i := range NamedOrganisations {
+		quiet.Observe(fmt.Sprint(i), 5, shareBegan)
+	}
+	quiet.Observe("acme", 4, shareBegan)
+	full := quiet.Summary(shareBegan)
+	full.Incomplete = true
+	busy.SetPeers([]Summary{full})
+	quiet.SetPeers([]Summary{busy.Summary(shareBegan)})
+	sum := func(name string) float64 {
+		return busy.share(name, busy.get(name, shareBegan), shareBegan) + quiet.share(name, quiet.get(name, shareBegan), shareBegan)
+	}
+	c.Assert(sum("acme") > 0.5 && sum("acme") <= 1, qt.IsTrue, qt.Commentf("%v", sum("acme")))
+	c.Assert(sum("idle"), qt.Equals, 1.0)
+}
--- a/routing/pool_test.go
+++ b/routing/pool_test.go
@@ -237,3 +237,41 @@
 	})
 	qt.Assert(t, allocated, qt.Equals, 0.0)
 }
+
+// Guards against a server that other instances see as a straggler and that gets
+// its full part of the calls here, against a marker that outweighs own evidence,
+// and against markers that hold down more of a pool than may be lowered.
+func TestPeerStragglersGetFewerCalls(t *testing.T) {
+	c := qt.New(t)
+	pool, random := newPool(servers(6, "r-a"))
+	seen := map[string]int{}
+	for _, id := range []string{"r-a-2", "r-a-3", "r-a-4"} {
+		seen[id] = 1
+	}
+	picks := func() (counts [6]int) {
+		pool.refresh(began.UnixNano())
+		for range 600 {
+			i, _ := pool.Pick(began, random, Query{})
+			counts[i]++
+			pool.Started(i, pipeline.ClassNormal, began)
+		}
+		for i, n := range counts {
+			for range n {
+				pool.Finished(ServerIndex(i), pipeline.ClassNormal, Result{Refused, 0}, began)
+			}
+		}
+		return counts
+	}
+	pool.PeerStragglers(seen)
+	counts := picks()
+	c.Assert(2*counts[2] < counts[0], qt.IsTrue, qt.Commentf("%v", counts))
+	c.Assert(2*counts[4] > counts[0], qt.IsTrue, qt.Commentf("more than 30 %% held down: %v", counts))
+	for i := range ServerIndex(6) {
+		for range minSamples {
+			pool.Started(i, pipeline.ClassNormal, began)
+			pool.Finished(i, pipeline.ClassNormal, Result{Answered, time.Millisecond}, began)
+		}
+	}
+	counts = picks()
+	c.Assert(2*counts[2] > counts[0], qt.IsTrue, qt.Commentf("own evidence ignored: %v", counts))
+}
