--- a/internal/claims/appender.go
+++ b/internal/claims/appender.go
@@ -149,7 +149,8 @@
 	return paced/2 + rand.N(paced+1)
 }
 
-// pace slows a shard down after a conflict and lets it recover after a success.
+// pace slows a shard down after a conflict and lets it recover after a batch
+// without any.
 func (a *Appender) pace(conflict bool) {
 	if conflict {
 		a.paceStep = min(a.paceStep+conflictSteps, maxPaceStep)
@@ -204,18 +205,21 @@
 	for i, p := range batch {
 		ops[i] = p.op
 	}
-	sent := false
+	sent, conflict := false, false
 	for attempt := range settleAttempts {
 		if attempt > 1 {
 			time.Sleep(a.pause() / 2)
 		}
 		decisions, err := a.attempt(ctx, ops)
-		var conflict *store.ConflictError
+		var lost *store.ConflictError
 		switch {
 		case err == nil:
-			a.pace(false)
+			if !conflict {
+				a.pace(false)
+			}
 			return decisions, nil
-		case errors.As(err, &conflict):
+		case errors.As(err, &lost):
+			conflict = true
 			a.counters.conflicts.Inc(1)
 			a.pace(true)
 		case errors.Is(err, errLate), errors.Is(err, store.ErrUnknownOutcome):
