Run experiments in virtual time

Cause: on a busy machine the ratios of one experiment scatter by a factor of two and more, and do not tell a decision from the machine. Change: the experiments reach their servers through an interface. A test runs them without sockets in a synctest bubble and logs the figures; -virtual and -virtual-seeds select them.

--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"net/http/httptest"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -64,7 +63,10 @@
 
 func startFleet(l layout, policy string, seed uint64) *fleet {
 	f := &fleet{layout: l, link: &linkCounter{}, urls: make([][]string, l.regions)}
-	f.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callerConnections}}
+	f.client = &http.Client{Transport: connections.transport()}
+	if sockets, ok := f.client.Transport.(*http.Transport); ok {
+		sockets.MaxIdleConnsPerHost = callerConnections
+	}
 	for region := range l.regions {
 		for i := range l.servers {
 			f.startServer(region, i)
@@ -103,11 +105,11 @@
 		ID: id, Pool: poolName, Slots: f.slots, ServiceTime: f.service,
 		AnswerBytes: answerBytes, ChunkBytes: answerBytes, LoadLag: reportLag,
 	})
-	server := httptest.NewServer(b.Handler())
-	f.close = append(f.close, server.CloseClientConnections, server.Close)
+	address, stop := connections.serve(b.Handler())
+	f.close = append(f.close, stop)
 	f.backends = append(f.backends, b)
 	f.servers = append(f.servers, backend.Server{
-		ID: id, Address: server.Listener.Addr().String(), Pool: poolName,
+		ID: id, Address: address, Pool: poolName,
 		Region: regionName(region), FailureDomain: regionName(region),
 	})
 }
@@ -159,14 +161,14 @@
 	handler := &entry.Handler{
 		Configuration: fixedConfiguration{f.set()}, Executor: executor, Admission: control, Now: time.Now,
 	}
-	server := httptest.NewServer(handler.Router())
-	f.close = append(f.close, server.CloseClientConnections, server.Close)
-	f.urls[region] = append(f.urls[region], server.URL)
+	address, stop := connections.serve(handler.Router())
+	f.close = append(f.close, stop)
+	f.urls[region] = append(f.urls[region], "http://"+address)
 }
 
 func (f *fleet) caller(region int) backend.Caller {
 	return &linkCaller{
-		Caller: backend.NewHTTPCaller(backend.NewTransport()), region: regionName(region), counter: f.link,
+		Caller: backend.NewHTTPCaller(connections.transport()), region: regionName(region), counter: f.link,
 	}
 }
 
--- a/internal/experiment/scenarios.go
+++ b/internal/experiment/scenarios.go
@@ -114,7 +114,7 @@
 
 // capacity measures what the servers answer per second when every slot is busy.
 func (f *fleet) capacity(length time.Duration) float64 {
-	caller := backend.NewHTTPCaller(backend.NewTransport())
+	caller := backend.NewHTTPCaller(connections.transport())
 	var answers atomic.Int64
 	var workers sync.WaitGroup
 	end := time.Now().Add(length)
--- /dev/null
+++ b/internal/experiment/virtual_test.go
@@ -0,0 +1,81 @@
+package experiment
+
+import (
+	"bytes"
+	"flag"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	virtualName  = flag.String("virtual", "head-of-line", "experiment that TestInVirtualTime runs")
+	virtualSeeds = flag.Uint64("virtual-seeds", 1, "number of seeds of TestInVirtualTime")
+)
+
+// direct is a network of function calls, so that time can be virtual.
+type direct struct {
+	mu       sync.Mutex
+	handlers []http.Handler
+}
+
+func (d *direct) serve(handler http.Handler) (address string, stop func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.handlers = append(d.handlers, handler)
+	return strconv.Itoa(len(d.handlers) - 1), func() {}
+}
+
+func (d *direct) transport() http.RoundTripper { return d }
+
+// RoundTrip runs the handler of the address to its end.
+func (d *direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	number, err := strconv.Atoi(r.URL.Host)
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	handler := d.handlers[number]
+	d.mu.Unlock()
+	recorder := httptest.NewRecorder()
+	request := r.Clone(r.Context())
+	request.RequestURI = r.URL.RequestURI()
+	if request.Body == nil {
+		request.Body = http.NoBody
+	}
+	handler.ServeHTTP(recorder, request)
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	response := recorder.Result()
+	response.ContentLength = int64(recorder.Body.Len())
+	response.Body = io.NopCloser(bytes.NewReader(recorder.Body.Bytes()))
+	return response, nil
+}
+
+// Guards against decisions that let requests miss their deadlines although the
+// load fits, apart from the noise of a machine. It logs the figures, so that a
+// change of a decision can be compared.
+func TestInVirtualTime(t *testing.T) {
+	usual := connections
+	defer func() { connections = usual }()
+	for _, policy := range []string{PolicyOwn, PolicyLeast} {
+		for seed := range *virtualSeeds {
+			synctest.Test(t, func(t *testing.T) {
+				connections = &direct{}
+				figures, err := scenarios[*virtualName].trial(policy, seed+1)
+				qt.Assert(t, err, qt.IsNil)
+				t.Log(policy, seed+1, figures)
+				if *virtualName == "head-of-line" {
+					qt.Check(t, figures["in time"], qt.Equals, 1.0)
+				}
+			})
+		}
+	}
+}
