--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -202,7 +202,8 @@
 	})
 }
 
-// exchange hands the counts of each instance to the others, as heartbeats do.
+// exchange hands the counts and the straggler markers of each instance to the
+// others, as heartbeats do, which take some rounds to reach all of them.
 func exchange(ctx context.Context, peers []*entry.Servers) {
 	repeatEvery(ctx, heartbeatInterval, func() {
 		for from, sender := range peers {
@@ -213,9 +214,28 @@
 				}
 			}
 		}
+		exchangeStragglers(peers)
 	})
 }
 
+func exchangeStragglers(peers []*entry.Servers) {
+	own := make([][]string, len(peers))
+	for i, peer := range peers {
+		own[i] = peer.Stragglers()
+	}
+	for to, receiver := range peers {
+		seen := map[string]int{}
+		for from, ids := range own {
+			for _, id := range ids {
+				if from != to {
+					seen[id]++
+				}
+			}
+		}
+		receiver.PeerStragglers(seen)
+	}
+}
+
 func repeatEvery(ctx context.Context, interval time.Duration, f func()) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
