--- a/internal/configuration/start.go
+++ b/internal/configuration/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -15,6 +16,9 @@
 // startPeers is the number of peers that an instance asks when it starts.
 const startPeers = 5
 
+// errNoConfiguration reports that neither the store nor a peer has a configuration.
+var errNoConfiguration = errors.New("neither the store nor a peer holds a configuration")
+
 // start loads the first configuration. It returns false when the context ended.
 func (l *Loader) start(ctx context.Context) bool {
 	wait := backoff{times: l.Times}
@@ -26,6 +30,9 @@
 		if empty && l.Files != nil && l.loadFiles(ctx) {
 			return true
 		}
+		if err == nil {
+			err = errNoConfiguration
+		}
 		events.ConfigurationUnavailable.Log(ctx, l.Logger, slog.Any("error", err))
 		if !wait.wait(ctx) {
 			return false
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -106,9 +106,15 @@
 	}
 }
 
+// acceptTimeout bounds how long a caller that does not wait for the answer waits
+// for its acceptance.
+const acceptTimeout = 10 * time.Second
+
 // serveAsync accepts durable work once it is recorded.
 func (h *Handler) serveAsync(w http.ResponseWriter, r *http.Request, request *Request) {
-	location, problem := h.Jobs.Submit(r.Context(), request)
+	ctx, cancel := context.WithTimeout(r.Context(), min(acceptTimeout, request.Deadline.Sub(h.Now())))
+	defer cancel()
+	location, problem := h.Jobs.Submit(ctx, request)
 	if problem != nil {
 		problem.write(w)
 		return
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/gorilla/mux"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
@@ -94,3 +95,25 @@
 	}
 	c.Assert(calls.Load(), qt.Equals, int64(3))
 }
+
+// blockedJobs accepts a job only when its caller gives up.
+type blockedJobs struct{ Jobs }
+
+func (blockedJobs) Register(*mux.Router) {}
+
+func (blockedJobs) Submit(ctx context.Context, _ *Request) (string, *Problem) {
+	<-ctx.Done()
+	return "", retryLater("not accepted", storeRetryAfter)
+}
+
+// Guards against a caller of durable work that waits past its deadline for the
+// acceptance, for example while its key is held by a paused instance.
+func TestAcceptanceIsBoundedByTheDeadline(t *testing.T) {
+	c := qt.New(t)
+	h := newTestHandler(&fakeCaller{}, nil)
+	h.Jobs = blockedJobs{}
+	set := h.Configuration.Current()
+	set.Pipelines[0].Kinds[0].Durable = true
+	response := do(h, "read", "{}", http.Header{"Prefer": {"respond-async"}, "Grpc-Timeout": {"20m"}})
+	c.Assert(response.Code, qt.Equals, http.StatusServiceUnavailable)
+}
