Take test addresses from ports that outgoing connections do not use

Its address had a port of the range of outgoing connections, and one took it before the instance bound it. Change: the port is a random free one below that range.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -99,9 +102,17 @@
 	return server.Listener.Addr().String()
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns a loopback address that was free a moment ago. Its port is
+// below those that the system gives to outgoing connections, which would take it
+// before the test binds it.
 func freeAddress(c *qt.C) string {
-	server := httptest.NewServer(nil)
-	defer server.Close()
-	return server.Listener.Addr().String()
+	const lowest, count = 10_000, 20_000
+	for {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(count)))
+		if err != nil {
+			continue
+		}
+		c.Assert(listener.Close(), qt.IsNil)
+		return listener.Addr().String()
+	}
 }
