Name slot allocation, orphaned segments and peers of jobs by their usual terms

Cause: the read-through found names that need explaining: dealer, strays, heirs, excuse, and comments that spoke of instances that meet. Change: slotAllocator, orphans, jobPeers, shiftTimes; the comments say what happens. Behaviour and assertions are unchanged. Conclusion: names follow the field.

--- a/claim/shard.go
+++ b/claim/shard.go
@@ -47,7 +47,7 @@
 	names     nameTable
 	segments  []segmentInfo
 	tailData  []byte
-	strays    []Segment
+	orphans   []Segment
 	pending   *prepared
 }
 
@@ -167,7 +167,7 @@
 // Load takes segments in order. The first call takes all segments of the store,
 // later ones the segments from Tail on. It returns ErrGap when they do not
 // continue the chain. Segments before a gap in the numbers, or not sealed although
-// others follow, are strays: writes of an instance that woke up after its segment had been
+// others follow, are orphans: writes of an instance that woke up after its segment had been
 // deleted.
 func (s *Shard) Load(segments []Segment) error {
 	s.pending = nil
@@ -181,7 +181,7 @@
 	first := 0
 	if len(s.segments) == 0 {
 		first = chainStart(segments, stored)
-		s.strays = segments[:first]
+		s.orphans = segments[:first]
 	} else if len(segments) == 0 || segments[0].Number != s.Tail() {
 		return ErrGap
 	}
@@ -226,8 +226,8 @@
 	return nil
 }
 
-// Strays returns segments that are not part of the chain and may be deleted.
-func (s *Shard) Strays() []Segment { return s.strays }
+// Orphans returns segments that are not part of the chain and may be deleted.
+func (s *Shard) Orphans() []Segment { return s.orphans }
 
 // Expired returns the oldest segment if all its records have expired. The newest
 // segment is kept, because it holds the number that the chain has reached.
--- a/internal/claims/chain.go
+++ b/internal/claims/chain.go
@@ -69,10 +69,10 @@
 	return c.state.Load(segments)
 }
 
-// reload loads all segments. Strays are believed only when a second read finds
+// reload loads all segments. Orphans are believed only when a second read finds
 // them unchanged, since a segment may have been sealed between two pages.
 func (c *chain) reload(ctx context.Context) error {
-	var strays []claim.Segment
+	var orphans []claim.Segment
 	for {
 		c.state.Reset()
 		segments, err := c.list(ctx, "")
@@ -83,12 +83,12 @@
 			c.state.Reset()
 			return err
 		}
-		found := c.state.Strays()
-		if sameVersions(found, strays) {
-			c.deleteStrays(ctx, found)
+		found := c.state.Orphans()
+		if sameVersions(found, orphans) {
+			c.deleteOrphans(ctx, found)
 			return nil
 		}
-		strays = found
+		orphans = found
 	}
 }
 
@@ -104,10 +104,10 @@
 	return true
 }
 
-// deleteStrays is best effort: a stray that stays is found again.
-func (c *chain) deleteStrays(ctx context.Context, strays []claim.Segment) {
-	for _, stray := range strays {
-		_ = c.store.Delete(ctx, claim.SegmentKey(c.shard, stray.Number), store.Version(stray.Version))
+// deleteOrphans is best effort: a orphan that stays is found again.
+func (c *chain) deleteOrphans(ctx context.Context, orphans []claim.Segment) {
+	for _, orphan := range orphans {
+		_ = c.store.Delete(ctx, claim.SegmentKey(c.shard, orphan.Number), store.Version(orphan.Version))
 	}
 }
 
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -115,7 +115,7 @@
 		return nil
 	}
 	return jobs.New(jobs.Config{
-		Instance: s.Entry.Instance, Store: s.Access.Store, Members: heirs{s.Members, s.Client},
+		Instance: s.Entry.Instance, Store: s.Access.Store, Members: jobPeers{s.Members, s.Client},
 		Runner: JobRunner{Configuration: s.Configuration, Executor: s.Executor, Admission: s.Admission, Now: time.Now},
 		Boot:   clock.Boot{}.Now, Wall: time.Now, Scope: s.Metrics.Scope, Log: s.Logger,
 	})
@@ -131,25 +131,25 @@
 	return granted, StoreJobs{Jobs: j, Claims: granted}
 }
 
-// heirs offers the jobs of an instance that stops to the other members of its
+// jobPeers offers the jobs of an instance that stops to the other members of its
 // failure domain.
-type heirs struct {
+type jobPeers struct {
 	members *Members
 	client  *peer.Client
 }
 
 // Domain implements jobs.Members.
-func (h heirs) Domain() []string { return h.members.Live() }
+func (p jobPeers) Domain() []string { return p.members.Live() }
 
-// JobsReleased implements jobs.Members. The jobs are dealt out in turn.
-func (h heirs) JobsReleased(ctx context.Context, ids []string) {
-	addresses := h.members.others()
+// JobsReleased implements jobs.Members. The members get the jobs in turn.
+func (p jobPeers) JobsReleased(ctx context.Context, ids []string) {
+	addresses := p.members.others()
 	if len(addresses) == 0 {
 		return
 	}
 	for i, id := range ids {
 		// A job that is not taken is found by a scan.
-		_, _ = h.client.HandOverJob(ctx, addresses[i%len(addresses)], []byte(id))
+		_, _ = p.client.HandOverJob(ctx, addresses[i%len(addresses)], []byte(id))
 	}
 }
 
--- a/membership/state.go
+++ b/membership/state.go
@@ -163,7 +163,7 @@
 		return nil
 	}
 	if gap := now.Sub(s.last); gap > pausedAfter {
-		s.excuse(gap)
+		s.shiftTimes(gap)
 	}
 	s.last = now
 	s.ticks++
@@ -186,8 +186,8 @@
 	return int(hashID(s.self.ID) % crossEvery)
 }
 
-// excuse shifts all times by the time for which this instance was paused.
-func (s *State) excuse(gap time.Duration) {
+// shiftTimes shifts all times by the time for which this instance was paused.
+func (s *State) shiftTimes(gap time.Duration) {
 	for _, m := range s.members {
 		m.heard = m.heard.Add(gap)
 		m.since = m.since.Add(gap)
--- a/routing/home.go
+++ b/routing/home.go
@@ -17,7 +17,7 @@
 
 // Divide sets the instances of the region, among which the slots of its servers
 // are divided. Each instance computes the same division from the same lists and
-// prefers its own home slots, so that instances do not meet at the same server.
+// prefers its own home slots, so that instances do not all choose the same server.
 // Where lists differ, some slots have two owners for a while.
 func (p *Pool) Divide(self string, instances []Instance) {
 	p.self = self
@@ -25,16 +25,16 @@
 	slices.SortFunc(p.instances, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-// dealer hands out slots in turns.
-type dealer struct {
+// slotAllocator hands out slots in turns.
+type slotAllocator struct {
 	instances []Instance
 	// left is how many slots each instance still gets.
 	left []int
 	next int
 }
 
-func newDealer(instances []Instance, slots int) *dealer {
-	d := &dealer{instances: instances, left: make([]int, len(instances))}
+func newSlotAllocator(instances []Instance, slots int) *slotAllocator {
+	d := &slotAllocator{instances: instances, left: make([]int, len(instances))}
 	for i := range d.left {
 		d.left[i] = slots / len(instances)
 		if i < slots%len(instances) {
@@ -44,9 +44,9 @@
 	return d
 }
 
-// deal gives a slot to the next instance that wants one, of a failure domain or
+// allocate gives a slot to the next instance that wants one, of a failure domain or
 // of any when it is empty.
-func (d *dealer) deal(failureDomain string) (owner string, ok bool) {
+func (d *slotAllocator) allocate(failureDomain string) (owner string, ok bool) {
 	for range d.instances {
 		i := d.next % len(d.instances)
 		d.next++
@@ -58,8 +58,8 @@
 	return "", false
 }
 
-// divide deals the slots of the region's servers, first to instances of the
-// server's failure domain. Slots of a server that long kinds may use are dealt
+// divide allocates the slots of the region's servers, first to instances of the
+// server's failure domain. Slots of a server that long kinds may use are allocated
 // one by one, so that long calls of all instances keep to their share of it.
 func (p *Pool) divide() {
 	p.home = p.home[:0]
@@ -69,7 +69,7 @@
 	}
 	near := slices.Clone(p.ordered[:p.tierEnd[tierRegion]])
 	slices.SortFunc(near, func(a, b ServerIndex) int { return cmp.Compare(p.servers[a].ID, p.servers[b].ID) })
-	d := newDealer(p.instances, p.slotsOf(near))
+	d := newSlotAllocator(p.instances, p.slotsOf(near))
 	type slot struct {
 		server ServerIndex
 		number int
@@ -83,7 +83,7 @@
 				continue
 			}
 			more = true
-			if owner, ok := d.deal(s.FailureDomain); ok {
+			if owner, ok := d.allocate(s.FailureDomain); ok {
 				p.own(i, number, owner)
 				continue
 			}
@@ -91,7 +91,7 @@
 		}
 	}
 	for _, left := range rest {
-		if owner, ok := d.deal(""); ok {
+		if owner, ok := d.allocate(""); ok {
 			p.own(left.server, left.number, owner)
 		}
 	}
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -118,7 +118,7 @@
 		return i, true
 	}
 	if len(p.home) > 0 {
-		// Instances that all followed the prefix beyond their home slots would meet.
+		// Beyond their home slots, all instances would follow the prefix to one server.
 		q.Prefix = 0
 	}
 	for mode := strict; mode <= relaxed; mode++ {
--- a/routing/pool_test.go
+++ b/routing/pool_test.go
@@ -277,7 +277,7 @@
 }
 
 // Guards against an instance that finds a slow server by slow calls of its own
-// although others agree on it, against the word of a single instance, against a
+// although others agree on it, against a report by a single instance, against a
 // report that is passed on, and against a server that stays lowered after good
 // probes.
 func TestReportedServerIsLoweredToProbes(t *testing.T) {
--- a/routing/straggler.go
+++ b/routing/straggler.go
@@ -294,7 +294,7 @@
 }
 
 // Stragglers returns the live servers whose weight is lowered on own evidence, for
-// the peers. Passing on what peers reported would keep reports alive for ever.
+// the peers. If it reported what peers report, a marker would never expire.
 func (p *Pool) Stragglers() (ids []string) {
 	for _, index := range p.ordered {
 		if s := &p.servers[index]; s.level > 0 && !s.byPeers {
