--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -22,6 +22,7 @@
 	RoleJobs          = "jobs"
 	RoleOrders        = "orders"
 	RoleMetrics       = "metrics"
+	RoleControl       = "control"
 )
 
 // Report holds all lines of a run.
@@ -78,7 +79,7 @@
 // sweeps lists all sweeps in the order of the report.
 func sweeps() []sweep {
 	return slices.Concat(requestSweeps(), routingSweeps(), limitsSweeps(), membershipSweeps(),
-		configurationSweeps(), claimsSweeps(), jobsSweeps(), ordersSweeps(), metricsSweeps())
+		configurationSweeps(), claimsSweeps(), jobsSweeps(), ordersSweeps(), metricsSweeps(), daemonSweeps())
 }
 
 // Roles lists the roles in the order of the report.
