Measure whole idle daemons at 3 to 60 instances

Cause: control traffic was measured for cores only; calls and bytes to the store were missing. Conclusion: the store's load follows the failure domains.

--- a/internal/capacity/daemons.go
+++ b/internal/capacity/daemons.go
@@ -59,7 +59,8 @@
 	apps         []*fx.App
 }
 
-// measureDaemons measures what idle instances do for control.
+// measureDaemons measures what idle instances do for control. Calls to the store
+// are summed up, because they follow the failure domains and not the instances.
 func measureDaemons(n int) (figures []figure, err error) {
 	d, err := startDaemons(n)
 	defer func() { err = errors.Join(err, d.stop()) }()
@@ -76,14 +77,15 @@
 		return nil
 	})
 	after, countErr := d.count()
-	per := func(difference float64) float64 { return difference / float64(n) / daemonWindow.Seconds() }
+	fleet := func(difference float64) float64 { return difference / daemonWindow.Seconds() }
+	per := func(difference float64) float64 { return fleet(difference) / float64(n) }
 	return []figure{
 		{"heartbeats sent by an instance", "1/s", per(after.heartbeats - before.heartbeats)},
 		{"bytes of heartbeats sent by an instance", "B/s", per(after.heartbeatBytes - before.heartbeatBytes)},
-		{"store reads by an instance", "1/s", per(after.reads - before.reads)},
-		{"store writes by an instance", "1/s", per(after.writes - before.writes)},
+		{"store reads by the fleet", "1/s", fleet(after.reads - before.reads)},
+		{"store writes by the fleet", "1/s", fleet(after.writes - before.writes)},
 		{"watches that wait at the store", "watches", after.watches},
-		{"bytes between an instance and the store", "B/s", per(after.storeBytes - before.storeBytes)},
+		{"bytes between the fleet and the store", "B/s", fleet(after.storeBytes - before.storeBytes)},
 		{"processor time of an instance with its stand-ins", "us/s", per(float64(took.Microseconds()))},
 	}, errors.Join(err, countErr)
 }
