Read operators' files in one place and remove what nothing calls

Cause: the last read of the whole change found a second reader of the operators' files beside the one that check and the loader use, a sort of the appenders before each claim although rendezvous hashing does not depend on their order, and code without a caller: CheckSettings, RegionOf, the experiments' Names, and the hook of the link budget for a share that the daemon never sets.

--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -10,11 +10,10 @@
 
 // linkBudget guards the instance's part of the link between regions.
 type linkBudget struct {
-	mu       sync.Mutex
-	link     *quota.Link
-	least    int
-	sharers  int
-	fraction func(now time.Time) float64
+	mu      sync.Mutex
+	link    *quota.Link
+	least   int
+	sharers int
 }
 
 func newLinkBudget(least int) *linkBudget {
@@ -31,12 +30,8 @@
 	}
 }
 
-// share is the instance's part of the link: by agreement with its peers, or an
-// equal part of a fixed number when there is no membership.
-func (l *linkBudget) share(now time.Time) float64 {
-	if l.fraction != nil {
-		return l.fraction(now)
-	}
+// share is the instance's part of the link, an equal part among the sharers.
+func (l *linkBudget) share() float64 {
 	return 1 / float64(l.sharers)
 }
 
@@ -47,13 +42,13 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.link.Room(bytes, l.share(now), now)
+	return l.link.Room(bytes, l.share(), now)
 }
 
 func (l *linkBudget) reserve(bytes int64, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ok, _ := l.link.Reserve(bytes, l.share(now), now)
+	ok, _ := l.link.Reserve(bytes, l.share(), now)
 	return ok
 }
 
@@ -64,14 +59,6 @@
 	l.link.Settle(use, query.LinkBytes, bytes)
 }
 
-// LinkFraction makes f decide on the instance's part of the link. It is called
-// before the first request; f is called under a lock and must not block.
-func (s *Servers) LinkFraction(f func(now time.Time) float64) {
-	s.link.mu.Lock()
-	defer s.link.mu.Unlock()
-	s.link.fraction = f
-}
-
 // LinkUsed returns the bytes that crossed the link by kind, stage and organisation.
 func (s *Servers) LinkUsed() map[quota.LinkUse]int64 {
 	s.link.mu.Lock()
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -29,15 +28,14 @@
 // but all instances see the same one, so that they agree on the appenders.
 type directory struct {
 	entry         settings.Entry
-	members       *Members
 	configuration ConfigurationSource
 
 	mu     sync.RWMutex
 	listed map[string]platform.Member
 }
 
-func newDirectory(entry settings.Entry, members *Members, configuration ConfigurationSource, feed *ListFeed) *directory {
-	d := &directory{entry: entry, members: members, configuration: configuration}
+func newDirectory(entry settings.Entry, configuration ConfigurationSource, feed *ListFeed) *directory {
+	d := &directory{entry: entry, configuration: configuration}
 	feed.Observe(d.update)
 	return d
 }
@@ -54,8 +52,8 @@
 	d.listed = listed
 }
 
-// Appenders implements claims.Directory. A deployment without a store region
-// uses all instances.
+// Appenders implements claims.Directory, in no particular order. A deployment
+// without a store region uses all instances.
 func (d *directory) Appenders() []string {
 	region := ""
 	if set := d.configuration.Current(); set != nil {
@@ -69,7 +67,6 @@
 			appenders = append(appenders, id)
 		}
 	}
-	slices.Sort(appenders)
 	return appenders
 }
 
--- a/internal/entry/statusviews.go
+++ b/internal/entry/statusviews.go
@@ -127,7 +127,7 @@
 func (s *Servers) linkStatus() linkStatus {
 	s.link.mu.Lock()
 	defer s.link.mu.Unlock()
-	fraction := s.link.share(s.now())
+	fraction := s.link.share()
 	status := linkStatus{Share: fraction, BytesPerSecond: s.link.link.Capacity() * fraction}
 	for _, bytes := range s.link.link.Used() {
 		status.UsedBytes += bytes
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -56,16 +56,6 @@
 	"overhead":     overhead,
 }
 
-// Names returns the names of all experiments.
-func Names() []string {
-	var names []string
-	for name := range scenarios {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // Run measures all policies of an experiment in turn, repeatedly. The arrivals
 // of one repetition are the same for all policies.
 func Run(name string, seed uint64, repeats int) (Report, error) {
--- a/pipeline/document.go
+++ b/pipeline/document.go
@@ -52,17 +52,6 @@
 	d.mistakes = append(d.mistakes, m)
 }
 
-// CheckSettings returns the mistakes of one file that is decoded into a value
-// of the same type as model: syntax, unknown and repeated fields, wrong types.
-func CheckSettings(root fs.FS, file string, model any) (Mistakes, error) {
-	d, err := parseDocument(root, file)
-	if err != nil || len(d.mistakes) > 0 {
-		return d.found(), err
-	}
-	d.checkShape(d.tree, reflect.TypeOf(model))
-	return d.mistakes.sorted(), nil
-}
-
 func (d *document) found() Mistakes {
 	if d == nil {
 		return nil
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -235,15 +235,3 @@
 	}
 	return Organisation{}, false
 }
-
-// RegionOf returns the region of a failure domain.
-func (s *Set) RegionOf(failureDomain string) (string, bool) {
-	for _, region := range s.Deployment.Regions {
-		for _, name := range region.FailureDomains {
-			if name == failureDomain {
-				return region.Name, true
-			}
-		}
-	}
-	return "", false
-}
--- a/pipeline/validate.go
+++ b/pipeline/validate.go
@@ -21,13 +21,7 @@
 // Check reads the operators' files below a root and returns the set together
 // with every mistake in it. The error says that the files couldn't be read.
 func Check(root fs.FS) (*Set, Mistakes, error) {
-	v := &validator{set: &Set{}}
-	err := fs.WalkDir(root, ".", func(path string, entry fs.DirEntry, err error) error {
-		if err != nil || entry.IsDir() {
-			return err
-		}
-		return v.read(root, path, entry.Name())
-	})
+	v, err := readFiles(root)
 	if err != nil {
 		return nil, nil, fmt.Errorf("check operators' files: %w", err)
 	}
@@ -90,11 +84,17 @@
 	return nil
 }
 
-// check runs every rule and returns the mistakes by position.
-func (v *validator) check() Mistakes {
+// fileMistakes returns the mistakes of syntax and shape of the files.
+func (v *validator) fileMistakes() (mistakes Mistakes) {
 	for _, d := range append(append(v.broken, v.pipelines...), v.deployment) {
-		v.mistakes = append(v.mistakes, d.found()...)
+		mistakes = append(mistakes, d.found()...)
 	}
+	return mistakes
+}
+
+// check runs every rule and returns the mistakes by position.
+func (v *validator) check() Mistakes {
+	v.mistakes = v.fileMistakes()
 	if v.unlocated || v.deployment != nil {
 		v.checkDeployment()
 	} else if !slices.ContainsFunc(v.broken, func(d *document) bool { return strings.HasSuffix(d.file, DeploymentFile) }) {
