--- /dev/null
+++ b/internal/cli/gateway.go
@@ -0,0 +1,46 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/gateway"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/platform"
+)
+
+const gatewayHelp = `Runs a gateway on the users' platform until SIGTERM or SIGINT. It then
+withdraws its readiness, finishes running requests and exits with 0. SIGHUP
+reads the settings file again.`
+
+// gatewayCommand runs the gateway.
+type gatewayCommand struct {
+	streams
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"settings file, JSON with comments"`
+}
+
+// Execute runs the gateway until a signal stops it.
+func (c *gatewayCommand) Execute([]string) error {
+	read, err := settings.ReadGateway(c.Settings)
+	var mistakes *settings.MistakesError
+	if errors.As(err, &mistakes) {
+		fmt.Fprintln(c.stderr, mistakes)
+		return ErrInvalid
+	}
+	if err != nil {
+		return err
+	}
+	lines := gateway.NewLogWriter(c.stdout)
+	defer lines.Close()
+	adapter := gateway.Adapter{
+		Protocol: platform.Wire{},
+		Store:    func(address string) gateway.Store { return platform.NewStore(address) },
+	}
+	logger := slog.New(slog.NewJSONHandler(lines, nil))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go lines.ReportDropped(ctx, logger)
+	return gateway.Run(c.Settings, read, adapter, logger)
+}
--- /dev/null
+++ b/internal/events/gateway.go
@@ -0,0 +1,35 @@
+package events
+
+import "log/slog"
+
+// Events of a gateway, 7000 to 7999.
+var (
+	GatewayStarted  = define(7000, slog.LevelInfo, "gateway started")
+	GatewayReady    = define(7001, slog.LevelInfo, "gateway is ready")
+	GatewayStopping = define(7002, slog.LevelInfo, "gateway stops, readiness withdrawn")
+	GatewayStopped  = define(7003, slog.LevelInfo, "gateway stopped")
+	GatewayCutOff   = define(7004, slog.LevelWarn, "gateway stopped with requests under way")
+	SettingsReread  = define(7005, slog.LevelInfo, "settings file was read again")
+	SettingsInvalid = define(7006, slog.LevelWarn, "settings file could not be read again")
+	LinesDropped    = define(7007, slog.LevelWarn, "log lines were dropped")
+
+	StoreReached  = define(7100, slog.LevelInfo, "store is reached")
+	StoreLost     = define(7101, slog.LevelWarn, "store is not reached")
+	ViewChanged   = define(7102, slog.LevelInfo, "view of configuration and backend servers changed")
+	EntryRejected = define(7103, slog.LevelWarn, "entry of the store could not be read")
+	PullFailed    = define(7104, slog.LevelWarn, "view of another instance could not be pulled")
+	Registration  = define(7105, slog.LevelInfo, "peer address is registered in the store")
+	NotRegistered = define(7106, slog.LevelWarn, "peer address could not be registered in the store")
+
+	AttemptRefused  = define(7200, slog.LevelInfo, "request refused")
+	AttemptSent     = define(7201, slog.LevelInfo, "request sent to a backend server")
+	AttemptFailed   = define(7202, slog.LevelInfo, "backend server failed or refused the request")
+	AttemptEnded    = define(7203, slog.LevelInfo, "request answered")
+	AttemptBroken   = define(7204, slog.LevelWarn, "answer was broken off")
+	AttemptLeft     = define(7205, slog.LevelInfo, "client left before the answer was complete")
+	StreamResumed   = define(7206, slog.LevelInfo, "stream goes on at another backend server")
+	StageEnded      = define(7210, slog.LevelInfo, "stage of a request ended")
+	StagePeerFailed = define(7211, slog.LevelWarn, "instance that forms the calls of a stage did not answer")
+	StageCallEnded  = define(7212, slog.LevelInfo, "call to a stage server ended")
+	FreeFailed      = define(7213, slog.LevelInfo, "results could not be freed")
+)
--- /dev/null
+++ b/internal/gateway/cluster.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+	"github.com/coltsfootdrift/coltsfootdrift/membership"
+	"github.com/coltsfootdrift/coltsfootdrift/rendezvous"
+)
+
+const (
+	// registerPrefix is where instances write their peer addresses.
+	registerPrefix = "instances/"
+	// registerTTL is the life of a registration without renewal. An old one is only
+	// a hint.
+	registerTTL   = 10 * time.Minute
+	renewInterval = 3 * time.Minute
+	registerRetry = 2 * time.Second
+	registerLimit = 1000
+	// avoidAfterFailure is how long an instance that did not answer gets no stages.
+	avoidAfterFailure = 2 * time.Second
+)
+
+var errNoPeer = errors.New("no other instance is known")
+
+// Cluster is the other instances.
+type Cluster struct {
+	settings settings.Gateway
+	node     *peer.Node
+	client   *peer.Client
+	store    store.Store
+	logger   *slog.Logger
+
+	mu    sync.Mutex
+	avoid map[string]time.Time
+}
+
+// NewCluster returns the cluster as seen from a node.
+func NewCluster(s settings.Gateway, node *peer.Node, client *peer.Client, st store.Store, logger *slog.Logger) *Cluster {
+	return &Cluster{settings: s, node: node, client: client, store: st, logger: logger, avoid: map[string]time.Time{}}
+}
+
+// Pull implements view.Peers.
+func (c *Cluster) Pull(ctx context.Context, address string, have store.Version) ([]store.Entry, store.Version, error) {
+	if address == "" {
+		address = c.anyPeer()
+	}
+	if address == "" {
+		return nil, 0, errNoPeer
+	}
+	return c.client.PullView(ctx, address, have)
+}
+
+// Announce implements view.Peers.
+func (c *Cluster) Announce(version store.Version, fromStore bool) {
+	c.node.Do(func(s *membership.State) []membership.Output { return s.SetRevision(int64(version), fromStore) })
+}
+
+// anyPeer returns the address of a random other instance, or an empty string.
+func (c *Cluster) anyPeer() string {
+	var known []string
+	c.node.View(func(s *membership.State) {
+		for _, record := range s.Live() {
+			known = append(known, record.Address)
+		}
+		known = append(known, s.Holders(1)...)
+		if len(known) < 2 {
+			known = append(known, s.Candidates()...)
+		}
+	})
+	known = slices.DeleteFunc(known, func(a string) bool { return a == "" || a == c.settings.PeerAddress })
+	if len(known) == 0 {
+		return ""
+	}
+	return known[rand.IntN(len(known))]
+}
+
+// Instances returns the number of live instances.
+func (c *Cluster) Instances() int {
+	n := 1
+	c.node.View(func(s *membership.State) { n = max(1, s.Instances(time.Now())) })
+	return n
+}
+
+// Callers returns the addresses of the instances that may form the calls of a
+// service of the region, the first choice first. Instances that did not answer
+// lately come last; an empty address stands for this instance.
+func (c *Cluster) Callers(service string) []string {
+	byID := map[string]string{c.settings.Instance: ""}
+	c.node.View(func(s *membership.State) {
+		for _, record := range s.Live() {
+			if record.State == membership.Alive && record.ID != c.settings.Instance {
+				byID[record.ID] = record.Address
+			}
+		}
+	})
+	ids := make([]string, 0, len(byID))
+	for id := range byID {
+		ids = append(ids, id)
+	}
+	var callers, avoided []string
+	for len(ids) > 0 {
+		chosen := rendezvous.Choose(service, ids)
+		ids = slices.DeleteFunc(ids, func(id string) bool { return id == chosen })
+		if c.avoided(byID[chosen]) {
+			avoided = append(avoided, byID[chosen])
+		} else {
+			callers = append(callers, byID[chosen])
+		}
+	}
+	return append(callers, avoided...)
+}
+
+func (c *Cluster) avoided(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.avoid[address])
+}
+
+// Avoid passes over an instance that did not answer for a while.
+func (c *Cluster) Avoid(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoid[address] = time.Now().Add(avoidAfterFailure)
+}
+
+// Leave tells the others that this instance stops.
+func (c *Cluster) Leave(ctx context.Context) { c.node.Leave(ctx, c.client) }
+
+// Register writes this instance's peer address into the store and reads those of
+// the others, until the context ends.
+func (c *Cluster) Register(ctx context.Context) {
+	c.hint(nil)
+	var lease store.LeaseID
+	for ctx.Err() == nil {
+		if lease != 0 && c.store.KeepAlive(ctx, lease) == nil {
+			clock.Sleep(ctx, renewInterval)
+			continue
+		}
+		granted, err := c.register(ctx)
+		if err != nil {
+			events.NotRegistered.Log(ctx, c.logger, slog.Any("error", err))
+			clock.Sleep(ctx, registerRetry/2+rand.N(registerRetry))
+			continue
+		}
+		lease = granted
+		events.Registration.Log(ctx, c.logger, slog.String("address", c.settings.PeerAddress))
+		clock.Sleep(ctx, renewInterval)
+	}
+}
+
+func (c *Cluster) register(ctx context.Context) (store.LeaseID, error) {
+	entries, err := c.store.List(ctx, registerPrefix, "", registerLimit)
+	if err != nil {
+		return 0, err
+	}
+	c.hint(entries)
+	key := registerPrefix + c.settings.Instance
+	var expect store.Version
+	for _, e := range entries {
+		if e.Key == key {
+			expect = e.Version
+		}
+	}
+	lease, err := c.store.GrantLease(ctx, registerTTL)
+	if err != nil {
+		return 0, err
+	}
+	_, err = c.store.CompareAndSwap(ctx, key, expect, []byte(c.settings.PeerAddress), lease)
+	return lease, err
+}
+
+// hint tells membership which addresses may belong to other instances.
+func (c *Cluster) hint(entries []store.Entry) {
+	addresses := slices.Clone(c.settings.Peers)
+	for _, e := range entries {
+		addresses = append(addresses, string(e.Value))
+	}
+	var candidates []membership.Candidate
+	for _, address := range addresses {
+		if address != c.settings.PeerAddress {
+			candidates = append(candidates, membership.Candidate{Address: address})
+		}
+	}
+	c.node.Do(func(s *membership.State) []membership.Output {
+		s.Hint(candidates)
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/gateway/daemon.go
@@ -0,0 +1,242 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
+	"github.com/coltsfootdrift/coltsfootdrift/membership"
+)
+
+// Store is the platform's store.
+type Store interface {
+	store.Store
+	view.Source
+}
+
+// Adapter is the translation between the platform and the product.
+type Adapter struct {
+	Protocol Protocol
+	// Store returns a client of the store at an address.
+	Store func(address string) Store
+}
+
+const (
+	headerTimeout  = 5 * time.Second
+	closeIdleEvery = time.Second
+	settingsReread = 2 * time.Second
+
+	leaveBudget = 500 * time.Millisecond
+)
+
+// daemon is what runs in the process.
+type daemon struct {
+	fx.In
+	Settings settings.Gateway
+	Logger   *slog.Logger
+	Metrics  *metrics.Metrics
+	Node     *peer.Node
+	Peers    *peer.Server
+	Cluster  *Cluster
+	Views    *view.Sync
+	Fleet    *Fleet
+	Upstream *upstream.Client
+	Caller   *StageCaller
+	Gateway  *Gateway
+	Front    *Front
+	Drain    *Drain
+}
+
+// module provides the parts of a gateway.
+func module(s settings.Gateway, adapter Adapter, logger *slog.Logger) fx.Option {
+	return fx.Options(
+		fx.Supply(s, logger),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Provide(
+			metrics.New,
+			peer.NewClient,
+			peer.NewServer,
+			NewCluster,
+			NewFleet,
+			NewStages,
+			func() Protocol { return adapter.Protocol },
+			func() Store { return adapter.Store(s.StoreAddress) },
+			func(st Store) store.Store { return st },
+			func(m *metrics.Metrics) *upstream.Client { return upstream.NewClient(m.Scope) },
+			func(m *metrics.Metrics) (*peer.Node, error) { return newNode(s, m, logger) },
+			func(st Store, c *Cluster, m *metrics.Metrics) *view.Sync {
+				return view.NewSync(st, c, adapter.Protocol, logger, m.Scope)
+			},
+			func(client *upstream.Client, views *view.Sync) *Freer {
+				return NewFreer(adapter.Protocol, client, serverByAddress(views), logger)
+			},
+			func(client *upstream.Client, fleet *Fleet, freer *Freer, m *metrics.Metrics) *StageCaller {
+				return NewStageCaller(s, adapter.Protocol, client, fleet, freer, logger, m.Scope)
+			},
+			func(views *view.Sync, fleet *Fleet, client *upstream.Client, stages *Stages, drain *Drain, m *metrics.Metrics) *Gateway {
+				return New(adapter.Protocol, views, fleet, client, stages, drain, logger, m.Scope)
+			},
+			func() *Drain { return NewDrain(s.Grace()) },
+			func(g *Gateway, drain *Drain) *Front { return NewFront(g, drain, logger) },
+		),
+	)
+}
+
+// newNode joins the instances of the region: stage work is shared among them.
+func newNode(s settings.Gateway, m *metrics.Metrics, logger *slog.Logger) (*peer.Node, error) {
+	identity := membership.Identity{
+		ID: s.Instance, FailureDomain: s.Region, Address: s.PeerAddress,
+		Incarnation: uint64(time.Now().Unix()),
+	}
+	return peer.Listen(identity, logger, m.Scope)
+}
+
+func serverByAddress(views *view.Sync) func(string) (upstream.Server, bool) {
+	return func(address string) (upstream.Server, bool) {
+		v := views.Current()
+		if v == nil {
+			return upstream.Server{}, false
+		}
+		s, ok := v.ByAddress[address]
+		return upstream.Server{ID: s.ID, Address: s.Address}, ok
+	}
+}
+
+// Run runs a gateway until SIGTERM or SIGINT. Path is the settings file, which is
+// read again on SIGHUP and when it changes.
+func Run(path string, s settings.Gateway, adapter Adapter, logger *slog.Logger) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	var d daemon
+	app := fx.New(module(s, adapter, logger), fx.Invoke(func(built daemon) { d = built }))
+	if err := app.Err(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := d.start(ctx); err != nil {
+		return err
+	}
+	reread := newRereader(path, s, logger)
+	go every(ctx, settingsReread, func() { reread.check(false) })
+	for received := range signals {
+		if received != syscall.SIGHUP {
+			d.stop(received.String())
+			return nil
+		}
+		reread.check(true)
+	}
+	return nil
+}
+
+// start opens the listeners and begins to follow the store and the peers.
+func (d *daemon) start(ctx context.Context) error {
+	d.Views.Observe(d.Fleet.Update)
+	d.Views.Observe(d.Caller.Update)
+	d.Views.Observe(d.Front.Update)
+	d.Node.Observe(func(output membership.Output) {
+		if heard, ok := output.(membership.RevisionHeard); ok {
+			d.Views.Heard(store.Version(heard.Revision), heard.Address)
+		}
+	})
+	d.Peers.HandleViews(d.Views)
+	d.Peers.HandleStages(d.Caller)
+	if err := d.listen(ctx); err != nil {
+		return err
+	}
+	go d.Node.Run(ctx)
+	go d.Views.Run(ctx)
+	go d.Cluster.Register(ctx)
+	go every(ctx, closeIdleEvery, func() { d.Upstream.CloseIdle(time.Now(), d.Fleet.InUse) })
+	events.GatewayStarted.Log(ctx, d.Logger, slog.String("instance", d.Settings.Instance), slog.String("region", d.Settings.Region),
+		slog.String("failure_domain", d.Settings.FailureDomain), slog.String("address", d.Settings.ClientAddress))
+	return nil
+}
+
+func (d *daemon) listen(ctx context.Context) error {
+	ready := mux.NewRouter()
+	ready.HandleFunc("/readyz", d.ready)
+	metricsRouter := mux.NewRouter()
+	metricsRouter.Handle("/metrics", d.Metrics.Handler)
+	for address, handler := range map[string]http.Handler{
+		d.Settings.ReadyAddress: ready, d.Settings.MetricsAddress: metricsRouter, d.Settings.PeerAddress: d.Peers.Handler(),
+	} {
+		if err := serve(ctx, address, handler, d.Logger); err != nil {
+			return err
+		}
+	}
+	if err := d.Front.Listen(ctx, d.Settings.ClientAddress); err != nil {
+		return fmt.Errorf("listen for clients: %w", err)
+	}
+	return nil
+}
+
+// serve binds an address before it returns and serves it until the process ends.
+func serve(ctx context.Context, address string, handler http.Handler, logger *slog.Logger) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			events.ServeFailed.Log(context.WithoutCancel(ctx), logger, slog.String("address", address), slog.Any("error", err))
+		}
+	}()
+	return nil
+}
+
+// ready answers 200 while the instance takes new connections.
+func (d *daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	v := d.Views.Current()
+	if v == nil || v.Table == nil || d.Drain.Draining() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if reportedReady.CompareAndSwap(false, true) {
+		events.GatewayReady.Log(context.Background(), d.Logger, slog.Int64("configuration", v.Table.Version), slog.Int64("view", int64(v.Version)))
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+var reportedReady atomic.Bool
+
+// stop withdraws readiness, finishes the requests under way and those that still
+// come, and ends within the grace time.
+func (d *daemon) stop(reason string) {
+	ctx := context.Background()
+	d.Drain.Begin(time.Now())
+	events.GatewayStopping.Log(ctx, d.Logger, slog.String("reason", reason), slog.Int64("running", d.Gateway.Running()))
+	leaving, cancel := context.WithTimeout(ctx, leaveBudget)
+	d.Cluster.Leave(leaving)
+	cancel()
+	for !d.Drain.done(time.Now(), d.Gateway.Running()) {
+		clock.Sleep(ctx, drainPoll)
+	}
+	if running := d.Gateway.Running(); running > 0 {
+		events.GatewayCutOff.Log(ctx, d.Logger, slog.Int64("running", running))
+	}
+	d.Front.Close()
+	events.GatewayStopped.Log(ctx, d.Logger, slog.Int64("open_connections", d.Drain.open.Load()))
+}
--- /dev/null
+++ b/internal/gateway/eventreader.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+var errEventTooLarge = errors.New("event of a stream is too large")
+
+// eventReader splits a stream of server-sent events into whole ones, without
+// changing a byte.
+type eventReader struct {
+	reader *bufio.Reader
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{bufio.NewReader(r)}
+}
+
+// event is one event with the blank line that ends it.
+type event struct {
+	data []byte
+	// id is the event's ID, empty when it has none.
+	id string
+}
+
+// next returns the next whole event. At the end of the stream it returns what is
+// left with io.EOF; after another error what is left is not whole.
+func (r *eventReader) next() (event, error) {
+	var e event
+	for {
+		line, err := r.reader.ReadBytes('\n')
+		e.data = append(e.data, line...)
+		if err != nil {
+			return e, err
+		}
+		if len(e.data) > maxEventBytes {
+			return e, errEventTooLarge
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			return e, nil
+		}
+		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			e.id = string(bytes.TrimPrefix(value, []byte(" ")))
+		}
+	}
+}
+
+// more reports whether another event has arrived already.
+func (r *eventReader) more() bool { return r.reader.Buffered() > 0 }
--- /dev/null
+++ b/internal/gateway/plain.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
+	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+	"github.com/coltsfootdrift/coltsfootdrift/routing"
+)
+
+// maxUnsent bounds the servers that are tried without a byte being sent.
+const maxUnsent = 3
+
+// plainSend is one send of a plain request.
+type plainSend struct {
+	server  upstream.Server
+	index   routing.ServerIndex
+	started time.Time
+}
+
+// servePlain sends a request to a server of a plain service.
+func (a *attempt) servePlain() {
+	var excluded []routing.ServerIndex
+	for unsent := 0; ; {
+		send, ok := a.pick(excluded)
+		if !ok {
+			a.refuse("no server", retryLater)
+			return
+		}
+		excluded = append(excluded, send.index)
+		answer, err := a.upstream.Send(a.ctx, send.server, a.outgoing(send.server, Send{}))
+		switch {
+		case errors.Is(err, upstream.ErrNotSent) && !a.left() && !a.late():
+			a.finish(send, routing.Unreachable)
+			a.logFailed(send.server, 0, err)
+			if unsent++; unsent >= maxUnsent {
+				a.refuse("servers are not reached", retrySoon)
+				return
+			}
+			continue
+		case err != nil:
+			a.sends++
+			if a.unanswered(send, err) {
+				return
+			}
+			continue
+		}
+		a.sends++
+		if a.plainAnswer(send, answer) {
+			return
+		}
+	}
+}
+
+// pick chooses a server and counts the call.
+func (a *attempt) pick(excluded []routing.ServerIndex) (send plainSend, ok bool) {
+	now := time.Now()
+	var id string
+	a.fleet.Pool(a.service.Name, func(pool *routing.Pool, random *rand.Rand) {
+		if send.index, ok = pool.Pick(now, random, plainQuery(a.remaining(), excluded)); ok {
+			id = pool.ID(send.index)
+			pool.Started(send.index, pipeline.ClassInteractive, now)
+		}
+	})
+	if !ok {
+		return send, false
+	}
+	send.started = now
+	server, known := a.fleet.Server(id)
+	if !known {
+		a.finish(send, routing.Refused)
+		return send, false
+	}
+	send.server = server
+	a.log(events.AttemptSent, slog.String("server", id), slog.String("route", a.route.Name), slog.Int("try", len(excluded)+1),
+		slog.Int64("left_ms", a.remaining().Milliseconds()), slog.Int64("view", a.viewVersion()))
+	return send, true
+}
+
+// finish ends the count of a call.
+func (a *attempt) finish(send plainSend, outcome routing.Outcome) {
+	now := time.Now()
+	a.fleet.Pool(a.service.Name, func(pool *routing.Pool, _ *rand.Rand) {
+		pool.Finished(send.index, pipeline.ClassInteractive, routing.Result{Outcome: outcome, Latency: now.Sub(send.started)}, now)
+	})
+}
+
+func (a *attempt) logFailed(server upstream.Server, status int, err error) {
+	attrs := []slog.Attr{slog.String("server", server.ID), slog.Int("status", status)}
+	if err != nil {
+		attrs = append(attrs, slog.Any("error", err))
+	}
+	a.log(events.AttemptFailed, attrs...)
+}
+
+// unanswered handles a send without a whole answer. It returns true when the
+// request is answered.
+func (a *attempt) unanswered(send plainSend, err error) bool {
+	if a.left() || a.late() {
+		a.finish(send, routing.Abandoned)
+		a.ended()
+		return true
+	}
+	a.finish(send, routing.Failed)
+	a.logFailed(send.server, 0, err)
+	if a.route.Repeatable() && a.mayRepeat() {
+		return false
+	}
+	a.fail(http.StatusBadGateway, "no answer from the backend server", err)
+	return true
+}
+
+// plainAnswer handles an answer. It returns true when the request is answered.
+func (a *attempt) plainAnswer(send plainSend, answer *upstream.Answer) bool {
+	defer answer.Close()
+	info := a.protocol.ReadAnswer(answer.Status, answer.Header)
+	if info.Load != nil {
+		a.fleet.Pool(a.service.Name, func(pool *routing.Pool, _ *rand.Rand) { pool.Report(send.index, *info.Load, time.Now()) })
+	}
+	if info.NotRun {
+		a.finish(send, routing.Refused)
+		a.logFailed(send.server, answer.Status, nil)
+		if a.mayRepeat() {
+			return false
+		}
+		a.refuse("servers are full", retryLater)
+		return true
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		a.finish(send, routing.Failed)
+		a.logFailed(send.server, answer.Status, nil)
+		if a.route.Repeatable() && a.mayRepeat() {
+			return false
+		}
+	} else {
+		a.finish(send, routing.Answered)
+	}
+	if promises(answer.Status) {
+		a.fail(http.StatusBadGateway, "backend server refused without saying that it did not run", nil)
+		return true
+	}
+	err := a.deliver(answer, send.server.ID)
+	if err == nil {
+		return true
+	}
+	if a.left() || a.late() {
+		a.ended()
+		return true
+	}
+	a.logFailed(send.server, answer.Status, err)
+	if a.route.Repeatable() && a.mayRepeat() {
+		return false
+	}
+	a.fail(http.StatusBadGateway, "answer of the backend server broke off", err)
+	return true
+}
+
+// promises reports whether a status tells clients that a request has not run. A
+// server that does not promise it itself may have run the request.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/gateway/ports.go
@@ -0,0 +1,95 @@
+// Package gateway serves clients on the users' platform: it takes a request from
+// its connection, plans it by one snapshot of the configuration, runs its stages,
+// sends it to a backend server and passes the answer back.
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
+	"github.com/coltsfootdrift/coltsfootdrift/routing"
+	"github.com/coltsfootdrift/coltsfootdrift/stagework"
+)
+
+// Demand is what the headers of a client's request ask for.
+type Demand struct {
+	// ID is the client's ID of this attempt.
+	ID string
+	// Key is the organisation's key.
+	Key string
+	// Wait is how long the client waits; Bounded is false when it did not say.
+	Wait    time.Duration
+	Bounded bool
+	// Prompt holds the IDs of the prompt's parts; the last one is its own.
+	Prompt []string
+	// LastEventID is the last event of a stream that the client has.
+	LastEventID string
+	// PieceCounts holds the number of pieces of each stage, PieceKey their key.
+	PieceCounts []int
+	PieceKey    string
+}
+
+// Send is what the system adds to a request to a backend server.
+type Send struct {
+	// Server is the ID of the server that is meant.
+	Server       string
+	Remaining    time.Duration
+	Organisation string
+	// Urgency is the rank at a model server, nil for other servers.
+	Urgency     *int
+	LastEventID string
+	// Inputs are the handles of the results that a model server takes.
+	Inputs []string
+}
+
+// AnswerInfo is what the headers of an answer say.
+type AnswerInfo struct {
+	// NotRun answers promise that the request has not run.
+	NotRun bool
+	// Leaving is true when the server meant is not at its address any more.
+	Leaving bool
+	// LostWork is true when an input of the request does not exist any more.
+	LostWork bool
+	// Load is the server's own load report, nil without one.
+	Load *routing.LoadReport
+}
+
+// Piece is one piece of a stage call.
+type Piece struct {
+	RequestID string
+	Stage     int
+	Number    int
+	Remaining time.Duration
+	Key       string
+	Inputs    []string
+}
+
+// Protocol is the platform's form of requests and entries.
+type Protocol interface {
+	view.Decoder
+	ReadRequest(http.Header) Demand
+	// WriteRequest removes the headers that only the system may set and sets them.
+	WriteRequest(http.Header, Send)
+	// WriteOwnAnswer sets the headers of an answer that the gateway itself gives.
+	WriteOwnAnswer(header http.Header, id string)
+	// Belongs reports whether an answer is the one to the request with an ID.
+	Belongs(header http.Header, id string) bool
+	ReadAnswer(status int, header http.Header) AnswerInfo
+	StageCall(upstream.Server, []Piece) (*upstream.Request, error)
+	// StageOutcomes reads the answer to a call of n pieces.
+	StageOutcomes(status int, header http.Header, body []byte, n int) ([]stagework.Outcome, error)
+	FreeCall(server upstream.Server, results []string) (*upstream.Request, error)
+	// Maker returns the address of the server that holds a result.
+	Maker(result string) string
+}
+
+// SameOutcome returns n outcomes with one status.
+func SameOutcome(status stagework.Status, n int) []stagework.Outcome {
+	outcomes := make([]stagework.Outcome, n)
+	for i := range outcomes {
+		outcomes[i].Status = status
+	}
+	return outcomes
+}
--- /dev/null
+++ b/internal/gateway/reread.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"os"
+	"sync"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+)
+
+// rereader follows the settings file. Addresses and names hold from the start to
+// the end of a process, so a change of them is reported and takes effect with the
+// next start.
+type rereader struct {
+	path   string
+	logger *slog.Logger
+
+	mu      sync.Mutex
+	data    []byte
+	current settings.Gateway
+}
+
+func newRereader(path string, s settings.Gateway, logger *slog.Logger) *rereader {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		events.SettingsInvalid.Log(context.Background(), logger, slog.Any("error", err))
+	}
+	return &rereader{path: path, logger: logger, data: data, current: s}
+}
+
+// check reads the file again and reports a change, with always also an unchanged
+// file.
+func (r *rereader) check(always bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	data, err := os.ReadFile(r.path)
+	if err == nil && bytes.Equal(data, r.data) && !always {
+		return
+	}
+	var next settings.Gateway
+	if err == nil {
+		r.data = data
+		next, err = settings.ParseGateway(r.path, data)
+	}
+	if err != nil {
+		events.SettingsInvalid.Log(context.Background(), r.logger, slog.Any("error", err))
+		return
+	}
+	restart := next.ClientAddress != r.current.ClientAddress || next.ReadyAddress != r.current.ReadyAddress ||
+		next.PeerAddress != r.current.PeerAddress || next.StoreAddress != r.current.StoreAddress
+	r.current = next
+	events.SettingsReread.Log(context.Background(), r.logger, slog.Bool("restart_needed", restart))
+}
--- /dev/null
+++ b/internal/gateway/stagecaller.go
@@ -0,0 +1,321 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
+	"github.com/coltsfootdrift/coltsfootdrift/route"
+	"github.com/coltsfootdrift/coltsfootdrift/stagework"
+)
+
+const (
+	// expireInterval is how often waiting jobs are reviewed.
+	expireInterval = 25 * time.Millisecond
+	// maxStageAnswer bounds the answer of a stage server.
+	maxStageAnswer = 1 << 20
+)
+
+// StageCaller forms the calls of stage services from the jobs of all instances of
+// the region.
+type StageCaller struct {
+	settings settings.Gateway
+	protocol Protocol
+	upstream *upstream.Client
+	fleet    *Fleet
+	logger   *slog.Logger
+	calls    tally.Counter
+	refused  tally.Counter
+	callTime tally.Timer
+	freer    *Freer
+
+	mu        sync.Mutex
+	workshops map[string]*workshop
+}
+
+// workshop is the queue of one stage service with the jobs that wait in it.
+type workshop struct {
+	service string
+
+	mu    sync.Mutex
+	queue *stagework.Queue
+	jobs  map[stagework.JobID]*stageJob
+	last  stagework.JobID
+	// reviewing is true while a review of waiting jobs is scheduled.
+	reviewing bool
+}
+
+// stageJob is a job with what its pieces need.
+type stageJob struct {
+	request  *peerpb.RunStageRequest
+	deadline time.Time
+	done     chan stagework.Done
+}
+
+// NewStageCaller returns a caller without services.
+func NewStageCaller(s settings.Gateway, protocol Protocol, client *upstream.Client, fleet *Fleet, freer *Freer, logger *slog.Logger, scope tally.Scope) *StageCaller {
+	return &StageCaller{
+		settings: s, protocol: protocol, upstream: client, fleet: fleet, freer: freer, logger: logger,
+		calls: scope.Counter("stage_calls"), refused: scope.Counter("stage_calls_refused"), callTime: scope.Timer("stage_call_time"),
+		workshops: map[string]*workshop{},
+	}
+}
+
+// Update takes a new view.
+func (s *StageCaller) Update(v *view.View) {
+	if v.Table == nil {
+		return
+	}
+	for i := range v.Table.Services {
+		service := &v.Table.Services[i]
+		if service.Work == nil {
+			continue
+		}
+		w := s.workshop(service.Name, true)
+		w.mu.Lock()
+		w.queue.SetShape(shapeOf(service.Work))
+		w.queue.SetServers(s.nearServers(v.Servers[service.Name]))
+		w.mu.Unlock()
+		s.pump(w)
+	}
+}
+
+func shapeOf(work *route.StageShape) stagework.Shape {
+	return stagework.Shape{
+		Slots: work.Slots, Batch: work.Batch, CallTime: work.CallTime, PieceTime: work.PieceTime,
+		RoomBytes: work.RoomBytes, ResultLife: work.ResultLife,
+	}
+}
+
+// nearServers returns the servers of the region, or all when it has none: results
+// are too large for the link between regions.
+func (s *StageCaller) nearServers(listed []view.Server) []stagework.Server {
+	var near, all []stagework.Server
+	for _, server := range listed {
+		converted := stagework.Server{ID: server.ID, FailureDomain: server.FailureDomain}
+		all = append(all, converted)
+		if s.settings.Regions[server.FailureDomain] == s.settings.Region {
+			near = append(near, converted)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return all
+}
+
+func (s *StageCaller) workshop(service string, create bool) *workshop {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.workshops[service]
+	if w == nil && create {
+		w = &workshop{service: service, queue: stagework.NewQueue(stagework.Shape{}), jobs: map[stagework.JobID]*stageJob{}}
+		s.workshops[service] = w
+	}
+	return w
+}
+
+// RunStage implements peer.StageHandler.
+func (s *StageCaller) RunStage(ctx context.Context, request *peerpb.RunStageRequest) (*peerpb.RunStageResponse, error) {
+	w := s.workshop(request.Service, false)
+	if w == nil {
+		return &peerpb.RunStageResponse{Refusal: string(stagework.RefusedNoServer)}, nil
+	}
+	job := &stageJob{request: request, done: make(chan stagework.Done, 1)}
+	id, refusal, wait := w.offer(time.Now(), job)
+	if refusal != "" {
+		return &peerpb.RunStageResponse{Refusal: string(refusal), WaitMs: wait.Milliseconds()}, nil
+	}
+	s.pump(w)
+	s.review(w)
+	select {
+	case done := <-job.done:
+		return &peerpb.RunStageResponse{Results: done.Results, Refusal: string(done.Refusal), WaitMs: w.wait().Milliseconds()}, nil
+	case <-ctx.Done():
+		s.cancel(w, id)
+		return nil, ctx.Err()
+	}
+}
+
+// FreeResults implements peer.StageHandler.
+func (s *StageCaller) FreeResults(request *peerpb.FreeResultsRequest) {
+	if w := s.workshop(request.Service, false); w != nil {
+		w.mu.Lock()
+		w.queue.Freed(request.Results)
+		w.mu.Unlock()
+		s.pump(w)
+	}
+	s.freer.Free(request.Results)
+}
+
+func (w *workshop) wait() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.queue.Wait(time.Now())
+}
+
+// offer puts a job into the queue, or returns why it is refused and how long a new
+// piece waits.
+func (w *workshop) offer(now time.Time, job *stageJob) (stagework.JobID, stagework.Refusal, time.Duration) {
+	r := job.request
+	job.deadline = now.Add(time.Duration(r.DeadlineMs) * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last++
+	pieces := make([]int, len(r.Pieces))
+	for i, p := range r.Pieces {
+		pieces[i] = int(p)
+	}
+	refusal, ok := w.queue.Offer(now, stagework.Job{
+		ID: w.last, Pieces: pieces, ResultBytes: r.ResultBytes, Priority: int(r.Priority),
+		Due:      now.Add(time.Duration(r.DueMs) * time.Millisecond),
+		Deadline: job.deadline, FailureDomain: r.FailureDomain, Started: r.Started,
+	})
+	if !ok {
+		return 0, refusal, w.queue.Wait(now)
+	}
+	w.jobs[w.last] = job
+	return w.last, "", 0
+}
+
+func (s *StageCaller) cancel(w *workshop, id stagework.JobID) {
+	w.mu.Lock()
+	effects := w.queue.Cancel(id)
+	delete(w.jobs, id)
+	w.mu.Unlock()
+	s.apply(w, effects)
+}
+
+// apply tells the waiting jobs their ends and frees what no job needs.
+func (s *StageCaller) apply(w *workshop, effects stagework.Effects) {
+	w.mu.Lock()
+	for _, done := range effects.Done {
+		if job := w.jobs[done.Job]; job != nil {
+			delete(w.jobs, done.Job)
+			job.done <- done
+		}
+	}
+	w.queue.Freed(effects.Orphans)
+	w.mu.Unlock()
+	if len(effects.Orphans) > 0 {
+		s.freer.Free(effects.Orphans)
+	}
+}
+
+// review schedules a look at the waiting jobs, which repeats while there are any.
+func (s *StageCaller) review(w *workshop) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.reviewing || len(w.jobs) == 0 {
+		return
+	}
+	w.reviewing = true
+	time.AfterFunc(expireInterval, func() {
+		w.mu.Lock()
+		w.reviewing = false
+		effects := w.queue.Expire(time.Now())
+		w.mu.Unlock()
+		s.apply(w, effects)
+		s.pump(w)
+		s.review(w)
+	})
+}
+
+// pump starts the calls that can be made now.
+func (s *StageCaller) pump(w *workshop) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for {
+		call, ok := w.queue.Next(time.Now())
+		if !ok {
+			return
+		}
+		go s.call(w, call, w.pieces(call, time.Now()))
+	}
+}
+
+// pieces returns what a call sends. It is called with the lock held.
+func (w *workshop) pieces(call stagework.Call, now time.Time) []Piece {
+	pieces := make([]Piece, len(call.Items))
+	for i, item := range call.Items {
+		job := w.jobs[item.Job]
+		if job == nil {
+			continue
+		}
+		r := job.request
+		pieces[i] = Piece{
+			RequestID: r.RequestId, Stage: int(r.Stage), Number: item.Piece,
+			Remaining: job.deadline.Sub(now), Key: r.Key, Inputs: r.Inputs,
+		}
+	}
+	return pieces
+}
+
+// call makes one call and takes its outcome.
+func (s *StageCaller) call(w *workshop, call stagework.Call, pieces []Piece) {
+	started := time.Now()
+	outcomes, err := s.exchange(call, pieces)
+	s.calls.Inc(1)
+	s.callTime.Record(time.Since(started))
+	attrs := []slog.Attr{
+		slog.String("service", w.service), slog.String("server", call.Server), slog.Int("pieces", len(pieces)),
+		slog.Int64("took_ms", time.Since(started).Milliseconds()), slog.String("outcome", summary(outcomes)),
+	}
+	if err != nil {
+		s.refused.Inc(1)
+		attrs = append(attrs, slog.Any("error", err))
+	}
+	events.StageCallEnded.Log(context.Background(), s.logger, attrs...)
+	w.mu.Lock()
+	effects := w.queue.Finished(time.Now(), call.ID, outcomes)
+	w.mu.Unlock()
+	s.apply(w, effects)
+	s.pump(w)
+}
+
+// exchange sends a call and reads its outcomes, of which there is always one for
+// each piece.
+func (s *StageCaller) exchange(call stagework.Call, pieces []Piece) ([]stagework.Outcome, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
+	defer cancel()
+	server, ok := s.fleet.Server(call.Server)
+	if !ok {
+		return SameOutcome(stagework.Refused, len(pieces)), nil
+	}
+	request, err := s.protocol.StageCall(server, pieces)
+	if err != nil {
+		return SameOutcome(stagework.Failed, len(pieces)), err
+	}
+	answer, err := s.upstream.Send(ctx, server, request)
+	if err != nil {
+		return SameOutcome(stagework.Failed, len(pieces)), err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxStageAnswer))
+	if err != nil {
+		return SameOutcome(stagework.Failed, len(pieces)), err
+	}
+	outcomes, err := s.protocol.StageOutcomes(answer.Status, answer.Header, body, len(pieces))
+	if err != nil {
+		return SameOutcome(stagework.Failed, len(pieces)), err
+	}
+	return outcomes, nil
+}
+
+// summary names the worst outcome of a call.
+func summary(outcomes []stagework.Outcome) string {
+	worst := stagework.Produced
+	for _, o := range outcomes {
+		worst = max(worst, o.Status)
+	}
+	return worst.String()
+}
--- /dev/null
+++ b/internal/gateway/stages.go
@@ -0,0 +1,284 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
+	"github.com/coltsfootdrift/coltsfootdrift/route"
+	"github.com/coltsfootdrift/coltsfootdrift/stagework"
+)
+
+const (
+	// typicalWeight is the weight of the newest duration of a stage in its mean.
+	typicalWeight = 0.2
+	// firstPieces is the number of pieces that a stage without measurements is
+	// taken to have.
+	firstPieces = 6
+	// silenceMargin is what an instance that forms calls may take beyond a
+	// multiple of the typical duration before the next one is asked.
+	silenceMargin = time.Second
+	silenceFactor = 4
+	// maxCallers is the number of instances that are asked for one stage.
+	maxCallers = 3
+	// freeFlush collects the results that a request gives up.
+	freeFlush = 10 * time.Millisecond
+)
+
+// RefusedError reports a stage that was not run to its end.
+type RefusedError struct {
+	Stage  int
+	Reason stagework.Refusal
+	// Wait is how long a new piece waits.
+	Wait time.Duration
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("stage %d was refused: %s", e.Stage, e.Reason)
+}
+
+// Stages runs the stages of requests.
+type Stages struct {
+	cluster *Cluster
+	client  *peer.Client
+	local   *StageCaller
+	logger  *slog.Logger
+
+	mu      sync.Mutex
+	typical map[string]time.Duration
+	free    map[string][]string
+}
+
+// NewStages returns a Stages that asks the local caller or those of peers.
+func NewStages(cluster *Cluster, client *peer.Client, local *StageCaller, logger *slog.Logger) *Stages {
+	return &Stages{cluster: cluster, client: client, local: local, logger: logger, typical: map[string]time.Duration{}, free: map[string][]string{}}
+}
+
+// Chain is the stages of one request.
+type Chain struct {
+	RequestID string
+	Key       string
+	Table     *route.Table
+	Route     *route.Route
+	Graph     route.Graph
+	Priority  int
+	// Due and Deadline are when the last stage should and must end.
+	Due      time.Time
+	Deadline time.Time
+	// FailureDomain is where the model server stands.
+	FailureDomain string
+}
+
+// run is the state of a chain.
+type run struct {
+	*Stages
+	Chain
+	done    []chan struct{}
+	mu      sync.Mutex
+	results [][]string
+	// users counts the stages that still need the results of each stage.
+	users []int
+	// after is the typical time from the end of each stage to that of the last.
+	after []time.Duration
+}
+
+// Run runs all stages and returns the handles of the final results. After an error
+// nothing is held.
+func (s *Stages) Run(ctx context.Context, chain Chain) ([]string, error) {
+	n := len(chain.Route.Stages)
+	r := &run{Stages: s, Chain: chain, done: make([]chan struct{}, n), results: make([][]string, n), users: make([]int, n)}
+	r.after = s.remaining(chain)
+	for i := range n {
+		r.done[i] = make(chan struct{})
+		for _, j := range chain.Graph.After[i] {
+			r.users[j]++
+		}
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	for i, count := range chain.Graph.Counts {
+		if count > 0 {
+			group.Go(func() error { return r.stage(groupCtx, i) })
+		}
+	}
+	if err := group.Wait(); err != nil {
+		for i := range n {
+			s.Free(chain.Route.Stages[i].Service, r.results[i])
+		}
+		return nil, err
+	}
+	var final []string
+	for _, i := range chain.Graph.Final {
+		final = append(final, r.results[i]...)
+	}
+	return final, nil
+}
+
+// remaining returns the typical time from the end of each stage to the end of the
+// last one that follows it.
+func (s *Stages) remaining(chain Chain) []time.Duration {
+	n := len(chain.Route.Stages)
+	after := make([]time.Duration, n)
+	// A pass for each stage reaches the longest path in any order of numbers.
+	for range n {
+		for i := range n {
+			for _, j := range chain.Graph.After[i] {
+				after[j] = max(after[j], after[i]+s.Typical(chain.Table, chain.Route.Stages[i].Service))
+			}
+		}
+	}
+	return after
+}
+
+// Typical returns the typical duration of a stage of a service.
+func (s *Stages) Typical(table *route.Table, service string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.typical[service]; known > 0 {
+		return known
+	}
+	if described := table.Service(service); described != nil && described.Work != nil {
+		return described.Work.CallTime + time.Duration(min(firstPieces, described.Work.Batch))*described.Work.PieceTime
+	}
+	return 0
+}
+
+func (s *Stages) learn(service string, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.typical[service]; known > 0 {
+		took = known + time.Duration(typicalWeight*float64(took-known))
+	}
+	s.typical[service] = took
+}
+
+// stage waits for the inputs of a stage and runs it.
+func (r *run) stage(ctx context.Context, i int) error {
+	var inputs []string
+	for _, j := range r.Graph.After[i] {
+		select {
+		case <-r.done[j]:
+			r.mu.Lock()
+			inputs = append(inputs, r.results[j]...)
+			r.mu.Unlock()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	started := time.Now()
+	results, err := r.ask(ctx, i, inputs)
+	if err != nil {
+		return err
+	}
+	r.learn(r.Route.Stages[i].Service, time.Since(started))
+	r.mu.Lock()
+	r.results[i] = results
+	for _, j := range r.Graph.After[i] {
+		if r.users[j]--; r.users[j] == 0 {
+			r.Free(r.Route.Stages[j].Service, r.results[j])
+			r.results[j] = nil
+		}
+	}
+	r.mu.Unlock()
+	close(r.done[i])
+	return nil
+}
+
+// ask has a stage run by the instance that forms the calls of its service, or by
+// the next one when that does not answer.
+func (r *run) ask(ctx context.Context, i int, inputs []string) ([]string, error) {
+	stage := r.Route.Stages[i]
+	callers := r.cluster.Callers(stage.Service)
+	var failed error
+	for try, address := range callers {
+		if try >= maxCallers {
+			break
+		}
+		started := time.Now()
+		response, err := r.askOne(ctx, address, r.request(i, inputs))
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		if err != nil {
+			failed = err
+			r.cluster.Avoid(address)
+			events.StagePeerFailed.Log(ctx, r.logger, slog.String("id", r.RequestID), slog.Int("stage", i), slog.String("address", address),
+				slog.Int64("waited_ms", time.Since(started).Milliseconds()), slog.Any("error", err))
+			continue
+		}
+		events.StageEnded.Log(ctx, r.logger, slog.String("id", r.RequestID), slog.Int("stage", i), slog.String("service", stage.Service),
+			slog.Int("pieces", r.Graph.Counts[i]), slog.String("caller", address), slog.Int64("took_ms", time.Since(started).Milliseconds()),
+			slog.Int64("left_ms", time.Until(r.Deadline).Milliseconds()), slog.Int64("queue_ms", response.WaitMs), slog.String("refusal", response.Refusal))
+		if response.Refusal != "" {
+			return nil, &RefusedError{Stage: i, Reason: stagework.Refusal(response.Refusal), Wait: time.Duration(response.WaitMs) * time.Millisecond}
+		}
+		return response.Results, nil
+	}
+	return nil, errors.Join(&RefusedError{Stage: i, Reason: stagework.RefusedFailed}, failed)
+}
+
+// request describes a stage to the instance that runs it.
+func (r *run) request(i int, inputs []string) *peerpb.RunStageRequest {
+	stage := r.Route.Stages[i]
+	request := &peerpb.RunStageRequest{
+		Service: stage.Service, RequestId: r.RequestID, Stage: int32(i), Key: r.Key, Inputs: inputs,
+		ResultBytes: stage.ResultBytes, Priority: int32(r.Priority),
+		DueMs:         time.Until(r.Due.Add(-r.after[i])).Milliseconds(),
+		DeadlineMs:    time.Until(r.Deadline.Add(-r.after[i])).Milliseconds(),
+		FailureDomain: r.FailureDomain, Started: len(r.Graph.After[i]) > 0,
+	}
+	for piece := range r.Graph.Counts[i] {
+		request.Pieces = append(request.Pieces, int32(piece))
+	}
+	return request
+}
+
+// askOne asks one instance, or this one for an empty address. Peers that stay
+// silent are given up before the deadline, so that another one can be asked.
+func (r *run) askOne(ctx context.Context, address string, request *peerpb.RunStageRequest) (*peerpb.RunStageResponse, error) {
+	if address == "" {
+		return r.local.RunStage(ctx, request)
+	}
+	limit := silenceFactor*r.Typical(r.Table, request.Service) + silenceMargin
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return r.client.RunStage(ctx, address, request)
+}
+
+// Free gives up results of a service soon.
+func (s *Stages) Free(service string, results []string) {
+	if len(results) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.free[service]) == 0 {
+		time.AfterFunc(freeFlush, func() { s.flush(service) })
+	}
+	s.free[service] = append(s.free[service], results...)
+}
+
+// flush tells the instance that forms the calls of a service, which counts the
+// room for results, what is given up.
+func (s *Stages) flush(service string) {
+	s.mu.Lock()
+	request := &peerpb.FreeResultsRequest{Service: service, Results: s.free[service]}
+	delete(s.free, service)
+	s.mu.Unlock()
+	address := s.cluster.Callers(service)[0]
+	if address == "" {
+		s.local.FreeResults(request)
+		return
+	}
+	if err := s.client.FreeResults(context.Background(), address, request); err != nil {
+		s.cluster.Avoid(address)
+		s.local.FreeResults(request)
+	}
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,332 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/coltsfootdrift/coltsfootdrift/engine"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
+	"github.com/coltsfootdrift/coltsfootdrift/route"
+)
+
+// generation is a request to a model server.
+type generation struct {
+	*attempt
+	graph route.Graph
+	// inputs are the final results of the stages while they are held.
+	inputs  []string
+	tried   []string
+	unsent  int
+	remade  int
+	lastID  string
+	started bool
+	events  int
+}
+
+// maxRemade bounds how often lost results are made again.
+const maxRemade = 1
+
+// serveEngine runs the stages of a request and sends it to a model server.
+func (a *attempt) serveEngine() {
+	g := &generation{attempt: a, graph: a.route.NewGraph(a.demand.PieceCounts), lastID: a.demand.LastEventID}
+	defer g.freeInputs()
+	for !g.try() {
+	}
+}
+
+// try sends the request to one server. It returns true when the request has its
+// answer.
+func (g *generation) try() bool {
+	server, ok := g.pick()
+	if !ok {
+		return g.giveUp("no server", retryLater, nil)
+	}
+	defer g.fleet.Engines(g.service.Name, func(s *engine.Set) { s.Finished(server.ID) })
+	if !g.prepare(server) {
+		return true
+	}
+	target, known := g.fleet.Server(server.ID)
+	if !known {
+		// The server left while the stages ran; the results can go to another one.
+		g.tried = append(g.tried, server.ID)
+		return false
+	}
+	urgency := min(maxUrgency, g.priority+firstUrgency)
+	sent := time.Now()
+	g.log(events.AttemptSent, slog.String("server", server.ID), slog.String("route", g.route.Name), slog.Int("try", len(g.tried)+1),
+		slog.Int64("left_ms", g.remaining().Milliseconds()), slog.Int("inputs", len(g.inputs)), slog.Int64("view", g.viewVersion()))
+	g.tried = append(g.tried, server.ID)
+	answer, err := g.upstream.Send(g.ctx, target, g.outgoing(target, Send{Urgency: &urgency, Inputs: g.inputs, LastEventID: g.lastID}))
+	if err != nil {
+		return g.sendFailed(server, err)
+	}
+	g.sends++
+	defer answer.Close()
+	return g.answer(server, answer, sent)
+}
+
+// Urgencies of model servers: 0 is first and 5 is the default of other callers.
+const (
+	firstUrgency = 3
+	maxUrgency   = 9
+)
+
+// pick chooses a model server and counts the request there.
+func (g *generation) pick() (server engine.Server, ok bool) {
+	query := engine.Query{Excluded: g.tried, Remote: true, Makers: g.makers(), Prompt: sharedPrompt(g.demand.Prompt)}
+	draw := g.fleet.Draw()
+	g.fleet.Engines(g.service.Name, func(s *engine.Set) {
+		if server, ok = s.Pick(time.Now(), query, draw); ok {
+			s.Started(server.ID)
+		}
+	})
+	return server, ok
+}
+
+// sharedPrompt identifies the deepest part of a prompt that other requests share;
+// the last part is the request's own.
+func sharedPrompt(parts []string) uint64 {
+	switch len(parts) {
+	case 0:
+		return 0
+	case 1:
+		return xxhash.Sum64String(parts[0])
+	}
+	return xxhash.Sum64String(parts[len(parts)-2])
+}
+
+// makers counts the servers, by failure domain, that make the largest inputs of
+// the model server.
+func (g *generation) makers() map[string]int {
+	largest := -1
+	for _, i := range g.graph.Final {
+		if largest < 0 || g.route.Stages[i].ResultBytes > g.route.Stages[largest].ResultBytes {
+			largest = i
+		}
+	}
+	if largest < 0 {
+		return nil
+	}
+	counts := map[string]int{}
+	for _, s := range g.view.Servers[g.route.Stages[largest].Service] {
+		counts[s.FailureDomain]++
+	}
+	return counts
+}
+
+// engineMargin is what the answer of a model server needs beyond its first event,
+// as a part of the typical time to that.
+const engineMargin = 1.5
+
+// prepare runs the stages unless their results are held. It returns false when the
+// request is answered.
+func (g *generation) prepare(server engine.Server) bool {
+	if g.graph.Empty() || g.inputs != nil {
+		return true
+	}
+	var typical time.Duration
+	g.fleet.Engines(g.service.Name, func(s *engine.Set) { typical = s.Typical() })
+	inputs, err := g.stages.Run(g.ctx, Chain{
+		RequestID: g.demand.ID, Key: g.demand.PieceKey, Table: g.view.Table, Route: g.route, Graph: g.graph, Priority: g.priority,
+		Due:           g.arrived.Add(g.route.Target - typical),
+		Deadline:      g.deadline.Add(-time.Duration(engineMargin * float64(typical))),
+		FailureDomain: server.FailureDomain,
+	})
+	if err == nil {
+		g.inputs = inputs
+		return true
+	}
+	if g.left() || g.late() {
+		g.ended()
+		return false
+	}
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		g.giveUp("stages: "+string(refused.Reason), refused.Wait, err)
+		return false
+	}
+	g.giveUp("stages failed", retrySoon, err)
+	return false
+}
+
+// giveUp ends the request, whose last send did not run.
+func (g *generation) giveUp(reason string, retry time.Duration, err error) bool {
+	switch {
+	case g.started:
+		g.broken(errors.Join(errors.New(reason), err))
+	case g.left() || g.late():
+		g.ended()
+	default:
+		g.refuse(reason, retry)
+	}
+	return true
+}
+
+// freeInputs gives up the results that the request holds.
+func (g *generation) freeInputs() {
+	if len(g.inputs) == 0 {
+		return
+	}
+	// All final results go to the freeing of their makers; the room is counted by
+	// the service that made each.
+	byService := map[string][]string{}
+	at := 0
+	for _, i := range g.graph.Final {
+		service := g.route.Stages[i].Service
+		byService[service] = append(byService[service], g.inputs[at:at+g.graph.Counts[i]]...)
+		at += g.graph.Counts[i]
+	}
+	for service, results := range byService {
+		g.stages.Free(service, results)
+	}
+	g.inputs = nil
+}
+
+// sendFailed handles a send without an answer.
+func (g *generation) sendFailed(server engine.Server, err error) bool {
+	if g.left() || g.late() {
+		return g.end()
+	}
+	g.fleet.Engines(g.service.Name, func(s *engine.Set) { s.Failed(server.ID, time.Now()) })
+	g.logFailed(upstream.Server{ID: server.ID}, 0, err)
+	if errors.Is(err, upstream.ErrNotSent) {
+		if g.unsent++; g.unsent >= maxUnsent {
+			return g.giveUp("servers are not reached", retrySoon, err)
+		}
+		return false
+	}
+	g.sends++
+	return g.mayHaveRun(err)
+}
+
+// end answers a request whose client left or whose deadline has passed.
+func (g *generation) end() bool {
+	if g.started && !g.left() {
+		g.broken(errDeadline)
+	}
+	g.ended()
+	return true
+}
+
+// mayHaveRun handles a broken send: another server goes on where the kind allows
+// it.
+func (g *generation) mayHaveRun(err error) bool {
+	if g.route.Repeatable() && g.mayRepeat() {
+		if g.started {
+			g.counts.resumed.Inc(1)
+			g.log(events.StreamResumed, slog.String("after", g.lastID), slog.Int("events", g.events))
+		}
+		return false
+	}
+	if g.started {
+		g.broken(err)
+	}
+	g.fail(http.StatusBadGateway, "no answer from the model server", err)
+	return true
+}
+
+// answer handles an answer of a model server.
+func (g *generation) answer(server engine.Server, answer *upstream.Answer, sent time.Time) bool {
+	info := g.protocol.ReadAnswer(answer.Status, answer.Header)
+	switch {
+	case info.LostWork:
+		g.logFailed(upstream.Server{ID: server.ID}, answer.Status, nil)
+		g.sends--
+		g.freeInputs()
+		if g.remade++; g.remade > maxRemade || g.remaining() < minRepeat {
+			return g.giveUp("inputs were lost", retrySoon, nil)
+		}
+		g.tried = g.tried[:len(g.tried)-1]
+		return false
+	case info.NotRun:
+		g.fleet.Engines(g.service.Name, func(s *engine.Set) { s.Refused(server.ID, time.Now()) })
+		g.logFailed(upstream.Server{ID: server.ID}, answer.Status, nil)
+		if g.mayRepeat() {
+			return false
+		}
+		return g.giveUp("servers are full", retryLater, nil)
+	case answer.Status == http.StatusOK:
+		return g.relay(server, answer, sent)
+	}
+	g.fleet.Engines(g.service.Name, func(s *engine.Set) { s.Failed(server.ID, time.Now()) })
+	g.logFailed(upstream.Server{ID: server.ID}, answer.Status, nil)
+	if g.route.Repeatable() && g.mayRepeat() {
+		return false
+	}
+	switch {
+	case g.started:
+		g.broken(errors.New("model server failed after the stream began"))
+	case promises(answer.Status):
+		g.fail(http.StatusBadGateway, "model server refused without saying that it did not run", nil)
+	default:
+		if err := g.deliver(answer, server.ID); err != nil {
+			g.fail(http.StatusBadGateway, "answer of the model server broke off", err)
+		}
+	}
+	return true
+}
+
+// relay passes on events as they arrive.
+func (g *generation) relay(server engine.Server, answer *upstream.Answer, sent time.Time) bool {
+	reader := newEventReader(answer.Body)
+	controller := http.NewResponseController(g.writer)
+	for first := true; ; first = false {
+		e, err := reader.next()
+		whole := err == nil || errors.Is(err, io.EOF)
+		if !whole {
+			return g.interrupted(server, err)
+		}
+		if first {
+			g.firstEvent(server, time.Since(sent))
+		}
+		if len(e.data) > 0 {
+			if !g.started {
+				g.started = true
+				g.writeHead(answer, -1)
+			}
+			if _, failed := g.writer.Write(e.data); failed != nil {
+				g.ended()
+			}
+			g.events++
+			if e.id != "" {
+				g.lastID = e.id
+			}
+		}
+		if err != nil {
+			if !g.started {
+				g.started = true
+				g.writeHead(answer, -1)
+			}
+			g.answered(answer.Status, server.ID)
+			return true
+		}
+		if !reader.more() {
+			_ = controller.Flush() // the next write reports a failure
+		}
+	}
+}
+
+// firstEvent records the start of a run. The model server has read its inputs.
+func (g *generation) firstEvent(server engine.Server, delay time.Duration) {
+	now := time.Now()
+	g.fleet.Engines(g.service.Name, func(s *engine.Set) { s.FirstEvent(server.ID, delay, now) })
+	g.counts.firstEvent.RecordDuration(now.Sub(g.arrived))
+	g.freeInputs()
+}
+
+// interrupted handles a stream that broke off. Events that were not whole are
+// dropped.
+func (g *generation) interrupted(server engine.Server, err error) bool {
+	if g.left() || g.late() {
+		return g.end()
+	}
+	g.fleet.Engines(g.service.Name, func(s *engine.Set) { s.Failed(server.ID, time.Now()) })
+	g.logFailed(upstream.Server{ID: server.ID}, http.StatusOK, err)
+	return g.mayHaveRun(err)
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
 )
 
@@ -17,6 +19,16 @@
 	maxAwait     = 30 * time.Second
 )
 
+// Connections to other instances.
+const (
+	// dialTimeout is many times the delay between regions.
+	dialTimeout   = 500 * time.Millisecond
+	probeInterval = time.Second
+	probeCount    = 2
+	// maxIdlePerPeer covers the stages that wait at one peer under usual load.
+	maxIdlePerPeer = 16
+)
+
 // maxResponseBytes leaves room for the framing of maxPartsBytes and of a head.
 const maxResponseBytes = 1 << 20
 
@@ -27,8 +39,14 @@
 
 // NewClient returns a client with its own connections.
 func NewClient() *Client {
+	dialer := net.Dialer{
+		Timeout: dialTimeout,
+		// Probes notice connections that a partition has silenced.
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount},
+	}
 	transport := &http.Transport{
-		MaxIdleConnsPerHost:    2,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdlePerPeer,
 		IdleConnTimeout:        30 * time.Second,
 		MaxResponseHeaderBytes: 16 << 10,
 	}
@@ -98,6 +116,37 @@
 	return response.GetAccepted(), fromTwirp(err, "hand_over_job", address)
 }
 
+// RunStage runs a stage at the instance that forms the calls of its service. The
+// context bounds it.
+func (c *Client) RunStage(ctx context.Context, address string, request *peerpb.RunStageRequest) (*peerpb.RunStageResponse, error) {
+	response, err := c.peer(address).RunStage(ctx, request)
+	return response, fromTwirp(err, "run_stage", address)
+}
+
+// FreeResults gives up results at the instance that forms the calls of a service.
+func (c *Client) FreeResults(ctx context.Context, address string, request *peerpb.FreeResultsRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := c.peer(address).FreeResults(ctx, request)
+	return fromTwirp(err, "free_results", address)
+}
+
+// PullView returns what a peer has read of the store and its version, 0 when that
+// is not newer than have.
+func (c *Client) PullView(ctx context.Context, address string, have store.Version) ([]store.Entry, store.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	response, err := c.peer(address).PullView(ctx, &peerpb.PullViewRequest{HaveVersion: int64(have)})
+	if err != nil {
+		return nil, 0, fromTwirp(err, "pull_view", address)
+	}
+	entries := make([]store.Entry, len(response.Entries))
+	for i, e := range response.Entries {
+		entries[i] = store.Entry{Key: e.Key, Value: e.Value, Version: store.Version(e.Version)}
+	}
+	return entries, store.Version(response.Version), nil
+}
+
 // Leave reports that a member stops.
 func (c *Client) Leave(ctx context.Context, address string, member membership.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
 )
 
@@ -40,6 +41,19 @@
 	HandOverJob(ctx context.Context, job []byte) (accepted bool, err error)
 }
 
+// StageHandler runs stages of requests that other instances handle.
+type StageHandler interface {
+	RunStage(ctx context.Context, request *peerpb.RunStageRequest) (*peerpb.RunStageResponse, error)
+	FreeResults(request *peerpb.FreeResultsRequest)
+}
+
+// ViewHandler serves what this instance has read of the store.
+type ViewHandler interface {
+	// EntriesAfter returns all entries and their version, or version 0 when the
+	// caller has as much.
+	EntriesAfter(have store.Version) ([]store.Entry, store.Version)
+}
+
 // Server serves the other instances. Handlers may be registered while it runs;
 // until then their calls end with ErrUnsupported.
 type Server struct {
@@ -50,6 +64,8 @@
 	configuration ConfigurationHandler
 	claims        ClaimHandler
 	jobs          JobHandler
+	stages        StageHandler
+	views         ViewHandler
 }
 
 // NewServer returns a server without handlers. The node learns who leaves; it
@@ -79,6 +95,20 @@
 	s.jobs = h
 }
 
+// HandleStages registers the handler of RunStage and FreeResults.
+func (s *Server) HandleStages(h StageHandler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stages = h
+}
+
+// HandleViews registers the handler of PullView.
+func (s *Server) HandleViews(h ViewHandler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.views = h
+}
+
 // Handler returns the HTTP handler.
 func (s *Server) Handler() http.Handler {
 	return http.MaxBytesHandler(peerpb.NewPeerServer(s), maxRequestBytes)
@@ -170,6 +200,48 @@
 	return &peerpb.HandOverJobResponse{Accepted: accepted}, nil
 }
 
+// RunStage implements peerpb.Peer.
+func (s *Server) RunStage(ctx context.Context, request *peerpb.RunStageRequest) (*peerpb.RunStageResponse, error) {
+	handler := s.stageHandler()
+	if handler == nil {
+		return nil, toTwirp(ErrUnsupported)
+	}
+	response, err := handler.RunStage(ctx, request)
+	return response, toTwirp(err)
+}
+
+// FreeResults implements peerpb.Peer.
+func (s *Server) FreeResults(_ context.Context, request *peerpb.FreeResultsRequest) (*peerpb.FreeResultsResponse, error) {
+	handler := s.stageHandler()
+	if handler == nil {
+		return nil, toTwirp(ErrUnsupported)
+	}
+	handler.FreeResults(request)
+	return &peerpb.FreeResultsResponse{}, nil
+}
+
+func (s *Server) stageHandler() StageHandler {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stages
+}
+
+// PullView implements peerpb.Peer.
+func (s *Server) PullView(_ context.Context, request *peerpb.PullViewRequest) (*peerpb.PullViewResponse, error) {
+	s.mu.Lock()
+	handler := s.views
+	s.mu.Unlock()
+	if handler == nil {
+		return nil, toTwirp(ErrUnsupported)
+	}
+	entries, version := handler.EntriesAfter(store.Version(request.HaveVersion))
+	return &peerpb.PullViewResponse{Version: int64(version), Entries: encodeList(entries, encodeEntry)}, nil
+}
+
+func encodeEntry(e store.Entry) *peerpb.StoreEntry {
+	return &peerpb.StoreEntry{Key: e.Key, Value: e.Value, Version: int64(e.Version)}
+}
+
 // Leave implements peerpb.Peer. The record is taken as an urgent message of the
 // member itself.
 func (s *Server) Leave(_ context.Context, request *peerpb.LeaveRequest) (*peerpb.LeaveResponse, error) {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -42,21 +42,36 @@
 
 // Parse checks the text of a settings file. Path names it in messages.
 func Parse(path string, data []byte) (Entry, error) {
-	c := &checker{data: data, values: map[string]hujson.Value{}}
-	root, err := hujson.Parse(data)
+	var entry Entry
+	c := newChecker(data, &entry)
+	if root, ok := c.parse(); ok {
+		c.rules(root, entry)
+	}
+	return entry, c.result(path)
+}
+
+// newChecker returns a checker that fills the fields of into, a pointer to a
+// struct.
+func newChecker(data []byte, into any) *checker {
+	return &checker{data: data, fields: fieldsByName(into), values: map[string]hujson.Value{}}
+}
+
+// parse reads the file and reports whether its syntax is right.
+func (c *checker) parse() (root hujson.Value, ok bool) {
+	root, err := hujson.Parse(c.data)
 	if err != nil {
 		c.syntax(err)
-		return Entry{}, c.result(path)
+		return root, false
 	}
 	c.object(root)
-	c.rules(root)
-	return c.entry, c.result(path)
+	return root, true
 }
 
 // checker collects the mistakes of one file.
 type checker struct {
-	data     []byte
-	entry    Entry
+	data []byte
+	// fields are pointers to the fields by their JSON names.
+	fields   map[string]any
 	values   map[string]hujson.Value
 	mistakes []Mistake
 }
@@ -98,10 +113,9 @@
 		c.addAt(root.StartOffset, "the file must hold an object")
 		return
 	}
-	fields := fieldsByName(&c.entry)
 	for _, member := range object.Members {
 		name := member.Name.Value.(hujson.Literal).String()
-		field, known := fields[name]
+		field, known := c.fields[name]
 		_, twice := c.values[name]
 		switch {
 		case !known:
@@ -115,9 +129,9 @@
 	}
 }
 
-// fieldsByName returns pointers to the fields of an entry by their JSON names.
-func fieldsByName(entry *Entry) map[string]any {
-	value := reflect.ValueOf(entry).Elem()
+// fieldsByName returns pointers to the fields of a struct by their JSON names.
+func fieldsByName(into any) map[string]any {
+	value := reflect.ValueOf(into).Elem()
 	fields := make(map[string]any, value.NumField())
 	for i := range value.NumField() {
 		name, _, _ := strings.Cut(value.Type().Field(i).Tag.Get("json"), ",")
@@ -140,20 +154,25 @@
 }
 
 // rules checks the values.
-func (c *checker) rules(root hujson.Value) {
-	for _, name := range []string{"instance", "region", "failure_domain", "caller_address", "admin_address", "platform_address"} {
-		if _, given := c.values[name]; !given {
-			c.addAt(root.StartOffset, "setting %q is missing", name)
-		}
-	}
+func (c *checker) rules(root hujson.Value, entry Entry) {
+	c.required(root, "instance", "region", "failure_domain", "caller_address", "admin_address", "platform_address")
 	for _, name := range []string{"instance", "region", "failure_domain"} {
 		c.notEmpty(name)
 	}
-	if c.entry.StoreAddress == "" && c.entry.PipelineFiles == "" {
+	if entry.StoreAddress == "" && entry.PipelineFiles == "" {
 		c.addAt(root.StartOffset, "one of \"store_address\" and \"pipeline_files\" is needed")
 	}
-	c.addresses()
-	c.limits()
+	c.addresses("caller_address", "peer_address", "advertise_address", "admin_address", "store_address", "platform_address")
+	c.limits(entry)
+}
+
+// required checks that settings are given.
+func (c *checker) required(root hujson.Value, names ...string) {
+	for _, name := range names {
+		if _, given := c.values[name]; !given {
+			c.addAt(root.StartOffset, "setting %q is missing", name)
+		}
+	}
 }
 
 func (c *checker) notEmpty(name string) {
@@ -165,9 +184,9 @@
 
 // addresses checks the form of all addresses and that none is used twice. Only
 // the platform may serve its store and its instance list at one address.
-func (c *checker) addresses() {
+func (c *checker) addresses(names ...string) {
 	taken := map[netip.AddrPort]string{}
-	for _, name := range []string{"caller_address", "peer_address", "advertise_address", "admin_address", "store_address", "platform_address"} {
+	for _, name := range names {
 		value, given := c.values[name]
 		if !given {
 			continue
@@ -218,13 +237,13 @@
 }
 
 // limits checks the durations of a shutdown.
-func (c *checker) limits() {
-	for name, limit := range map[string]int64{"drain_grace_ms": c.entry.DrainGraceMS, "shutdown_deadline_ms": c.entry.ShutdownDeadlineMS} {
+func (c *checker) limits(entry Entry) {
+	for name, limit := range map[string]int64{"drain_grace_ms": entry.DrainGraceMS, "shutdown_deadline_ms": entry.ShutdownDeadlineMS} {
 		if limit < 0 {
 			c.addAt(c.values[name].StartOffset, "setting %q is negative", name)
 		}
 	}
-	grace, deadline := c.entry.DrainGrace().Milliseconds(), c.entry.ShutdownDeadlineMS
+	grace, deadline := entry.DrainGrace().Milliseconds(), entry.ShutdownDeadlineMS
 	switch {
 	case deadline > 0 && grace >= deadline:
 		c.addAt(c.values["shutdown_deadline_ms"].StartOffset, "the drain grace of %d ms leaves no time before the shutdown deadline", grace)
--- /dev/null
+++ b/internal/view/sync.go
@@ -0,0 +1,285 @@
+package view
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+)
+
+const (
+	// batchPause lets changes that come together arrive in one watch.
+	batchPause = 30 * time.Millisecond
+	// idlePause follows a watch that changed nothing in the view, so that
+	// heartbeats of servers do not cost a call each.
+	idlePause = 200 * time.Millisecond
+	// Backoff of failed calls to the store.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 800 * time.Millisecond
+	// snapshotTimeout bounds a list of all entries.
+	snapshotTimeout = 2 * time.Second
+	// tickInterval is how often pulls and lapsed servers are considered.
+	tickInterval = 100 * time.Millisecond
+	// pullAfter is how long a version that a peer announced is awaited from the
+	// store.
+	pullAfter = 150 * time.Millisecond
+	// silentAfter is how long the store may not answer before peers are asked, and
+	// pullInterval how often they are.
+	silentAfter  = 700 * time.Millisecond
+	pullInterval = 500 * time.Millisecond
+)
+
+// Source is the store.
+type Source interface {
+	// Snapshot returns all entries of configuration and servers, and the version
+	// from which a watch goes on.
+	Snapshot(ctx context.Context) ([]store.Entry, store.Version, error)
+	// Watch waits for changes after a version. It returns ErrHistoryLost when
+	// these are not available any more.
+	Watch(ctx context.Context, prefix string, after store.Version) (store.WatchResult, error)
+}
+
+// ErrHistoryLost reports a watch from a version whose changes the store dropped.
+var ErrHistoryLost = errors.New("history of the store is no longer available")
+
+// Peers are the other instances.
+type Peers interface {
+	// Pull returns the entries of an instance when it has more than a version. An
+	// empty address means any instance.
+	Pull(ctx context.Context, address string, have store.Version) ([]store.Entry, store.Version, error)
+	// Announce tells the others a version of the view.
+	Announce(version store.Version, fromStore bool)
+}
+
+// Sync keeps a view current.
+type Sync struct {
+	source  Source
+	peers   Peers
+	logger  *slog.Logger
+	pulls   tally.Counter
+	reads   tally.Counter
+	current atomic.Pointer[View]
+
+	mu        sync.Mutex
+	state     *State
+	observers []func(*View)
+	reached   time.Time
+	reachable bool
+	// heard is the highest version that a peer announced, since when, and where.
+	heard        store.Version
+	heardAt      time.Time
+	heardAddress string
+	pulledAt     time.Time
+}
+
+// NewSync returns a Sync that knows nothing.
+func NewSync(source Source, peers Peers, decoder Decoder, logger *slog.Logger, scope tally.Scope) *Sync {
+	return &Sync{
+		source: source, peers: peers, logger: logger, state: NewState(decoder),
+		pulls: scope.Counter("view_pulls"), reads: scope.Counter("view_store_reads"),
+	}
+}
+
+// Current returns the view, nil before anything is known.
+func (s *Sync) Current() *View { return s.current.Load() }
+
+// Observe adds a function that gets each new view. Add observers before Run.
+func (s *Sync) Observe(observer func(*View)) { s.observers = append(s.observers, observer) }
+
+// EntriesAfter implements peer.ViewHandler.
+func (s *Sync) EntriesAfter(have store.Version) ([]store.Entry, store.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state.Position() <= have {
+		return nil, 0
+	}
+	return s.state.Entries(), s.state.Position()
+}
+
+// Heard records that a peer has a version.
+func (s *Sync) Heard(version store.Version, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version <= s.heard || version <= s.state.Position() {
+		return
+	}
+	s.heard, s.heardAt, s.heardAddress = version, time.Now(), address
+}
+
+// Run reads the store and the peers until the context ends.
+func (s *Sync) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { s.watchStore(ctx) })
+	running.Go(func() { s.watchPeers(ctx) })
+	running.Wait()
+}
+
+// watchStore follows the store.
+func (s *Sync) watchStore(ctx context.Context) {
+	backoff := firstBackoff
+	known := false
+	for ctx.Err() == nil {
+		changed, err := s.read(ctx, known)
+		if err == nil {
+			known, backoff = true, firstBackoff
+			pause := idlePause
+			if changed {
+				pause = batchPause
+			}
+			clock.Sleep(ctx, pause)
+			continue
+		}
+		if errors.Is(err, ErrHistoryLost) {
+			known = false
+			continue
+		}
+		s.unreachable(ctx, err)
+		clock.Sleep(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// read makes one call to the store and reports whether the view changed.
+func (s *Sync) read(ctx context.Context, known bool) (changed bool, err error) {
+	s.reads.Inc(1)
+	if !known {
+		return s.snapshot(ctx)
+	}
+	s.mu.Lock()
+	after := s.state.Position()
+	s.mu.Unlock()
+	result, err := s.source.Watch(ctx, "", after)
+	if err != nil {
+		return false, err
+	}
+	change := s.update(func(state *State, now time.Time) Change { return state.Apply(now, result) }, true)
+	return change.Any(), nil
+}
+
+func (s *Sync) snapshot(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	entries, version, err := s.source.Snapshot(ctx)
+	if err != nil {
+		return false, err
+	}
+	change := s.update(func(state *State, now time.Time) Change { return state.Replace(now, entries, version) }, true)
+	return change.Any(), nil
+}
+
+// update changes the state, publishes a new view and announces it.
+func (s *Sync) update(apply func(*State, time.Time) Change, fromStore bool) Change {
+	now := time.Now()
+	s.mu.Lock()
+	if fromStore {
+		s.reached = now
+		s.regained()
+	}
+	change := apply(s.state, now)
+	if !change.Any() {
+		s.mu.Unlock()
+		s.logRejected(change)
+		return change
+	}
+	next := s.state.View()
+	s.current.Store(next)
+	s.mu.Unlock()
+	s.log(change, next, fromStore)
+	for _, observer := range s.observers {
+		observer(next)
+	}
+	s.peers.Announce(next.Version, fromStore)
+	return change
+}
+
+// regained logs that the store answers. It is called with the lock held.
+func (s *Sync) regained() {
+	if !s.reachable {
+		s.reachable = true
+		events.StoreReached.Log(context.Background(), s.logger, slog.Int64("version", int64(s.state.Position())))
+	}
+}
+
+func (s *Sync) unreachable(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.Outage(time.Now())
+	if s.reachable {
+		s.reachable = false
+		events.StoreLost.Log(ctx, s.logger, slog.Any("error", err), slog.Int64("version", int64(s.state.Position())))
+	}
+}
+
+func (s *Sync) log(change Change, next *View, fromStore bool) {
+	s.logRejected(change)
+	attrs := []slog.Attr{slog.Int64("version", int64(next.Version)), slog.Bool("from_store", fromStore)}
+	if next.Table != nil {
+		attrs = append(attrs, slog.Int64("configuration", next.Table.Version))
+	}
+	attrs = append(attrs, slog.Bool("new_configuration", change.Configuration),
+		slog.Any("joined", change.Joined), slog.Any("drained", change.Drained), slog.Any("left", change.Left))
+	events.ViewChanged.Log(context.Background(), s.logger, attrs...)
+}
+
+func (s *Sync) logRejected(change Change) {
+	for _, r := range change.Rejected {
+		events.EntryRejected.Log(context.Background(), s.logger, slog.String("key", r.Key), slog.Any("error", r.Error))
+	}
+}
+
+// watchPeers asks peers for what the store does not deliver.
+func (s *Sync) watchPeers(ctx context.Context) {
+	for clock.Sleep(ctx, tickInterval) {
+		s.update(func(state *State, now time.Time) Change { return state.Tick(now) }, false)
+		if address, due := s.pullDue(time.Now()); due {
+			s.pull(ctx, address)
+		}
+	}
+}
+
+// pullDue reports whether a peer should be asked, and which one; an empty address
+// means any.
+func (s *Sync) pullDue(now time.Time) (address string, due bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.heard > s.state.Position() && now.Sub(s.heardAt) >= pullAfter {
+		if now.Sub(s.pulledAt) < pullInterval {
+			return s.heardAddress, s.pulledAt.Before(s.heardAt)
+		}
+		return s.heardAddress, true
+	}
+	silent := !s.reachable && now.Sub(s.reached) >= silentAfter
+	return "", silent && now.Sub(s.pulledAt) >= pullInterval
+}
+
+func (s *Sync) pull(ctx context.Context, address string) {
+	s.mu.Lock()
+	s.pulledAt = time.Now()
+	have := s.state.Position()
+	s.mu.Unlock()
+	s.pulls.Inc(1)
+	entries, version, err := s.peers.Pull(ctx, address, have)
+	if err != nil {
+		events.PullFailed.Log(ctx, s.logger, slog.String("address", address), slog.Any("error", err))
+		// The next try may go to any instance.
+		s.mu.Lock()
+		s.heardAddress = ""
+		s.mu.Unlock()
+		return
+	}
+	if version > have {
+		s.update(func(state *State, now time.Time) Change { return state.Replace(now, entries, version) }, false)
+	}
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,129 @@
+// Package route is the configuration of a gateway as a table: which requests go
+// to which service, under which limits, and which organisation a key belongs to.
+// It does no I/O and reads no clock.
+package route
+
+import (
+	"time"
+)
+
+// Kind says what a request of a route may do.
+type Kind uint8
+
+// Kinds of requests.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota
+	// NonIdempotent requests may run at most once for each attempt of a client.
+	NonIdempotent
+	// Stream requests are answered with events. They may run once unless the
+	// route is resumable.
+	Stream
+)
+
+// Configuration is one version of what the operator put in force.
+type Configuration struct {
+	// Version rises with each change, in uneven steps.
+	Version       int64
+	Routes        []Route
+	Services      []Service
+	Organisations []Organisation
+	Limits        Limits
+}
+
+// Route says what happens to the requests of a host whose path begins with a
+// prefix.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Split divides the requests among services by weight.
+	Split []Weight
+	// Timeout is the longest time that a client is kept waiting.
+	Timeout time.Duration
+	// Target is the time to the answer, or to the first event of a stream, within
+	// which it is on time.
+	Target time.Duration
+	// MaxAttempts is the number of backend servers that one attempt of a client
+	// may be sent to.
+	MaxAttempts int
+	// Priority is the rank of the route; 0 is the highest.
+	Priority int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another server after the last event.
+	Resumable bool
+	// Stages is the work that must be done before the request can run.
+	Stages []Stage
+}
+
+// Weight is a service's part of the requests of a route.
+type Weight struct {
+	Service string
+	Weight  int
+}
+
+// Stage is one stage of a route. Its number is its place among the stages.
+type Stage struct {
+	Service string
+	// After holds the numbers of the stages whose results it needs.
+	After []int
+	// ResultBytes is the approximate size of one result.
+	ResultBytes int64
+}
+
+// Service is a set of equivalent backend servers.
+type Service struct {
+	Name string
+	// MaxConnections bounds the connections to one server from all instances.
+	MaxConnections int
+	// Work is set for services that run the pieces of stages.
+	Work *StageShape
+	// Engine is set for services of model servers.
+	Engine bool
+}
+
+// StageShape is how one server of a stage service works.
+type StageShape struct {
+	// Slots is the number of calls in progress at once.
+	Slots int
+	// Batch is the largest number of pieces in a call.
+	Batch int
+	// CallTime is the time of a call without pieces, PieceTime what a piece adds.
+	CallTime  time.Duration
+	PieceTime time.Duration
+	// RoomBytes is the memory for results.
+	RoomBytes int64
+	// ResultLife is how long a result is kept after its call.
+	ResultLife time.Duration
+}
+
+// Organisation is a customer with its keys.
+type Organisation struct {
+	Name string
+	Keys []string
+	// Priority goes before the priority of the route; 0 is the highest.
+	Priority int
+	// Ranked is false for organisations without a priority of their own.
+	Ranked bool
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Repeatable reports whether requests of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+}
+
+// Attempts returns the number of servers that an attempt may be sent to, at
+// least 1.
+func (r *Route) Attempts() int {
+	return max(1, r.MaxAttempts)
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,69 @@
+package route
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func table() *Table {
+	return NewTable(Configuration{
+		Routes: []Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/"},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+			{Name: "other", Host: "b.example", Prefix: "/x/"},
+		},
+		Organisations: []Organisation{{Name: "o", Keys: []string{"k1", "k2"}}},
+	})
+}
+
+// Guards against a request that is handled by a shorter prefix or by the route of
+// another host, and against paths that only resemble a prefix.
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct{ host, path, route string }{
+		{"a.example", "/x/1", "short"},
+		{"A.Example:8080", "/x/y/1", "long"},
+		{"b.example", "/x/y/1", "other"},
+		{"a.example", "/x", ""},
+		{"c.example", "/x/1", ""},
+	} {
+		got := ""
+		if r := table().Match(test.host, test.path); r != nil {
+			got = r.Name
+		}
+		c.Check(got, qt.Equals, test.route, qt.Commentf("%s%s", test.host, test.path))
+	}
+}
+
+// Guards against keys that are taken for another organisation's.
+func TestKeysNameTheirOrganisation(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(table().Organisation("k2").Name, qt.Equals, "o")
+	c.Assert(table().Organisation("k3"), qt.IsNil)
+	c.Assert(table().Organisation(""), qt.IsNil)
+}
+
+// Guards against a split that sends requests to a service of weight 0, or that
+// leaves some without a service.
+func TestSplitFollowsWeights(t *testing.T) {
+	c := qt.New(t)
+	r := Route{Split: []Weight{{"a", 90}, {"b", 10}, {"c", 0}}}
+	c.Assert(r.Choose(0), qt.Equals, "a")
+	c.Assert(r.Choose(0.899), qt.Equals, "a")
+	c.Assert(r.Choose(0.9), qt.Equals, "b")
+	c.Assert(r.Choose(0.9999), qt.Equals, "b")
+	c.Assert((&Route{}).Choose(0.5), qt.Equals, "")
+}
+
+// Guards against a stage that runs without the results it needs when the stage
+// between is omitted, and against final results that are left out.
+func TestGraphLeavesOutOmittedStages(t *testing.T) {
+	c := qt.New(t)
+	r := Route{Stages: []Stage{{}, {After: []int{0}}, {After: []int{1}}}}
+	g := r.NewGraph([]int{2, 0, 3})
+	c.Assert(g.After[2], qt.DeepEquals, []int{0})
+	c.Assert(g.Final, qt.DeepEquals, []int{2})
+	c.Assert(r.NewGraph([]int{2, 1, 0}).Final, qt.DeepEquals, []int{1})
+	c.Assert(r.NewGraph(nil).Empty(), qt.IsTrue)
+}
--- /dev/null
+++ b/stagework/call.go
@@ -0,0 +1,179 @@
+package stagework
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Next returns the next call to make, or false while no server is free for the
+// waiting pieces.
+func (q *Queue) Next(now time.Time) (Call, bool) {
+	if !q.anyWaiting() {
+		return Call{}, false
+	}
+	q.lapse(now)
+	free := q.free(now)
+	if len(free) == 0 {
+		return Call{}, false
+	}
+	q.sort(now)
+	for _, j := range q.order {
+		if len(j.waiting) == 0 {
+			continue
+		}
+		s := q.serverFor(j, free, now)
+		if s == nil {
+			continue
+		}
+		if c := q.fill(s, j, now); c != nil {
+			return c.Call, true
+		}
+	}
+	return Call{}, false
+}
+
+func (q *Queue) anyWaiting() bool {
+	return slices.ContainsFunc(q.order, func(j *job) bool { return len(j.waiting) > 0 })
+}
+
+// free returns the servers that can take a call, the fastest first. Slow ones are
+// left out while a faster one exists, because a call at a slow server makes all
+// its pieces late.
+func (q *Queue) free(now time.Time) []*server {
+	var free []*server
+	fastest := math.Inf(1)
+	for _, s := range q.servers {
+		if s.listed && !now.Before(s.pausedUntil) {
+			fastest = min(fastest, s.slowness(now))
+		}
+	}
+	for _, s := range q.servers {
+		switch {
+		case !s.listed, s.running >= q.shape.Slots, now.Before(s.pausedUntil):
+		case s.slowness(now) > slowFactor*max(1, fastest):
+		default:
+			free = append(free, s)
+		}
+	}
+	slices.SortFunc(free, func(a, b *server) int {
+		if a.slowness(now) != b.slowness(now) {
+			if a.slowness(now) < b.slowness(now) {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	return free
+}
+
+// slowness is the believed duration of calls relative to the shape.
+func (s *server) slowness(now time.Time) float64 {
+	if now.Sub(s.factorAt) > factorLife {
+		return 1
+	}
+	return s.factor
+}
+
+// serverFor returns the free server for the first piece of a job, or nil when the
+// job should wait for one in its own failure domain.
+func (q *Queue) serverFor(j *job, free []*server, now time.Time) *server {
+	var other *server
+	for _, s := range free {
+		if q.room(s, j) == 0 {
+			continue
+		}
+		if s.FailureDomain == j.FailureDomain {
+			return s
+		}
+		if other == nil {
+			other = s
+		}
+	}
+	if other != nil && q.mayCross(j, now) {
+		return other
+	}
+	return nil
+}
+
+// mayCross reports whether a result may be made in another failure domain than the
+// one that uses it: always when it is small, otherwise when waiting for a server
+// of the own domain would make it late.
+func (q *Queue) mayCross(j *job, now time.Time) bool {
+	if j.ResultBytes < heavyResult {
+		return true
+	}
+	near, found := q.nearestEnd(j.FailureDomain, now)
+	if !found {
+		return true
+	}
+	end := near.Add(q.shape.CallDuration(min(q.shape.Batch, len(j.Pieces))))
+	return end.After(j.Due)
+}
+
+// nearestEnd returns when the first server of a failure domain is expected to be
+// free, and false when it has none that can be waited for.
+func (q *Queue) nearestEnd(domain string, now time.Time) (at time.Time, found bool) {
+	for _, s := range q.servers {
+		if !s.listed || s.FailureDomain != domain || now.Before(s.pausedUntil) {
+			continue
+		}
+		end := now
+		if s.running >= q.shape.Slots && s.freeAt.After(now) {
+			end = s.freeAt
+		}
+		if !found || end.Before(at) {
+			at, found = end, true
+		}
+	}
+	return at, found
+}
+
+// room returns how many results of a job a server has memory for.
+func (q *Queue) room(s *server, j *job) int {
+	if q.shape.RoomBytes == 0 || j.ResultBytes <= 0 {
+		return q.shape.Batch
+	}
+	return int(max(0, (q.shape.RoomBytes-s.bytes)/j.ResultBytes))
+}
+
+// fill forms a call for a server from the waiting pieces in their order,
+// beginning with a job that it has room for.
+func (q *Queue) fill(s *server, first *job, now time.Time) *call {
+	c := &call{started: now}
+	q.add(c, s, first)
+	for _, j := range q.order {
+		if len(c.Items) >= q.shape.Batch {
+			break
+		}
+		if j != first && len(j.waiting) > 0 && (s.FailureDomain == j.FailureDomain || q.mayCross(j, now)) {
+			q.add(c, s, j)
+		}
+	}
+	if len(c.Items) == 0 {
+		return nil
+	}
+	q.lastCall++
+	c.ID, c.Server = q.lastCall, s.ID
+	c.expected = time.Duration(float64(q.shape.CallDuration(len(c.Items))) * max(1, s.slowness(now)))
+	c.Timeout = timeoutFactor*c.expected + timeoutMargin
+	q.calls[c.ID] = c
+	s.running++
+	s.freeAt = now.Add(c.expected)
+	return c
+}
+
+// add moves waiting pieces of a job into a call, as far as the batch and the
+// server's room allow.
+func (q *Queue) add(c *call, s *server, j *job) {
+	n := min(len(j.waiting), q.shape.Batch-len(c.Items), q.room(s, j))
+	for _, place := range j.waiting[:n] {
+		c.Items = append(c.Items, Item{Job: j.ID, Piece: j.Pieces[place]})
+		c.places = append(c.places, place)
+		c.bytes += j.ResultBytes
+		s.bytes += j.ResultBytes
+	}
+	j.waiting = slices.Clone(j.waiting[n:])
+}
--- /dev/null
+++ b/stagework/queue.go
@@ -0,0 +1,376 @@
+package stagework
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxFailures is the number of failed calls after which a job is given up.
+	maxFailures = 2
+	// refusedPause keeps a server that refused a call from getting another one.
+	refusedPause = 40 * time.Millisecond
+	// roomPause is how long a server that had no room for a piece is passed over.
+	roomPause = 60 * time.Millisecond
+	// failurePause doubles with each failure in a row, up to maxFailurePause.
+	failurePause    = 200 * time.Millisecond
+	maxFailurePause = 2 * time.Second
+	// startedBonus brings jobs with finished stages forward: their work is lost
+	// if they come too late.
+	startedBonus = 400 * time.Millisecond
+	// priorityBonus brings each higher rank forward.
+	priorityBonus = 300 * time.Millisecond
+	// rankedPriorities is the number of ranks that priorityBonus tells apart.
+	rankedPriorities = 4
+	// waitMargin covers what estimates leave out.
+	waitMargin = 20 * time.Millisecond
+	// overdueFactor is the multiple of its expected time after which the pieces of
+	// a call are offered to other servers.
+	overdueFactor = 1.8
+	// timeoutFactor and timeoutMargin bound a call.
+	timeoutFactor = 4
+	timeoutMargin = 500 * time.Millisecond
+	// factorWeight is the weight of the newest call in a server's slowness.
+	factorWeight = 0.5
+	// slowFactor marks a server as slow against the fastest one.
+	slowFactor = 2.0
+	// factorLife is how long the slowness of a server is believed without a call.
+	factorLife = 3 * time.Second
+	// heavyResult is the size from which a result should stay in the failure
+	// domain in which it is used.
+	heavyResult = 100 << 10
+)
+
+type job struct {
+	Job
+	// waiting are the places in Pieces that are in no call.
+	waiting  []int
+	results  []string
+	left     int
+	failures int
+}
+
+type call struct {
+	Call
+	places   []int
+	started  time.Time
+	expected time.Duration
+	// overdue is true once its pieces were offered to other servers.
+	overdue bool
+	bytes   int64
+}
+
+type held struct {
+	server *server
+	bytes  int64
+	until  time.Time
+}
+
+type server struct {
+	Server
+	listed  bool
+	running int
+	// freeAt is when the running call is expected to end.
+	freeAt      time.Time
+	pausedUntil time.Time
+	failures    int
+	// factor is the duration of calls relative to the shape.
+	factor   float64
+	factorAt time.Time
+	bytes    int64
+}
+
+// Queue holds the waiting jobs of one service and decides on its calls. It is not
+// safe for concurrent use.
+type Queue struct {
+	shape    Shape
+	jobs     map[JobID]*job
+	order    []*job
+	calls    map[CallID]*call
+	servers  map[string]*server
+	results  map[string]held
+	lastCall CallID
+}
+
+// NewQueue returns a queue without servers.
+func NewQueue(shape Shape) *Queue {
+	return &Queue{
+		shape: normal(shape), jobs: map[JobID]*job{}, calls: map[CallID]*call{},
+		servers: map[string]*server{}, results: map[string]held{},
+	}
+}
+
+func normal(shape Shape) Shape {
+	shape.Slots = max(1, shape.Slots)
+	shape.Batch = max(1, shape.Batch)
+	return shape
+}
+
+// SetShape replaces the shape of the servers.
+func (q *Queue) SetShape(shape Shape) { q.shape = normal(shape) }
+
+// SetServers replaces the servers that get calls. Calls to others go on.
+func (q *Queue) SetServers(servers []Server) {
+	for _, s := range q.servers {
+		s.listed = false
+	}
+	for _, listed := range servers {
+		s := q.servers[listed.ID]
+		if s == nil {
+			s = &server{Server: listed, factor: 1}
+			q.servers[listed.ID] = s
+		}
+		s.Server, s.listed = listed, true
+	}
+	for id, s := range q.servers {
+		if !s.listed && s.running == 0 {
+			delete(q.servers, id)
+		}
+	}
+}
+
+// Servers returns the number of servers that get calls.
+func (q *Queue) Servers() (n int) {
+	for _, s := range q.servers {
+		if s.listed {
+			n++
+		}
+	}
+	return n
+}
+
+// Load returns the number of waiting pieces and of running calls.
+func (q *Queue) Load() (pieces, calls int) {
+	for _, j := range q.jobs {
+		pieces += len(j.waiting)
+	}
+	return pieces, len(q.calls)
+}
+
+// Offer takes a job, or refuses it when it can't end by its deadline.
+func (q *Queue) Offer(now time.Time, offered Job) (Refusal, bool) {
+	if q.Servers() == 0 {
+		return RefusedNoServer, false
+	}
+	if !offered.Started && now.Add(q.estimate(now, offered)).After(offered.Deadline) {
+		return RefusedLate, false
+	}
+	j := &job{Job: offered, results: make([]string, len(offered.Pieces)), left: len(offered.Pieces)}
+	for place := range offered.Pieces {
+		j.waiting = append(j.waiting, place)
+	}
+	q.jobs[j.ID] = j
+	q.order = append(q.order, j)
+	return "", true
+}
+
+// Cancel ends a job without an answer. Its results are orphans.
+func (q *Queue) Cancel(id JobID) Effects {
+	j := q.jobs[id]
+	if j == nil {
+		return Effects{}
+	}
+	return Effects{Orphans: q.remove(j)}
+}
+
+// remove forgets a job and returns the results that it has.
+func (q *Queue) remove(j *job) (orphans []string) {
+	delete(q.jobs, j.ID)
+	q.order = slices.DeleteFunc(q.order, func(o *job) bool { return o == j })
+	for _, result := range j.results {
+		if result != "" {
+			orphans = append(orphans, result)
+		}
+	}
+	return orphans
+}
+
+// refuse ends a job with a reason.
+func (q *Queue) refuse(e *Effects, j *job, why Refusal) {
+	e.Orphans = append(e.Orphans, q.remove(j)...)
+	e.Done = append(e.Done, Done{Job: j.ID, Refusal: why})
+}
+
+// Expire refuses the jobs that can't end in time any more, and offers the pieces
+// of overdue calls to other servers. Call it every few tens of milliseconds.
+func (q *Queue) Expire(now time.Time) Effects {
+	var e Effects
+	for _, j := range slices.Clone(q.order) {
+		switch {
+		case len(j.waiting) == 0:
+		case q.Servers() == 0:
+			q.refuse(&e, j, RefusedNoServer)
+		case now.Add(q.shape.CallDuration(1)).After(j.Deadline):
+			q.refuse(&e, j, RefusedLate)
+		}
+	}
+	for _, c := range q.calls {
+		if limit := time.Duration(overdueFactor * float64(c.expected)); !c.overdue && now.Sub(c.started) > limit {
+			q.giveAgain(c, now)
+		}
+	}
+	return e
+}
+
+// giveAgain lets other servers produce the pieces of a call that takes too long.
+func (q *Queue) giveAgain(c *call, now time.Time) {
+	c.overdue = true
+	if s := q.servers[c.Server]; s != nil {
+		s.factor, s.factorAt = max(s.factor, overdueFactor*slowFactor), now
+	}
+	for i, item := range c.Items {
+		if j := q.jobs[item.Job]; j != nil && j.results[c.places[i]] == "" {
+			j.waiting = append(j.waiting, c.places[i])
+		}
+	}
+}
+
+// Finished takes the outcomes of a call, one for each item.
+func (q *Queue) Finished(now time.Time, id CallID, outcomes []Outcome) Effects {
+	c := q.calls[id]
+	if c == nil {
+		return Effects{}
+	}
+	delete(q.calls, id)
+	s := q.servers[c.Server]
+	s.running--
+	s.bytes -= c.bytes
+	q.judge(s, c, now, outcomes)
+	var e Effects
+	for i, outcome := range outcomes {
+		q.take(&e, c, s, i, outcome, now)
+	}
+	if !s.listed && s.running == 0 {
+		delete(q.servers, s.ID)
+	}
+	return e
+}
+
+// judge learns from a call what its server can do.
+func (q *Queue) judge(s *server, c *call, now time.Time, outcomes []Outcome) {
+	worst := Produced
+	for _, o := range outcomes {
+		worst = max(worst, o.Status)
+	}
+	switch worst {
+	case Refused:
+		s.pausedUntil = now.Add(refusedPause)
+		return
+	case Failed:
+		s.failures++
+		pause := min(maxFailurePause, failurePause<<min(s.failures-1, 8))
+		s.pausedUntil = now.Add(pause)
+		return
+	case NoRoom:
+		s.pausedUntil = now.Add(roomPause)
+	}
+	s.failures = 0
+	took := float64(now.Sub(c.started)) / float64(max(1, q.shape.CallDuration(len(c.Items))))
+	if now.Sub(s.factorAt) > factorLife {
+		s.factor = took
+	} else {
+		s.factor += factorWeight * (took - s.factor)
+	}
+	s.factorAt = now
+}
+
+// take applies the outcome of one item.
+func (q *Queue) take(e *Effects, c *call, s *server, i int, outcome Outcome, now time.Time) {
+	item, place := c.Items[i], c.places[i]
+	j := q.jobs[item.Job]
+	if outcome.Status == Produced {
+		bytes := c.bytes / int64(len(c.Items))
+		if j != nil {
+			bytes = j.ResultBytes
+		}
+		q.hold(s, outcome.Result, bytes, now)
+		if j == nil || j.results[place] != "" {
+			e.Orphans = append(e.Orphans, outcome.Result)
+			return
+		}
+		q.produced(e, j, place, outcome.Result)
+		return
+	}
+	if j == nil || j.results[place] != "" {
+		return
+	}
+	switch outcome.Status {
+	case Late:
+		q.refuse(e, j, RefusedLate)
+		return
+	case InputGone:
+		q.refuse(e, j, RefusedInputGone)
+		return
+	case Failed:
+		j.failures++
+	}
+	if j.failures > maxFailures*len(j.Pieces) {
+		q.refuse(e, j, RefusedFailed)
+		return
+	}
+	if !slices.Contains(j.waiting, place) {
+		j.waiting = append(j.waiting, place)
+	}
+}
+
+func (q *Queue) produced(e *Effects, j *job, place int, result string) {
+	j.results[place] = result
+	j.left--
+	j.waiting = slices.DeleteFunc(j.waiting, func(p int) bool { return p == place })
+	if j.left > 0 {
+		return
+	}
+	q.remove(j)
+	e.Done = append(e.Done, Done{Job: j.ID, Results: j.results})
+}
+
+// hold counts the memory of a result until it is freed or its life ends.
+func (q *Queue) hold(s *server, result string, bytes int64, now time.Time) {
+	s.bytes += bytes
+	q.results[result] = held{s, bytes, now.Add(q.shape.ResultLife)}
+}
+
+// Freed takes results that were given up.
+func (q *Queue) Freed(results []string) {
+	for _, result := range results {
+		if h, ok := q.results[result]; ok {
+			h.server.bytes -= h.bytes
+			delete(q.results, result)
+		}
+	}
+}
+
+// lapse forgets results whose life has ended.
+func (q *Queue) lapse(now time.Time) {
+	for result, h := range q.results {
+		if now.After(h.until) {
+			h.server.bytes -= h.bytes
+			delete(q.results, result)
+		}
+	}
+}
+
+// sort orders the jobs by rank: those that can still be on time first.
+func (q *Queue) sort(now time.Time) {
+	call := q.shape.CallDuration(1)
+	slices.SortStableFunc(q.order, func(a, b *job) int {
+		lateA, lateB := now.Add(call).After(a.Due), now.Add(call).After(b.Due)
+		if lateA != lateB {
+			if lateA {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.rank(), b.rank())
+	})
+}
+
+// rank is the time by which jobs are ordered.
+func (j *job) rank() int64 {
+	at := j.Due.UnixNano() + int64(priorityBonus)*int64(min(j.Priority, rankedPriorities))
+	if j.Started {
+		at -= int64(startedBonus)
+	}
+	return at
+}
