Await stages in short calls, and let a few instances look often for changes

Cause 1: an instance that waited more than 2.4 s for a stage took the one that forms the calls for dead and asked another. A peer now answers within 400 ms that the job is pending.

Two instances of a region now watch for 0.8 s at a time; the others learn from them. Ruled out: a lost pull (no version was announced before 13.3 s).

--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -92,22 +93,42 @@
 	return n
 }
 
-// Callers returns the addresses of the instances that may form the calls of a
-// service of the region, the first choice first. Instances that did not answer
-// lately come last; an empty address stands for this instance.
-func (c *Cluster) Callers(service string) []string {
-	byID := map[string]string{c.settings.Instance: ""}
+// readers is the number of instances of a region that look often for changes in the
+// store.
+const readers = 2
+
+// Reader implements view.Peers.
+func (c *Cluster) Reader() bool {
+	ids, _ := c.live()
+	for range min(readers, len(ids)) {
+		chosen := rendezvous.Choose("store reader", ids)
+		if chosen == c.settings.Instance {
+			return true
+		}
+		ids = slices.DeleteFunc(ids, func(id string) bool { return id == chosen })
+	}
+	return false
+}
+
+// live returns the live instances of the region, and their addresses by ID. That
+// of this instance is empty.
+func (c *Cluster) live() (ids []string, addresses map[string]string) {
+	addresses = map[string]string{c.settings.Instance: ""}
 	c.node.View(func(s *membership.State) {
 		for _, record := range s.Live() {
 			if record.State == membership.Alive && record.ID != c.settings.Instance {
-				byID[record.ID] = record.Address
+				addresses[record.ID] = record.Address
 			}
 		}
 	})
-	ids := make([]string, 0, len(byID))
-	for id := range byID {
-		ids = append(ids, id)
-	}
+	return slices.Collect(maps.Keys(addresses)), addresses
+}
+
+// Callers returns the addresses of the instances that may form the calls of a
+// service of the region, the first choice first. Instances that did not answer
+// lately come last; an empty address stands for this instance.
+func (c *Cluster) Callers(service string) []string {
+	ids, byID := c.live()
 	var callers, avoided []string
 	for len(ids) > 0 {
 		chosen := rendezvous.Choose(service, ids)
--- a/internal/gateway/stagecaller.go
+++ b/internal/gateway/stagecaller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"sync"
@@ -21,6 +22,11 @@
 const (
 	// expireInterval is how often waiting jobs are reviewed.
 	expireInterval = 25 * time.Millisecond
+	// pendingAfter is how long a call of a peer waits for its job before it is
+	// answered, so that the peer knows that this instance lives.
+	pendingAfter = 400 * time.Millisecond
+	// abandonedAfter is how long a job is kept that no call waits for.
+	abandonedAfter = time.Second
 	// maxStageAnswer bounds the answer of a stage server.
 	maxStageAnswer = 1 << 20
 )
@@ -49,6 +55,8 @@
 	mu    sync.Mutex
 	queue *stagework.Queue
 	jobs  map[stagework.JobID]*stageJob
+	// pending holds the jobs that a peer will await again.
+	pending map[stagework.JobID]*stageJob
 	last  stagework.JobID
 	// reviewing is true while a review of waiting jobs is scheduled.
 	reviewing bool
@@ -59,6 +67,8 @@
 	request  *peerpb.RunStageRequest
 	deadline time.Time
 	done     chan stagework.Done
+	// abandoned cancels the job unless it is awaited again in time.
+	abandoned *time.Timer
 }
 
 // NewStageCaller returns a caller without services.
@@ -118,7 +128,7 @@
 	defer s.mu.Unlock()
 	w := s.workshops[service]
 	if w == nil && create {
-		w = &workshop{service: service, queue: stagework.NewQueue(stagework.Shape{}), jobs: map[stagework.JobID]*stageJob{}}
+		w = &workshop{service: service, queue: stagework.NewQueue(stagework.Shape{}), jobs: map[stagework.JobID]*stageJob{}, pending: map[stagework.JobID]*stageJob{}}
 		s.workshops[service] = w
 	}
 	return w
@@ -137,15 +147,62 @@
 	}
 	s.pump(w)
 	s.review(w)
+	return s.await(ctx, w, id, job)
+}
+
+// AwaitStage implements peer.StageHandler.
+func (s *StageCaller) AwaitStage(ctx context.Context, request *peerpb.AwaitStageRequest) (*peerpb.RunStageResponse, error) {
+	w := s.workshop(request.Service, false)
+	if w == nil {
+		return nil, errUnknownJob
+	}
+	id := stagework.JobID(request.Job)
+	w.mu.Lock()
+	job := w.pending[id]
+	delete(w.pending, id)
+	w.mu.Unlock()
+	if job == nil || !job.abandoned.Stop() {
+		return nil, errUnknownJob
+	}
+	return s.await(ctx, w, id, job)
+}
+
+var errUnknownJob = errors.New("job of a stage is not known here")
+
+// await waits for a job, but not for long.
+func (s *StageCaller) await(ctx context.Context, w *workshop, id stagework.JobID, job *stageJob) (*peerpb.RunStageResponse, error) {
+	timer := time.NewTimer(pendingAfter)
+	defer timer.Stop()
 	select {
 	case done := <-job.done:
 		return &peerpb.RunStageResponse{Results: done.Results, Refusal: string(done.Refusal), WaitMs: w.wait().Milliseconds()}, nil
+	case <-timer.C:
+		w.mu.Lock()
+		w.pending[id] = job
+		job.abandoned = time.AfterFunc(abandonedAfter, func() { s.abandon(w, id, job) })
+		w.mu.Unlock()
+		return &peerpb.RunStageResponse{Pending: uint64(id), WaitMs: w.wait().Milliseconds()}, nil
 	case <-ctx.Done():
-		s.cancel(w, id)
+		s.abandon(w, id, job)
 		return nil, ctx.Err()
 	}
 }
 
+// abandon ends a job that nobody waits for and frees its results.
+func (s *StageCaller) abandon(w *workshop, id stagework.JobID, job *stageJob) {
+	w.mu.Lock()
+	delete(w.pending, id)
+	effects := w.queue.Cancel(id)
+	delete(w.jobs, id)
+	select {
+	case done := <-job.done:
+		effects.Orphans = append(effects.Orphans, done.Results...)
+	default:
+	}
+	w.mu.Unlock()
+	s.apply(w, effects)
+}
+
 // FreeResults implements peer.StageHandler.
 func (s *StageCaller) FreeResults(request *peerpb.FreeResultsRequest) {
 	if w := s.workshop(request.Service, false); w != nil {
@@ -187,14 +244,6 @@
 	return w.last, "", 0
 }
 
-func (s *StageCaller) cancel(w *workshop, id stagework.JobID) {
-	w.mu.Lock()
-	effects := w.queue.Cancel(id)
-	delete(w.jobs, id)
-	w.mu.Unlock()
-	s.apply(w, effects)
-}
-
 // apply tells the waiting jobs their ends and frees what no job needs.
 func (s *StageCaller) apply(w *workshop, effects stagework.Effects) {
 	w.mu.Lock()
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -23,10 +23,9 @@
 	// firstPieces is the number of pieces that a stage without measurements is
 	// taken to have.
 	firstPieces = 6
-	// silenceMargin is what an instance that forms calls may take beyond a
-	// multiple of the typical duration before the next one is asked.
-	silenceMargin = time.Second
-	silenceFactor = 4
+	// silenceLimit is how long an instance that forms calls may stay silent: it
+	// answers within pendingAfter even when the stage has not ended.
+	silenceLimit = pendingAfter + 500*time.Millisecond
 	// maxCallers is the number of instances that are asked for one stage.
 	maxCallers = 3
 	// freeFlush collects the results that a request gives up.
@@ -240,18 +239,34 @@
 	return request
 }
 
-// askOne asks one instance, or this one for an empty address. Peers that stay
-// silent are given up before the deadline, so that another one can be asked.
+// askOne asks one instance, or this one for an empty address, until the stage has
+// ended. An instance that stays silent is given up.
 func (r *run) askOne(ctx context.Context, address string, request *peerpb.RunStageRequest) (*peerpb.RunStageResponse, error) {
+	response, err := r.call(ctx, address, request)
+	for err == nil && response.Pending != 0 {
+		response, err = r.await(ctx, address, &peerpb.AwaitStageRequest{Service: request.Service, Job: response.Pending})
+	}
+	return response, err
+}
+
+func (r *run) call(ctx context.Context, address string, request *peerpb.RunStageRequest) (*peerpb.RunStageResponse, error) {
 	if address == "" {
 		return r.local.RunStage(ctx, request)
 	}
-	limit := silenceFactor*r.Typical(r.Table, request.Service) + silenceMargin
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, silenceLimit)
 	defer cancel()
 	return r.client.RunStage(ctx, address, request)
 }
 
+func (r *run) await(ctx context.Context, address string, request *peerpb.AwaitStageRequest) (*peerpb.RunStageResponse, error) {
+	if address == "" {
+		return r.local.AwaitStage(ctx, request)
+	}
+	ctx, cancel := context.WithTimeout(ctx, silenceLimit)
+	defer cancel()
+	return r.client.AwaitStage(ctx, address, request)
+}
+
 // Free gives up results of a service soon.
 func (s *Stages) Free(service string, results []string) {
 	if len(results) == 0 {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -123,6 +123,12 @@
 	return response, fromTwirp(err, "run_stage", address)
 }
 
+// AwaitStage goes on waiting for a pending job of RunStage. The context bounds it.
+func (c *Client) AwaitStage(ctx context.Context, address string, request *peerpb.AwaitStageRequest) (*peerpb.RunStageResponse, error) {
+	response, err := c.peer(address).AwaitStage(ctx, request)
+	return response, fromTwirp(err, "await_stage", address)
+}
+
 // FreeResults gives up results at the instance that forms the calls of a service.
 func (c *Client) FreeResults(ctx context.Context, address string, request *peerpb.FreeResultsRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -44,6 +44,8 @@
 // StageHandler runs stages of requests that other instances handle.
 type StageHandler interface {
 	RunStage(ctx context.Context, request *peerpb.RunStageRequest) (*peerpb.RunStageResponse, error)
+	// AwaitStage waits for a job that RunStage returned as pending.
+	AwaitStage(ctx context.Context, request *peerpb.AwaitStageRequest) (*peerpb.RunStageResponse, error)
 	FreeResults(request *peerpb.FreeResultsRequest)
 }
 
@@ -210,6 +212,16 @@
 	return response, toTwirp(err)
 }
 
+// AwaitStage implements peerpb.Peer.
+func (s *Server) AwaitStage(ctx context.Context, request *peerpb.AwaitStageRequest) (*peerpb.RunStageResponse, error) {
+	handler := s.stageHandler()
+	if handler == nil {
+		return nil, toTwirp(ErrUnsupported)
+	}
+	response, err := handler.AwaitStage(ctx, request)
+	return response, toTwirp(err)
+}
+
 // FreeResults implements peerpb.Peer.
 func (s *Server) FreeResults(_ context.Context, request *peerpb.FreeResultsRequest) (*peerpb.FreeResultsResponse, error) {
 	handler := s.stageHandler()
--- /dev/null
+++ b/internal/view/state_test.go
@@ -0,0 +1,108 @@
+package view
+
+import (
+	"errors"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+	"github.com/coltsfootdrift/coltsfootdrift/route"
+)
+
+// fakeDecoder reads configurations that are a version, and servers that are
+// "SERVICE" or "SERVICE draining".
+type fakeDecoder struct{}
+
+func (fakeDecoder) Kind(key string) KeyKind {
+	switch {
+	case key == "config":
+		return KeyConfiguration
+	case strings.HasPrefix(key, "server/"):
+		return KeyServer
+	}
+	return KeyOther
+}
+
+func (fakeDecoder) Configuration(value []byte) (route.Configuration, error) {
+	version, err := strconv.ParseInt(string(value), 10, 64)
+	return route.Configuration{Version: version}, err
+}
+
+func (fakeDecoder) Server(key string, value []byte) (Server, error) {
+	service, state, _ := strings.Cut(string(value), " ")
+	if service == "" {
+		return Server{}, errors.New("no service")
+	}
+	id := strings.TrimPrefix(key, "server/")
+	return Server{ID: id, Service: service, Address: id, Draining: state == "draining"}, nil
+}
+
+func entry(key, value string, version store.Version) store.Entry {
+	return store.Entry{Key: key, Value: []byte(value), Version: version}
+}
+
+func changed(version store.Version, entries ...store.Entry) store.WatchResult {
+	return store.WatchResult{Changed: entries, Version: version}
+}
+
+var epoch = time.Unix(1000, 0)
+
+// Guards against a configuration that reverts when an answer of the store or of a
+// peer is older than what is known.
+func TestOlderStatesAreIgnored(t *testing.T) {
+	c := qt.New(t)
+	s := NewState(fakeDecoder{})
+	s.Replace(epoch, []store.Entry{entry("config", "7", 20)}, 20)
+	c.Assert(s.Replace(epoch, []store.Entry{entry("config", "5", 10)}, 10).Any(), qt.IsFalse)
+	c.Assert(s.Apply(epoch, changed(19, entry("config", "6", 19))).Any(), qt.IsFalse)
+	c.Assert(s.Apply(epoch, changed(21, entry("config", "6", 21))).Any(), qt.IsFalse)
+	c.Assert(s.View().Table.Version, qt.Equals, int64(7))
+}
+
+// Guards against work for a server that is draining or gone.
+func TestLeavingServersGetNoWork(t *testing.T) {
+	c := qt.New(t)
+	s := NewState(fakeDecoder{})
+	s.Replace(epoch, []store.Entry{entry("server/a", "x", 1), entry("server/b", "x", 2)}, 2)
+	c.Assert(s.View().Servers["x"], qt.HasLen, 2)
+	change := s.Apply(epoch, changed(3, entry("server/a", "x draining", 3)))
+	c.Assert(change.Drained, qt.DeepEquals, []string{"a"})
+	change = s.Apply(epoch, store.WatchResult{Deleted: []string{"server/b"}, Version: 4})
+	c.Assert(change.Left, qt.DeepEquals, []string{"b"})
+	c.Assert(s.View().Servers["x"], qt.HasLen, 0)
+	// A server that is missing from a whole list has left too.
+	s.Apply(epoch, changed(5, entry("server/c", "x", 5)))
+	left := s.Replace(epoch, nil, 6).Left
+	slices.Sort(left)
+	c.Assert(left, qt.DeepEquals, []string{"a", "c"})
+}
+
+// Guards against a fleet that is given up because the store's outage let all
+// entries lapse, and against servers that did not come back but are used on.
+func TestEntriesThatLapsedInAnOutageHaveTimeToComeBack(t *testing.T) {
+	c := qt.New(t)
+	s := NewState(fakeDecoder{})
+	s.Replace(epoch, []store.Entry{entry("server/a", "x", 1), entry("server/b", "x", 1)}, 1)
+	s.Outage(epoch)
+	s.Replace(epoch.Add(time.Second), nil, 2)
+	c.Assert(s.View().Servers["x"], qt.HasLen, 2)
+	s.Apply(epoch.Add(2*time.Second), changed(3, entry("server/a", "x", 3)))
+	change := s.Tick(epoch.Add(time.Second + lapseGrace))
+	c.Assert(change.Left, qt.DeepEquals, []string{"b"})
+	c.Assert(s.View().Servers["x"], qt.HasLen, 1)
+}
+
+// Guards against one unreadable entry that hides the others.
+func TestUnreadableEntriesNameNoServer(t *testing.T) {
+	c := qt.New(t)
+	s := NewState(fakeDecoder{})
+	change := s.Replace(epoch, []store.Entry{entry("server/a", "", 1), entry("server/b", "x", 1), entry("config", "?", 1)}, 1)
+	c.Assert(change.Rejected, qt.HasLen, 2)
+	c.Assert(s.View().Servers["x"], qt.HasLen, 1)
+	c.Assert(s.View().Table, qt.IsNil)
+}
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -25,6 +25,12 @@
 	// Backoff of failed calls to the store.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
+	// readerWait is how long the watch of a reader waits. While the store drops
+	// its history, a waiting watch hears nothing; the next one is told.
+	readerWait = 800 * time.Millisecond
+	// followerWait is how long the watches of the other instances wait, which learn
+	// from the readers what their own watch does not tell.
+	followerWait = 10 * time.Second
 	// snapshotTimeout bounds a list of all entries.
 	snapshotTimeout = 2 * time.Second
 	// tickInterval is how often pulls and lapsed servers are considered.
@@ -43,8 +49,8 @@
 	// Snapshot returns all entries of configuration and servers, and the version
 	// from which a watch goes on.
 	Snapshot(ctx context.Context) ([]store.Entry, store.Version, error)
-	// Watch waits for changes after a version. It returns ErrHistoryLost when
-	// these are not available any more.
+	// Watch waits for changes after a version, until shortly before the deadline of
+	// the context. It returns ErrHistoryLost when these are not available any more.
 	Watch(ctx context.Context, prefix string, after store.Version) (store.WatchResult, error)
 }
 
@@ -56,6 +62,9 @@
 	// Pull returns the entries of an instance when it has more than a version. An
 	// empty address means any instance.
 	Pull(ctx context.Context, address string, have store.Version) ([]store.Entry, store.Version, error)
+	// Reader reports whether this instance is one of the few that look for changes
+	// often.
+	Reader() bool
 	// Announce tells the others a version of the view.
 	Announce(version store.Version, fromStore bool)
 }
@@ -157,6 +166,12 @@
 	s.mu.Lock()
 	after := s.state.Position()
 	s.mu.Unlock()
+	wait := followerWait
+	if s.peers.Reader() {
+		wait = readerWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
 	result, err := s.source.Watch(ctx, "", after)
 	if err != nil {
 		return false, err
--- /dev/null
+++ b/stagework/queue_test.go
@@ -0,0 +1,219 @@
+package stagework
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	epoch = time.Unix(1000, 0)
+	shape = Shape{Slots: 1, Batch: 8, CallTime: 200 * time.Millisecond, PieceTime: 20 * time.Millisecond, RoomBytes: 12_000_000, ResultLife: 4 * time.Second}
+)
+
+func queue(domains ...string) *Queue {
+	q := NewQueue(shape)
+	var servers []Server
+	for i, d := range domains {
+		servers = append(servers, Server{ID: fmt.Sprint("s", i), FailureDomain: d})
+	}
+	q.SetServers(servers)
+	return q
+}
+
+// request returns a job with n pieces that is due in a second.
+func request(id JobID, n int) Job {
+	j := Job{ID: id, ResultBytes: 1000, Due: epoch.Add(time.Second), Deadline: epoch.Add(5 * time.Second), FailureDomain: "a"}
+	for i := range n {
+		j.Pieces = append(j.Pieces, i)
+	}
+	return j
+}
+
+func produce(call Call) []Outcome {
+	outcomes := make([]Outcome, len(call.Items))
+	for i, item := range call.Items {
+		outcomes[i].Result = fmt.Sprintf("%s/%d-%d", call.Server, item.Job, item.Piece)
+	}
+	return outcomes
+}
+
+func same(call Call, status Status) []Outcome {
+	outcomes := make([]Outcome, len(call.Items))
+	for i := range outcomes {
+		outcomes[i].Status = status
+	}
+	return outcomes
+}
+
+func offer(c *qt.C, q *Queue, j Job) {
+	_, ok := q.Offer(epoch, j)
+	c.Assert(ok, qt.IsTrue)
+}
+
+// Guards against one call for each request: the load of many small requests needs
+// more calls than the servers can make.
+func TestPiecesOfSeveralRequestsShareACall(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a")
+	for id := range JobID(3) {
+		offer(c, q, request(id+1, 3))
+	}
+	call, ok := q.Next(epoch)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(len(call.Items), qt.Equals, 8)
+	_, ok = q.Next(epoch)
+	c.Assert(ok, qt.IsFalse, qt.Commentf("the only slot is taken"))
+	e := q.Finished(epoch.Add(360*time.Millisecond), call.ID, produce(call))
+	c.Assert(len(e.Done), qt.Equals, 2)
+	c.Assert(e.Done[0].Results, qt.DeepEquals, []string{"s0/1-0", "s0/1-1", "s0/1-2"})
+	rest, ok := q.Next(epoch.Add(360 * time.Millisecond))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(rest.Items, qt.DeepEquals, []Item{{Job: 3, Piece: 2}})
+}
+
+// Guards against a server that is sent pieces for whose results it has no memory.
+func TestRoomForResultsIsReserved(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a")
+	heavy := request(1, 16)
+	heavy.ResultBytes = 1_500_000
+	offer(c, q, heavy)
+	first, _ := q.Next(epoch)
+	c.Assert(len(first.Items), qt.Equals, 8)
+	now := epoch.Add(400 * time.Millisecond)
+	q.Finished(now, first.ID, produce(first))
+	_, ok := q.Next(now)
+	c.Assert(ok, qt.IsFalse, qt.Commentf("the results of the first call fill the room"))
+	q.Freed([]string{"s0/1-0", "s0/1-1"})
+	second, ok := q.Next(now)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(len(second.Items), qt.Equals, 2)
+	later := now.Add(shape.ResultLife + time.Millisecond)
+	q.Finished(later, second.ID, produce(second))
+	third, ok := q.Next(later)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(len(third.Items), qt.Equals, 6, qt.Commentf("results end with their life"))
+}
+
+// Guards against work for a request that cannot be answered in time, and against
+// a refusal of one that can.
+func TestHopelessJobsAreRefusedBeforeTheirCall(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a")
+	hopeless := request(1, 8)
+	hopeless.Deadline = epoch.Add(300 * time.Millisecond)
+	why, ok := q.Offer(epoch, hopeless)
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(why, qt.Equals, RefusedLate)
+	offer(c, q, request(2, 8))
+	_, _ = q.Next(epoch)
+	waiting := request(3, 1)
+	waiting.Deadline = epoch.Add(700 * time.Millisecond)
+	offer(c, q, waiting)
+	e := q.Expire(epoch.Add(600 * time.Millisecond))
+	c.Assert(e.Done, qt.DeepEquals, []Done{{Job: 3, Refusal: RefusedLate}})
+	why, ok = NewQueue(shape).Offer(epoch, request(4, 1))
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(why, qt.Equals, RefusedNoServer)
+}
+
+// Guards against late requests that hold up those that can still be on time, under
+// a burst that leaves both waiting.
+func TestRequestsThatCanBeOnTimeGoFirst(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a")
+	late := request(1, 8)
+	late.Due = epoch.Add(-time.Second)
+	offer(c, q, late)
+	offer(c, q, request(2, 8))
+	call, _ := q.Next(epoch)
+	c.Assert(call.Items[0].Job, qt.Equals, JobID(2))
+}
+
+// Guards against finished stages that are lost because new requests go first.
+func TestStartedRequestsGoFirst(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a")
+	offer(c, q, request(1, 8))
+	started := request(2, 8)
+	started.Started = true
+	offer(c, q, started)
+	call, _ := q.Next(epoch)
+	c.Assert(call.Items[0].Job, qt.Equals, JobID(2))
+}
+
+// Guards against pieces that wait behind a server that hangs, and against a result
+// that two calls produced and nobody frees.
+func TestPiecesOfOverdueCallsGoToAnotherServer(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a", "a")
+	offer(c, q, request(1, 2))
+	stuck, _ := q.Next(epoch)
+	now := epoch.Add(600 * time.Millisecond)
+	q.Expire(now)
+	again, ok := q.Next(now)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(again.Server, qt.Not(qt.Equals), stuck.Server)
+	e := q.Finished(now, again.ID, produce(again))
+	c.Assert(len(e.Done), qt.Equals, 1)
+	e = q.Finished(now, stuck.ID, produce(stuck))
+	c.Assert(e.Done, qt.HasLen, 0)
+	c.Assert(e.Orphans, qt.HasLen, 2)
+}
+
+// Guards against large results that cross failure domains although a server of
+// the own one will be free in time, and against a late request that still waits.
+func TestLargeResultsStayInTheirFailureDomain(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a", "b")
+	heavy := request(1, 1)
+	heavy.ResultBytes = 1_000_000
+	offer(c, q, heavy)
+	first, _ := q.Next(epoch)
+	c.Assert(first.Server, qt.Equals, "s0")
+	heavy.ID = 2
+	offer(c, q, heavy)
+	_, ok := q.Next(epoch)
+	c.Assert(ok, qt.IsFalse)
+	urgent := heavy
+	urgent.ID, urgent.Due = 3, epoch.Add(300*time.Millisecond)
+	offer(c, q, urgent)
+	call, ok := q.Next(epoch)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(call.Server, qt.Equals, "s1")
+	c.Assert(call.Items, qt.DeepEquals, []Item{{Job: 3}})
+}
+
+// Guards against a job that is tried forever at failing servers, and against one
+// that is given up after the first failure.
+func TestFailedPiecesAreTriedAgainAFewTimes(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a")
+	offer(c, q, request(1, 1))
+	now := epoch
+	var e Effects
+	for range maxFailures + 1 {
+		call, ok := q.Next(now)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(e.Done, qt.HasLen, 0)
+		e = q.Finished(now, call.ID, same(call, Failed))
+		now = now.Add(maxFailurePause)
+	}
+	c.Assert(e.Done, qt.DeepEquals, []Done{{Job: 1, Refusal: RefusedFailed}})
+}
+
+// Guards against a cancelled request whose results stay in the memory of servers.
+func TestCancelledJobsLeaveOrphans(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a")
+	offer(c, q, request(1, 10))
+	first, _ := q.Next(epoch)
+	now := epoch.Add(400 * time.Millisecond)
+	q.Finished(now, first.ID, produce(first))
+	second, _ := q.Next(now)
+	c.Assert(q.Cancel(1).Orphans, qt.HasLen, 8)
+	c.Assert(q.Finished(now, second.ID, produce(second)).Orphans, qt.HasLen, 2)
+}
