Check that makers of inputs are registered, and that every piece has its result

Change: inputs of a maker that has left are made again before the send; an answer with another number of results than pieces is an error; a second answer to a stage call is not taken for the next one (test fails without it).

--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -218,6 +218,9 @@
 		if response.Refusal != "" {
 			return nil, &RefusedError{Stage: i, Reason: stagework.Refusal(response.Refusal), Wait: time.Duration(response.WaitMs) * time.Millisecond}
 		}
+		if len(response.Results) != r.Graph.Counts[i] {
+			return nil, fmt.Errorf("stage %d has %d results for %d pieces", i, len(response.Results), r.Graph.Counts[i])
+		}
 		return response.Results, nil
 	}
 	return nil, errors.Join(&RefusedError{Stage: i, Reason: stagework.RefusedFailed}, failed)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -51,6 +51,9 @@
 	if !g.prepare(server) {
 		return true
 	}
+	if !g.makersLive() {
+		return g.remake("a maker of inputs has left")
+	}
 	target, known := g.fleet.Server(server.ID)
 	if !known {
 		// The server left while the stages ran; the results can go to another one.
@@ -155,6 +158,28 @@
 	return false
 }
 
+// makersLive reports whether the servers that hold the inputs are still
+// registered. Results end with their maker, at any moment after it has left.
+func (g *generation) makersLive() bool {
+	current := g.views.Current()
+	for _, result := range g.inputs {
+		if _, ok := current.ByAddress[g.protocol.Maker(result)]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// remake gives up the inputs so that the next try makes them again, or ends the
+// request.
+func (g *generation) remake(reason string) bool {
+	g.freeInputs()
+	if g.remade++; g.remade > maxRemade || g.remaining() < minRepeat {
+		return g.giveUp(reason, retrySoon, nil)
+	}
+	return false
+}
+
 // giveUp ends the request, whose last send did not run.
 func (g *generation) giveUp(reason string, retry time.Duration, err error) bool {
 	switch {
@@ -238,12 +263,8 @@
 	case info.LostWork:
 		g.logFailed(upstream.Server{ID: server.ID}, answer.Status, nil)
 		g.sends--
-		g.freeInputs()
-		if g.remade++; g.remade > maxRemade || g.remaining() < minRepeat {
-			return g.giveUp("inputs were lost", retrySoon, nil)
-		}
 		g.tried = g.tried[:len(g.tried)-1]
-		return false
+		return g.remake("inputs were lost")
 	case info.NotRun:
 		g.fleet.Engines(g.service.Name, func(s *engine.Set) { s.Refused(server.ID, time.Now()) })
 		g.logFailed(upstream.Server{ID: server.ID}, answer.Status, nil)
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -175,11 +175,10 @@
 func (s *State) View() *View {
 	v := &View{Version: s.changed, Table: s.table, Servers: map[string][]Server{}, ByAddress: map[string]Server{}}
 	for _, server := range s.servers {
-		if server.Draining {
-			continue
-		}
-		v.Servers[server.Service] = append(v.Servers[server.Service], server)
 		v.ByAddress[server.Address] = server
+		if !server.Draining {
+			v.Servers[server.Service] = append(v.Servers[server.Service], server)
+		}
 	}
 	for _, servers := range v.Servers {
 		slices.SortFunc(servers, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -32,7 +32,7 @@
 	Table *route.Table
 	// Servers holds the servers that may get work, by service.
 	Servers map[string][]Server
-	// ByAddress holds the same servers by address.
+	// ByAddress holds all registered servers by address, draining ones included.
 	ByAddress map[string]Server
 }
 
--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -79,6 +79,9 @@
 	factor   float64
 	factorAt time.Time
 	bytes    int64
+	// last holds the results of the last call, by which a second answer to it is
+	// told from the answer to the next one.
+	last map[string]bool
 }
 
 // Queue holds the waiting jobs of one service and decides on its calls. It is not
@@ -236,6 +239,9 @@
 	s := q.servers[c.Server]
 	s.running--
 	s.bytes -= c.bytes
+	if s.repeats(outcomes) {
+		outcomes = slices.Repeat([]Outcome{{Status: Failed}}, len(outcomes))
+	}
 	q.judge(s, c, now, outcomes)
 	var e Effects
 	for i, outcome := range outcomes {
@@ -247,6 +253,23 @@
 	return e
 }
 
+// repeats reports whether outcomes are those of the last call to the server, and
+// remembers them otherwise. A faulty server answers a call twice; stage answers
+// carry nothing else that ties them to their call.
+func (s *server) repeats(outcomes []Outcome) bool {
+	results := map[string]bool{}
+	for _, o := range outcomes {
+		if o.Result != "" {
+			if s.last[o.Result] {
+				return true
+			}
+			results[o.Result] = true
+		}
+	}
+	s.last = results
+	return false
+}
+
 // judge learns from a call what its server can do.
 func (q *Queue) judge(s *server, c *call, now time.Time, outcomes []Outcome) {
 	worst := Produced
--- a/stagework/queue_test.go
+++ b/stagework/queue_test.go
@@ -217,3 +217,19 @@
 	c.Assert(q.Cancel(1).Orphans, qt.HasLen, 8)
 	c.Assert(q.Finished(now, second.ID, produce(second)).Orphans, qt.HasLen, 2)
 }
+
+// Guards against the second answer to a call that is taken for the answer to the
+// next one, which hands results to the wrong request.
+func TestSecondAnswerToACallIsNotTheNextOnes(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a")
+	offer(c, q, request(1, 2))
+	first, _ := q.Next(epoch)
+	outcomes := produce(first)
+	q.Finished(epoch, first.ID, outcomes)
+	offer(c, q, request(2, 2))
+	second, _ := q.Next(epoch)
+	e := q.Finished(epoch, second.ID, outcomes)
+	c.Assert(e.Done, qt.HasLen, 0)
+	c.Assert(e.Orphans, qt.HasLen, 0)
+}
