Count room that other callers took, join faster, and leave time for the run

A server without room counts as full but for what is freed; registered instances count as live for the first 5 s; the first heartbeats follow faster; the deadline of stages leaves the typical time of the run.

--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,6 +28,10 @@
 	// a hint.
 	registerTTL   = 10 * time.Minute
 	renewInterval = 3 * time.Minute
+	// joinTime is how long after the start registered instances count as live:
+	// until membership has heard of them, every instance would take itself for the
+	// one that forms all calls.
+	joinTime      = 5 * time.Second
 	registerRetry = 2 * time.Second
 	registerLimit = 1000
 	// avoidAfterFailure is how long an instance that did not answer gets no stages.
@@ -42,13 +48,23 @@
 	store    store.Store
 	logger   *slog.Logger
 
-	mu    sync.Mutex
-	avoid map[string]time.Time
+	mu      sync.Mutex
+	avoid   map[string]time.Time
+	started time.Time
+	// registered holds the peer addresses of the region's instances by ID, as they
+	// stood in the store at the start.
+	registered map[string]string
+}
+
+// registration is what an instance writes into the store.
+type registration struct {
+	Address string `json:"address"`
+	Region  string `json:"region"`
 }
 
 // NewCluster returns the cluster as seen from a node.
 func NewCluster(s settings.Gateway, node *peer.Node, client *peer.Client, st store.Store, logger *slog.Logger) *Cluster {
-	return &Cluster{settings: s, node: node, client: client, store: st, logger: logger, avoid: map[string]time.Time{}}
+	return &Cluster{settings: s, node: node, client: client, store: st, logger: logger, avoid: map[string]time.Time{}, started: time.Now()}
 }
 
 // Pull implements view.Peers.
@@ -114,6 +130,11 @@
 // of this instance is empty.
 func (c *Cluster) live() (ids []string, addresses map[string]string) {
 	addresses = map[string]string{c.settings.Instance: ""}
+	if time.Since(c.started) < joinTime {
+		c.mu.Lock()
+		maps.Copy(addresses, c.registered)
+		c.mu.Unlock()
+	}
 	c.node.View(func(s *membership.State) {
 		for _, record := range s.Live() {
 			if record.State == membership.Alive && record.ID != c.settings.Instance {
@@ -197,16 +218,36 @@
 	if err != nil {
 		return 0, err
 	}
-	_, err = c.store.CompareAndSwap(ctx, key, expect, []byte(c.settings.PeerAddress), lease)
+	value, err := json.Marshal(registration{Address: c.settings.PeerAddress, Region: c.settings.Region})
+	if err != nil {
+		return 0, err
+	}
+	_, err = c.store.CompareAndSwap(ctx, key, expect, value, lease)
 	return lease, err
 }
 
 // hint tells membership which addresses may belong to other instances.
 func (c *Cluster) hint(entries []store.Entry) {
 	addresses := slices.Clone(c.settings.Peers)
+	registered := map[string]string{}
 	for _, e := range entries {
-		addresses = append(addresses, string(e.Value))
+		id := strings.TrimPrefix(e.Key, registerPrefix)
+		var r registration
+		if err := json.Unmarshal(e.Value, &r); err != nil {
+			events.EntryRejected.Log(context.Background(), c.logger, slog.String("key", e.Key), slog.Any("error", err))
+			continue
+		}
+		if id == c.settings.Instance {
+			continue
+		}
+		addresses = append(addresses, r.Address)
+		if r.Region == c.settings.Region {
+			registered[id] = r.Address
+		}
 	}
+	c.mu.Lock()
+	c.registered = registered
+	c.mu.Unlock()
 	var candidates []membership.Candidate
 	for _, address := range addresses {
 		if address != c.settings.PeerAddress {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,8 @@
 	logger   *slog.Logger
 	counts   counts
 	running  atomic.Int64
+	// runs holds the durations of runs at model servers by route.
+	runs *means
 }
 
 // counts are the metrics of requests.
@@ -49,7 +51,7 @@
 
 // New returns a gateway.
 func New(protocol Protocol, views *view.Sync, fleet *Fleet, client *upstream.Client, stages *Stages, drain *Drain, logger *slog.Logger, scope tally.Scope) *Gateway {
-	return &Gateway{protocol: protocol, views: views, fleet: fleet, upstream: client, stages: stages, drain: drain, logger: logger, counts: newCounts(scope)}
+	return &Gateway{protocol: protocol, views: views, fleet: fleet, upstream: client, stages: stages, drain: drain, logger: logger, counts: newCounts(scope), runs: newMeans()}
 }
 
 // Running returns the number of requests under way.
--- a/internal/gateway/stagecaller.go
+++ b/internal/gateway/stagecaller.go
@@ -57,7 +57,7 @@
 	jobs  map[stagework.JobID]*stageJob
 	// pending holds the jobs that a peer will await again.
 	pending map[stagework.JobID]*stageJob
-	last  stagework.JobID
+	last    stagework.JobID
 	// reviewing is true while a review of waiting jobs is scheduled.
 	reviewing bool
 }
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// typicalWeight is the weight of the newest duration of a stage in its mean.
-	typicalWeight = 0.2
 	// firstPieces is the number of pieces that a stage without measurements is
 	// taken to have.
 	firstPieces = 6
@@ -51,14 +49,15 @@
 	local   *StageCaller
 	logger  *slog.Logger
 
-	mu      sync.Mutex
-	typical map[string]time.Duration
-	free    map[string][]string
+	typical *means
+
+	mu   sync.Mutex
+	free map[string][]string
 }
 
 // NewStages returns a Stages that asks the local caller or those of peers.
 func NewStages(cluster *Cluster, client *peer.Client, local *StageCaller, logger *slog.Logger) *Stages {
-	return &Stages{cluster: cluster, client: client, local: local, logger: logger, typical: map[string]time.Duration{}, free: map[string][]string{}}
+	return &Stages{cluster: cluster, client: client, local: local, logger: logger, typical: newMeans(), free: map[string][]string{}}
 }
 
 // Chain is the stages of one request.
@@ -138,9 +137,7 @@
 
 // Typical returns the typical duration of a stage of a service.
 func (s *Stages) Typical(table *route.Table, service string) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if known := s.typical[service]; known > 0 {
+	if known := s.typical.of(service); known > 0 {
 		return known
 	}
 	if described := table.Service(service); described != nil && described.Work != nil {
@@ -149,15 +146,6 @@
 	return 0
 }
 
-func (s *Stages) learn(service string, took time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if known := s.typical[service]; known > 0 {
-		took = known + time.Duration(typicalWeight*float64(took-known))
-	}
-	s.typical[service] = took
-}
-
 // stage waits for the inputs of a stage and runs it.
 func (r *run) stage(ctx context.Context, i int) error {
 	var inputs []string
@@ -176,7 +164,7 @@
 	if err != nil {
 		return err
 	}
-	r.learn(r.Route.Stages[i].Service, time.Since(started))
+	r.typical.learn(r.Route.Stages[i].Service, time.Since(started))
 	r.mu.Lock()
 	r.results[i] = results
 	for _, j := range r.Graph.After[i] {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -123,10 +123,6 @@
 	return counts
 }
 
-// engineMargin is what the answer of a model server needs beyond its first event,
-// as a part of the typical time to that.
-const engineMargin = 1.5
-
 // prepare runs the stages unless their results are held. It returns false when the
 // request is answered.
 func (g *generation) prepare(server engine.Server) bool {
@@ -138,7 +134,7 @@
 	inputs, err := g.stages.Run(g.ctx, Chain{
 		RequestID: g.demand.ID, Key: g.demand.PieceKey, Table: g.view.Table, Route: g.route, Graph: g.graph, Priority: g.priority,
 		Due:           g.arrived.Add(g.route.Target - typical),
-		Deadline:      g.deadline.Add(-time.Duration(engineMargin * float64(typical))),
+		Deadline:      g.deadline.Add(-max(typical, g.runs.of(g.route.Name))),
 		FailureDomain: server.FailureDomain,
 	})
 	if err == nil {
@@ -324,6 +320,7 @@
 				g.started = true
 				g.writeHead(answer, -1)
 			}
+			g.runs.learn(g.route.Name, time.Since(sent))
 			g.answered(answer.Status, server.ID)
 			return true
 		}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -72,26 +72,51 @@
 	receiving.Wait()
 }
 
+// firstTicks follow each other faster, so that an instance that starts is known
+// within a second.
+const (
+	firstTicks        = 6
+	firstTickInterval = membership.Interval / 6
+)
+
 // tickAll starts at a random phase: instances that tick in step spread their
 // heartbeats more slowly and suspect each other.
 func (n *Node) tickAll(ctx context.Context) {
-	select {
-	case <-time.After(rand.N(membership.Interval)):
-	case <-ctx.Done():
+	for range firstTicks {
+		if !n.tickAfter(ctx, firstTickInterval/2+rand.N(firstTickInterval)) {
+			return
+		}
+	}
+	if !n.tickAfter(ctx, rand.N(membership.Interval)) {
 		return
 	}
 	ticker := time.NewTicker(membership.Interval)
 	defer ticker.Stop()
 	for {
-		n.Do(func(s *membership.State) []membership.Output { return s.Tick(time.Now()) })
 		select {
 		case <-ticker.C:
+			n.tick()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// tickAfter ticks after a pause, or returns false when the context ends first.
+func (n *Node) tickAfter(ctx context.Context, pause time.Duration) bool {
+	select {
+	case <-time.After(pause):
+		n.tick()
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (n *Node) tick() {
+	n.Do(func(s *membership.State) []membership.Output { return s.Tick(time.Now()) })
+}
+
 // receiveAll reads datagrams until the connection is closed.
 func (n *Node) receiveAll() {
 	buffer := make([]byte, membership.MaxMessageBytes+1)
--- a/internal/view/sync_test.go
+++ b/internal/view/sync_test.go
@@ -133,7 +133,6 @@
 	c.Assert(version, qt.Equals, store.Version(0))
 }
 
-
 // Guards against a watch that hears nothing while the store drops its history, so
 // that a new configuration is noticed only when a long wait ends.
 func TestReadersLookOften(t *testing.T) {
--- a/stagework/call.go
+++ b/stagework/call.go
@@ -82,7 +82,7 @@
 func (q *Queue) serverFor(j *job, free []*server, now time.Time) *server {
 	var other *server
 	for _, s := range free {
-		if q.room(s, j) == 0 {
+		if q.room(s, j, now) == 0 {
 			continue
 		}
 		if s.FailureDomain == j.FailureDomain {
@@ -132,24 +132,28 @@
 }
 
 // room returns how many results of a job a server has memory for.
-func (q *Queue) room(s *server, j *job) int {
+func (q *Queue) room(s *server, j *job, now time.Time) int {
 	if q.shape.RoomBytes == 0 || j.ResultBytes <= 0 {
 		return q.shape.Batch
 	}
-	return int(max(0, (q.shape.RoomBytes-s.bytes)/j.ResultBytes))
+	taken := s.bytes
+	if now.Before(s.unknownUntil) {
+		taken += s.unknown
+	}
+	return int(max(0, (q.shape.RoomBytes-taken)/j.ResultBytes))
 }
 
 // fill forms a call for a server from the waiting pieces in their order,
 // beginning with a job that it has room for.
 func (q *Queue) fill(s *server, first *job, now time.Time) *call {
 	c := &call{started: now}
-	q.add(c, s, first)
+	q.add(c, s, first, now)
 	for _, j := range q.order {
 		if len(c.Items) >= q.shape.Batch {
 			break
 		}
 		if j != first && len(j.waiting) > 0 && (s.FailureDomain == j.FailureDomain || q.mayCross(j, now)) {
-			q.add(c, s, j)
+			q.add(c, s, j, now)
 		}
 	}
 	if len(c.Items) == 0 {
@@ -167,8 +171,8 @@
 
 // add moves waiting pieces of a job into a call, as far as the batch and the
 // server's room allow.
-func (q *Queue) add(c *call, s *server, j *job) {
-	n := min(len(j.waiting), q.shape.Batch-len(c.Items), q.room(s, j))
+func (q *Queue) add(c *call, s *server, j *job, now time.Time) {
+	n := min(len(j.waiting), q.shape.Batch-len(c.Items), q.room(s, j, now))
 	for _, place := range j.waiting[:n] {
 		c.Items = append(c.Items, Item{Job: j.ID, Piece: j.Pieces[place]})
 		c.places = append(c.places, place)
--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -11,8 +11,10 @@
 	maxFailures = 2
 	// refusedPause keeps a server that refused a call from getting another one.
 	refusedPause = 40 * time.Millisecond
-	// roomPause is how long a server that had no room for a piece is passed over.
-	roomPause = 60 * time.Millisecond
+	// roomPause is how long a server that had no room for a piece is taken as full,
+	// but for what is freed meanwhile: results that this queue does not know of
+	// lie there.
+	roomPause = 400 * time.Millisecond
 	// failurePause doubles with each failure in a row, up to maxFailurePause.
 	failurePause    = 200 * time.Millisecond
 	maxFailurePause = 2 * time.Second
@@ -79,6 +81,9 @@
 	factor   float64
 	factorAt time.Time
 	bytes    int64
+	// unknown is the memory that results of other callers are believed to take.
+	unknown      int64
+	unknownUntil time.Time
 	// last holds the results of the last call, by which a second answer to it is
 	// told from the answer to the next one.
 	last map[string]bool
@@ -242,11 +247,11 @@
 	if s.repeats(outcomes) {
 		outcomes = slices.Repeat([]Outcome{{Status: Failed}}, len(outcomes))
 	}
-	q.judge(s, c, now, outcomes)
 	var e Effects
 	for i, outcome := range outcomes {
 		q.take(&e, c, s, i, outcome, now)
 	}
+	q.judge(s, c, now, outcomes)
 	if !s.listed && s.running == 0 {
 		delete(q.servers, s.ID)
 	}
@@ -286,7 +291,7 @@
 		s.pausedUntil = now.Add(pause)
 		return
 	case NoRoom:
-		s.pausedUntil = now.Add(roomPause)
+		s.unknown, s.unknownUntil = max(0, q.shape.RoomBytes-s.bytes), now.Add(roomPause)
 	}
 	s.failures = 0
 	took := float64(now.Sub(c.started)) / float64(max(1, q.shape.CallDuration(len(c.Items))))
--- a/stagework/queue_test.go
+++ b/stagework/queue_test.go
@@ -233,3 +233,27 @@
 	c.Assert(e.Done, qt.HasLen, 0)
 	c.Assert(e.Orphans, qt.HasLen, 0)
 }
+
+// Guards against calls that a server without room answers in vain, again and
+// again, after the instance that knew of its results has gone.
+func TestServersWithoutRoomAreTakenAsFull(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a")
+	heavy := request(1, 4)
+	heavy.ResultBytes = 1_500_000
+	offer(c, q, heavy)
+	call, _ := q.Next(epoch)
+	outcomes := produce(call)
+	outcomes[2], outcomes[3] = Outcome{Status: NoRoom}, Outcome{Status: NoRoom}
+	q.Finished(epoch, call.ID, outcomes)
+	_, ok := q.Next(epoch)
+	c.Assert(ok, qt.IsFalse)
+	q.Freed([]string{outcomes[0].Result})
+	again, ok := q.Next(epoch)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(again.Items, qt.HasLen, 1)
+	q.Finished(epoch, again.ID, produce(again))
+	last, ok := q.Next(epoch.Add(roomPause))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(last.Items, qt.HasLen, 1)
+}
