--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -13,6 +13,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
+	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
 
 // generation is a request to a model server.
@@ -48,8 +49,8 @@
 		return g.giveUp("no server", retryLater, nil)
 	}
 	defer g.fleet.Engines(g.service.Name, func(s *engine.Set) { s.Finished(server.ID) })
-	if !g.prepare(server) {
-		return true
+	if ready, ended := g.prepare(server); !ready {
+		return ended
 	}
 	if !g.makersLive() {
 		return g.remake("a maker of inputs has left")
@@ -124,34 +125,44 @@
 }
 
 // prepare runs the stages unless their results are held. It returns false when the
-// request is answered.
-func (g *generation) prepare(server engine.Server) bool {
+// request has its answer or must be tried again.
+func (g *generation) prepare(server engine.Server) (ready, ended bool) {
 	if g.graph.Empty() || g.inputs != nil {
-		return true
+		return true, false
 	}
 	var typical time.Duration
 	g.fleet.Engines(g.service.Name, func(s *engine.Set) { typical = s.Typical() })
 	inputs, err := g.stages.Run(g.ctx, Chain{
 		RequestID: g.demand.ID, Key: g.demand.PieceKey, Table: g.view.Table, Route: g.route, Graph: g.graph, Priority: g.priority,
 		Due:           g.arrived.Add(g.route.Target - typical),
-		Deadline:      g.deadline.Add(-max(typical, g.runs.of(g.route.Name))),
+		Deadline:      g.stagesDeadline(typical),
 		FailureDomain: server.FailureDomain,
 	})
 	if err == nil {
 		g.inputs = inputs
-		return true
+		return true, false
 	}
 	if g.left() || g.late() {
-		g.ended()
-		return false
+		return false, g.end()
 	}
 	var refused *RefusedError
-	if errors.As(err, &refused) {
-		g.giveUp("stages: "+string(refused.Reason), refused.Wait, err)
-		return false
+	if !errors.As(err, &refused) {
+		return false, g.giveUp("stages failed", retrySoon, err)
 	}
-	g.giveUp("stages failed", retrySoon, err)
-	return false
+	if refused.Reason == stagework.RefusedInputGone && time.Now().Before(g.arrived.Add(g.route.Target)) {
+		return false, g.remake("stages: inputs were lost")
+	}
+	return false, g.giveUp("stages: "+string(refused.Reason), refused.Wait, err)
+}
+
+// stagesDeadline returns when the stages must end, so that a run of typical length
+// ends by the deadline and its first event comes while the client still waits.
+func (g *generation) stagesDeadline(firstEvent time.Duration) time.Time {
+	end := g.deadline.Add(-max(firstEvent, g.runs.of(g.route.Name)))
+	if patience := g.arrived.Add(g.route.Patience - firstEvent); g.route.Patience > 0 && patience.Before(end) {
+		return patience
+	}
+	return end
 }
 
 // makersLive reports whether the servers that hold the inputs are still
--- a/route/route.go
+++ b/route/route.go
@@ -45,6 +45,9 @@
 	// Target is the time to the answer, or to the first event of a stream, within
 	// which it is on time.
 	Target time.Duration
+	// Patience is how long a client waits for the first event of a stream before it
+	// leaves; 0 when only its deadline bounds that.
+	Patience time.Duration
 	// MaxAttempts is the number of backend servers that one attempt of a client
 	// may be sent to.
 	MaxAttempts int
--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -18,6 +18,9 @@
 	// failurePause doubles with each failure in a row, up to maxFailurePause.
 	failurePause    = 200 * time.Millisecond
 	maxFailurePause = 2 * time.Second
+	// lateFactor is the multiple of the present wait that a job which will be late
+	// is expected to wait longer, because those that can be on time pass it.
+	lateFactor = 1
 	// startedBonus brings jobs with finished stages forward: their work is lost
 	// if they come too late.
 	startedBonus = 400 * time.Millisecond
@@ -46,6 +49,7 @@
 
 type job struct {
 	Job
+	offered time.Time
 	// waiting are the places in Pieces that are in no call.
 	waiting  []int
 	results  []string
@@ -161,10 +165,16 @@
 	if q.Servers() == 0 {
 		return RefusedNoServer, false
 	}
-	if !offered.Started && now.Add(q.estimate(now, offered)).After(offered.Deadline) {
-		return RefusedLate, false
+	if !offered.Started {
+		end := now.Add(q.estimate(now, offered))
+		if end.After(offered.Due) {
+			end = end.Add(lateFactor * q.Wait(now))
+		}
+		if end.After(offered.Deadline) {
+			return RefusedLate, false
+		}
 	}
-	j := &job{Job: offered, results: make([]string, len(offered.Pieces)), left: len(offered.Pieces)}
+	j := &job{Job: offered, offered: now, results: make([]string, len(offered.Pieces)), left: len(offered.Pieces)}
 	for place := range offered.Pieces {
 		j.waiting = append(j.waiting, place)
 	}
@@ -381,11 +391,10 @@
 
 // sort orders the jobs by rank: those that can still be on time first.
 func (q *Queue) sort(now time.Time) {
-	call := q.shape.CallDuration(1)
 	slices.SortStableFunc(q.order, func(a, b *job) int {
-		lateA, lateB := now.Add(call).After(a.Due), now.Add(call).After(b.Due)
-		if lateA != lateB {
-			if lateA {
+		behindA, behindB := a.behind(now, q.shape), b.behind(now, q.shape)
+		if behindA != behindB {
+			if behindA {
 				return 1
 			}
 			return -1
@@ -394,6 +403,16 @@
 	})
 }
 
+// late reports whether the job can't be on time any more.
+func (j *job) late(now time.Time, shape Shape) bool {
+	return now.Add(shape.CallDuration(1)).After(j.Due)
+}
+
+// behind reports whether the job comes after those that can be on time.
+func (j *job) behind(now time.Time, shape Shape) bool {
+	return j.late(now, shape)
+}
+
 // rank is the time by which jobs are ordered.
 func (j *job) rank() int64 {
 	at := j.Due.UnixNano() + int64(priorityBonus)*int64(min(j.Priority, rankedPriorities))
