--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,10 +39,7 @@
 	sends int
 }
 
-var (
-	errClientLeft = errors.New("client left")
-	errDeadline   = errors.New("deadline has passed")
-)
+var errDeadline = errors.New("deadline has passed")
 
 // remaining returns the time left for the request.
 func (a *attempt) remaining() time.Duration { return time.Until(a.deadline) }
--- /dev/null
+++ b/internal/gateway/fakes_test.go
@@ -0,0 +1,252 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store/storetest"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
+	"github.com/coltsfootdrift/coltsfootdrift/membership"
+	"github.com/coltsfootdrift/coltsfootdrift/route"
+	"github.com/coltsfootdrift/coltsfootdrift/stagework"
+)
+
+// fakeProtocol is a wire form of its own: the configuration and servers are JSON
+// of the product's types.
+type fakeProtocol struct{}
+
+func (fakeProtocol) Kind(key string) view.KeyKind {
+	if key == "config" {
+		return view.KeyConfiguration
+	}
+	return view.KeyServer
+}
+
+func (fakeProtocol) Configuration(value []byte) (c route.Configuration, err error) {
+	return c, json.Unmarshal(value, &c)
+}
+
+func (fakeProtocol) Server(_ string, value []byte) (s view.Server, err error) {
+	return s, json.Unmarshal(value, &s)
+}
+
+func (fakeProtocol) ReadRequest(h http.Header) Demand {
+	d := Demand{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last"), PieceKey: "pk"}
+	if ms, err := strconv.Atoi(h.Get("Wait")); err == nil {
+		d.Wait, d.Bounded = time.Duration(ms)*time.Millisecond, true
+	}
+	for _, n := range strings.Fields(h.Get("Counts")) {
+		count, _ := strconv.Atoi(n)
+		d.PieceCounts = append(d.PieceCounts, count)
+	}
+	return d
+}
+
+func (fakeProtocol) WriteRequest(h http.Header, s Send) {
+	h.Del("Key")
+	h.Set("Server", s.Server)
+	h.Set("Organisation", s.Organisation)
+	h.Set("Inputs", strings.Join(s.Inputs, " "))
+	if s.LastEventID != "" {
+		h.Set("Last", s.LastEventID)
+	}
+}
+
+func (fakeProtocol) WriteOwnAnswer(h http.Header, id string) { h.Set("Id", id) }
+
+func (fakeProtocol) Belongs(h http.Header, id string) bool { return h.Get("Id") == id }
+
+func (fakeProtocol) ReadAnswer(_ int, h http.Header) AnswerInfo {
+	return AnswerInfo{NotRun: h.Get("Not-Run") != "", LostWork: h.Get("Not-Run") == "inputs"}
+}
+
+func (fakeProtocol) StageCall(s upstream.Server, pieces []Piece) (*upstream.Request, error) {
+	body, err := json.Marshal(pieces)
+	return &upstream.Request{Method: http.MethodPost, Target: "/run", Host: s.Address, Header: http.Header{}, Body: body}, err
+}
+
+func (fakeProtocol) StageOutcomes(_ int, _ http.Header, body []byte, _ int) (outcomes []stagework.Outcome, err error) {
+	return outcomes, json.Unmarshal(body, &outcomes)
+}
+
+func (fakeProtocol) FreeCall(s upstream.Server, results []string) (*upstream.Request, error) {
+	body, err := json.Marshal(results)
+	return &upstream.Request{Method: http.MethodPost, Target: "/free", Host: s.Address, Header: http.Header{}, Body: body}, err
+}
+
+func (fakeProtocol) Maker(result string) string {
+	address, _, _ := strings.Cut(result, "/")
+	return address
+}
+
+// fakeSource is a store that holds one state and never changes.
+type fakeSource struct{ entries []store.Entry }
+
+func (f fakeSource) Snapshot(context.Context) ([]store.Entry, store.Version, error) {
+	return f.entries, 1, nil
+}
+
+func (f fakeSource) Watch(ctx context.Context, _ string, _ store.Version) (store.WatchResult, error) {
+	<-ctx.Done()
+	return store.WatchResult{Version: 1}, nil
+}
+
+// world is a gateway before backend servers that are functions.
+type world struct {
+	c       *qt.C
+	config  route.Configuration
+	servers []view.Server
+	gateway *Gateway
+	caller  *StageCaller
+	drain   *Drain
+	url     string
+}
+
+// backend adds a server of a service.
+func (w *world) backend(service string, handle http.HandlerFunc) string {
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("Id", r.Header.Get("Id"))
+		handle(rw, r)
+	}))
+	w.c.Cleanup(server.CloseClientConnections)
+	address := strings.TrimPrefix(server.URL, "http://")
+	w.servers = append(w.servers, view.Server{ID: fmt.Sprint("s", len(w.servers)), Service: service, Address: address, FailureDomain: "d", Slots: 4})
+	return address
+}
+
+func logger() *slog.Logger { return slog.New(slog.NewJSONHandler(io.Discard, nil)) }
+
+// freeAddress returns a loopback address whose UDP and TCP ports are free.
+func freeAddress(c *qt.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// start runs the gateway.
+func (w *world) start() {
+	c := w.c
+	s := settings.Gateway{Instance: "g", Region: "r", FailureDomain: "d", Regions: map[string]string{"d": "r"}, PeerAddress: freeAddress(c),
+		GraceSeconds: 8, RetryRatio: 20, RetrySlack: 1000, RetryWindowSeconds: 1}
+	node, err := peer.Listen(membership.Identity{ID: "g", FailureDomain: "r", Address: s.PeerAddress, Incarnation: 1}, logger(), tally.NoopScope)
+	c.Assert(err, qt.IsNil)
+	entries := []store.Entry{}
+	add := func(key string, value any) {
+		data, err := json.Marshal(value)
+		c.Assert(err, qt.IsNil)
+		entries = append(entries, store.Entry{Key: key, Value: data, Version: 1})
+	}
+	if w.config.Version > 0 {
+		add("config", w.config)
+	}
+	for _, server := range w.servers {
+		add("server/"+server.ID, server)
+	}
+	protocol, client := fakeProtocol{}, peer.NewClient()
+	cluster := NewCluster(s, node, client, storetest.New(), logger())
+	views := view.NewSync(fakeSource{entries}, cluster, protocol, logger(), tally.NoopScope)
+	fleet := NewFleet(s, cluster)
+	connections := upstream.NewClient(tally.NoopScope)
+	freer := NewFreer(protocol, connections, serverByAddress(views), logger())
+	w.caller = NewStageCaller(s, protocol, connections, fleet, freer, logger(), tally.NoopScope)
+	w.drain = NewDrain(s.Grace())
+	w.gateway = New(protocol, views, fleet, connections, NewStages(cluster, client, w.caller, logger()), w.drain, logger(), tally.NoopScope)
+	changed := make(chan struct{}, 10)
+	views.Observe(fleet.Update)
+	views.Observe(w.caller.Update)
+	views.Observe(func(*view.View) { changed <- struct{}{} })
+	ctx, cancel := context.WithCancel(context.Background())
+	go node.Run(ctx)
+	go views.Run(ctx)
+	if len(entries) > 0 {
+		<-changed
+	}
+	front := NewFront(w.gateway, w.drain, logger())
+	address := freeAddress(c)
+	c.Assert(front.Listen(ctx, address), qt.IsNil)
+	if v := views.Current(); v != nil {
+		front.Update(v)
+	}
+	w.url = "http://" + address
+	c.Cleanup(func() {
+		cancel()
+		front.Close()
+	})
+}
+
+// plain returns a world whose route leads to one plain service.
+func plain(c *qt.C, kind route.Kind) *world {
+	return &world{c: c, config: route.Configuration{Version: 1,
+		Routes:   []route.Route{{Name: "r", Host: "h", Prefix: "/p/", Kind: kind, Split: []route.Weight{{Service: "x", Weight: 1}}, Timeout: 2 * time.Second, MaxAttempts: 2, Public: true}},
+		Services: []route.Service{{Name: "x"}},
+	}}
+}
+
+// generating returns a world whose route leads to model servers, with stages.
+func generating(c *qt.C, resumable bool, stages ...route.Stage) *world {
+	w := plain(c, route.Stream)
+	w.config.Routes[0].Resumable, w.config.Routes[0].Stages = resumable, stages
+	w.config.Routes[0].Target = time.Second
+	w.config.Services[0].Engine = true
+	w.config.Services = append(w.config.Services, route.Service{Name: "stage",
+		Work: &route.StageShape{Slots: 1, Batch: 4, CallTime: time.Millisecond, PieceTime: time.Millisecond, ResultLife: time.Second}})
+	return w
+}
+
+// do sends a request with an ID and other headers, given as pairs.
+func (w *world) do(method, target, body string, headers ...string) (*http.Response, string, error) {
+	request, err := http.NewRequest(method, w.url+target, strings.NewReader(body))
+	w.c.Assert(err, qt.IsNil)
+	request.Host = "h"
+	request.Header.Set("Id", "a1")
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response, string(data), err
+}
+
+// recorder collects what servers saw.
+type recorder struct {
+	mu   sync.Mutex
+	seen []string
+}
+
+func (r *recorder) add(text string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen = append(r.seen, text)
+	return len(r.seen)
+}
+
+func (r *recorder) all() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.seen...)
+}
+
+// cut ends a connection without an answer.
+func cut(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
--- /dev/null
+++ b/internal/gateway/plain_test.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/route"
+)
+
+// Guards against a method, path, query, body or header that changes on the way, and
+// against headers that concern one connection only.
+func TestRequestsAreForwardedUnchanged(t *testing.T) {
+	c := qt.New(t)
+	w := plain(c, route.NonIdempotent)
+	var seen recorder
+	w.backend("x", func(rw http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		seen.add(strings.Join([]string{r.Method, r.RequestURI, r.Host, string(body), r.Header.Get("Other"), r.Header.Get("Drop"), r.Header.Get("Key"), r.Header.Get("Server")}, "|"))
+		rw.Header().Set("Signature", "sig")
+		rw.WriteHeader(http.StatusTeapot)
+		_, _ = io.WriteString(rw, "answer")
+	})
+	w.start()
+	response, body, err := w.do("POST", "/p/%2F..//x?q=%20&q=+", "body", "Other", "o", "Connection", "Drop", "Drop", "d", "Key", "secret")
+	c.Assert(err, qt.IsNil)
+	c.Assert(seen.all(), qt.DeepEquals, []string{"POST|/p/%2F..//x?q=%20&q=+|h|body|o|||s0"})
+	c.Assert(response.StatusCode, qt.Equals, http.StatusTeapot)
+	c.Assert(response.Header.Get("Signature"), qt.Equals, "sig")
+	c.Assert(body, qt.Equals, "answer")
+}
+
+// Guards against a request that runs twice although it may not, when its first send
+// had no answer.
+func TestNonIdempotentRequestsAreSentOnce(t *testing.T) {
+	c := qt.New(t)
+	w := plain(c, route.NonIdempotent)
+	var seen recorder
+	for range 2 {
+		w.backend("x", func(rw http.ResponseWriter, r *http.Request) { seen.add(""); cut(rw, r) })
+	}
+	w.start()
+	response, _, err := w.do("POST", "/p/", "b")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+	c.Assert(seen.all(), qt.HasLen, 1)
+}
+
+// Guards against an idempotent request that fails with its first server.
+func TestIdempotentRequestsAreRepeatedAtAnotherServer(t *testing.T) {
+	c := qt.New(t)
+	w := plain(c, route.Idempotent)
+	var seen recorder
+	for range 2 {
+		w.backend("x", func(rw http.ResponseWriter, r *http.Request) {
+			if seen.add(r.Header.Get("Server")) == 1 {
+				cut(rw, r)
+			}
+			_, _ = io.WriteString(rw, "second")
+		})
+	}
+	w.start()
+	_, body, err := w.do("GET", "/p/", "")
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, "second")
+	c.Assert(seen.all(), qt.HasLen, 2)
+	c.Assert(seen.all()[0], qt.Not(qt.Equals), seen.all()[1])
+}
+
+// Guards against more sends than the route allows, and against a refusal without a
+// time to come back.
+func TestRefusedRequestsAreToldWhenToComeBack(t *testing.T) {
+	c := qt.New(t)
+	w := plain(c, route.NonIdempotent)
+	var seen recorder
+	for range 4 {
+		w.backend("x", func(rw http.ResponseWriter, _ *http.Request) {
+			seen.add("")
+			rw.Header().Set("Not-Run", "full")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		})
+	}
+	w.start()
+	response, _, err := w.do("POST", "/p/", "b")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(response.Header.Get("Retry-After"), qt.Equals, "0.3")
+	c.Assert(seen.all(), qt.HasLen, 2)
+}
+
+// Guards against a promise that a request has not run when a server that may have
+// run it gives none.
+func TestUnpromisedRefusalsAreNotPassedOn(t *testing.T) {
+	c := qt.New(t)
+	w := plain(c, route.NonIdempotent)
+	w.backend("x", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusServiceUnavailable) })
+	w.start()
+	response, _, err := w.do("POST", "/p/", "b")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+}
+
+// Guards against refusals that no configuration calls for, and against requests
+// that are let through without a key.
+func TestAnswersOfTheGateway(t *testing.T) {
+	c := qt.New(t)
+	w := plain(c, route.Idempotent)
+	w.config.Routes[0].Public = false
+	w.config.Organisations = []route.Organisation{{Name: "o", Keys: []string{"k"}}}
+	w.config.Limits = route.Limits{BodyBytes: 4, HeaderBytes: 8 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+	w.backend("x", func(rw http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(rw, r.Header.Get("Organisation")) })
+	w.start()
+	for _, test := range []struct {
+		target, key, body string
+		status            int
+	}{
+		{"/p/", "k", "1234", 200}, {"/p/", "k", "12345", 413}, {"/p/", "other", "", 401}, {"/p/", "", "", 401}, {"/none/", "k", "", 404},
+	} {
+		response, body, err := w.do("POST", test.target, test.body, "Key", test.key)
+		c.Assert(err, qt.IsNil)
+		c.Check(response.StatusCode, qt.Equals, test.status, qt.Commentf("%v", test))
+		if test.status == 200 {
+			c.Check(body, qt.Equals, "o")
+		}
+	}
+	response, _, err := w.do("GET", "/p/", "", "Long", strings.Repeat("x", 16<<10))
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+	empty := &world{c: c}
+	empty.start()
+	response, _, err = empty.do("GET", "/p/", "")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+}
+
+// Guards against a client that waits beyond its deadline or the route's timeout.
+func TestDeadlinesEndRequests(t *testing.T) {
+	c := qt.New(t)
+	w := plain(c, route.Idempotent)
+	w.backend("x", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	w.start()
+	started := time.Now()
+	response, _, err := w.do("GET", "/p/", "", "Wait", "100")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusGatewayTimeout)
+	c.Assert(time.Since(started) >= 100*time.Millisecond, qt.IsTrue)
+}
+
+// Guards against an answer that was cut short but looks whole to the client.
+func TestShortAnswersAreNotPassedOnAsWhole(t *testing.T) {
+	c := qt.New(t)
+	w := plain(c, route.NonIdempotent)
+	w.backend("x", func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Content-Length", "10")
+		_, _ = io.WriteString(rw, "half")
+	})
+	w.start()
+	response, _, err := w.do("POST", "/p/", "")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+}
+
+// Guards against work that goes on at a server after its client has left.
+func TestLeavingClientsCancelTheirRequests(t *testing.T) {
+	c := qt.New(t)
+	w := plain(c, route.Idempotent)
+	started, ended := make(chan struct{}), make(chan struct{})
+	w.backend("x", func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	})
+	w.start()
+	ctx, leave := context.WithCancel(c.Context())
+	request, err := http.NewRequestWithContext(ctx, "GET", w.url+"/p/", nil)
+	c.Assert(err, qt.IsNil)
+	request.Host = "h"
+	go func() {
+		if response, err := http.DefaultTransport.RoundTrip(request); err == nil {
+			response.Body.Close()
+		}
+	}()
+	<-started
+	leave()
+	<-ended
+}
+
+// Guards against kept connections that are cut by a shutdown without an answer that
+// says so.
+func TestDrainingInstancesServeAndCloseTheirConnections(t *testing.T) {
+	c := qt.New(t)
+	w := plain(c, route.Idempotent)
+	w.backend("x", func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "served") })
+	w.start()
+	w.drain.Begin(time.Now())
+	response, body, err := w.do("GET", "/p/", "")
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, "served")
+	c.Assert(response.Close, qt.IsTrue)
+}
+
+// Guards against a shutdown that ends too early, too late, or takes requests that
+// it would cut off.
+func TestDrainTimes(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	d := NewDrain(8 * time.Second)
+	c.Assert(d.Admits(true), qt.IsTrue)
+	d.Begin(now.Add(-streamNotice))
+	c.Assert(d.Admits(true), qt.IsFalse)
+	c.Assert(d.Admits(false), qt.IsTrue)
+	began := now.Add(-streamNotice)
+	c.Assert(d.done(began.Add(balancerNotice-1), 0), qt.IsFalse)
+	c.Assert(d.done(began.Add(balancerNotice), 0), qt.IsTrue)
+	c.Assert(d.done(began.Add(balancerNotice), 1), qt.IsFalse)
+	d.open.Add(1)
+	c.Assert(d.done(began.Add(balancerNotice), 0), qt.IsFalse)
+	c.Assert(d.done(began.Add(keptConnections), 0), qt.IsTrue)
+	c.Assert(d.done(began.Add(8*time.Second-exitMargin), 1), qt.IsTrue)
+}
--- /dev/null
+++ b/internal/gateway/stream_test.go
@@ -0,0 +1,264 @@
+package gateway
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
+	"github.com/coltsfootdrift/coltsfootdrift/route"
+	"github.com/coltsfootdrift/coltsfootdrift/stagework"
+)
+
+func sendEvents(rw http.ResponseWriter, from, to int) {
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(rw, "id: %d\ndata: x\n\n", i)
+	}
+	_ = http.NewResponseController(rw).Flush()
+}
+
+func eventText(from, to int) string {
+	var text strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&text, "id: %d\ndata: x\n\n", i)
+	}
+	return text.String()
+}
+
+// Guards against events that are held back until the stream ends.
+func TestEventsArePassedOnAsTheyArrive(t *testing.T) {
+	c := qt.New(t)
+	w := generating(c, false)
+	goOn := make(chan struct{})
+	w.backend("x", func(rw http.ResponseWriter, _ *http.Request) {
+		sendEvents(rw, 1, 1)
+		<-goOn
+		sendEvents(rw, 2, 2)
+	})
+	w.start()
+	request, err := http.NewRequest("POST", w.url+"/p/", nil)
+	c.Assert(err, qt.IsNil)
+	request.Host = "h"
+	response, err := http.DefaultTransport.RoundTrip(request)
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	reader := bufio.NewReader(response.Body)
+	line, err := reader.ReadString('\n')
+	c.Assert(err, qt.IsNil)
+	c.Assert(line, qt.Equals, "id: 1\n")
+	close(goOn)
+	rest, err := io.ReadAll(reader)
+	c.Assert(err, qt.IsNil)
+	c.Assert(line+string(rest), qt.Equals, eventText(1, 2))
+}
+
+// Guards against a stream that broke off but looks complete, and against one that
+// is joined from two runs although its kind forbids it.
+func TestBrokenStreamsStayBroken(t *testing.T) {
+	c := qt.New(t)
+	w := generating(c, false)
+	var seen recorder
+	for range 2 {
+		w.backend("x", func(rw http.ResponseWriter, r *http.Request) {
+			seen.add("")
+			sendEvents(rw, 1, 2)
+			cut(rw, r)
+		})
+	}
+	w.start()
+	_, body, err := w.do("POST", "/p/", "")
+	c.Assert(err, qt.Not(qt.IsNil))
+	c.Assert(body, qt.Equals, eventText(1, 2))
+	c.Assert(seen.all(), qt.HasLen, 1)
+}
+
+// Guards against a resumed stream with an event that is missing or comes twice, and
+// against half an event of the first run.
+func TestResumableStreamsGoOnAtAnotherServer(t *testing.T) {
+	c := qt.New(t)
+	w := generating(c, true)
+	var seen recorder
+	for range 2 {
+		w.backend("x", func(rw http.ResponseWriter, r *http.Request) {
+			if seen.add(r.Header.Get("Last")) == 1 {
+				sendEvents(rw, 1, 2)
+				_, _ = io.WriteString(rw, "id: 3\nda")
+				_ = http.NewResponseController(rw).Flush()
+				cut(rw, r)
+			}
+			sendEvents(rw, 3, 4)
+		})
+	}
+	w.start()
+	_, body, err := w.do("POST", "/p/", "")
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, eventText(1, 4))
+	c.Assert(seen.all(), qt.DeepEquals, []string{"", "2"})
+}
+
+// stageServer produces results and records calls and what is freed.
+func (w *world) stageServer(calls, freed *recorder) {
+	var address string
+	made := 0
+	address = w.backend("stage", func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/free" {
+			var results []string
+			_ = json.NewDecoder(r.Body).Decode(&results)
+			for _, result := range results {
+				freed.add(result)
+			}
+			return
+		}
+		var pieces []Piece
+		_ = json.NewDecoder(r.Body).Decode(&pieces)
+		outcomes := make([]stagework.Outcome, len(pieces))
+		for i, p := range pieces {
+			made++
+			calls.add(fmt.Sprintf("%s %d.%d %s%d", p.RequestID, p.Stage, p.Number, p.Key, len(p.Inputs)))
+			outcomes[i].Result = fmt.Sprintf("%s/%d", address, made)
+		}
+		_ = json.NewEncoder(rw).Encode(outcomes)
+	})
+}
+
+// eventually waits for a condition that other goroutines bring about.
+func eventually(c *qt.C, condition func() bool) {
+	for range 1000 {
+		if condition() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.Fatal("condition is not met")
+}
+
+// Guards against a model server that gets the results of another stage or only
+// some, and against results that are never freed.
+func TestStagesRunInOrderAndTheirResultsAreFreed(t *testing.T) {
+	c := qt.New(t)
+	w := generating(c, false, route.Stage{Service: "stage", ResultBytes: 1}, route.Stage{Service: "stage", After: []int{0}}, route.Stage{Service: "stage"})
+	var calls, freed, inputs recorder
+	w.stageServer(&calls, &freed)
+	w.backend("x", func(rw http.ResponseWriter, r *http.Request) {
+		inputs.add(r.Header.Get("Inputs"))
+		sendEvents(rw, 1, 1)
+	})
+	w.start()
+	_, _, err := w.do("POST", "/p/", "", "Counts", "2 1 1")
+	c.Assert(err, qt.IsNil)
+	seen := calls.all()
+	slices.Sort(seen)
+	c.Assert(seen, qt.DeepEquals, []string{"a1 0.0 pk0", "a1 0.1 pk0", "a1 1.0 pk2", "a1 2.0 pk0"})
+	c.Assert(strings.Fields(inputs.all()[0]), qt.HasLen, 2)
+	eventually(c, func() bool { return len(freed.all()) == 4 })
+}
+
+// Guards against a request that fails because its inputs were lost before the
+// model server had them.
+func TestLostInputsAreMadeAgain(t *testing.T) {
+	c := qt.New(t)
+	w := generating(c, false, route.Stage{Service: "stage"})
+	var calls, freed, inputs recorder
+	w.stageServer(&calls, &freed)
+	w.backend("x", func(rw http.ResponseWriter, r *http.Request) {
+		if inputs.add(r.Header.Get("Inputs")) == 1 {
+			rw.Header().Set("Not-Run", "inputs")
+			rw.WriteHeader(http.StatusConflict)
+			return
+		}
+		sendEvents(rw, 1, 1)
+	})
+	w.start()
+	_, body, err := w.do("POST", "/p/", "", "Counts", "1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, eventText(1, 1))
+	c.Assert(inputs.all()[0], qt.Not(qt.Equals), inputs.all()[1])
+}
+
+// Guards against stage work for a request that can't be answered in time, and
+// against a client that waits for the refusal.
+func TestRequestsThatCannotEndInTimeAreRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	w := generating(c, false, route.Stage{Service: "stage"})
+	w.config.Services[1].Work.CallTime = time.Minute
+	var calls, freed recorder
+	w.stageServer(&calls, &freed)
+	w.backend("x", func(rw http.ResponseWriter, _ *http.Request) { sendEvents(rw, 1, 1) })
+	w.start()
+	response, _, err := w.do("POST", "/p/", "", "Counts", "1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	c.Assert(calls.all(), qt.HasLen, 0)
+}
+
+// Guards against an instance that forms calls being taken for dead while a stage
+// takes long, and against jobs of requesters that have gone.
+func TestPendingStagesAreAwaitedAgainOrAbandoned(t *testing.T) {
+	c := qt.New(t)
+	w := generating(c, false, route.Stage{Service: "stage"})
+	release := make(chan struct{})
+	w.backend("stage", func(rw http.ResponseWriter, _ *http.Request) {
+		<-release
+		_ = json.NewEncoder(rw).Encode([]stagework.Outcome{{Result: "m/1"}})
+	})
+	w.start()
+	run := &peerpb.RunStageRequest{Service: "stage", RequestId: "a", Pieces: []int32{0}, DueMs: 5000, DeadlineMs: 5000}
+	response, err := w.caller.RunStage(c.Context(), run)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Pending, qt.Not(qt.Equals), uint64(0))
+	close(release)
+	await := &peerpb.AwaitStageRequest{Service: "stage", Job: response.Pending}
+	response, err = w.caller.AwaitStage(c.Context(), await)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Results, qt.DeepEquals, []string{"m/1"})
+	_, err = w.caller.AwaitStage(c.Context(), await)
+	c.Assert(errors.Is(err, errUnknownJob), qt.IsTrue)
+}
+
+// Guards against bytes of an event that are changed, joined or lost.
+func TestEventReader(t *testing.T) {
+	c := qt.New(t)
+	reader := newEventReader(strings.NewReader("id:1\r\ndata: a\r\n\r\n: comment\n\nid: 2\ndata: b"))
+	first, err := reader.next()
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(first.data), qt.Equals, "id:1\r\ndata: a\r\n\r\n")
+	c.Assert(first.id, qt.Equals, "1")
+	second, err := reader.next()
+	c.Assert(err, qt.IsNil)
+	c.Assert(second.id, qt.Equals, "")
+	third, err := reader.next()
+	c.Assert(err, qt.Equals, io.EOF)
+	c.Assert(string(third.data), qt.Equals, "id: 2\ndata: b")
+}
+
+// blockedWriter never finishes a write.
+type blockedWriter struct{ release chan struct{} }
+
+func (b blockedWriter) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+// Guards against a request that waits for the log to be read.
+func TestLogLinesNeverBlock(t *testing.T) {
+	c := qt.New(t)
+	blocked := blockedWriter{make(chan struct{})}
+	w := NewLogWriter(blocked)
+	for range 3 * queuedLines {
+		_, err := w.Write([]byte("line\n"))
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(w.dropped.Load() > 0, qt.IsTrue)
+	close(blocked.release)
+	w.Close()
+}
--- /dev/null
+++ b/internal/settings/gateway_test.go
@@ -0,0 +1,32 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const gatewayText = `{
+  "instance": "g1", "region": "norte", "failure_domain": "a", "regions": {"a": "norte", "b": "centro"}, // comment
+  "client_address": "10.0.0.1:80", "ready_address": "10.0.0.1:81", "peer_address": "10.0.0.1:82", "metrics_address": "10.0.0.1:83",
+  "store_address": "10.0.0.9:84", "peers": ["10.0.0.2:82"],
+  "grace_seconds": 8, "retry_ratio": 0.2, "retry_slack": 58, "retry_window_seconds": 10,
+}`
+
+// Guards against a settings file whose mistakes are found one at a time, or not at
+// all.
+func TestGatewaySettings(t *testing.T) {
+	c := qt.New(t)
+	read, err := ParseGateway("f", []byte(gatewayText))
+	c.Assert(err, qt.IsNil)
+	c.Assert(read.Regions["b"], qt.Equals, "centro")
+	c.Assert(read.Grace().Seconds(), qt.Equals, 8.0)
+	bad := strings.NewReplacer(`"instance": "g1", `, "", `"10.0.0.1:81"`, `"ready:81"`, `"grace_seconds": 8`, `"grace_seconds": 0`, `"10.0.0.1:83"`, `"10.0.0.1:82"`).Replace(gatewayText)
+	_, err = ParseGateway("f", []byte(bad))
+	var mistakes *MistakesError
+	c.Assert(err, qt.ErrorAs, &mistakes)
+	c.Assert(mistakes.Mistakes, qt.HasLen, 4)
+	_, err = ParseGateway("f", []byte("{"))
+	c.Assert(err, qt.ErrorAs, &mistakes)
+}
--- a/quota/share_test.go
+++ b/quota/share_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -15,84 +13,6 @@
 
 var shareBegan = time.Unix(1000, 0)
 
-// delayed is a view on its way.
-type delayed struct {
-	to   string
-	view LinkView
-	at   time.Time
-}
-
-// Guards against shares of the link whose sum exceeds it, while instances join,
-// pause, leave and are cut off from each other in one or both directions, and
-// while views are lost and late.
-func TestLinkSharesStayWithinTheLink(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		now := shareBegan
-		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		live, cut, paused := map[string]*LinkShare{}, map[[2]string]bool{}, map[string]time.Time{}
-		var ids []string
-		var sent []delayed
-		join := func() {
-			id := fmt.Sprint("i", len(ids))
-			live[id] = NewLinkShare(id, slices.Clone(ids), 1, now)
-			ids = append(ids, id)
-		}
-		for range rapid.IntRange(1, 5).Draw(t, "first") {
-			join()
-		}
-		for range rapid.IntRange(20, 160).Draw(t, "seconds") {
-			now = now.Add(time.Second)
-			switch rapid.IntRange(0, 24).Draw(t, "event") {
-			case 0:
-				join()
-			case 1:
-				delete(live, rapid.SampledFrom(ids).Draw(t, "leaves"))
-			case 2:
-				paused[rapid.SampledFrom(ids).Draw(t, "pauses")] = now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "pause")) * time.Second)
-			case 3:
-				side := rapid.IntRange(0, len(ids)).Draw(t, "side")
-				oneWay := rapid.Bool().Draw(t, "one way")
-				for _, a := range ids[:side] {
-					for _, b := range ids[side:] {
-						cut[[2]string{a, b}] = true
-						cut[[2]string{b, a}] = !oneWay
-					}
-				}
-			case 4:
-				clear(cut)
-			}
-			for _, id := range ids {
-				if live[id] == nil || now.Before(paused[id]) {
-					continue
-				}
-				for _, to := range ids {
-					lost := cut[[2]string{id, to}] || random.IntN(10) == 0
-					if to != id && !lost {
-						late := time.Duration(random.IntN(5)) * time.Second
-						sent = append(sent, delayed{to, live[id].View(now), now.Add(late)})
-					}
-				}
-			}
-			sent = slices.DeleteFunc(sent, func(d delayed) bool {
-				due := !d.at.After(now)
-				if due && live[d.to] != nil && !now.Before(paused[d.to]) {
-					live[d.to].Receive(d.view, now)
-				}
-				return due
-			})
-			sum := 0.0
-			for id, share := range live {
-				if !now.Before(paused[id]) {
-					sum += share.Fraction(now)
-				}
-			}
-			if sum > 1+1e-9 {
-				t.Fatalf("shares add up to %v at %v", sum, now.Sub(shareBegan))
-			}
-		}
-	})
-}
-
 // Guards against bytes of one second that exceed the budget of the link.
 func TestLinkBudgetHoldsInEverySecond(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
