--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -28,7 +28,7 @@
 	priorityBonus = 300 * time.Millisecond
 	// workFactor brings jobs forward that need little of the servers' time, because
 	// the same capacity then answers more requests.
-	workFactor = 2
+	workFactor = 3
 	// rankedPriorities is the number of ranks that priorityBonus tells apart.
 	rankedPriorities = 4
 	// waitMargin covers what estimates leave out.
@@ -415,7 +415,7 @@
 
 // late reports whether the job can't be on time any more.
 func (j *job) late(now time.Time, shape Shape) bool {
-	return now.Add(shape.CallDuration(1)).After(j.Due)
+	return now.Add(shape.CallDuration(min(len(j.Pieces), shape.Batch))).After(j.Due)
 }
 
 // behind reports whether the job comes after those that can be on time.
