--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -37,6 +37,8 @@
 	deadline     time.Time
 	// sends counts the backend servers that the request was sent to.
 	sends int
+	// firstEvent is the time from the last send to the first event of a stream.
+	firstEvent time.Duration
 }
 
 var errDeadline = errors.New("deadline has passed")
@@ -217,5 +219,5 @@
 	a.counts.answered.Inc(1)
 	a.counts.latency.RecordDuration(took)
 	a.log(events.AttemptEnded, slog.Int("status", status), slog.String("server", server), slog.String("route", a.route.Name),
-		slog.Int("sends", a.sends), slog.Int64("left_ms", a.remaining().Milliseconds()))
+		slog.Int("sends", a.sends), slog.Int64("first_event_ms", a.firstEvent.Milliseconds()), slog.Int64("left_ms", a.remaining().Milliseconds()))
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -311,7 +311,7 @@
 			return g.interrupted(server, err)
 		}
 		if first {
-			g.firstEvent(server, time.Since(sent))
+			g.begun(server, time.Since(sent))
 		}
 		if len(e.data) > 0 {
 			if !g.started {
@@ -341,9 +341,10 @@
 	}
 }
 
-// firstEvent records the start of a run. The model server has read its inputs.
-func (g *generation) firstEvent(server engine.Server, delay time.Duration) {
+// begun records the start of a run. The model server has read its inputs.
+func (g *generation) begun(server engine.Server, delay time.Duration) {
 	now := time.Now()
+	g.firstEvent = delay
 	g.fleet.Engines(g.service.Name, func(s *engine.Set) { s.FirstEvent(server.ID, delay, now) })
 	g.counts.firstEvent.RecordDuration(now.Sub(g.arrived))
 	g.freeInputs()
