Let one instance of a region place prompts at model servers

Cause: each instance counted only its own prompts, so that the busiest model server had 2 to 4 times the mean, and a prompt waited behind others at one while the next was idle.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -1,6 +1,6 @@
-// Package engine chooses the model server for a prompt: the one that is likely to
-// hold the prompt's shared parts in its cache, unless it has too much to do, fails
-// or stands far from where its inputs are made. It does no I/O and reads no clock.
+// Package engine chooses the model server for a prompt: the one at which its first
+// event is expected soonest, by what each server has to read before it and what
+// parts of the prompt it is believed to keep. It does no I/O and reads no clock.
 package engine
 
 import (
@@ -12,24 +12,35 @@
 )
 
 const (
-	// loadFactor and loadSlack bound the requests of a server, as a multiple of the
-	// mean and above it, beyond which prompts go to the next one.
-	loadFactor = 1.5
-	loadSlack  = 2
+	// readRate is the first estimate of the prompt tokens that a server reads in a
+	// second. Reports of first events correct it.
+	readRate = 40_000
+	// rereadPenalty is what a shared token that has to be read again costs beyond
+	// its time, because other requests wait for it.
+	rereadPenalty = 60 * time.Microsecond
+	// crossPenalty is what a megabyte of inputs from another failure domain costs.
+	crossPenalty = 30 * time.Millisecond
+	// placePenalty keeps prompts without other differences at the server that
+	// hashing gives them.
+	placePenalty = 15 * time.Millisecond
 	// failurePause is how long a server that failed gets no new prompts; it doubles
 	// with each failure in a row up to maxFailurePause.
 	failurePause    = 500 * time.Millisecond
 	maxFailurePause = 4 * time.Second
-	// slowFactor marks a server whose first events take this multiple of the
-	// typical time.
-	slowFactor = 3.0
-	// delayWeight is the weight of the newest delay in the mean of a server.
-	delayWeight = 0.3
-	// delayLife is how long the delay of a server is believed.
-	delayLife = 3 * time.Second
-	// farWeight is the weight of servers in failure domains without makers of the
-	// inputs.
-	farWeight = 0.02
+	refusedPause    = 250 * time.Millisecond
+	// lagWeight is the weight of the newest delay beyond the expected one, and
+	// lagLife how long it is believed.
+	lagWeight = 0.4
+	lagLife   = 2 * time.Second
+	// typicalWeight is the weight of the newest delay in the typical one.
+	typicalWeight = 0.08
+	// paceWeight is the weight of the newest delay in the pace, which stays within
+	// leastPace and mostPace.
+	paceWeight = 0.03
+	leastPace  = 0.25
+	mostPace   = 6.0
+	// maxParts bounds the parts that are remembered for a server.
+	maxParts = 4096
 )
 
 // Server is one model server.
@@ -39,32 +50,51 @@
 	FailureDomain string
 	// Incarnation rises with each restart, which empties the cache.
 	Incarnation int64
+	// CacheTokens is the memory for prompts; 0 when it is not known.
+	CacheTokens int
+}
+
+// Part is a part of a prompt. Requests share parts; the last one is their own.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// kept is a part that a server is believed to keep.
+type kept struct {
+	tokens int
+	used   time.Time
 }
 
 type state struct {
 	Server
-	hash        uint64
-	inFlight    int
+	hash uint64
+	// busyUntil is when the server is expected to have read all prompts that were
+	// placed there.
+	busyUntil   time.Time
+	parts       map[string]kept
+	tokens      int
 	failures    int
 	pausedUntil time.Time
-	delay       float64
-	delayAt     time.Time
+	// lag is how much later first events come than expected.
+	lag   time.Duration
+	lagAt time.Time
 }
 
-// Set is the model servers of one service as one instance sees them. It is not
-// safe for concurrent use.
+// Set is the model servers of one service in one region. It is not safe for
+// concurrent use.
 type Set struct {
-	region string
-	domain string
-	byID   map[string]*state
-	list   []*state
-	// typical is the mean delay of all servers in seconds.
-	typical float64
+	region  string
+	byID    map[string]*state
+	list    []*state
+	typical time.Duration
+	// pace is the delay of first events relative to readRate.
+	pace float64
 }
 
-// NewSet returns an empty set for an instance in a region and failure domain.
-func NewSet(region, domain string) *Set {
-	return &Set{region: region, domain: domain, byID: map[string]*state{}}
+// NewSet returns an empty set for the instances of a region.
+func NewSet(region string) *Set {
+	return &Set{region: region, byID: map[string]*state{}, pace: 1}
 }
 
 // Update replaces the servers.
@@ -74,7 +104,7 @@
 	for _, listed := range servers {
 		known := s.byID[listed.ID]
 		if known == nil || known.Incarnation != listed.Incarnation {
-			known = &state{hash: xxhash.Sum64String(listed.ID)}
+			known = &state{hash: xxhash.Sum64String(listed.ID), parts: map[string]kept{}}
 		}
 		known.Server = listed
 		byID[listed.ID] = known
@@ -85,69 +115,53 @@
 
 // Query describes the server that a prompt needs.
 type Query struct {
-	// Prompt identifies the deepest shared part of the prompt; 0 for none.
-	Prompt uint64
-	// Makers is the number of servers, by failure domain, that make the inputs of
-	// the request; nil for a request without inputs.
-	Makers map[string]int
+	Prompt []Part
+	// FailureDomain is where the inputs of the request are, and InputBytes their
+	// size.
+	FailureDomain string
+	InputBytes    int64
 	// Excluded are servers that the request was already sent to.
 	Excluded []string
-	// Remote allows servers of other regions.
-	Remote bool
 }
 
-// Pick chooses a server, or returns false when there is none. Draw is uniform in
-// [0, 1); it spreads prompts without a shared part.
-func (s *Set) Pick(now time.Time, q Query, draw float64) (Server, bool) {
-	local := s.candidates(now, q, s.region)
-	if len(local) == 0 && q.Remote {
-		local = s.candidates(now, q, "")
-	}
-	if len(local) == 0 {
-		return Server{}, false
-	}
-	if q.Prompt == 0 {
-		q.Prompt = math.Float64bits(draw)
+// Placement is the choice for a prompt.
+type Placement struct {
+	Server string
+	// Expected is the time to the first event.
+	Expected time.Duration
+}
+
+// Place chooses a server and counts the prompt there, or returns false when there
+// is none. Servers of other regions are used only when the own one has none.
+func (s *Set) Place(now time.Time, q Query) (Placement, bool) {
+	candidates := s.candidates(now, q, true)
+	if len(candidates) == 0 {
+		candidates = s.candidates(now, q, false)
 	}
-	limit := bound(local)
-	perDomain := map[string]int{}
-	for _, c := range local {
-		perDomain[c.FailureDomain]++
+	if len(candidates) == 0 {
+		return Placement{}, false
 	}
+	key := sharedKey(q.Prompt)
 	var best *state
-	bestScore := math.Inf(-1)
-	for _, c := range local {
-		if float64(c.inFlight) > limit {
-			continue
-		}
-		if score := weighted(q.Prompt^c.hash, s.weight(c, q, perDomain)); score > bestScore {
-			best, bestScore = c, score
+	var bestCost, bestExpected time.Duration
+	for _, c := range candidates {
+		expected, cost := s.cost(c, now, q, key)
+		if best == nil || cost < bestCost {
+			best, bestCost, bestExpected = c, cost, expected
 		}
 	}
-	if best == nil {
-		best = slices.MinFunc(local, func(a, b *state) int { return a.inFlight - b.inFlight })
-	}
-	return best.Server, true
+	s.count(best, now, q.Prompt)
+	return Placement{best.ID, bestExpected}, true
 }
 
-// weight is a server's part of the prompts: the makers of the inputs in its
-// failure domain, divided among the servers there.
-func (s *Set) weight(c *state, q Query, perDomain map[string]int) float64 {
-	if len(q.Makers) == 0 {
-		return 1
-	}
-	makers := float64(q.Makers[c.FailureDomain])
-	return max(farWeight, makers) / float64(perDomain[c.FailureDomain])
-}
-
-// candidates returns the servers of a region, or of all regions for an empty one,
-// that are not excluded. Paused and slow ones are left out while others remain.
-func (s *Set) candidates(now time.Time, q Query, region string) []*state {
+// candidates returns the servers that are not excluded, of the region or of all.
+// Paused ones are left out while others remain.
+func (s *Set) candidates(now time.Time, q Query, local bool) []*state {
 	var good, rest []*state
 	for _, c := range s.list {
 		switch {
-		case region != "" && c.Region != region, slices.Contains(q.Excluded, c.ID):
-		case now.Before(c.pausedUntil), s.slow(c, now):
+		case local && c.Region != s.region, slices.Contains(q.Excluded, c.ID):
+		case now.Before(c.pausedUntil):
 			rest = append(rest, c)
 		default:
 			good = append(good, c)
@@ -159,83 +173,153 @@
 	return rest
 }
 
-func (s *Set) slow(c *state, now time.Time) bool {
-	return s.typical > 0 && c.delay > slowFactor*s.typical && now.Sub(c.delayAt) < delayLife
+// cost returns the expected time to the first event at a server, and that with
+// what else speaks against the server.
+func (s *Set) cost(c *state, now time.Time, q Query, key uint64) (expected, cost time.Duration) {
+	unread, shared := c.unread(q.Prompt)
+	expected = max(0, c.busyUntil.Sub(now)) + s.reading(unread)
+	if now.Sub(c.lagAt) < lagLife {
+		expected += c.lag
+	}
+	cost = expected + time.Duration(shared)*rereadPenalty
+	if q.FailureDomain != "" && c.FailureDomain != q.FailureDomain {
+		const megabyte = 1e6
+		cost += time.Duration(float64(q.InputBytes) / megabyte * float64(crossPenalty))
+	}
+	return expected, cost + time.Duration((1-unit(key^c.hash))*float64(placePenalty))
 }
 
-// bound is the number of requests beyond which a server gets no more prompts.
-func bound(servers []*state) float64 {
-	sum := 0
-	for _, c := range servers {
-		sum += c.inFlight
+// reading returns the time in which a server reads tokens.
+func (s *Set) reading(tokens int) time.Duration {
+	return time.Duration(s.pace * float64(tokens) / readRate * float64(time.Second))
+}
+
+// unread returns the tokens of a prompt that the server has to read, and how many
+// of them are in shared parts. A part counts as kept only behind kept ones.
+func (c *state) unread(prompt []Part) (all, shared int) {
+	missing := false
+	for i, part := range prompt {
+		if _, ok := c.parts[part.ID]; !ok {
+			missing = true
+		}
+		if !missing {
+			continue
+		}
+		all += part.Tokens
+		if i < len(prompt)-1 {
+			shared += part.Tokens
+		}
 	}
-	return loadFactor*float64(sum)/float64(len(servers)) + loadSlack
+	return all, shared
 }
 
-// weighted is the score of weighted rendezvous hashing.
-func weighted(key uint64, weight float64) float64 {
-	// Mixing spreads keys that differ in few bits (finalizer of splitmix64).
+// count adds a prompt to what a server reads and keeps.
+func (s *Set) count(c *state, now time.Time, prompt []Part) {
+	unread, _ := c.unread(prompt)
+	if c.busyUntil.Before(now) {
+		c.busyUntil = now
+	}
+	c.busyUntil = c.busyUntil.Add(s.reading(unread))
+	for _, part := range prompt {
+		c.tokens += part.Tokens - c.parts[part.ID].tokens
+		c.parts[part.ID] = kept{part.Tokens, now}
+	}
+	for len(c.parts) > maxParts || c.CacheTokens > 0 && c.tokens > c.CacheTokens && len(c.parts) > len(prompt) {
+		c.forgetOldest()
+	}
+}
+
+func (c *state) forgetOldest() {
+	oldest := ""
+	for id, part := range c.parts {
+		if oldest == "" || part.used.Before(c.parts[oldest].used) {
+			oldest = id
+		}
+	}
+	c.tokens -= c.parts[oldest].tokens
+	delete(c.parts, oldest)
+}
+
+// sharedKey identifies the deepest part of a prompt that other requests share.
+func sharedKey(prompt []Part) uint64 {
+	switch len(prompt) {
+	case 0:
+		return 0
+	case 1:
+		return xxhash.Sum64String(prompt[0].ID)
+	}
+	return xxhash.Sum64String(prompt[len(prompt)-2].ID)
+}
+
+// unit spreads a key evenly over (0, 1) (finalizer of splitmix64).
+func unit(key uint64) float64 {
 	key ^= key >> 30
 	key *= 0xbf58476d1ce4e5b9
 	key ^= key >> 27
 	key *= 0x94d049bb133111eb
 	key ^= key >> 31
-	unit := (float64(key>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(unit)
+	return (float64(key>>11) + 0.5) / (1 << 53)
 }
 
-// Started counts a request that is on its way to a server.
-func (s *Set) Started(id string) {
-	if c := s.byID[id]; c != nil {
-		c.inFlight++
+// Domain chooses the failure domain for a prompt whose inputs are made by a number
+// of servers in each domain, by weighted rendezvous hashing. It returns an empty
+// string without makers.
+func Domain(prompt []Part, makers map[string]int, draw float64) string {
+	key := sharedKey(prompt)
+	if key == 0 {
+		key = math.Float64bits(draw)
+	}
+	best, bestScore := "", math.Inf(-1)
+	for domain, n := range makers {
+		if score := -float64(n) / math.Log(unit(key^xxhash.Sum64String(domain))); score > bestScore {
+			best, bestScore = domain, score
+		}
 	}
+	return best
 }
 
-// Finished ends a request that was started.
-func (s *Set) Finished(id string) {
-	if c := s.byID[id]; c != nil && c.inFlight > 0 {
-		c.inFlight--
-	}
+// Report is what became of a placement.
+type Report struct {
+	Server   string
+	Expected time.Duration
+	// Delay is the time from the send to the first event.
+	Delay time.Duration
+	// Failed is true when the send broke, Refused when the server did not take it.
+	Failed, Refused bool
 }
 
-// FirstEvent records the time from a send to the first event of its answer.
-func (s *Set) FirstEvent(id string, delay time.Duration, now time.Time) {
-	c := s.byID[id]
+// Report learns from what became of a placement.
+func (s *Set) Report(now time.Time, r Report) {
+	c := s.byID[r.Server]
 	if c == nil {
 		return
 	}
+	switch {
+	case r.Failed:
+		c.failures++
+		c.pausedUntil = now.Add(min(maxFailurePause, failurePause<<min(c.failures-1, 8)))
+		return
+	case r.Refused:
+		c.pausedUntil = now.Add(refusedPause)
+		return
+	}
 	c.failures = 0
-	seconds := delay.Seconds()
-	if c.delay == 0 || now.Sub(c.delayAt) > delayLife {
-		c.delay = seconds
-	} else {
-		c.delay += delayWeight * (seconds - c.delay)
+	late := max(0, r.Delay-r.Expected)
+	if now.Sub(c.lagAt) > lagLife {
+		c.lag = 0
+	}
+	c.lag += time.Duration(lagWeight * float64(late-c.lag))
+	c.lagAt = now
+	if r.Expected > 0 {
+		ratio := float64(r.Delay) / float64(r.Expected)
+		s.pace = min(mostPace, max(leastPace, s.pace*(1+paceWeight*(min(mostPace, ratio)-1))))
 	}
-	c.delayAt = now
 	if s.typical == 0 {
-		s.typical = seconds
-	} else {
-		s.typical += delayWeight / 4 * (seconds - s.typical)
+		s.typical = r.Delay
 	}
+	s.typical += time.Duration(typicalWeight * float64(r.Delay-s.typical))
 }
 
 // Typical returns the typical time from a send to the first event, 0 while none
-// was measured.
-func (s *Set) Typical() time.Duration {
-	return time.Duration(s.typical * float64(time.Second))
-}
-
-// Failed records a send that broke.
-func (s *Set) Failed(id string, now time.Time) {
-	if c := s.byID[id]; c != nil {
-		c.failures++
-		c.pausedUntil = now.Add(min(maxFailurePause, failurePause<<min(c.failures-1, 8)))
-	}
-}
-
-// Refused records a server that did not take a request.
-func (s *Set) Refused(id string, now time.Time) {
-	if c := s.byID[id]; c != nil {
-		c.pausedUntil = now.Add(failurePause / 2)
-	}
-}
+// was reported.
+func (s *Set) Typical() time.Duration { return s.typical }
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -31,5 +31,6 @@
 	StageEnded      = define(7210, slog.LevelInfo, "stage of a request ended")
 	StagePeerFailed = define(7211, slog.LevelWarn, "instance that forms the calls of a stage did not answer")
 	StageCallEnded  = define(7212, slog.LevelInfo, "call to a stage server ended")
+	PlacerFailed    = define(7214, slog.LevelWarn, "instance that places prompts did not answer")
 	FreeFailed      = define(7213, slog.LevelInfo, "results could not be freed")
 )
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -62,6 +62,7 @@
 	Fleet    *Fleet
 	Upstream *upstream.Client
 	Caller   *StageCaller
+	Placer   *Placer
 	Gateway  *Gateway
 	Front    *Front
 	Drain    *Drain
@@ -79,6 +80,7 @@
 			NewCluster,
 			NewFleet,
 			NewStages,
+			NewPlacer,
 			func() Protocol { return adapter.Protocol },
 			func() Store { return adapter.Store(s.StoreAddress) },
 			func(st Store) store.Store { return st },
@@ -93,8 +95,8 @@
 			func(client *upstream.Client, fleet *Fleet, freer *Freer, m *metrics.Metrics) *StageCaller {
 				return NewStageCaller(s, adapter.Protocol, client, fleet, freer, logger, m.Scope)
 			},
-			func(views *view.Sync, fleet *Fleet, client *upstream.Client, stages *Stages, drain *Drain, m *metrics.Metrics) *Gateway {
-				return New(adapter.Protocol, views, fleet, client, stages, drain, logger, m.Scope)
+			func(views *view.Sync, fleet *Fleet, client *upstream.Client, stages *Stages, placer *Placer, drain *Drain, m *metrics.Metrics) *Gateway {
+				return New(adapter.Protocol, views, fleet, client, stages, placer, drain, logger, m.Scope)
 			},
 			func() *Drain { return NewDrain(s.Grace()) },
 			func(g *Gateway, drain *Drain) *Front { return NewFront(g, drain, logger) },
@@ -161,6 +163,7 @@
 	})
 	d.Peers.HandleViews(d.Views)
 	d.Peers.HandleStages(d.Caller)
+	d.Peers.HandlePlacements(d.Placer)
 	if err := d.listen(ctx); err != nil {
 		return err
 	}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -168,7 +168,7 @@
 	freer := NewFreer(protocol, connections, serverByAddress(views), logger())
 	w.caller = NewStageCaller(s, protocol, connections, fleet, freer, logger(), tally.NoopScope)
 	w.drain = NewDrain(s.Grace())
-	w.gateway = New(protocol, views, fleet, connections, NewStages(cluster, client, w.caller, logger()), w.drain, logger(), tally.NoopScope)
+	w.gateway = New(protocol, views, fleet, connections, NewStages(cluster, client, w.caller, logger()), NewPlacer(cluster, client, fleet, logger()), w.drain, logger(), tally.NoopScope)
 	changed := make(chan struct{}, 10)
 	views.Observe(fleet.Update)
 	views.Observe(w.caller.Update)
@@ -205,7 +205,7 @@
 	w := plain(c, route.Stream)
 	w.config.Routes[0].Resumable, w.config.Routes[0].Stages = resumable, stages
 	w.config.Routes[0].Target = time.Second
-	w.config.Services[0].Engine = true
+	w.config.Services[0].Engine = &route.EngineShape{}
 	w.config.Services = append(w.config.Services, route.Service{Name: "stage",
 		Work: &route.StageShape{Slots: 1, Batch: 4, CallTime: time.Millisecond, PieceTime: time.Millisecond, ResultLife: time.Second}})
 	return w
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -61,8 +61,8 @@
 		}
 		switch {
 		case service.Work != nil:
-		case service.Engine:
-			f.updateEngines(service.Name, v.Servers[service.Name])
+		case service.Engine != nil:
+			f.updateEngines(service, v.Servers[service.Name])
 		default:
 			f.updatePlain(service.Name, v.Servers[service.Name])
 		}
@@ -76,15 +76,16 @@
 	return max(minConnections, int(connectionShare*float64(service.MaxConnections))/instances)
 }
 
-func (f *Fleet) updateEngines(service string, listed []view.Server) {
-	set := f.engines[service]
+func (f *Fleet) updateEngines(service *route.Service, listed []view.Server) {
+	set := f.engines[service.Name]
 	if set == nil {
-		set = engine.NewSet(f.settings.Region, f.settings.FailureDomain)
-		f.engines[service] = set
+		set = engine.NewSet(f.settings.Region)
+		f.engines[service.Name] = set
 	}
 	servers := make([]engine.Server, len(listed))
 	for i, s := range listed {
-		servers[i] = engine.Server{ID: s.ID, Region: f.settings.Regions[s.FailureDomain], FailureDomain: s.FailureDomain, Incarnation: s.Incarnation}
+		servers[i] = engine.Server{ID: s.ID, Region: f.settings.Regions[s.FailureDomain], FailureDomain: s.FailureDomain, Incarnation: s.Incarnation,
+			CacheTokens: service.Engine.CacheTokens}
 	}
 	set.Update(servers)
 }
@@ -110,6 +111,11 @@
 	return s, ok
 }
 
+// Near reports whether a failure domain is in this instance's region.
+func (f *Fleet) Near(domain string) bool {
+	return f.settings.Regions[domain] == f.settings.Region
+}
+
 // InUse reports whether a server may get work.
 func (f *Fleet) InUse(id string) bool {
 	_, ok := f.Server(id)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	fleet    *Fleet
 	upstream *upstream.Client
 	stages   *Stages
+	placer   *Placer
 	drain    *Drain
 	logger   *slog.Logger
 	counts   counts
@@ -50,8 +51,8 @@
 }
 
 // New returns a gateway.
-func New(protocol Protocol, views *view.Sync, fleet *Fleet, client *upstream.Client, stages *Stages, drain *Drain, logger *slog.Logger, scope tally.Scope) *Gateway {
-	return &Gateway{protocol: protocol, views: views, fleet: fleet, upstream: client, stages: stages, drain: drain, logger: logger, counts: newCounts(scope), runs: newMeans()}
+func New(protocol Protocol, views *view.Sync, fleet *Fleet, client *upstream.Client, stages *Stages, placer *Placer, drain *Drain, logger *slog.Logger, scope tally.Scope) *Gateway {
+	return &Gateway{protocol: protocol, views: views, fleet: fleet, upstream: client, stages: stages, placer: placer, drain: drain, logger: logger, counts: newCounts(scope), runs: newMeans()}
 }
 
 // Running returns the number of requests under way.
@@ -82,7 +83,7 @@
 		return
 	}
 	g.fleet.CountRequest(a.service.Name)
-	if a.service.Engine {
+	if a.service.Engine != nil {
 		a.serveEngine()
 		return
 	}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/coltsfootdrift/coltsfootdrift/engine"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/routing"
@@ -22,8 +23,8 @@
 	// Wait is how long the client waits; Bounded is false when it did not say.
 	Wait    time.Duration
 	Bounded bool
-	// Prompt holds the IDs of the prompt's parts; the last one is its own.
-	Prompt []string
+	// Prompt holds the prompt's parts; the last one is its own.
+	Prompt []engine.Part
 	// LastEventID is the last event of a stream that the client has.
 	LastEventID string
 	// PieceCounts holds the number of pieces of each stage, PieceKey their key.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/coltsfootdrift/coltsfootdrift/engine"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
@@ -20,6 +18,8 @@
 type generation struct {
 	*attempt
 	graph route.Graph
+	// domain is the failure domain in which the inputs are made.
+	domain string
 	// inputs are the final results of the stages while they are held.
 	inputs  []string
 	tried   []string
@@ -41,38 +41,38 @@
 	}
 }
 
-// try sends the request to one server. It returns true when the request has its
-// answer.
+// try runs the stages and sends the request to one server. It returns true when the
+// request has its answer.
 func (g *generation) try() bool {
-	server, ok := g.pick()
-	if !ok {
-		return g.giveUp("no server", retryLater, nil)
-	}
-	defer g.fleet.Engines(g.service.Name, func(s *engine.Set) { s.Finished(server.ID) })
-	if ready, ended := g.prepare(server); !ready {
+	if ready, ended := g.prepare(); !ready {
 		return ended
 	}
 	if !g.makersLive() {
 		return g.remake("a maker of inputs has left")
 	}
-	target, known := g.fleet.Server(server.ID)
+	placed, ok := g.placer.Place(g.ctx, g.demand.ID, g.service.Name, engine.Query{
+		Prompt: g.demand.Prompt, FailureDomain: g.domain, InputBytes: g.inputBytes(), Excluded: g.tried,
+	})
+	if !ok {
+		return g.giveUp("no server", retryLater, nil)
+	}
+	g.tried = append(g.tried, placed.Server)
+	target, known := g.fleet.Server(placed.Server)
 	if !known {
-		// The server left while the stages ran; the results can go to another one.
-		g.tried = append(g.tried, server.ID)
-		return false
+		return false // it left in this moment
 	}
 	urgency := min(maxUrgency, g.priority+firstUrgency)
 	sent := time.Now()
-	g.log(events.AttemptSent, slog.String("server", server.ID), slog.String("route", g.route.Name), slog.Int("try", len(g.tried)+1),
-		slog.Int64("left_ms", g.remaining().Milliseconds()), slog.Int("inputs", len(g.inputs)), slog.Int64("view", g.viewVersion()))
-	g.tried = append(g.tried, server.ID)
+	g.log(events.AttemptSent, slog.String("server", placed.Server), slog.String("route", g.route.Name), slog.Int("try", len(g.tried)),
+		slog.Int64("left_ms", g.remaining().Milliseconds()), slog.Int("inputs", len(g.inputs)), slog.Int64("expected_ms", placed.Expected.Milliseconds()),
+		slog.Int64("view", g.viewVersion()))
 	answer, err := g.upstream.Send(g.ctx, target, g.outgoing(target, Send{Urgency: &urgency, Inputs: g.inputs, LastEventID: g.lastID}))
 	if err != nil {
-		return g.sendFailed(server, err)
+		return g.sendFailed(placed, err)
 	}
 	g.sends++
 	defer answer.Close()
-	return g.answer(server, answer, sent)
+	return g.answer(placed, answer, sent)
 }
 
 // Urgencies of model servers: 0 is first and 5 is the default of other callers.
@@ -81,62 +81,62 @@
 	maxUrgency   = 9
 )
 
-// pick chooses a model server and counts the request there.
-func (g *generation) pick() (server engine.Server, ok bool) {
-	query := engine.Query{Excluded: g.tried, Remote: true, Makers: g.makers(), Prompt: sharedPrompt(g.demand.Prompt)}
-	draw := g.fleet.Draw()
-	g.fleet.Engines(g.service.Name, func(s *engine.Set) {
-		if server, ok = s.Pick(time.Now(), query, draw); ok {
-			s.Started(server.ID)
+// chooseDomain returns the failure domain in which the inputs are made: those of
+// prompts with the same shared part in the same one, and by the servers that make
+// the largest inputs.
+func (g *generation) chooseDomain() string {
+	largest := g.largestInput()
+	if largest < 0 {
+		return ""
+	}
+	near, all := map[string]int{}, map[string]int{}
+	for _, s := range g.view.Servers[g.route.Stages[largest].Service] {
+		all[s.FailureDomain]++
+		if g.fleet.Near(s.FailureDomain) {
+			near[s.FailureDomain]++
 		}
-	})
-	return server, ok
-}
-
-// sharedPrompt identifies the deepest part of a prompt that other requests share;
-// the last part is the request's own.
-func sharedPrompt(parts []string) uint64 {
-	switch len(parts) {
-	case 0:
-		return 0
-	case 1:
-		return xxhash.Sum64String(parts[0])
-	}
-	return xxhash.Sum64String(parts[len(parts)-2])
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	return engine.Domain(g.demand.Prompt, near, g.fleet.Draw())
 }
 
-// makers counts the servers, by failure domain, that make the largest inputs of
-// the model server.
-func (g *generation) makers() map[string]int {
+// largestInput returns the final stage with the largest results, -1 without stages.
+func (g *generation) largestInput() int {
 	largest := -1
 	for _, i := range g.graph.Final {
 		if largest < 0 || g.route.Stages[i].ResultBytes > g.route.Stages[largest].ResultBytes {
 			largest = i
 		}
 	}
-	if largest < 0 {
-		return nil
-	}
-	counts := map[string]int{}
-	for _, s := range g.view.Servers[g.route.Stages[largest].Service] {
-		counts[s.FailureDomain]++
+	return largest
+}
+
+// inputBytes returns the approximate size of all inputs.
+func (g *generation) inputBytes() (bytes int64) {
+	for _, i := range g.graph.Final {
+		bytes += int64(g.graph.Counts[i]) * g.route.Stages[i].ResultBytes
 	}
-	return counts
+	return bytes
 }
 
 // prepare runs the stages unless their results are held. It returns false when the
 // request has its answer or must be tried again.
-func (g *generation) prepare(server engine.Server) (ready, ended bool) {
+func (g *generation) prepare() (ready, ended bool) {
 	if g.graph.Empty() || g.inputs != nil {
 		return true, false
 	}
+	if g.domain == "" {
+		g.domain = g.chooseDomain()
+	}
 	var typical time.Duration
 	g.fleet.Engines(g.service.Name, func(s *engine.Set) { typical = s.Typical() })
 	inputs, err := g.stages.Run(g.ctx, Chain{
 		RequestID: g.demand.ID, Key: g.demand.PieceKey, Table: g.view.Table, Route: g.route, Graph: g.graph, Priority: g.priority,
 		Due:           g.arrived.Add(g.route.Target - typical),
 		Deadline:      g.stagesDeadline(typical),
-		FailureDomain: server.FailureDomain,
+		FailureDomain: g.domain,
 	})
 	if err == nil {
 		g.inputs = inputs
@@ -221,12 +221,12 @@
 }
 
 // sendFailed handles a send without an answer.
-func (g *generation) sendFailed(server engine.Server, err error) bool {
+func (g *generation) sendFailed(placed engine.Placement, err error) bool {
 	if g.left() || g.late() {
 		return g.end()
 	}
-	g.fleet.Engines(g.service.Name, func(s *engine.Set) { s.Failed(server.ID, time.Now()) })
-	g.logFailed(upstream.Server{ID: server.ID}, 0, err)
+	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Failed: true})
+	g.logFailed(upstream.Server{ID: placed.Server}, 0, err)
 	if errors.Is(err, upstream.ErrNotSent) {
 		if g.unsent++; g.unsent >= maxUnsent {
 			return g.giveUp("servers are not reached", retrySoon, err)
@@ -264,26 +264,26 @@
 }
 
 // answer handles an answer of a model server.
-func (g *generation) answer(server engine.Server, answer *upstream.Answer, sent time.Time) bool {
+func (g *generation) answer(placed engine.Placement, answer *upstream.Answer, sent time.Time) bool {
 	info := g.protocol.ReadAnswer(answer.Status, answer.Header)
 	switch {
 	case info.LostWork:
-		g.logFailed(upstream.Server{ID: server.ID}, answer.Status, nil)
+		g.logFailed(upstream.Server{ID: placed.Server}, answer.Status, nil)
 		g.sends--
 		g.tried = g.tried[:len(g.tried)-1]
 		return g.remake("inputs were lost")
 	case info.NotRun:
-		g.fleet.Engines(g.service.Name, func(s *engine.Set) { s.Refused(server.ID, time.Now()) })
-		g.logFailed(upstream.Server{ID: server.ID}, answer.Status, nil)
+		g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Refused: true})
+		g.logFailed(upstream.Server{ID: placed.Server}, answer.Status, nil)
 		if g.mayRepeat() {
 			return false
 		}
 		return g.giveUp("servers are full", retryLater, nil)
 	case answer.Status == http.StatusOK:
-		return g.relay(server, answer, sent)
+		return g.relay(placed, answer, sent)
 	}
-	g.fleet.Engines(g.service.Name, func(s *engine.Set) { s.Failed(server.ID, time.Now()) })
-	g.logFailed(upstream.Server{ID: server.ID}, answer.Status, nil)
+	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Failed: true})
+	g.logFailed(upstream.Server{ID: placed.Server}, answer.Status, nil)
 	if g.route.Repeatable() && g.mayRepeat() {
 		return false
 	}
@@ -293,7 +293,7 @@
 	case promises(answer.Status):
 		g.fail(http.StatusBadGateway, "model server refused without saying that it did not run", nil)
 	default:
-		if err := g.deliver(answer, server.ID); err != nil {
+		if err := g.deliver(answer, placed.Server); err != nil {
 			g.fail(http.StatusBadGateway, "answer of the model server broke off", err)
 		}
 	}
@@ -301,17 +301,17 @@
 }
 
 // relay passes on events as they arrive.
-func (g *generation) relay(server engine.Server, answer *upstream.Answer, sent time.Time) bool {
+func (g *generation) relay(placed engine.Placement, answer *upstream.Answer, sent time.Time) bool {
 	reader := newEventReader(answer.Body)
 	controller := http.NewResponseController(g.writer)
 	for first := true; ; first = false {
 		e, err := reader.next()
 		whole := err == nil || errors.Is(err, io.EOF)
 		if !whole {
-			return g.interrupted(server, err)
+			return g.interrupted(placed, err)
 		}
 		if first {
-			g.begun(server, time.Since(sent))
+			g.begun(placed, time.Since(sent))
 		}
 		if len(e.data) > 0 {
 			if !g.started {
@@ -332,7 +332,7 @@
 				g.writeHead(answer, -1)
 			}
 			g.runs.learn(g.route.Name, time.Since(sent))
-			g.answered(answer.Status, server.ID)
+			g.answered(answer.Status, placed.Server)
 			return true
 		}
 		if !reader.more() {
@@ -342,21 +342,21 @@
 }
 
 // begun records the start of a run. The model server has read its inputs.
-func (g *generation) begun(server engine.Server, delay time.Duration) {
+func (g *generation) begun(placed engine.Placement, delay time.Duration) {
 	now := time.Now()
 	g.firstEvent = delay
-	g.fleet.Engines(g.service.Name, func(s *engine.Set) { s.FirstEvent(server.ID, delay, now) })
+	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Expected: placed.Expected, Delay: delay})
 	g.counts.firstEvent.RecordDuration(now.Sub(g.arrived))
 	g.freeInputs()
 }
 
 // interrupted handles a stream that broke off. Events that were not whole are
 // dropped.
-func (g *generation) interrupted(server engine.Server, err error) bool {
+func (g *generation) interrupted(placed engine.Placement, err error) bool {
 	if g.left() || g.late() {
 		return g.end()
 	}
-	g.fleet.Engines(g.service.Name, func(s *engine.Set) { s.Failed(server.ID, time.Now()) })
-	g.logFailed(upstream.Server{ID: server.ID}, http.StatusOK, err)
+	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Failed: true})
+	g.logFailed(upstream.Server{ID: placed.Server}, http.StatusOK, err)
 	return g.mayHaveRun(err)
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -129,6 +129,21 @@
 	return response, fromTwirp(err, "await_stage", address)
 }
 
+// PlacePrompt has an instance choose the model server for a prompt. The context
+// bounds it.
+func (c *Client) PlacePrompt(ctx context.Context, address string, request *peerpb.PlacePromptRequest) (*peerpb.PlacePromptResponse, error) {
+	response, err := c.peer(address).PlacePrompt(ctx, request)
+	return response, fromTwirp(err, "place_prompt", address)
+}
+
+// ReportPlacement tells an instance what became of a placement.
+func (c *Client) ReportPlacement(ctx context.Context, address string, request *peerpb.ReportPlacementRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := c.peer(address).ReportPlacement(ctx, request)
+	return fromTwirp(err, "report_placement", address)
+}
+
 // FreeResults gives up results at the instance that forms the calls of a service.
 func (c *Client) FreeResults(ctx context.Context, address string, request *peerpb.FreeResultsRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -49,6 +49,12 @@
 	FreeResults(request *peerpb.FreeResultsRequest)
 }
 
+// PlacementHandler chooses model servers for all instances of a region.
+type PlacementHandler interface {
+	PlacePrompt(request *peerpb.PlacePromptRequest) *peerpb.PlacePromptResponse
+	ReportPlacement(request *peerpb.ReportPlacementRequest)
+}
+
 // ViewHandler serves what this instance has read of the store.
 type ViewHandler interface {
 	// EntriesAfter returns all entries and their version, or version 0 when the
@@ -68,6 +74,7 @@
 	jobs          JobHandler
 	stages        StageHandler
 	views         ViewHandler
+	placements    PlacementHandler
 }
 
 // NewServer returns a server without handlers. The node learns who leaves; it
@@ -104,6 +111,13 @@
 	s.stages = h
 }
 
+// HandlePlacements registers the handler of PlacePrompt and ReportPlacement.
+func (s *Server) HandlePlacements(h PlacementHandler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.placements = h
+}
+
 // HandleViews registers the handler of PullView.
 func (s *Server) HandleViews(h ViewHandler) {
 	s.mu.Lock()
@@ -238,6 +252,31 @@
 	return s.stages
 }
 
+// PlacePrompt implements peerpb.Peer.
+func (s *Server) PlacePrompt(_ context.Context, request *peerpb.PlacePromptRequest) (*peerpb.PlacePromptResponse, error) {
+	handler := s.placementHandler()
+	if handler == nil {
+		return nil, toTwirp(ErrUnsupported)
+	}
+	return handler.PlacePrompt(request), nil
+}
+
+// ReportPlacement implements peerpb.Peer.
+func (s *Server) ReportPlacement(_ context.Context, request *peerpb.ReportPlacementRequest) (*peerpb.ReportPlacementResponse, error) {
+	handler := s.placementHandler()
+	if handler == nil {
+		return nil, toTwirp(ErrUnsupported)
+	}
+	handler.ReportPlacement(request)
+	return &peerpb.ReportPlacementResponse{}, nil
+}
+
+func (s *Server) placementHandler() PlacementHandler {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.placements
+}
+
 // PullView implements peerpb.Peer.
 func (s *Server) PullView(_ context.Context, request *peerpb.PullViewRequest) (*peerpb.PullViewResponse, error) {
 	s.mu.Lock()
--- a/route/route.go
+++ b/route/route.go
@@ -84,7 +84,13 @@
 	// Work is set for services that run the pieces of stages.
 	Work *StageShape
 	// Engine is set for services of model servers.
-	Engine bool
+	Engine *EngineShape
+}
+
+// EngineShape is how one model server works.
+type EngineShape struct {
+	// CacheTokens is the memory for prompts; 0 when it is not known.
+	CacheTokens int
 }
 
 // StageShape is how one server of a stage service works.
