--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -28,6 +28,10 @@
 	// a hint.
 	registerTTL   = 10 * time.Minute
 	renewInterval = 3 * time.Minute
+	// firstReviews are the times after which the registrations are read again:
+	// instances that start together read them before the others have registered.
+	firstReviews = 2
+	reviewPause  = 3 * time.Second
 	// joinTime is how long after the start registered instances count as live:
 	// until membership has heard of them, every instance would take itself for the
 	// one that forms all calls.
@@ -51,6 +55,8 @@
 	mu      sync.Mutex
 	avoid   map[string]time.Time
 	started time.Time
+	// pause is the mean time between the first reviews.
+	pause time.Duration
 	// registered holds the peer addresses of the region's instances by ID, as they
 	// stood in the store at the start.
 	registered map[string]string
@@ -64,7 +70,7 @@
 
 // NewCluster returns the cluster as seen from a node.
 func NewCluster(s settings.Gateway, node *peer.Node, client *peer.Client, st store.Store, logger *slog.Logger) *Cluster {
-	return &Cluster{settings: s, node: node, client: client, store: st, logger: logger, avoid: map[string]time.Time{}, started: time.Now()}
+	return &Cluster{settings: s, node: node, client: client, store: st, logger: logger, avoid: map[string]time.Time{}, started: time.Now(), pause: reviewPause}
 }
 
 // Pull implements view.Peers.
@@ -197,10 +203,24 @@
 		}
 		lease = granted
 		events.Registration.Log(ctx, c.logger, slog.String("address", c.settings.PeerAddress))
+		c.review(ctx)
 		clock.Sleep(ctx, renewInterval)
 	}
 }
 
+// review reads the registrations of instances that started at the same time.
+func (c *Cluster) review(ctx context.Context) {
+	for range firstReviews {
+		clock.Sleep(ctx, c.pause/2+rand.N(c.pause))
+		entries, err := c.store.List(ctx, registerPrefix, "", registerLimit)
+		if err != nil {
+			events.NotRegistered.Log(ctx, c.logger, slog.Any("error", err))
+			continue
+		}
+		c.hint(entries)
+	}
+}
+
 func (c *Cluster) register(ctx context.Context) (store.LeaseID, error) {
 	entries, err := c.store.List(ctx, registerPrefix, "", registerLimit)
 	if err != nil {
--- /dev/null
+++ b/internal/gateway/cluster_test.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store/storetest"
+	"github.com/coltsfootdrift/coltsfootdrift/membership"
+)
+
+func newCluster(c *qt.C, st *storetest.Fake) *Cluster {
+	s := settings.Gateway{Instance: "g", Region: "r", PeerAddress: freeAddress(c)}
+	node, err := peer.Listen(membership.Identity{ID: "g", FailureDomain: "r", Address: s.PeerAddress, Incarnation: 1}, logger(), tally.NoopScope)
+	c.Assert(err, qt.IsNil)
+	return NewCluster(s, node, peer.NewClient(), st, logger())
+}
+
+func register(c *qt.C, st *storetest.Fake, id, region string) {
+	value, err := json.Marshal(registration{Address: "127.0.0.1:1", Region: region})
+	c.Assert(err, qt.IsNil)
+	_, err = st.CompareAndSwap(context.Background(), registerPrefix+id, 0, value, 0)
+	c.Assert(err, qt.IsNil)
+}
+
+// Guards against instances of a region that never hear of each other because they
+// started together and each read the registrations before the others wrote theirs.
+// Each then forms all calls by itself and finds the stage servers full.
+func TestRegistrationsAreReadAgain(t *testing.T) {
+	c := qt.New(t)
+	st := storetest.New()
+	cluster := newCluster(c, st)
+	cluster.pause = time.Millisecond
+	_, err := cluster.register(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(cluster.Callers("x"), qt.HasLen, 1)
+	register(c, st, "late", "r")
+	register(c, st, "far", "other")
+	cluster.review(context.Background())
+	c.Assert(cluster.Callers("x"), qt.HasLen, 2)
+	candidates := 0
+	cluster.node.View(func(s *membership.State) { candidates = len(s.Candidates()) })
+	c.Assert(candidates, qt.Equals, 1, qt.Commentf("one address, registered twice"))
+}
+
+// Guards against a silent instance that is asked again by each request, and against
+// two instances that choose different ones.
+func TestCallersOfAService(t *testing.T) {
+	c := qt.New(t)
+	st := storetest.New()
+	register(c, st, "other", "r")
+	cluster := newCluster(c, st)
+	_, err := cluster.register(context.Background())
+	c.Assert(err, qt.IsNil)
+	first := cluster.Callers("x")
+	c.Assert(cluster.Callers("x"), qt.DeepEquals, first)
+	cluster.Avoid(first[0])
+	reversed := slices.Clone(first)
+	slices.Reverse(reversed)
+	c.Assert(cluster.Callers("x"), qt.DeepEquals, reversed)
+}
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -17,8 +17,12 @@
 )
 
 const (
-	// batchPause lets changes that come together arrive in one watch.
-	batchPause = 30 * time.Millisecond
+	// batchPause lets changes that come together arrive in one watch of a reader.
+	batchPause = 50 * time.Millisecond
+	// followerPause does so for the other instances, of which there are many: each
+	// watch that ends is a call to the store. A configuration in force and a
+	// leaving server are still known within two of it.
+	followerPause = 700 * time.Millisecond
 	// idlePause follows a watch that changed nothing in the view, so that
 	// heartbeats of servers do not cost a call each.
 	idlePause = 200 * time.Millisecond
@@ -37,7 +41,7 @@
 	tickInterval = 100 * time.Millisecond
 	// pullAfter is how long a version that a peer announced is awaited from the
 	// store.
-	pullAfter = 150 * time.Millisecond
+	pullAfter = followerPause + 200*time.Millisecond
 	// silentAfter is how long the store may not answer before peers are asked, and
 	// pullInterval how often they are.
 	silentAfter  = 700 * time.Millisecond
@@ -140,11 +144,7 @@
 		changed, err := s.read(ctx, known)
 		if err == nil {
 			known, backoff = true, firstBackoff
-			pause := idlePause
-			if changed {
-				pause = batchPause
-			}
-			clock.Sleep(ctx, pause)
+			clock.Sleep(ctx, s.pause(changed))
 			continue
 		}
 		if errors.Is(err, ErrHistoryLost) {
@@ -157,6 +157,17 @@
 	}
 }
 
+// pause returns the time between two watches.
+func (s *Sync) pause(changed bool) time.Duration {
+	switch {
+	case !s.peers.Reader():
+		return followerPause
+	case changed:
+		return batchPause
+	}
+	return idlePause
+}
+
 // read makes one call to the store and reports whether the view changed.
 func (s *Sync) read(ctx context.Context, known bool) (changed bool, err error) {
 	s.reads.Inc(1)
