Refuse waiting requests before the process ends, and probe slow stage servers

Requests that wait for stages 2.2 s before the end of the grace time are refused as not run; a server that was slow is probed with one piece.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,9 @@
 	streamNotice = 2800 * time.Millisecond
 	// plainMargin is the part of the grace time in which nothing new is taken.
 	plainMargin = 1200 * time.Millisecond
+	// unsentMargin is the part of the grace time in which requests that wait for
+	// their stages are refused: a model server could not answer them any more.
+	unsentMargin = 2200 * time.Millisecond
 	// exitMargin is what the end of the process itself needs.
 	exitMargin = 400 * time.Millisecond
 	// keptConnections is how long clients have to use a kept connection once more
@@ -31,17 +35,27 @@
 	mu    sync.Mutex
 	began time.Time
 	open  atomic.Int64
+	// closing ends when requests that were not sent yet are refused.
+	closing context.Context
+	close   context.CancelFunc
 }
 
 // NewDrain returns the state of an instance that is not stopping. Grace is the
 // time that a shutdown may take.
-func NewDrain(grace time.Duration) *Drain { return &Drain{grace: grace} }
+func NewDrain(grace time.Duration) *Drain {
+	closing, end := context.WithCancel(context.Background())
+	return &Drain{grace: grace, closing: closing, close: end}
+}
 
 // Begin starts the shutdown.
 func (d *Drain) Begin(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.began.IsZero() {
+		return
+	}
 	d.began = now
+	time.AfterFunc(max(0, d.grace-unsentMargin-time.Since(now)), d.close)
 }
 
 // since returns the time since the start of the shutdown, and false before it.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -132,7 +133,9 @@
 	}
 	var typical time.Duration
 	g.fleet.Engines(g.service.Name, func(s *engine.Set) { typical = s.Typical() })
-	inputs, err := g.stages.Run(g.ctx, Chain{
+	ctx, cancel := g.untilClosing()
+	defer cancel()
+	inputs, err := g.stages.Run(ctx, Chain{
 		RequestID: g.demand.ID, Key: g.demand.PieceKey, Table: g.view.Table, Route: g.route, Graph: g.graph, Priority: g.priority,
 		Due:           g.arrived.Add(g.route.Target - typical),
 		Deadline:      g.stagesDeadline(typical),
@@ -145,6 +148,9 @@
 	if g.left() || g.late() {
 		return false, g.end()
 	}
+	if ctx.Err() != nil {
+		return false, g.giveUp("draining", retrySoon, nil)
+	}
 	var refused *RefusedError
 	if !errors.As(err, &refused) {
 		return false, g.giveUp("stages failed", retrySoon, err)
@@ -155,6 +161,17 @@
 	return false, g.giveUp("stages: "+string(refused.Reason), refused.Wait, err)
 }
 
+// untilClosing returns the context of the request, which also ends when a shutdown
+// refuses the requests that were not sent yet.
+func (g *generation) untilClosing() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(g.ctx)
+	stop := context.AfterFunc(g.drain.closing, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // stagesDeadline returns when the stages must end, so that a run of typical length
 // ends by the deadline and its first event comes while the client still waits.
 func (g *generation) stagesDeadline(firstEvent time.Duration) time.Time {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -262,3 +262,26 @@
 	close(blocked.release)
 	w.Close()
 }
+
+// Guards against a shutdown that cuts off requests which wait for their stages
+// instead of telling their clients that they have not run.
+func TestWaitingRequestsAreRefusedBeforeTheProcessEnds(t *testing.T) {
+	c := qt.New(t)
+	w := generating(c, false, route.Stage{Service: "stage"})
+	asked := make(chan struct{}, 4)
+	w.backend("stage", func(_ http.ResponseWriter, r *http.Request) {
+		asked <- struct{}{}
+		<-r.Context().Done()
+	})
+	w.backend("x", func(rw http.ResponseWriter, _ *http.Request) { sendEvents(rw, 1, 1) })
+	w.config.Services[1].Work.CallTime = time.Second
+	w.start()
+	go func() {
+		<-asked
+		w.drain.Begin(time.Now().Add(unsentMargin - 8*time.Second))
+	}()
+	response, body, err := w.do("POST", "/p/", "", "Counts", "1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(body, qt.Equals, "draining\n")
+}
--- a/stagework/call.go
+++ b/stagework/call.go
@@ -14,11 +14,14 @@
 		return Call{}, false
 	}
 	q.lapse(now)
+	q.sort(now)
+	if c := q.probe(now); c != nil {
+		return c.Call, true
+	}
 	free := q.free(now)
 	if len(free) == 0 {
 		return Call{}, false
 	}
-	q.sort(now)
 	for _, j := range q.order {
 		if len(j.waiting) == 0 {
 			continue
@@ -51,7 +54,7 @@
 	}
 	for _, s := range q.servers {
 		switch {
-		case !s.listed, s.running >= q.shape.Slots, now.Before(s.pausedUntil):
+		case !s.listed, s.running >= q.shape.Slots, now.Before(s.pausedUntil), s.unproven(now):
 		case s.slowness(now) > slowFactor*max(1, fastest):
 		default:
 			free = append(free, s)
@@ -69,6 +72,30 @@
 	return free
 }
 
+// probe returns a call with one piece of the last job to a server that was slow and
+// has had no call since. A full call would make all its pieces late if the server
+// still is.
+func (q *Queue) probe(now time.Time) *call {
+	for _, s := range q.servers {
+		if !s.listed || s.running > 0 || now.Before(s.pausedUntil) || !s.unproven(now) {
+			continue
+		}
+		for _, j := range slices.Backward(q.order) {
+			if len(j.waiting) > 0 && q.room(s, j, now) > 0 {
+				c := &call{started: now}
+				q.addUpTo(1, c, s, j, now)
+				return q.begin(c, s, now)
+			}
+		}
+	}
+	return nil
+}
+
+// unproven reports whether a server was slow when it last had a call, long ago.
+func (s *server) unproven(now time.Time) bool {
+	return s.factor > slowFactor && now.Sub(s.factorAt) > factorLife
+}
+
 // slowness is the believed duration of calls relative to the shape.
 func (s *server) slowness(now time.Time) float64 {
 	if now.Sub(s.factorAt) > factorLife {
@@ -166,6 +193,11 @@
 	if len(c.Items) == 0 {
 		return nil
 	}
+	return q.begin(c, s, now)
+}
+
+// begin counts a call that is made now.
+func (q *Queue) begin(c *call, s *server, now time.Time) *call {
 	q.lastCall++
 	c.ID, c.Server = q.lastCall, s.ID
 	c.expected = time.Duration(float64(q.shape.CallDuration(len(c.Items))) * max(1, s.slowness(now)))
@@ -179,7 +211,12 @@
 // add moves waiting pieces of a job into a call, as far as the batch and the
 // server's room allow.
 func (q *Queue) add(c *call, s *server, j *job, now time.Time) {
-	n := min(len(j.waiting), q.shape.Batch-len(c.Items), q.room(s, j, now))
+	q.addUpTo(q.shape.Batch-len(c.Items), c, s, j, now)
+}
+
+// addUpTo moves at most a number of waiting pieces.
+func (q *Queue) addUpTo(most int, c *call, s *server, j *job, now time.Time) {
+	n := min(len(j.waiting), most, q.room(s, j, now))
 	for _, place := range j.waiting[:n] {
 		c.Items = append(c.Items, Item{Job: j.ID, Piece: j.Pieces[place]})
 		c.places = append(c.places, place)
--- a/stagework/queue_test.go
+++ b/stagework/queue_test.go
@@ -257,3 +257,36 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(last.Items, qt.HasLen, 1)
 }
+
+// Guards against full calls to a server that was slow, which make all their pieces
+// late, each time that its slowness is forgotten.
+func TestServersThatWereSlowAreProbedWithOnePiece(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a")
+	offer(c, q, request(1, 1))
+	slow, _ := q.Next(epoch)
+	now := epoch.Add(2 * time.Second)
+	q.Finished(now, slow.ID, produce(slow))
+	q.SetServers([]Server{{ID: "s0", FailureDomain: "a"}, {ID: "s1", FailureDomain: "a"}})
+	now = now.Add(factorLife + time.Millisecond)
+	for id := range JobID(2) {
+		j := request(id+2, 4)
+		j.Due, j.Deadline = now.Add(time.Second), now.Add(5*time.Second)
+		_, ok := q.Offer(now, j)
+		c.Assert(ok, qt.IsTrue)
+	}
+	probe, ok := q.Next(now)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(probe.Server, qt.Equals, "s0")
+	c.Assert(probe.Items, qt.HasLen, 1)
+	rest, ok := q.Next(now)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(rest.Server, qt.Equals, "s1")
+	c.Assert(rest.Items, qt.HasLen, 7)
+	now = now.Add(210 * time.Millisecond)
+	q.Finished(now, probe.ID, produce(probe))
+	offer(c, q, request(9, 4))
+	full, ok := q.Next(now)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(full.Server, qt.Equals, "s0")
+}
