--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -37,6 +37,7 @@
 	return []command{
 		{"entry", "run an entry instance", entryHelp, &entryCommand{streams: s}},
 		{"gateway", "run a gateway on the users' platform", gatewayHelp, &gatewayCommand{streams: s}},
+		{"explain", "print the way of a request from logs", explainHelp, &explainCommand{streams: s}},
 		{"check", "check settings or operators' files", checkHelp, &checkCommand{streams: s}},
 		{"publish", "put operators' files in force", publishHelp, &publishCommand{streams: s}},
 		{"status", "show what an instance sees", statusHelp, &statusCommand{streams: s}},
