--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -15,7 +15,8 @@
 // checkCommand checks files without using them.
 type checkCommand struct {
 	streams
-	Args struct {
+	Gateway bool `long:"gateway" description:"the file is the settings of a gateway"`
+	Args    struct {
 		Path string `positional-arg-name:"PATH" description:"settings file, or folder of operators' files"`
 	} `positional-args:"true" required:"true"`
 }
@@ -38,16 +39,27 @@
 
 // checkSettings checks a settings file.
 func (c *checkCommand) checkSettings() error {
-	_, err := settings.Read(c.Args.Path)
-	var missing *os.PathError
-	switch {
-	case err == nil:
-		fmt.Fprintln(c.stdout, "no mistakes")
-		return nil
-	case errors.As(err, &missing):
+	var err error
+	if c.Gateway {
+		_, err = settings.ReadGateway(c.Args.Path)
+	} else {
+		_, err = settings.Read(c.Args.Path)
+	}
+	if err != nil {
+		return c.printMistakes(err)
+	}
+	fmt.Fprintln(c.stdout, "no mistakes")
+	return nil
+}
+
+// printMistakes prints the mistakes of a settings file and returns ErrInvalid, or
+// returns another error as it is.
+func (s streams) printMistakes(err error) error {
+	var mistakes *settings.MistakesError
+	if !errors.As(err, &mistakes) {
 		return err
 	}
-	fmt.Fprintln(c.stderr, err)
+	fmt.Fprintln(s.stderr, mistakes)
 	return ErrInvalid
 }
 
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"log/slog"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
@@ -22,13 +20,8 @@
 // Execute runs the daemon until a signal stops it.
 func (c *entryCommand) Execute([]string) error {
 	read, err := settings.Read(c.Settings)
-	var mistakes *settings.MistakesError
-	if errors.As(err, &mistakes) {
-		fmt.Fprintln(c.stderr, mistakes)
-		return ErrInvalid
-	}
 	if err != nil {
-		return err
+		return c.printMistakes(err)
 	}
 	return entry.Run(context.Background(), read, slog.New(slog.NewJSONHandler(c.stderr, nil)))
 }
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"log/slog"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/gateway"
@@ -24,13 +22,8 @@
 // Execute runs the gateway until a signal stops it.
 func (c *gatewayCommand) Execute([]string) error {
 	read, err := settings.ReadGateway(c.Settings)
-	var mistakes *settings.MistakesError
-	if errors.As(err, &mistakes) {
-		fmt.Fprintln(c.stderr, mistakes)
-		return ErrInvalid
-	}
 	if err != nil {
-		return err
+		return c.printMistakes(err)
 	}
 	lines := gateway.NewLogWriter(c.stdout)
 	defer lines.Close()
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -40,3 +40,17 @@
 		return false
 	}
 }
+
+// Every calls f at each interval until the context ends.
+func Every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -5,9 +5,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -18,6 +16,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/httpserve"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
@@ -109,20 +108,6 @@
 	feed.Observe(func(members []platform.Member) { servers.Update(members, configuration.Current()) })
 }
 
-// every calls f at each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			f()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // callerService is what serveCallers starts and stops.
 type callerService struct {
 	fx.In
@@ -150,7 +135,7 @@
 	s.Steps.Add(StopStep{StopCallers, "callers", server.Shutdown})
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
-			if err := listenAndServe(ctx, server, s.Entry.CallerAddress, s.Logger); err != nil {
+			if err := httpserve.Start(ctx, server, s.Entry.CallerAddress, s.Logger); err != nil {
 				return err
 			}
 			listening.Store(true)
@@ -175,26 +160,10 @@
 	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
-			return listenAndServe(ctx, server, entry.AdminAddress, logger)
+			return httpserve.Start(ctx, server, entry.AdminAddress, logger)
 		},
 		OnStop: func(ctx context.Context) error {
 			return errors.Join(server.Shutdown(ctx), m.Close())
 		},
 	})
 }
-
-// listenAndServe binds the address before it returns, so that a taken address
-// fails the start.
-func listenAndServe(ctx context.Context, server *http.Server, address string, logger *slog.Logger) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address)
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
-	}
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			events.ServeFailed.Log(context.WithoutCancel(ctx), logger, slog.String("address", address), slog.Any("error", err))
-		}
-	}()
-	return nil
-}
--- a/internal/entry/decisions.go
+++ b/internal/entry/decisions.go
@@ -86,7 +86,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go every(ctx, admissionInterval, control.Tick)
+			go clock.Every(ctx, admissionInterval, control.Tick)
 			go servers.PollLoad(ctx, reader)
 			return nil
 		},
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
 	"github.com/coltsfootdrift/coltsfootdrift/quota"
@@ -68,8 +69,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go every(ctx, membership.Interval, g.exchange)
-			go every(ctx, stragglerInterval, g.exchangeStragglers)
+			go clock.Every(ctx, membership.Interval, g.exchange)
+			go clock.Every(ctx, stragglerInterval, g.exchangeStragglers)
 			return nil
 		},
 		OnStop: func(context.Context) error {
--- a/internal/entry/listing.go
+++ b/internal/entry/listing.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 )
@@ -53,7 +54,7 @@
 	lc.Append(fx.Hook{
 		OnStart: func(start context.Context) error {
 			f.refresh(start)
-			go every(ctx, listInterval, func() { f.refresh(ctx) })
+			go clock.Every(ctx, listInterval, func() { f.refresh(ctx) })
 			return nil
 		},
 		OnStop: func(context.Context) error {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/httpserve"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
@@ -166,7 +167,7 @@
 	lc.Append(fx.Hook{
 		OnStart: func(start context.Context) error {
 			running.Go(func() { p.Members.Node.Run(ctx) })
-			return listenAndServe(start, server, p.Entry.PeerAddress, p.Logger)
+			return httpserve.Start(start, server, p.Entry.PeerAddress, p.Logger)
 		},
 		OnStop: func(stop context.Context) error {
 			err := server.Shutdown(stop)
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -19,6 +17,7 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/httpserve"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
@@ -140,7 +139,7 @@
 		return err
 	}
 	reread := newRereader(path, s, logger)
-	go every(ctx, settingsReread, func() { reread.check(false) })
+	go clock.Every(ctx, settingsReread, func() { reread.check(false) })
 	for received := range signals {
 		if received != syscall.SIGHUP {
 			d.stop(received.String())
@@ -170,7 +169,7 @@
 	go d.Node.Run(ctx)
 	go d.Views.Run(ctx)
 	go d.Cluster.Register(ctx)
-	go every(ctx, closeIdleEvery, func() { d.Upstream.CloseIdle(time.Now(), d.Fleet.InUse) })
+	go clock.Every(ctx, closeIdleEvery, func() { d.Upstream.CloseIdle(time.Now(), d.Fleet.InUse) })
 	events.GatewayStarted.Log(ctx, d.Logger, slog.String("instance", d.Settings.Instance), slog.String("region", d.Settings.Region),
 		slog.String("failure_domain", d.Settings.FailureDomain), slog.String("address", d.Settings.ClientAddress))
 	return nil
@@ -184,7 +183,8 @@
 	for address, handler := range map[string]http.Handler{
 		d.Settings.ReadyAddress: ready, d.Settings.MetricsAddress: metricsRouter, d.Settings.PeerAddress: d.Peers.Handler(),
 	} {
-		if err := serve(ctx, address, handler, d.Logger); err != nil {
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		if err := httpserve.Start(ctx, server, address, d.Logger); err != nil {
 			return err
 		}
 	}
@@ -194,22 +194,6 @@
 	return nil
 }
 
-// serve binds an address before it returns and serves it until the process ends.
-func serve(ctx context.Context, address string, handler http.Handler, logger *slog.Logger) error {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address)
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			events.ServeFailed.Log(context.WithoutCancel(ctx), logger, slog.String("address", address), slog.Any("error", err))
-		}
-	}()
-	return nil
-}
-
 // ready answers 200 while the instance takes new connections.
 func (d *daemon) ready(w http.ResponseWriter, _ *http.Request) {
 	v := d.Views.Current()
--- a/internal/gateway/logwriter.go
+++ b/internal/gateway/logwriter.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 )
 
@@ -74,7 +75,7 @@
 
 // ReportDropped logs the number of dropped lines until the context ends.
 func (w *LogWriter) ReportDropped(ctx context.Context, logger *slog.Logger) {
-	every(ctx, dropReport, func() {
+	clock.Every(ctx, dropReport, func() {
 		if n := w.dropped.Swap(0); n > 0 {
 			events.LinesDropped.Log(ctx, logger, slog.Int64("lines", n))
 		}
@@ -86,17 +87,3 @@
 	close(w.ending)
 	<-w.done
 }
-
-// every calls f at each interval until the context ends.
-func every(ctx context.Context, interval time.Duration, f func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			f()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
