Ask model servers what they keep when an instance begins to place prompts

Cause: with each stop or kill of the instance that places prompts, the knowledge of what each model server keeps was lost and prompts were read again at other servers. The next one now asks each server of the region once.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -240,6 +240,31 @@
 	delete(c.parts, oldest)
 }
 
+// Restore replaces what a server is believed to keep by its own list.
+func (s *Set) Restore(server string, parts []Part) {
+	c := s.byID[server]
+	if c == nil {
+		return
+	}
+	listed := make(map[string]kept, len(parts))
+	c.tokens = 0
+	for _, part := range parts {
+		listed[part.ID] = kept{part.Tokens, c.parts[part.ID].used}
+		c.tokens += part.Tokens
+	}
+	c.parts = listed
+}
+
+// Local returns the servers of the region.
+func (s *Set) Local() (ids []string) {
+	for _, c := range s.list {
+		if c.Region == s.region {
+			ids = append(ids, c.ID)
+		}
+	}
+	return ids
+}
+
 // sharedKey identifies the deepest part of a prompt that other requests share.
 func sharedKey(prompt []Part) uint64 {
 	switch len(prompt) {
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -135,3 +135,17 @@
 	_, ok := s.Place(start, Query{Excluded: []string{"1", "2", "3", "4"}})
 	c.Assert(ok, qt.IsFalse)
 }
+
+// Guards against prompts that are read again after the instance that placed them
+// has gone, although the servers still keep their parts.
+func TestRestoredPartsAttractTheirPrompts(t *testing.T) {
+	c := qt.New(t)
+	for _, server := range []string{"1", "2", "3"} {
+		s := set()
+		s.Restore(server, []Part{{"system", 2000}, {"x", 4000}})
+		c.Assert(place(c, s, start, Query{Prompt: prompt("x", "1")}), qt.Equals, server)
+		s.Restore(server, nil)
+		unread, _ := s.byID[server].unread(prompt("x", "2"))
+		c.Assert(unread, qt.Equals, 7000)
+	}
+}
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -32,5 +32,7 @@
 	StagePeerFailed = define(7211, slog.LevelWarn, "instance that forms the calls of a stage did not answer")
 	StageCallEnded  = define(7212, slog.LevelInfo, "call to a stage server ended")
 	PlacerFailed    = define(7214, slog.LevelWarn, "instance that places prompts did not answer")
+	PlacerChanged   = define(7215, slog.LevelInfo, "instance places the prompts of a service")
+	CacheUnknown    = define(7216, slog.LevelInfo, "model server did not tell which prompt parts it keeps")
 	FreeFailed      = define(7213, slog.LevelInfo, "results could not be freed")
 )
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -169,6 +169,7 @@
 	go d.Node.Run(ctx)
 	go d.Views.Run(ctx)
 	go d.Cluster.Register(ctx)
+	go clock.Every(ctx, restoreInterval, func() { d.Placer.Restore(ctx) })
 	go clock.Every(ctx, closeIdleEvery, func() { d.Upstream.CloseIdle(time.Now(), d.Fleet.InUse) })
 	events.GatewayStarted.Log(ctx, d.Logger, slog.String("instance", d.Settings.Instance), slog.String("region", d.Settings.Region),
 		slog.String("failure_domain", d.Settings.FailureDomain), slog.String("address", d.Settings.ClientAddress))
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -17,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/coltsfootdrift/coltsfootdrift/engine"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
@@ -91,6 +92,14 @@
 	return &upstream.Request{Method: http.MethodPost, Target: "/free", Host: s.Address, Header: http.Header{}, Body: body}, err
 }
 
+func (fakeProtocol) CacheCall(s upstream.Server) *upstream.Request {
+	return &upstream.Request{Method: http.MethodGet, Target: "/cache", Host: s.Address, Header: http.Header{}}
+}
+
+func (fakeProtocol) CachedParts(body []byte) (parts []engine.Part, err error) {
+	return parts, json.Unmarshal(body, &parts)
+}
+
 func (fakeProtocol) Maker(result string) string {
 	address, _, _ := strings.Cut(result, "/")
 	return address
@@ -168,7 +177,7 @@
 	freer := NewFreer(protocol, connections, serverByAddress(views), logger())
 	w.caller = NewStageCaller(s, protocol, connections, fleet, freer, logger(), tally.NoopScope)
 	w.drain = NewDrain(s.Grace())
-	w.gateway = New(protocol, views, fleet, connections, NewStages(cluster, client, w.caller, logger()), NewPlacer(cluster, client, fleet, logger()), w.drain, logger(), tally.NoopScope)
+	w.gateway = New(protocol, views, fleet, connections, NewStages(cluster, client, w.caller, logger()), NewPlacer(cluster, client, fleet, connections, protocol, logger()), w.drain, logger(), tally.NoopScope)
 	changed := make(chan struct{}, 10)
 	views.Observe(fleet.Update)
 	views.Observe(w.caller.Update)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -148,6 +150,13 @@
 	return true
 }
 
+// EngineServices returns the names of the services of model servers.
+func (f *Fleet) EngineServices() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Keys(f.engines))
+}
+
 const (
 	// retryRatioShare and retrySlackShare are the parts of the budget that all
 	// instances share which are used, so that a client's own repeats and changes
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -2,31 +2,98 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"log/slog"
+	"net/http"
 	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/engine"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 )
 
 // placeTimeout bounds the question where a prompt goes; without an answer this
 // instance chooses by what it knows itself.
 const placeTimeout = 100 * time.Millisecond
 
+const (
+	// restoreInterval is how often an instance looks whether it has become the one
+	// that places prompts.
+	restoreInterval = 300 * time.Millisecond
+	// restoreTimeout bounds the question what a model server keeps.
+	restoreTimeout = 400 * time.Millisecond
+	maxCacheList   = 4 << 20
+)
+
 // Placer chooses model servers. One instance of the region chooses for all, because
 // it alone knows what the others have placed.
 type Placer struct {
 	cluster *Cluster
 	client  *peer.Client
 	fleet   *Fleet
-	logger  *slog.Logger
+	// servers and protocol ask model servers what they keep.
+	servers  *upstream.Client
+	protocol Protocol
+	logger   *slog.Logger
+	// restored holds the services whose prompts this instance places with what the
+	// servers keep. Only Restore uses it.
+	restored map[string]bool
 }
 
 // NewPlacer returns a placer.
-func NewPlacer(cluster *Cluster, client *peer.Client, fleet *Fleet, logger *slog.Logger) *Placer {
-	return &Placer{cluster: cluster, client: client, fleet: fleet, logger: logger}
+func NewPlacer(cluster *Cluster, client *peer.Client, fleet *Fleet, servers *upstream.Client, protocol Protocol, logger *slog.Logger) *Placer {
+	return &Placer{cluster: cluster, client: client, fleet: fleet, servers: servers, protocol: protocol, logger: logger, restored: map[string]bool{}}
+}
+
+// Restore asks the model servers what they keep for each service whose prompts this
+// instance begins to place: what the one before knew of them is lost.
+func (p *Placer) Restore(ctx context.Context) {
+	for _, service := range p.fleet.EngineServices() {
+		mine := p.cluster.Callers(placerKey(service))[0] == ""
+		if mine && !p.restored[service] {
+			p.restore(ctx, service)
+		}
+		p.restored[service] = mine
+	}
+}
+
+func (p *Placer) restore(ctx context.Context, service string) {
+	var ids []string
+	p.fleet.Engines(service, func(s *engine.Set) { ids = s.Local() })
+	for _, id := range ids {
+		server, known := p.fleet.Server(id)
+		if !known {
+			continue
+		}
+		parts, err := p.cached(ctx, server)
+		if err != nil {
+			events.CacheUnknown.Log(ctx, p.logger, slog.String("server", id), slog.Any("error", err))
+			continue
+		}
+		p.fleet.Engines(service, func(s *engine.Set) { s.Restore(id, parts) })
+	}
+	events.PlacerChanged.Log(ctx, p.logger, slog.String("service", service), slog.Int("servers", len(ids)))
+}
+
+func (p *Placer) cached(ctx context.Context, server upstream.Server) ([]engine.Part, error) {
+	ctx, cancel := context.WithTimeout(ctx, restoreTimeout)
+	defer cancel()
+	answer, err := p.servers.Send(ctx, server, p.protocol.CacheCall(server))
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxCacheList))
+	if err != nil {
+		return nil, err
+	}
+	if answer.Status != http.StatusOK {
+		return nil, fmt.Errorf("model server answered with status %d", answer.Status)
+	}
+	return p.protocol.CachedParts(body)
 }
 
 // placerKey is hashed to the instance that places the prompts of a service.
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -82,6 +82,10 @@
 	// StageOutcomes reads the answer to a call of n pieces.
 	StageOutcomes(status int, header http.Header, body []byte, n int) ([]stagework.Outcome, error)
 	FreeCall(server upstream.Server, results []string) (*upstream.Request, error)
+	// CacheCall asks a model server which prompt parts it keeps.
+	CacheCall(upstream.Server) *upstream.Request
+	// CachedParts reads the answer to a CacheCall.
+	CachedParts(body []byte) ([]engine.Part, error)
 	// Maker returns the address of the server that holds a result.
 	Maker(result string) string
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -285,3 +285,24 @@
 	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(body, qt.Equals, "draining\n")
 }
+
+// Guards against an instance that begins to place prompts without asking what the
+// model servers keep, and asks again and again.
+func TestPlacersAskOnceWhatServersKeep(t *testing.T) {
+	c := qt.New(t)
+	w := generating(c, false)
+	var asked recorder
+	for range 2 {
+		w.backend("x", func(rw http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/cache" {
+				asked.add("")
+				_, _ = io.WriteString(rw, `[{"ID":"p","Tokens":9000}]`)
+			}
+		})
+	}
+	w.start()
+	for range 3 {
+		w.gateway.placer.Restore(c.Context())
+	}
+	c.Assert(asked.all(), qt.HasLen, 2)
+}
