--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -221,7 +222,7 @@
 		Service: stage.Service, RequestId: r.RequestID, Stage: int32(i), Key: r.Key, Inputs: inputs,
 		ResultBytes: stage.ResultBytes, Priority: int32(r.Priority),
 		DueMs:         time.Until(r.Due.Add(-r.after[i])).Milliseconds(),
-		DeadlineMs:    time.Until(r.Deadline.Add(-r.after[i])).Milliseconds(),
+		DeadlineMs:    min(time.Until(r.Deadline.Add(-r.after[i])), r.inputsLife(i)).Milliseconds(),
 		FailureDomain: r.FailureDomain, Started: len(r.Graph.After[i]) > 0,
 	}
 	for piece := range r.Graph.Counts[i] {
@@ -230,6 +231,18 @@
 	return request
 }
 
+// inputsLife returns how long the inputs of a stage are kept, if they were made just
+// now. A stage that waits longer would find them gone.
+func (r *run) inputsLife(i int) time.Duration {
+	life := time.Duration(math.MaxInt64)
+	for _, j := range r.Graph.After[i] {
+		if maker := r.Table.Service(r.Route.Stages[j].Service); maker != nil && maker.Work != nil && maker.Work.ResultLife > 0 {
+			life = min(life, maker.Work.ResultLife)
+		}
+	}
+	return life
+}
+
 // askOne asks one instance, or this one for an empty address, until the stage has
 // ended. An instance that stays silent is given up.
 func (r *run) askOne(ctx context.Context, address string, request *peerpb.RunStageRequest) (*peerpb.RunStageResponse, error) {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -306,3 +306,15 @@
 	}
 	c.Assert(asked.all(), qt.HasLen, 2)
 }
+
+// Guards against a stage that waits until its inputs are gone, which costs a call and
+// the work of the stages before.
+func TestStagesEndBeforeTheLifeOfTheirInputs(t *testing.T) {
+	c := qt.New(t)
+	w := generating(c, false, route.Stage{Service: "stage"}, route.Stage{Service: "stage", After: []int{0}})
+	table := route.NewTable(w.config)
+	chain := Chain{Table: table, Route: &table.Routes[0], Graph: table.Routes[0].NewGraph([]int{1, 1}), Deadline: time.Now().Add(time.Minute)}
+	r := &run{Chain: chain, after: make([]time.Duration, 2)}
+	c.Assert(r.request(0, nil).DeadlineMs > 50_000, qt.IsTrue)
+	c.Assert(r.request(1, nil).DeadlineMs, qt.Equals, int64(1000))
+}
