--- a/engine/engine.go
+++ b/engine/engine.go
@@ -288,14 +288,14 @@
 
 // Domain chooses the failure domain for a prompt whose inputs are made by a number
 // of servers in each domain, by weighted rendezvous hashing. It returns an empty
-// string without makers.
-func Domain(prompt []Part, makers map[string]int, draw float64) string {
+// string without producers.
+func Domain(prompt []Part, producers map[string]int, draw float64) string {
 	key := sharedKey(prompt)
 	if key == 0 {
 		key = math.Float64bits(draw)
 	}
 	best, bestScore := "", math.Inf(-1)
-	for domain, n := range makers {
+	for domain, n := range producers {
 		if score := -float64(n) / math.Log(unit(key^xxhash.Sum64String(domain))); score > bestScore {
 			best, bestScore = domain, score
 		}
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -100,7 +100,7 @@
 	return parts, json.Unmarshal(body, &parts)
 }
 
-func (fakeProtocol) Maker(result string) string {
+func (fakeProtocol) Producer(result string) string {
 	address, _, _ := strings.Cut(result, "/")
 	return address
 }
--- a/internal/gateway/freer.go
+++ b/internal/gateway/freer.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// freePause collects results of one maker into one call.
+	// freePause collects results of one producer into one call.
 	freePause   = 4 * time.Millisecond
 	freeTimeout = 500 * time.Millisecond
 )
@@ -39,20 +39,20 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, result := range results {
-		maker := f.protocol.Maker(result)
-		if len(f.pending[maker]) == 0 {
-			time.AfterFunc(freePause, func() { f.flush(maker) })
+		producer := f.protocol.Producer(result)
+		if len(f.pending[producer]) == 0 {
+			time.AfterFunc(freePause, func() { f.flush(producer) })
 		}
-		f.pending[maker] = append(f.pending[maker], result)
+		f.pending[producer] = append(f.pending[producer], result)
 	}
 }
 
-func (f *Freer) flush(maker string) {
+func (f *Freer) flush(producer string) {
 	f.mu.Lock()
-	results := f.pending[maker]
-	delete(f.pending, maker)
+	results := f.pending[producer]
+	delete(f.pending, producer)
 	f.mu.Unlock()
-	server, ok := f.servers(maker)
+	server, ok := f.servers(producer)
 	if !ok {
 		return // its results are gone with it
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,7 +30,7 @@
 	counts   counts
 	running  atomic.Int64
 	// runs holds the durations of runs at model servers by route.
-	runs *means
+	runs *averages
 }
 
 // counts are the metrics of requests.
@@ -52,7 +52,7 @@
 
 // New returns a gateway.
 func New(protocol Protocol, views *view.Sync, fleet *Fleet, client *upstream.Client, stages *Stages, placer *Placer, drain *Drain, logger *slog.Logger, scope tally.Scope) *Gateway {
-	return &Gateway{protocol: protocol, views: views, fleet: fleet, upstream: client, stages: stages, placer: placer, drain: drain, logger: logger, counts: newCounts(scope), runs: newMeans()}
+	return &Gateway{protocol: protocol, views: views, fleet: fleet, upstream: client, stages: stages, placer: placer, drain: drain, logger: logger, counts: newCounts(scope), runs: newAverages()}
 }
 
 // Running returns the number of requests under way.
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -86,8 +86,8 @@
 	CacheCall(upstream.Server) *upstream.Request
 	// CachedParts reads the answer to a CacheCall.
 	CachedParts(body []byte) ([]engine.Part, error)
-	// Maker returns the address of the server that holds a result.
-	Maker(result string) string
+	// Producer returns the address of the server that holds a result.
+	Producer(result string) string
 }
 
 // SameOutcome returns n outcomes with one status.
--- a/internal/gateway/stagecaller.go
+++ b/internal/gateway/stagecaller.go
@@ -44,31 +44,8 @@
 	callTime tally.Timer
 	freer    *Freer
 
-	mu        sync.Mutex
-	workshops map[string]*workshop
-}
-
-// workshop is the queue of one stage service with the jobs that wait in it.
-type workshop struct {
-	service string
-
-	mu    sync.Mutex
-	queue *stagework.Queue
-	jobs  map[stagework.JobID]*stageJob
-	// pending holds the jobs that a peer will await again.
-	pending map[stagework.JobID]*stageJob
-	last    stagework.JobID
-	// reviewing is true while a review of waiting jobs is scheduled.
-	reviewing bool
-}
-
-// stageJob is a job with what its pieces need.
-type stageJob struct {
-	request  *peerpb.RunStageRequest
-	deadline time.Time
-	done     chan stagework.Done
-	// abandoned cancels the job unless it is awaited again in time.
-	abandoned *time.Timer
+	mu     sync.Mutex
+	queues map[string]*serviceQueue
 }
 
 // NewStageCaller returns a caller without services.
@@ -76,7 +53,7 @@
 	return &StageCaller{
 		settings: s, protocol: protocol, upstream: client, fleet: fleet, freer: freer, logger: logger,
 		calls: scope.Counter("stage_calls"), refused: scope.Counter("stage_calls_refused"), callTime: scope.Timer("stage_call_time"),
-		workshops: map[string]*workshop{},
+		queues: map[string]*serviceQueue{},
 	}
 }
 
@@ -90,7 +67,7 @@
 		if service.Work == nil {
 			continue
 		}
-		w := s.workshop(service.Name, true)
+		w := s.queueOf(service.Name, true)
 		w.mu.Lock()
 		w.queue.SetShape(shapeOf(service.Work))
 		w.queue.SetServers(s.nearServers(v.Servers[service.Name]))
@@ -123,20 +100,20 @@
 	return all
 }
 
-func (s *StageCaller) workshop(service string, create bool) *workshop {
+func (s *StageCaller) queueOf(service string, create bool) *serviceQueue {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w := s.workshops[service]
+	w := s.queues[service]
 	if w == nil && create {
-		w = &workshop{service: service, queue: stagework.NewQueue(stagework.Shape{}), jobs: map[stagework.JobID]*stageJob{}, pending: map[stagework.JobID]*stageJob{}}
-		s.workshops[service] = w
+		w = newServiceQueue(service)
+		s.queues[service] = w
 	}
 	return w
 }
 
 // RunStage implements peer.StageHandler.
 func (s *StageCaller) RunStage(ctx context.Context, request *peerpb.RunStageRequest) (*peerpb.RunStageResponse, error) {
-	w := s.workshop(request.Service, false)
+	w := s.queueOf(request.Service, false)
 	if w == nil {
 		return &peerpb.RunStageResponse{Refusal: string(stagework.RefusedNoServer)}, nil
 	}
@@ -152,7 +129,7 @@
 
 // AwaitStage implements peer.StageHandler.
 func (s *StageCaller) AwaitStage(ctx context.Context, request *peerpb.AwaitStageRequest) (*peerpb.RunStageResponse, error) {
-	w := s.workshop(request.Service, false)
+	w := s.queueOf(request.Service, false)
 	if w == nil {
 		return nil, errUnknownJob
 	}
@@ -170,7 +147,7 @@
 var errUnknownJob = errors.New("job of a stage is not known here")
 
 // await waits for a job, but not for long.
-func (s *StageCaller) await(ctx context.Context, w *workshop, id stagework.JobID, job *stageJob) (*peerpb.RunStageResponse, error) {
+func (s *StageCaller) await(ctx context.Context, w *serviceQueue, id stagework.JobID, job *stageJob) (*peerpb.RunStageResponse, error) {
 	timer := time.NewTimer(pendingAfter)
 	defer timer.Stop()
 	select {
@@ -189,7 +166,7 @@
 }
 
 // abandon ends a job that nobody waits for and frees its results.
-func (s *StageCaller) abandon(w *workshop, id stagework.JobID, job *stageJob) {
+func (s *StageCaller) abandon(w *serviceQueue, id stagework.JobID, job *stageJob) {
 	w.mu.Lock()
 	delete(w.pending, id)
 	effects := w.queue.Cancel(id)
@@ -205,7 +182,7 @@
 
 // FreeResults implements peer.StageHandler.
 func (s *StageCaller) FreeResults(request *peerpb.FreeResultsRequest) {
-	if w := s.workshop(request.Service, false); w != nil {
+	if w := s.queueOf(request.Service, false); w != nil {
 		w.mu.Lock()
 		w.queue.Freed(request.Results)
 		w.mu.Unlock()
@@ -214,38 +191,8 @@
 	s.freer.Free(request.Results)
 }
 
-func (w *workshop) wait() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.queue.Wait(time.Now())
-}
-
-// offer puts a job into the queue, or returns why it is refused and how long a new
-// piece waits.
-func (w *workshop) offer(now time.Time, job *stageJob) (stagework.JobID, stagework.Refusal, time.Duration) {
-	r := job.request
-	job.deadline = now.Add(time.Duration(r.DeadlineMs) * time.Millisecond)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.last++
-	pieces := make([]int, len(r.Pieces))
-	for i, p := range r.Pieces {
-		pieces[i] = int(p)
-	}
-	refusal, ok := w.queue.Offer(now, stagework.Job{
-		ID: w.last, Pieces: pieces, ResultBytes: r.ResultBytes, Priority: int(r.Priority),
-		Due:      now.Add(time.Duration(r.DueMs) * time.Millisecond),
-		Deadline: job.deadline, FailureDomain: r.FailureDomain, Started: r.Started,
-	})
-	if !ok {
-		return 0, refusal, w.queue.Wait(now)
-	}
-	w.jobs[w.last] = job
-	return w.last, "", 0
-}
-
 // apply tells the waiting jobs their ends and frees what no job needs.
-func (s *StageCaller) apply(w *workshop, effects stagework.Effects) {
+func (s *StageCaller) apply(w *serviceQueue, effects stagework.Effects) {
 	w.mu.Lock()
 	for _, done := range effects.Done {
 		if job := w.jobs[done.Job]; job != nil {
@@ -261,7 +208,7 @@
 }
 
 // review schedules a look at the waiting jobs, which repeats while there are any.
-func (s *StageCaller) review(w *workshop) {
+func (s *StageCaller) review(w *serviceQueue) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.reviewing || len(w.jobs) == 0 {
@@ -280,7 +227,7 @@
 }
 
 // pump starts the calls that can be made now.
-func (s *StageCaller) pump(w *workshop) {
+func (s *StageCaller) pump(w *serviceQueue) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for {
@@ -292,25 +239,8 @@
 	}
 }
 
-// pieces returns what a call sends. It is called with the lock held.
-func (w *workshop) pieces(call stagework.Call, now time.Time) []Piece {
-	pieces := make([]Piece, len(call.Items))
-	for i, item := range call.Items {
-		job := w.jobs[item.Job]
-		if job == nil {
-			continue
-		}
-		r := job.request
-		pieces[i] = Piece{
-			RequestID: r.RequestId, Stage: int(r.Stage), Number: item.Piece,
-			Remaining: job.deadline.Sub(now), Key: r.Key, Inputs: r.Inputs,
-		}
-	}
-	return pieces
-}
-
 // call makes one call and takes its outcome.
-func (s *StageCaller) call(w *workshop, call stagework.Call, pieces []Piece) {
+func (s *StageCaller) call(w *serviceQueue, call stagework.Call, pieces []Piece) {
 	started := time.Now()
 	outcomes, err := s.exchange(call, pieces)
 	s.calls.Inc(1)
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -50,7 +50,7 @@
 	local   *StageCaller
 	logger  *slog.Logger
 
-	typical *means
+	typical *averages
 
 	mu   sync.Mutex
 	free map[string][]string
@@ -58,7 +58,7 @@
 
 // NewStages returns a Stages that asks the local caller or those of peers.
 func NewStages(cluster *Cluster, client *peer.Client, local *StageCaller, logger *slog.Logger) *Stages {
-	return &Stages{cluster: cluster, client: client, local: local, logger: logger, typical: newMeans(), free: map[string][]string{}}
+	return &Stages{cluster: cluster, client: client, local: local, logger: logger, typical: newAverages(), free: map[string][]string{}}
 }
 
 // Chain is the stages of one request.
@@ -236,8 +236,8 @@
 func (r *run) inputsLife(i int) time.Duration {
 	life := time.Duration(math.MaxInt64)
 	for _, j := range r.Graph.After[i] {
-		if maker := r.Table.Service(r.Route.Stages[j].Service); maker != nil && maker.Work != nil && maker.Work.ResultLife > 0 {
-			life = min(life, maker.Work.ResultLife)
+		if producer := r.Table.Service(r.Route.Stages[j].Service); producer != nil && producer.Work != nil && producer.Work.ResultLife > 0 {
+			life = min(life, producer.Work.ResultLife)
 		}
 	}
 	return life
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -12,7 +11,6 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
-	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
 
 // generation is a request to a model server.
@@ -48,8 +46,8 @@
 	if ready, ended := g.prepare(); !ready {
 		return ended
 	}
-	if !g.makersLive() {
-		return g.remake("a maker of inputs has left")
+	if !g.producersLive() {
+		return g.remake("a producer of inputs has left")
 	}
 	placed, ok := g.placer.Place(g.ctx, g.demand.ID, g.service.Name, engine.Query{
 		Prompt: g.demand.Prompt, FailureDomain: g.domain, InputBytes: g.inputBytes(), Excluded: g.tried,
@@ -82,128 +80,6 @@
 	maxUrgency   = 9
 )
 
-// chooseDomain returns the failure domain in which the inputs are made: those of
-// prompts with the same shared part in the same one, and by the servers that make
-// the largest inputs.
-func (g *generation) chooseDomain() string {
-	largest := g.largestInput()
-	if largest < 0 {
-		return ""
-	}
-	near, all := map[string]int{}, map[string]int{}
-	for _, s := range g.view.Servers[g.route.Stages[largest].Service] {
-		all[s.FailureDomain]++
-		if g.fleet.Near(s.FailureDomain) {
-			near[s.FailureDomain]++
-		}
-	}
-	if len(near) == 0 {
-		near = all
-	}
-	return engine.Domain(g.demand.Prompt, near, g.fleet.Draw())
-}
-
-// largestInput returns the final stage with the largest results, -1 without stages.
-func (g *generation) largestInput() int {
-	largest := -1
-	for _, i := range g.graph.Final {
-		if largest < 0 || g.route.Stages[i].ResultBytes > g.route.Stages[largest].ResultBytes {
-			largest = i
-		}
-	}
-	return largest
-}
-
-// inputBytes returns the approximate size of all inputs.
-func (g *generation) inputBytes() (bytes int64) {
-	for _, i := range g.graph.Final {
-		bytes += int64(g.graph.Counts[i]) * g.route.Stages[i].ResultBytes
-	}
-	return bytes
-}
-
-// prepare runs the stages unless their results are held. It returns false when the
-// request has its answer or must be tried again.
-func (g *generation) prepare() (ready, ended bool) {
-	if g.graph.Empty() || g.inputs != nil {
-		return true, false
-	}
-	if g.domain == "" {
-		g.domain = g.chooseDomain()
-	}
-	var typical time.Duration
-	g.fleet.Engines(g.service.Name, func(s *engine.Set) { typical = s.Typical() })
-	ctx, cancel := g.untilClosing()
-	defer cancel()
-	inputs, err := g.stages.Run(ctx, Chain{
-		RequestID: g.demand.ID, Key: g.demand.PieceKey, Table: g.view.Table, Route: g.route, Graph: g.graph, Priority: g.priority,
-		Due:           g.arrived.Add(g.route.Target - typical),
-		Deadline:      g.stagesDeadline(typical),
-		FailureDomain: g.domain,
-	})
-	if err == nil {
-		g.inputs = inputs
-		return true, false
-	}
-	if g.left() || g.late() {
-		return false, g.end()
-	}
-	if ctx.Err() != nil {
-		return false, g.giveUp("draining", retrySoon, nil)
-	}
-	var refused *RefusedError
-	if !errors.As(err, &refused) {
-		return false, g.giveUp("stages failed", retrySoon, err)
-	}
-	if refused.Reason == stagework.RefusedInputGone && time.Now().Before(g.arrived.Add(g.route.Target)) {
-		return false, g.remake("stages: inputs were lost")
-	}
-	return false, g.giveUp("stages: "+string(refused.Reason), refused.Wait, err)
-}
-
-// untilClosing returns the context of the request, which also ends when a shutdown
-// refuses the requests that were not sent yet.
-func (g *generation) untilClosing() (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(g.ctx)
-	stop := context.AfterFunc(g.drain.closing, cancel)
-	return ctx, func() {
-		stop()
-		cancel()
-	}
-}
-
-// stagesDeadline returns when the stages must end, so that a run of typical length
-// ends by the deadline and its first event comes while the client still waits.
-func (g *generation) stagesDeadline(firstEvent time.Duration) time.Time {
-	end := g.deadline.Add(-max(firstEvent, g.runs.of(g.route.Name)))
-	if patience := g.arrived.Add(g.route.Patience - firstEvent); g.route.Patience > 0 && patience.Before(end) {
-		return patience
-	}
-	return end
-}
-
-// makersLive reports whether the servers that hold the inputs are still
-// registered. Results end with their maker, at any moment after it has left.
-func (g *generation) makersLive() bool {
-	current := g.views.Current()
-	for _, result := range g.inputs {
-		if _, ok := current.ByAddress[g.protocol.Maker(result)]; !ok {
-			return false
-		}
-	}
-	return true
-}
-
-// remake gives up the inputs so that the next try makes them again, or ends the
-// request.
-func (g *generation) remake(reason string) bool {
-	g.freeInputs()
-	if g.remade++; g.remade > maxRemade || g.remaining() < minRepeat {
-		return g.giveUp(reason, retrySoon, nil)
-	}
-	return false
-}
-
 // giveUp ends the request, whose last send did not run.
 func (g *generation) giveUp(reason string, retry time.Duration, err error) bool {
 	switch {
@@ -217,26 +93,6 @@
 	return true
 }
 
-// freeInputs gives up the results that the request holds.
-func (g *generation) freeInputs() {
-	if len(g.inputs) == 0 {
-		return
-	}
-	// All final results go to the freeing of their makers; the room is counted by
-	// the service that made each.
-	byService := map[string][]string{}
-	at := 0
-	for _, i := range g.graph.Final {
-		service := g.route.Stages[i].Service
-		byService[service] = append(byService[service], g.inputs[at:at+g.graph.Counts[i]]...)
-		at += g.graph.Counts[i]
-	}
-	for service, results := range byService {
-		g.stages.Free(service, results)
-	}
-	g.inputs = nil
-}
-
 // sendFailed handles a send without an answer.
 func (g *generation) sendFailed(placed engine.Placement, err error) bool {
 	if g.left() || g.late() {
--- a/stagework/call.go
+++ b/stagework/call.go
@@ -91,19 +91,6 @@
 	return nil
 }
 
-// unproven reports whether a server was slow when it last had a call, long ago.
-func (s *server) unproven(now time.Time) bool {
-	return s.factor > slowFactor && now.Sub(s.factorAt) > factorLife
-}
-
-// slowness is the believed duration of calls relative to the shape.
-func (s *server) slowness(now time.Time) float64 {
-	if now.Sub(s.factorAt) > factorLife {
-		return 1
-	}
-	return s.factor
-}
-
 // serverFor returns the free server for the first piece of a job, or nil when the
 // job should wait for one in its own failure domain.
 func (q *Queue) serverFor(j *job, free []*server, now time.Time) *server {
@@ -158,18 +145,6 @@
 	return at, found
 }
 
-// room returns how many results of a job a server has memory for.
-func (q *Queue) room(s *server, j *job, now time.Time) int {
-	if q.shape.RoomBytes == 0 || j.ResultBytes <= 0 {
-		return q.shape.Batch
-	}
-	taken := s.bytes
-	if now.Before(s.unknownUntil) {
-		taken += s.unknown
-	}
-	return int(max(0, (q.shape.RoomBytes-taken)/j.ResultBytes))
-}
-
 // fill forms a call for a server from the waiting pieces in their order,
 // beginning with a job that it has room for.
 func (q *Queue) fill(s *server, first *job, now time.Time) *call {
--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -1,7 +1,6 @@
 package stagework
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -77,26 +76,6 @@
 	until  time.Time
 }
 
-type server struct {
-	Server
-	listed  bool
-	running int
-	// freeAt is when the running call is expected to end.
-	freeAt      time.Time
-	pausedUntil time.Time
-	failures    int
-	// factor is the duration of calls relative to the shape.
-	factor   float64
-	factorAt time.Time
-	bytes    int64
-	// unknown is the memory that results of other callers are believed to take.
-	unknown      int64
-	unknownUntil time.Time
-	// last holds the results of the last call, by which a second answer to it is
-	// told from the answer to the next one.
-	last map[string]bool
-}
-
 // Queue holds the waiting jobs of one service and decides on its calls. It is not
 // safe for concurrent use.
 type Queue struct {
@@ -187,12 +166,6 @@
 	return "", true
 }
 
-// work returns the delay of a job's rank for the servers' time that it needs.
-func (q *Queue) work(j Job) int64 {
-	share := float64(len(j.Pieces)) / float64(q.shape.Batch)
-	return int64(workFactor * share * float64(q.shape.CallDuration(q.shape.Batch)))
-}
-
 // Cancel ends a job without an answer. Its results are orphans.
 func (q *Queue) Cancel(id JobID) Effects {
 	j := q.jobs[id]
@@ -278,51 +251,6 @@
 	return e
 }
 
-// repeats reports whether outcomes are those of the last call to the server, and
-// remembers them otherwise. A faulty server answers a call twice; stage answers
-// carry nothing else that ties them to their call.
-func (s *server) repeats(outcomes []Outcome) bool {
-	results := map[string]bool{}
-	for _, o := range outcomes {
-		if o.Result != "" {
-			if s.last[o.Result] {
-				return true
-			}
-			results[o.Result] = true
-		}
-	}
-	s.last = results
-	return false
-}
-
-// judge learns from a call what its server can do.
-func (q *Queue) judge(s *server, c *call, now time.Time, outcomes []Outcome) {
-	worst := Produced
-	for _, o := range outcomes {
-		worst = max(worst, o.Status)
-	}
-	switch worst {
-	case Refused:
-		s.pausedUntil = now.Add(refusedPause)
-		return
-	case Failed:
-		s.failures++
-		pause := min(maxFailurePause, failurePause<<min(s.failures-1, 8))
-		s.pausedUntil = now.Add(pause)
-		return
-	case NoRoom:
-		s.unknown, s.unknownUntil = max(0, q.shape.RoomBytes-s.bytes), now.Add(roomPause)
-	}
-	s.failures = 0
-	took := float64(now.Sub(c.started)) / float64(max(1, q.shape.CallDuration(len(c.Items))))
-	if now.Sub(s.factorAt) > factorLife {
-		s.factor = took
-	} else {
-		s.factor += factorWeight * (took - s.factor)
-	}
-	s.factorAt = now
-}
-
 // take applies the outcome of one item.
 func (q *Queue) take(e *Effects, c *call, s *server, i int, outcome Outcome, now time.Time) {
 	item, place := c.Items[i], c.places[i]
@@ -372,62 +300,3 @@
 	q.remove(j)
 	e.Done = append(e.Done, Done{Job: j.ID, Results: j.results})
 }
-
-// hold counts the memory of a result until it is freed or its life ends.
-func (q *Queue) hold(s *server, result string, bytes int64, now time.Time) {
-	s.bytes += bytes
-	q.results[result] = held{s, bytes, now.Add(q.shape.ResultLife)}
-}
-
-// Freed takes results that were given up.
-func (q *Queue) Freed(results []string) {
-	for _, result := range results {
-		if h, ok := q.results[result]; ok {
-			h.server.bytes -= h.bytes
-			delete(q.results, result)
-		}
-	}
-}
-
-// lapse forgets results whose life has ended.
-func (q *Queue) lapse(now time.Time) {
-	for result, h := range q.results {
-		if now.After(h.until) {
-			h.server.bytes -= h.bytes
-			delete(q.results, result)
-		}
-	}
-}
-
-// sort orders the jobs by rank: those that can still be on time first.
-func (q *Queue) sort(now time.Time) {
-	slices.SortStableFunc(q.order, func(a, b *job) int {
-		behindA, behindB := a.behind(now, q.shape), b.behind(now, q.shape)
-		if behindA != behindB {
-			if behindA {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(a.rank(), b.rank())
-	})
-}
-
-// late reports whether the job can't be on time any more.
-func (j *job) late(now time.Time, shape Shape) bool {
-	return now.Add(shape.CallDuration(min(len(j.Pieces), shape.Batch))).After(j.Due)
-}
-
-// behind reports whether the job comes after those that can be on time.
-func (j *job) behind(now time.Time, shape Shape) bool {
-	return j.late(now, shape)
-}
-
-// rank is the time by which jobs are ordered.
-func (j *job) rank() int64 {
-	at := j.Due.UnixNano() + int64(priorityBonus)*int64(min(j.Priority, rankedPriorities)) + j.work
-	if j.Started {
-		at -= int64(startedBonus)
-	}
-	return at
-}
