--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -27,14 +27,17 @@
 	// Peers lists peer addresses that are tried before others are known.
 	Peers []string `json:"peers,omitempty"`
 	// GraceSeconds is the time from SIGTERM to SIGKILL.
-	GraceSeconds float64 `json:"grace_seconds"`
+	GraceSeconds float64 `json:"grace_seconds,omitempty"`
 	// RetryRatio and RetrySlack bound the repeats that all instances together send
 	// to a service within RetryWindowSeconds: ratio x requests + slack.
-	RetryRatio         float64 `json:"retry_ratio"`
-	RetrySlack         float64 `json:"retry_slack"`
-	RetryWindowSeconds float64 `json:"retry_window_seconds"`
+	RetryRatio         float64 `json:"retry_ratio,omitempty"`
+	RetrySlack         float64 `json:"retry_slack,omitempty"`
+	RetryWindowSeconds float64 `json:"retry_window_seconds,omitempty"`
 }
 
+// defaultGateway has the settings that a file may lack.
+var defaultGateway = Gateway{GraceSeconds: 8, RetryRatio: 0.1, RetrySlack: 20, RetryWindowSeconds: 10}
+
 // Grace returns the time from SIGTERM to SIGKILL.
 func (g Gateway) Grace() time.Duration {
 	return time.Duration(g.GraceSeconds * float64(time.Second))
@@ -53,11 +56,11 @@
 // ParseGateway checks the text of a gateway's settings file. Path names it in
 // messages.
 func ParseGateway(path string, data []byte) (Gateway, error) {
-	var gateway Gateway
+	gateway := defaultGateway
 	c := newChecker(data, &gateway)
 	if root, ok := c.parse(); ok {
 		c.required(root, "instance", "region", "failure_domain", "client_address", "ready_address", "peer_address",
-			"metrics_address", "store_address", "grace_seconds", "retry_ratio", "retry_slack", "retry_window_seconds")
+			"metrics_address", "store_address")
 		c.notEmpty("instance")
 		c.addresses("client_address", "ready_address", "peer_address", "metrics_address", "store_address")
 		c.positive("grace_seconds", gateway.GraceSeconds)
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -30,3 +30,13 @@
 	_, err = ParseGateway("f", []byte("{"))
 	c.Assert(err, qt.ErrorAs, &mistakes)
 }
+
+// Guards against a gateway that does not start where the platform states no bounds.
+func TestGatewayDefaults(t *testing.T) {
+	c := qt.New(t)
+	from := strings.Index(gatewayText, `"grace_seconds"`)
+	read, err := ParseGateway("f", []byte(gatewayText[:from]+"}"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(read.GraceSeconds, qt.Equals, 8.0)
+	c.Assert(read.RetryWindowSeconds, qt.Equals, 10.0)
+}
--- a/stagework/queue_test.go
+++ b/stagework/queue_test.go
@@ -290,3 +290,17 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(full.Server, qt.Equals, "s0")
 }
+
+// Guards against a server that rests because single pieces of its calls fail.
+func TestErrorsOfSinglePiecesDoNotPauseTheirServer(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a")
+	offer(c, q, request(1, 4))
+	call, _ := q.Next(epoch)
+	outcomes := produce(call)
+	outcomes[1] = Outcome{Status: Failed}
+	q.Finished(epoch, call.ID, outcomes)
+	again, ok := q.Next(epoch)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(again.Items, qt.DeepEquals, []Item{{Job: 1, Piece: 1}})
+}
--- a/stagework/server.go
+++ b/stagework/server.go
@@ -42,20 +42,21 @@
 
 // judge learns from a call what its server can do.
 func (q *Queue) judge(s *server, c *call, now time.Time, outcomes []Outcome) {
-	worst := Produced
+	counts := map[Status]int{}
 	for _, o := range outcomes {
-		worst = max(worst, o.Status)
+		counts[o.Status]++
 	}
-	switch worst {
-	case Refused:
+	switch {
+	case counts[Refused] > 0:
 		s.pausedUntil = now.Add(refusedPause)
 		return
-	case Failed:
+	case counts[Failed] == len(outcomes):
+		// Errors of single pieces say nothing of the server.
 		s.failures++
 		pause := min(maxFailurePause, failurePause<<min(s.failures-1, 8))
 		s.pausedUntil = now.Add(pause)
 		return
-	case NoRoom:
+	case counts[NoRoom] > 0:
 		s.unknown, s.unknownUntil = max(0, q.shape.RoomBytes-s.bytes), now.Add(roomPause)
 	}
 	s.failures = 0
