Make large inputs where the model server that keeps the prompt stands

Cause: the failure domain of the inputs came from a hash and the model server from what it keeps, so that large results crossed domains although a server was free.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -122,6 +122,9 @@
 	InputBytes    int64
 	// Excluded are servers that the request was already sent to.
 	Excluded []string
+	// AskOnly is true for a question before the stages run: the prompt is not
+	// counted.
+	AskOnly bool
 }
 
 // Placement is the choice for a prompt.
@@ -129,6 +132,8 @@
 	Server string
 	// Expected is the time to the first event.
 	Expected time.Duration
+	// FailureDomain is where the server stands.
+	FailureDomain string
 }
 
 // Place chooses a server and counts the prompt there, or returns false when there
@@ -150,8 +155,10 @@
 			best, bestCost, bestExpected = c, cost, expected
 		}
 	}
-	s.count(best, now, q.Prompt)
-	return Placement{best.ID, bestExpected}, true
+	if !q.AskOnly {
+		s.count(best, now, q.Prompt)
+	}
+	return Placement{best.ID, bestExpected, best.FailureDomain}, true
 }
 
 // candidates returns the servers that are not excluded, of the region or of all.
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -149,3 +149,13 @@
 		c.Assert(unread, qt.Equals, 7000)
 	}
 }
+
+// Guards against a question that counts as a prompt, which then is expected to be
+// read twice.
+func TestQuestionsAreNotCounted(t *testing.T) {
+	c := qt.New(t)
+	s := set()
+	first, _ := s.Place(start, Query{Prompt: prompt("x", "1"), AskOnly: true})
+	second, _ := s.Place(start, Query{Prompt: prompt("x", "1")})
+	c.Assert(second, qt.Equals, first)
+}
--- a/internal/gateway/inputs.go
+++ b/internal/gateway/inputs.go
@@ -9,9 +9,9 @@
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
 
-// chooseDomain returns the failure domain in which the inputs are made: those of
-// prompts with the same shared part in the same one, and by the servers that make
-// the largest inputs.
+// chooseDomain returns the failure domain in which the inputs are made: that of the
+// model server for the prompt when they are large, otherwise one by the prompt's
+// shared part and the servers that make the largest inputs.
 func (g *generation) chooseDomain() string {
 	largest := g.largestInput()
 	if largest < 0 {
@@ -27,9 +27,23 @@
 	if len(near) == 0 {
 		near = all
 	}
-	return engine.Domain(g.demand.Prompt, near, g.fleet.Draw())
+	domain := engine.Domain(g.demand.Prompt, near, g.fleet.Draw())
+	if g.inputBytes() < heavyInputs {
+		return domain
+	}
+	placed, ok := g.placer.Place(g.ctx, g.demand.ID, g.service.Name, engine.Query{
+		Prompt: g.demand.Prompt, FailureDomain: domain, InputBytes: g.inputBytes(), Excluded: g.tried, AskOnly: true,
+	})
+	if _, made := near[placed.FailureDomain]; ok && made {
+		return placed.FailureDomain
+	}
+	return domain
 }
 
+// heavyInputs is the size of inputs from which they are made where the model server
+// that keeps the prompt stands.
+const heavyInputs = 100 << 10
+
 // largestInput returns the final stage with the largest results, -1 without stages.
 func (g *generation) largestInput() int {
 	largest := -1
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -105,7 +105,7 @@
 	if address == "" {
 		return p.placeHere(service, q)
 	}
-	request := &peerpb.PlacePromptRequest{Service: service, FailureDomain: q.FailureDomain, InputBytes: q.InputBytes, Excluded: q.Excluded}
+	request := &peerpb.PlacePromptRequest{Service: service, FailureDomain: q.FailureDomain, InputBytes: q.InputBytes, Excluded: q.Excluded, AskOnly: q.AskOnly}
 	for _, part := range q.Prompt {
 		request.Prompt = append(request.Prompt, &peerpb.PromptPart{Id: part.ID, Tokens: int64(part.Tokens)})
 	}
@@ -113,7 +113,7 @@
 	defer cancel()
 	response, err := p.client.PlacePrompt(bounded, address, request)
 	if err == nil && response.Server != "" && p.fleet.InUse(response.Server) {
-		return engine.Placement{Server: response.Server, Expected: time.Duration(response.ExpectedUs) * time.Microsecond}, true
+		return engine.Placement{Server: response.Server, Expected: time.Duration(response.ExpectedUs) * time.Microsecond, FailureDomain: response.FailureDomain}, true
 	}
 	if err != nil && ctx.Err() == nil {
 		p.cluster.Avoid(address)
@@ -129,12 +129,12 @@
 
 // PlacePrompt implements peer.PlacementHandler.
 func (p *Placer) PlacePrompt(request *peerpb.PlacePromptRequest) *peerpb.PlacePromptResponse {
-	q := engine.Query{FailureDomain: request.FailureDomain, InputBytes: request.InputBytes, Excluded: request.Excluded}
+	q := engine.Query{FailureDomain: request.FailureDomain, InputBytes: request.InputBytes, Excluded: request.Excluded, AskOnly: request.AskOnly}
 	for _, part := range request.Prompt {
 		q.Prompt = append(q.Prompt, engine.Part{ID: part.Id, Tokens: int(part.Tokens)})
 	}
 	placed, _ := p.placeHere(request.Service, q)
-	return &peerpb.PlacePromptResponse{Server: placed.Server, ExpectedUs: placed.Expected.Microseconds()}
+	return &peerpb.PlacePromptResponse{Server: placed.Server, ExpectedUs: placed.Expected.Microseconds(), FailureDomain: placed.FailureDomain}
 }
 
 // Report tells what became of a placement, here and where it was made.
