--- a/stagework/call.go
+++ b/stagework/call.go
@@ -194,6 +194,9 @@
 	n := min(len(j.waiting), most, q.room(s, j, now))
 	for _, place := range j.waiting[:n] {
 		c.Items = append(c.Items, Item{Job: j.ID, Piece: j.Pieces[place]})
+		if j.FailureDomain != s.FailureDomain {
+			c.Crossing++
+		}
 		c.places = append(c.places, place)
 		c.bytes += j.ResultBytes
 		s.bytes += j.ResultBytes
--- a/stagework/stagework.go
+++ b/stagework/stagework.go
@@ -68,6 +68,9 @@
 	ID     CallID
 	Server string
 	Items  []Item
+	// Crossing is the number of pieces whose results are used in another failure
+	// domain than the server's.
+	Crossing int
 	// Timeout is how long the call may take before its server is given up.
 	Timeout time.Duration
 }
