--- a/engine/engine.go
+++ b/engine/engine.go
@@ -19,7 +19,7 @@
 	// its time, because other requests wait for it.
 	rereadPenalty = 60 * time.Microsecond
 	// crossPenalty is what a megabyte of inputs from another failure domain costs.
-	crossPenalty = 30 * time.Millisecond
+	crossPenalty = 70 * time.Millisecond
 	// placePenalty keeps prompts without other differences at the server that
 	// hashing gives them.
 	placePenalty = 15 * time.Millisecond
