--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/httpserve"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/readiness"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
 )
 
@@ -47,7 +48,9 @@
 			newDecisionMetrics,
 			newAdmissionControl,
 			newLoadReader,
-			func(logger *slog.Logger) *Readiness { return &Readiness{Logger: logger} },
+			func(logger *slog.Logger) *readiness.Readiness {
+				return &readiness.Readiness{Logger: logger, Ready: events.EntryReady}
+			},
 			func() *StopSteps { return &StopSteps{} },
 			newPicker,
 			func(s *Servers) (Hedges, StageBudgets) { return s, s },
@@ -113,7 +116,7 @@
 	fx.In
 	Entry     settings.Entry
 	Handler   *Handler
-	Readiness *Readiness
+	Readiness *readiness.Readiness
 	Steps     *StopSteps
 	Logger    *slog.Logger
 }
@@ -151,10 +154,10 @@
 
 // serveAdmin serves health, readiness and metrics. It starts first and stops
 // last, so that readiness can be read during the whole shutdown.
-func serveAdmin(lc fx.Lifecycle, entry settings.Entry, m *metrics.Metrics, readiness *Readiness, status *Status, logger *slog.Logger) {
+func serveAdmin(lc fx.Lifecycle, entry settings.Entry, m *metrics.Metrics, ready *readiness.Readiness, status *Status, logger *slog.Logger) {
 	router := http.NewServeMux()
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	router.Handle("/readyz", readiness)
+	router.Handle("/readyz", ready)
 	router.Handle("/metrics", m.Handler)
 	router.Handle(PathStatus, status)
 	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,6 +19,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/httpserve"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/readiness"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
@@ -41,10 +41,14 @@
 }
 
 const (
-	headerTimeout  = 5 * time.Second
+	// headerTimeout bounds the headers of calls to readiness, metrics and peers.
+	headerTimeout = 5 * time.Second
+	// closeIdleEvery is how often idle connections to backend servers are reviewed.
 	closeIdleEvery = time.Second
+	// settingsReread is how often the settings file is looked at: it may change
+	// without a signal.
 	settingsReread = 2 * time.Second
-
+	// leaveBudget bounds the calls that tell other instances of a shutdown.
 	leaveBudget = 500 * time.Millisecond
 )
 
@@ -65,6 +69,7 @@
 	Gateway  *Gateway
 	Front    *Front
 	Drain    *Drain
+	Ready    *readiness.Readiness
 }
 
 // module provides the parts of a gateway.
@@ -98,6 +103,7 @@
 				return New(adapter.Protocol, views, fleet, client, stages, placer, drain, logger, m.Scope)
 			},
 			func() *Drain { return NewDrain(s.Grace()) },
+			func() *readiness.Readiness { return &readiness.Readiness{Logger: logger, Ready: events.GatewayReady} },
 			func(g *Gateway, drain *Drain) *Front { return NewFront(g, drain, logger) },
 		),
 	)
@@ -160,6 +166,10 @@
 			d.Views.Heard(store.Version(heard.Revision), heard.Address)
 		}
 	})
+	d.Ready.Require("configuration", func() bool {
+		v := d.Views.Current()
+		return v != nil && v.Table != nil
+	})
 	d.Peers.HandleViews(d.Views)
 	d.Peers.HandleStages(d.Caller)
 	d.Peers.HandlePlacements(d.Placer)
@@ -178,7 +188,7 @@
 
 func (d *daemon) listen(ctx context.Context) error {
 	ready := mux.NewRouter()
-	ready.HandleFunc("/readyz", d.ready)
+	ready.Handle("/readyz", d.Ready)
 	metricsRouter := mux.NewRouter()
 	metricsRouter.Handle("/metrics", d.Metrics.Handler)
 	for address, handler := range map[string]http.Handler{
@@ -195,25 +205,11 @@
 	return nil
 }
 
-// ready answers 200 while the instance takes new connections.
-func (d *daemon) ready(w http.ResponseWriter, _ *http.Request) {
-	v := d.Views.Current()
-	if v == nil || v.Table == nil || d.Drain.Draining() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	if reportedReady.CompareAndSwap(false, true) {
-		events.GatewayReady.Log(context.Background(), d.Logger, slog.Int64("configuration", v.Table.Version), slog.Int64("view", int64(v.Version)))
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
-var reportedReady atomic.Bool
-
 // stop withdraws readiness, finishes the requests under way and those that still
 // come, and ends within the grace time.
 func (d *daemon) stop(reason string) {
 	ctx := context.Background()
+	d.Ready.Withdraw()
 	d.Drain.Begin(time.Now())
 	events.GatewayStopping.Log(ctx, d.Logger, slog.String("reason", reason), slog.Int64("running", d.Gateway.Running()))
 	leaving, cancel := context.WithTimeout(ctx, leaveBudget)
--- a/internal/entry/ready.go
+++ b/internal/readiness/readiness.go
@@ -1,4 +1,5 @@
-package entry
+// Package readiness tells load balancers whether an instance takes new work.
+package readiness
 
 import (
 	"fmt"
@@ -11,8 +12,9 @@
 
 // Readiness tells the load balancer whether the instance takes new work.
 type Readiness struct {
-	// Logger reports the first time that the instance is ready.
+	// Logger gets Ready the first time that the instance is ready.
 	Logger *slog.Logger
+	Ready  events.Event
 
 	reported   sync.Once
 	mu         sync.Mutex
@@ -58,7 +60,7 @@
 func (r *Readiness) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	missing := r.Missing()
 	if missing == "" {
-		r.reported.Do(func() { events.EntryReady.Log(request.Context(), r.Logger) })
+		r.reported.Do(func() { r.Ready.Log(request.Context(), r.Logger) })
 		w.WriteHeader(http.StatusOK)
 		return
 	}
