--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -25,6 +25,8 @@
 	// silenceLimit is how long an instance that forms calls may stay silent: it
 	// answers within pendingAfter even when the stage has not ended.
 	silenceLimit = pendingAfter + 500*time.Millisecond
+	// toldWaitLife is how long the wait that a queue told is believed.
+	toldWaitLife = time.Second
 	// maxCallers is the number of instances that are asked for one stage.
 	maxCallers = 3
 	// freeFlush collects the results that a request gives up.
@@ -54,11 +56,19 @@
 
 	mu   sync.Mutex
 	free map[string][]string
+	// waits holds what the instances that form calls last told of their queues.
+	waits map[string]toldWait
+}
+
+// toldWait is how long a new piece of a service waited at a time.
+type toldWait struct {
+	wait time.Duration
+	at   time.Time
 }
 
 // NewStages returns a Stages that asks the local caller or those of peers.
 func NewStages(cluster *Cluster, client *peer.Client, local *StageCaller, logger *slog.Logger) *Stages {
-	return &Stages{cluster: cluster, client: client, local: local, logger: logger, typical: newAverages(), free: map[string][]string{}}
+	return &Stages{cluster: cluster, client: client, local: local, logger: logger, typical: newAverages(), free: map[string][]string{}, waits: map[string]toldWait{}}
 }
 
 // Chain is the stages of one request.
@@ -136,15 +146,31 @@
 	return after
 }
 
-// Typical returns the typical duration of a stage of a service.
+// Typical returns the typical duration of a stage of a service, or the longer one
+// that its queue showed lately: a burst fills a queue before the mean follows.
 func (s *Stages) Typical(table *route.Table, service string) time.Duration {
-	if known := s.typical.of(service); known > 0 {
-		return known
-	}
+	var call time.Duration
 	if described := table.Service(service); described != nil && described.Work != nil {
-		return described.Work.CallTime + time.Duration(min(firstPieces, described.Work.Batch))*described.Work.PieceTime
+		call = described.Work.CallTime + time.Duration(min(firstPieces, described.Work.Batch))*described.Work.PieceTime
 	}
-	return 0
+	known := s.typical.of(service)
+	if known == 0 {
+		known = call
+	}
+	s.mu.Lock()
+	told := s.waits[service]
+	s.mu.Unlock()
+	if time.Since(told.at) < toldWaitLife {
+		known = max(known, told.wait+call)
+	}
+	return known
+}
+
+// told records the wait that an instance that forms calls tells.
+func (s *Stages) told(service string, wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waits[service] = toldWait{wait, time.Now()}
 }
 
 // stage waits for the inputs of a stage and runs it.
@@ -204,6 +230,7 @@
 		events.StageEnded.Log(ctx, r.logger, slog.String("id", r.RequestID), slog.Int("stage", i), slog.String("service", stage.Service),
 			slog.Int("pieces", r.Graph.Counts[i]), slog.String("caller", address), slog.Int64("took_ms", time.Since(started).Milliseconds()),
 			slog.Int64("left_ms", time.Until(r.Deadline).Milliseconds()), slog.Int64("queue_ms", response.WaitMs), slog.String("refusal", response.Refusal))
+		r.told(stage.Service, time.Duration(response.WaitMs)*time.Millisecond)
 		if response.Refusal != "" {
 			return nil, &RefusedError{Stage: i, Reason: stagework.Refusal(response.Refusal), Wait: time.Duration(response.WaitMs) * time.Millisecond}
 		}
