--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -34,7 +34,9 @@
 	organisation string
 	priority     int
 	body         []byte
-	deadline     time.Time
+	// held counts the memory of the body; nil without one.
+	held     *heldBody
+	deadline time.Time
 	// sends counts the backend servers that the request was sent to.
 	sends int
 	// firstEvent is the time from the last send to the first event of a stream.
@@ -46,6 +48,13 @@
 // remaining returns the time left for the request.
 func (a *attempt) remaining() time.Duration { return time.Until(a.deadline) }
 
+// releaseBody gives back the memory of the body.
+func (a *attempt) releaseBody() {
+	if a.held != nil {
+		a.held.release()
+	}
+}
+
 // left reports whether the client has closed its connection.
 func (a *attempt) left() bool { return a.request.Context().Err() != nil }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	logger   *slog.Logger
 	counts   counts
 	running  atomic.Int64
+	bodies   *bodies
 	// runs holds the durations of runs at model servers by route.
 	runs *averages
 }
@@ -52,7 +53,7 @@
 
 // New returns a gateway.
 func New(protocol Protocol, views *view.Sync, fleet *Fleet, client *upstream.Client, stages *Stages, placer *Placer, drain *Drain, logger *slog.Logger, scope tally.Scope) *Gateway {
-	return &Gateway{protocol: protocol, views: views, fleet: fleet, upstream: client, stages: stages, placer: placer, drain: drain, logger: logger, counts: newCounts(scope), runs: newAverages()}
+	return &Gateway{protocol: protocol, views: views, fleet: fleet, upstream: client, stages: stages, placer: placer, drain: drain, logger: logger, counts: newCounts(scope), runs: newAverages(), bodies: newBodies()}
 }
 
 // Running returns the number of requests under way.
@@ -72,6 +73,7 @@
 		view: g.views.Current(), demand: g.protocol.ReadRequest(r.Header),
 	}
 	a.deadline = a.arrived.Add(defaultWait)
+	defer a.releaseBody()
 	if !a.plan() || !a.readBody() {
 		return
 	}
@@ -139,9 +141,13 @@
 	if limit := a.view.Table.Limits.BodyBytes; limit > 0 {
 		reader = http.MaxBytesReader(a.writer, a.request.Body, limit)
 	}
-	body, err := io.ReadAll(reader)
+	a.held = &heldBody{bodies: a.bodies, reader: reader}
+	body, err := io.ReadAll(a.held)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errBodiesFull):
+		a.refuse("memory for bodies is full", retrySoon)
+		return false
 	case errors.As(err, &tooLarge):
 		a.fail(http.StatusRequestEntityTooLarge, "body is too large", err)
 		return false
--- a/internal/gateway/plain_test.go
+++ b/internal/gateway/plain_test.go
@@ -224,3 +224,22 @@
 	c.Assert(d.done(began.Add(keptConnections), 0), qt.IsTrue)
 	c.Assert(d.done(began.Add(8*time.Second-exitMargin), 1), qt.IsTrue)
 }
+
+// Guards against bodies that together take more memory than the instance has, and
+// against memory that is not given back.
+func TestBodiesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	w := plain(c, route.Idempotent)
+	w.backend("x", func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "served") })
+	w.start()
+	c.Assert(w.gateway.bodies.room.TryAcquire(maxBodies-3), qt.IsTrue)
+	response, _, err := w.do("POST", "/p/", "1234")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	for range 3 {
+		_, body, err := w.do("POST", "/p/", "123")
+		c.Assert(err, qt.IsNil)
+		c.Assert(body, qt.Equals, "served")
+	}
+	eventually(c, func() bool { return w.gateway.bodies.room.TryAcquire(3) })
+}
