--- a/internal/gateway/plain_test.go
+++ b/internal/gateway/plain_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -243,3 +245,33 @@
 	}
 	eventually(c, func() bool { return w.gateway.bodies.room.TryAcquire(3) })
 }
+
+// Guards against a second request that is hidden in the body of the first one, where
+// the length and the transfer encoding disagree, and against headers that never end.
+func TestHiddenRequestsAreNotRun(t *testing.T) {
+	c := qt.New(t)
+	w := plain(c, route.Idempotent)
+	w.config.Limits = route.Limits{HeaderTimeout: 100 * time.Millisecond, IdleTimeout: time.Second, HeaderBytes: 16 << 10, BodyBytes: 1 << 20}
+	var seen recorder
+	w.backend("x", func(_ http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		seen.add(r.RequestURI + " " + string(body))
+	})
+	w.start()
+	send := func(text string) string {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(w.url, "http://"))
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+		_, err = io.WriteString(conn, text)
+		c.Assert(err, qt.IsNil)
+		answer, _ := io.ReadAll(conn)
+		return string(answer)
+	}
+	hidden := "GET /p/hidden HTTP/1.1\r\nHost: h\r\n\r\n"
+	send(fmt.Sprintf("POST /p/first HTTP/1.1\r\nHost: h\r\nId: a\r\nConnection: close\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden))
+	c.Assert(seen.all(), qt.DeepEquals, []string{"/p/first " + hidden})
+	c.Assert(send("POST /p/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n12345"), qt.Contains, "400 Bad Request")
+	c.Assert(send("POST /p/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n"), qt.Contains, "501")
+	send("GET /p/ HTTP/1.1\r\nHost: h\r\nSlow: ")
+	c.Assert(seen.all(), qt.HasLen, 1)
+}
