Rank organisations before routes

Cause: the priority of an organisation was read but not used, though it takes precedence over that of the route. A field of answers that nothing read is removed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,7 @@
 			return false
 		}
 		a.organisation = o.Name
+		a.priority = rank(o, a.route)
 	}
 	wait := a.route.Timeout
 	if wait <= 0 {
@@ -130,6 +131,18 @@
 	return true
 }
 
+// routeRanks is the number of priorities of routes within one of organisations.
+const routeRanks = 3
+
+// rank combines the priority of an organisation with that of a route, which counts
+// only between requests of equal organisations.
+func rank(o *route.Organisation, r *route.Route) int {
+	if !o.Ranked {
+		return r.Priority
+	}
+	return o.Priority*routeRanks + min(r.Priority, routeRanks-1)
+}
+
 // readBody reads the body, or answers the request.
 func (a *attempt) readBody() bool {
 	if a.request.ContentLength == 0 {
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -49,8 +49,6 @@
 type AnswerInfo struct {
 	// NotRun answers promise that the request has not run.
 	NotRun bool
-	// Leaving is true when the server meant is not at its address any more.
-	Leaving bool
 	// LostWork is true when an input of the request does not exist any more.
 	LostWork bool
 	// Load is the server's own load report, nil without one.
--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -29,7 +29,7 @@
 	// the same capacity then answers more requests.
 	workFactor = 3
 	// rankedPriorities is the number of ranks that priorityBonus tells apart.
-	rankedPriorities = 4
+	rankedPriorities = 9
 	// waitMargin covers what estimates leave out.
 	waitMargin = 20 * time.Millisecond
 	// overdueFactor is the multiple of its expected time after which the pieces of
