Order members once, and use what stands twice in one place

Cause: the list of instances that may form calls was sorted by choosing again and again, which hashes every member for each place, several times for each request; rendezvous.Order hashes each member once and a test compares it with repeated choice. SameOutcome, the conversion of a stage's shape and the question whether a failure domain is near stood twice.

--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -122,14 +122,7 @@
 // Reader implements view.Peers.
 func (c *Cluster) Reader() bool {
 	ids, _ := c.live()
-	for range min(readers, len(ids)) {
-		chosen := rendezvous.Choose("store reader", ids)
-		if chosen == c.settings.Instance {
-			return true
-		}
-		ids = slices.DeleteFunc(ids, func(id string) bool { return id == chosen })
-	}
-	return false
+	return slices.Contains(rendezvous.Order("store reader", ids)[:min(readers, len(ids))], c.settings.Instance)
 }
 
 // live returns the live instances of the region, and their addresses by ID. That
@@ -157,9 +150,7 @@
 func (c *Cluster) Callers(service string) []string {
 	ids, byID := c.live()
 	var callers, avoided []string
-	for len(ids) > 0 {
-		chosen := rendezvous.Choose(service, ids)
-		ids = slices.DeleteFunc(ids, func(id string) bool { return id == chosen })
+	for _, chosen := range rendezvous.Order(service, ids) {
 		if c.avoided(byID[chosen]) {
 			avoided = append(avoided, byID[chosen])
 		} else {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -97,7 +97,7 @@
 				return NewFreer(adapter.Protocol, client, serverByAddress(views), logger)
 			},
 			func(client *upstream.Client, fleet *Fleet, freer *Freer, m *metrics.Metrics) *StageCaller {
-				return NewStageCaller(s, adapter.Protocol, client, fleet, freer, logger, m.Scope)
+				return NewStageCaller(adapter.Protocol, client, fleet, freer, logger, m.Scope)
 			},
 			func(views *view.Sync, fleet *Fleet, client *upstream.Client, stages *Stages, placer *Placer, drain *Drain, m *metrics.Metrics) *Gateway {
 				return New(adapter.Protocol, views, fleet, client, stages, placer, drain, logger, m.Scope)
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -175,7 +175,7 @@
 	fleet := NewFleet(s, cluster)
 	connections := upstream.NewClient(tally.NoopScope)
 	freer := NewFreer(protocol, connections, serverByAddress(views), logger())
-	w.caller = NewStageCaller(s, protocol, connections, fleet, freer, logger(), tally.NoopScope)
+	w.caller = NewStageCaller(protocol, connections, fleet, freer, logger(), tally.NoopScope)
 	w.drain = NewDrain(s.Grace())
 	w.gateway = New(protocol, views, fleet, connections, NewStages(cluster, client, w.caller, logger()), NewPlacer(cluster, client, fleet, connections, protocol, logger()), w.drain, logger(), tally.NoopScope)
 	changed := make(chan struct{}, 10)
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -87,12 +87,3 @@
 	// Producer returns the address of the server that holds a result.
 	Producer(result string) string
 }
-
-// SameOutcome returns n outcomes with one status.
-func SameOutcome(status stagework.Status, n int) []stagework.Outcome {
-	outcomes := make([]stagework.Outcome, n)
-	for i := range outcomes {
-		outcomes[i].Status = status
-	}
-	return outcomes
-}
--- a/internal/gateway/stagecaller.go
+++ b/internal/gateway/stagecaller.go
@@ -12,10 +12,8 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
-	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
-	"github.com/coltsfootdrift/coltsfootdrift/route"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
 
@@ -34,7 +32,6 @@
 // StageCaller forms the calls of stage services from the jobs of all instances of
 // the region.
 type StageCaller struct {
-	settings settings.Gateway
 	protocol Protocol
 	upstream *upstream.Client
 	fleet    *Fleet
@@ -49,9 +46,9 @@
 }
 
 // NewStageCaller returns a caller without services.
-func NewStageCaller(s settings.Gateway, protocol Protocol, client *upstream.Client, fleet *Fleet, freer *Freer, logger *slog.Logger, scope tally.Scope) *StageCaller {
+func NewStageCaller(protocol Protocol, client *upstream.Client, fleet *Fleet, freer *Freer, logger *slog.Logger, scope tally.Scope) *StageCaller {
 	return &StageCaller{
-		settings: s, protocol: protocol, upstream: client, fleet: fleet, freer: freer, logger: logger,
+		protocol: protocol, upstream: client, fleet: fleet, freer: freer, logger: logger,
 		calls: scope.Counter("stage_calls"), refused: scope.Counter("stage_calls_refused"), callTime: scope.Timer("stage_call_time"),
 		queues: map[string]*serviceQueue{},
 	}
@@ -69,20 +66,13 @@
 		}
 		w := s.queueOf(service.Name, true)
 		w.mu.Lock()
-		w.queue.SetShape(shapeOf(service.Work))
+		w.queue.SetShape(stagework.Shape(*service.Work))
 		w.queue.SetServers(s.nearServers(v.Servers[service.Name]))
 		w.mu.Unlock()
 		s.pump(w)
 	}
 }
 
-func shapeOf(work *route.StageShape) stagework.Shape {
-	return stagework.Shape{
-		Slots: work.Slots, Batch: work.Batch, CallTime: work.CallTime, PieceTime: work.PieceTime,
-		RoomBytes: work.RoomBytes, ResultLife: work.ResultLife,
-	}
-}
-
 // nearServers returns the servers of the region, or all when it has none: results
 // are too large for the link between regions.
 func (s *StageCaller) nearServers(listed []view.Server) []stagework.Server {
@@ -90,7 +80,7 @@
 	for _, server := range listed {
 		converted := stagework.Server{ID: server.ID, FailureDomain: server.FailureDomain}
 		all = append(all, converted)
-		if s.settings.Regions[server.FailureDomain] == s.settings.Region {
+		if s.fleet.Near(server.FailureDomain) {
 			near = append(near, converted)
 		}
 	}
@@ -268,24 +258,24 @@
 	defer cancel()
 	server, ok := s.fleet.Server(call.Server)
 	if !ok {
-		return SameOutcome(stagework.Refused, len(pieces)), nil
+		return stagework.SameOutcome(stagework.Refused, len(pieces)), nil
 	}
 	request, err := s.protocol.StageCall(server, pieces)
 	if err != nil {
-		return SameOutcome(stagework.Failed, len(pieces)), err
+		return stagework.SameOutcome(stagework.Failed, len(pieces)), err
 	}
 	answer, err := s.upstream.Send(ctx, server, request)
 	if err != nil {
-		return SameOutcome(stagework.Failed, len(pieces)), err
+		return stagework.SameOutcome(stagework.Failed, len(pieces)), err
 	}
 	defer answer.Close()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxStageAnswer))
 	if err != nil {
-		return SameOutcome(stagework.Failed, len(pieces)), err
+		return stagework.SameOutcome(stagework.Failed, len(pieces)), err
 	}
 	outcomes, err := s.protocol.StageOutcomes(answer.Status, answer.Header, body, len(pieces))
 	if err != nil {
-		return SameOutcome(stagework.Failed, len(pieces)), err
+		return stagework.SameOutcome(stagework.Failed, len(pieces)), err
 	}
 	return outcomes, nil
 }
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -151,7 +151,7 @@
 func (s *Stages) Typical(table *route.Table, service string) time.Duration {
 	var call time.Duration
 	if described := table.Service(service); described != nil && described.Work != nil {
-		call = described.Work.CallTime + time.Duration(min(firstPieces, described.Work.Batch))*described.Work.PieceTime
+		call = stagework.Shape(*described.Work).CallDuration(min(firstPieces, described.Work.Batch))
 	}
 	known := s.typical.of(service)
 	if known == 0 {
--- a/rendezvous/rendezvous_test.go
+++ b/rendezvous/rendezvous_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -26,3 +27,18 @@
 	}
 	c.Assert(Choose("x", nil), qt.Equals, "")
 }
+
+// Guards against an order other than that of choosing again without the members
+// chosen before.
+func TestOrderIsThatOfRepeatedChoice(t *testing.T) {
+	c := qt.New(t)
+	for i := range 100 {
+		key := fmt.Sprint(i)
+		left := []string{"a", "b", "c", "d", "e"}
+		for _, member := range Order(key, left) {
+			c.Assert(member, qt.Equals, Choose(key, left))
+			left = slices.DeleteFunc(left, func(m string) bool { return m == member })
+		}
+		c.Assert(left, qt.HasLen, 0)
+	}
+}
--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -238,7 +238,7 @@
 	s.running--
 	s.bytes -= c.bytes
 	if s.repeats(outcomes) {
-		outcomes = slices.Repeat([]Outcome{{Status: Failed}}, len(outcomes))
+		outcomes = SameOutcome(Failed, len(outcomes))
 	}
 	var e Effects
 	for i, outcome := range outcomes {
--- a/stagework/stagework.go
+++ b/stagework/stagework.go
@@ -4,7 +4,10 @@
 // instances of a region meet in one Queue. It does no I/O and reads no clock.
 package stagework
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Shape is how one server of the service works.
 type Shape struct {
@@ -101,6 +104,11 @@
 	Result string
 }
 
+// SameOutcome returns n outcomes with one status.
+func SameOutcome(status Status, n int) []Outcome {
+	return slices.Repeat([]Outcome{{Status: status}}, n)
+}
+
 // Refusal says why a job ended without its results.
 type Refusal string
 
