Refuse no request that an earlier send may have run

Cause: a repeatable request (idempotent route or resumable stream) whose first send had no answer was answered 503 when the second server refused it or was not reached. 503 promises that the request has not run, which nobody knew. Besides, a failed write to the client of a stream could be answered as a 504 after the head was sent, when the client's leaving had not been noticed yet.

Change: a request keeps whether a send may have run it; refuse then answers 502 without a time to come back. Failed writes break the stream.

Ruled out: requests that may run once were not affected, as they are never sent again after such a send.

Tests, both failing before: ten cases of a first send that is cut off, fails or is short, before a second server that refuses or is not there; and a client whose connection fails at the first write.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,11 +39,17 @@
 	deadline time.Time
 	// sends counts the backend servers that the request was sent to.
 	sends int
+	// mayHaveRun is set once a send had no whole answer that says whether the request
+	// ran. The request is never refused from then on.
+	mayHaveRun bool
 	// firstEvent is the time from the last send to the first event of a stream.
 	firstEvent time.Duration
 }
 
-var errDeadline = errors.New("deadline has passed")
+var (
+	errDeadline   = errors.New("deadline has passed")
+	errMayHaveRun = errors.New("an earlier send may have run the request")
+)
 
 // remaining returns the time left for the request.
 func (a *attempt) remaining() time.Duration { return time.Until(a.deadline) }
@@ -122,8 +128,13 @@
 	maxRetry   = 3 * time.Second
 )
 
-// refuse answers that the request has not run and when to come back.
+// refuse answers that the request has not run and when to come back. A request that
+// an earlier send may have run gets an answer that promises nothing instead.
 func (a *attempt) refuse(reason string, retry time.Duration, attrs ...slog.Attr) {
+	if a.mayHaveRun {
+		a.fail(http.StatusBadGateway, reason, errMayHaveRun)
+		return
+	}
 	a.counts.refused.Inc(1)
 	retry = min(max(retry, retrySoon), maxRetry)
 	a.log(events.AttemptRefused, append(attrs, slog.String("reason", reason), slog.Int64("retry_ms", retry.Milliseconds()),
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -106,6 +106,7 @@
 		a.ended()
 		return true
 	}
+	a.mayHaveRun = true
 	a.finish(send, routing.Failed)
 	a.logFailed(send.server, 0, err)
 	if a.route.Repeatable() && a.mayRepeat() {
@@ -131,6 +132,7 @@
 		a.refuse("servers are full", retryLater)
 		return true
 	}
+	a.mayHaveRun = true
 	if answer.Status >= http.StatusInternalServerError {
 		a.finish(send, routing.Failed)
 		a.logFailed(send.server, answer.Status, nil)
--- a/internal/gateway/plain_test.go
+++ b/internal/gateway/plain_test.go
@@ -107,6 +107,60 @@
 	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
 }
 
+// Guards against a promise that a request has not run after a first send that may
+// have run it, when the second server refuses or is not reached.
+func TestRefusalsAfterASendThatMayHaveRunPromiseNothing(t *testing.T) {
+	refuse := func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Not-Run", "full")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	}
+	failing := func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusInternalServerError) }
+	short := func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Content-Length", "10")
+		_, _ = io.WriteString(rw, "half")
+	}
+	for _, test := range []struct {
+		name  string
+		world func(*qt.C) *world
+		first http.HandlerFunc
+	}{
+		{"plain, cut off", func(c *qt.C) *world { return plain(c, route.Idempotent) }, cut},
+		{"plain, failed", func(c *qt.C) *world { return plain(c, route.Idempotent) }, failing},
+		{"plain, short answer", func(c *qt.C) *world { return plain(c, route.Idempotent) }, short},
+		{"stream, cut off", func(c *qt.C) *world { return generating(c, true) }, cut},
+		{"stream, failed", func(c *qt.C) *world { return generating(c, true) }, failing},
+	} {
+		for _, second := range []struct {
+			name   string
+			handle http.HandlerFunc
+			sends  int
+		}{{"refuses", refuse, 2}, {"is not there", nil, 1}} {
+			t.Run(test.name+", "+second.name, func(t *testing.T) {
+				c := qt.New(t)
+				w := test.world(c)
+				var seen recorder
+				handle := func(rw http.ResponseWriter, r *http.Request) {
+					if seen.add("") == 1 {
+						test.first(rw, r)
+						return
+					}
+					second.handle(rw, r)
+				}
+				w.backend("x", handle)
+				if second.handle != nil {
+					w.backend("x", handle)
+				}
+				w.start()
+				response, _, err := w.do("GET", "/p/", "")
+				c.Assert(err, qt.IsNil)
+				c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+				c.Assert(response.Header.Get("Retry-After"), qt.Equals, "")
+				c.Assert(seen.all(), qt.HasLen, second.sends)
+			})
+		}
+	}
+}
+
 // Guards against refusals that no configuration calls for, and against requests
 // that are let through without a key.
 func TestAnswersOfTheGateway(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -107,7 +107,7 @@
 		return false
 	}
 	g.sends++
-	return g.mayHaveRun(err)
+	return g.unanswered(err)
 }
 
 // end answers a request whose client left or whose deadline has passed.
@@ -119,9 +119,10 @@
 	return true
 }
 
-// mayHaveRun handles a broken send: another server goes on where the kind allows
+// unanswered handles a broken send: another server goes on where the kind allows
 // it.
-func (g *generation) mayHaveRun(err error) bool {
+func (g *generation) unanswered(err error) bool {
+	g.mayHaveRun = true
 	if g.route.Repeatable() && g.mayRepeat() {
 		if g.started {
 			g.counts.resumed.Inc(1)
@@ -152,7 +153,9 @@
 			return false
 		}
 		return g.giveUp("servers are full", retryLater, nil)
-	case answer.Status == http.StatusOK:
+	}
+	g.mayHaveRun = true
+	if answer.Status == http.StatusOK {
 		return g.relay(placed, answer, sent)
 	}
 	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Failed: true})
@@ -192,7 +195,7 @@
 				g.writeHead(answer, -1)
 			}
 			if _, failed := g.writer.Write(e.data); failed != nil {
-				g.ended()
+				g.broken(failed)
 			}
 			g.events++
 			if e.id != "" {
@@ -231,5 +234,5 @@
 	}
 	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Failed: true})
 	g.logFailed(upstream.Server{ID: placed.Server}, http.StatusOK, err)
-	return g.mayHaveRun(err)
+	return g.unanswered(err)
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
@@ -81,6 +82,31 @@
 	c.Assert(seen.all(), qt.HasLen, 1)
 }
 
+// failingWriter accepts a head and then fails each write, as the connection of a
+// client does that was reset.
+type failingWriter struct {
+	*httptest.ResponseRecorder
+	heads int
+}
+
+func (f *failingWriter) WriteHeader(int)           { f.heads++ }
+func (f *failingWriter) Write([]byte) (int, error) { return 0, errors.New("connection reset") }
+
+// Guards against a second answer on a connection whose client is lost after the head
+// of a stream was written.
+func TestFailedWritesBreakStreams(t *testing.T) {
+	c := qt.New(t)
+	w := generating(c, true)
+	w.backend("x", func(rw http.ResponseWriter, _ *http.Request) { sendEvents(rw, 1, 2) })
+	w.start()
+	request := httptest.NewRequest("POST", "/p/", nil)
+	request.Host = "h"
+	request.Header.Set("Id", "a1")
+	writer := &failingWriter{ResponseRecorder: httptest.NewRecorder()}
+	c.Assert(func() { w.gateway.ServeHTTP(writer, request) }, qt.PanicMatches, http.ErrAbortHandler.Error())
+	c.Assert(writer.heads, qt.Equals, 1)
+}
+
 // Guards against a resumed stream with an event that is missing or comes twice, and
 // against half an event of the first run.
 func TestResumableStreamsGoOnAtAnotherServer(t *testing.T) {
