Free inputs of stages when their calls have fetched them

Change: a queue tells whether memory for results limited its calls lately. While it does, the requester asks the queue of the next stage to tell when the last calls have fetched their inputs, and frees them then. Pieces that fail later are not tried again. Memory is counted until the producer has answered.

--- a/internal/gateway/freer.go
+++ b/internal/gateway/freer.go
@@ -26,38 +26,57 @@
 	logger   *slog.Logger
 
 	mu      sync.Mutex
-	pending map[string][]string
+	pending map[string]*freeing
+}
+
+// freeing is the results that one producer is about to give up.
+type freeing struct {
+	results []string
+	// done are told once the producer has given them up.
+	done []func()
 }
 
 // NewFreer returns a Freer that finds servers by their address.
 func NewFreer(protocol Protocol, client *upstream.Client, servers func(address string) (upstream.Server, bool), logger *slog.Logger) *Freer {
-	return &Freer{protocol: protocol, upstream: client, servers: servers, logger: logger, pending: map[string][]string{}}
+	return &Freer{protocol: protocol, upstream: client, servers: servers, logger: logger, pending: map[string]*freeing{}}
 }
 
-// Free gives up results soon.
-func (f *Freer) Free(results []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// Free gives up results soon. Done is called for each producer with those that it has
+// given up.
+func (f *Freer) Free(results []string, done func(freed []string)) {
+	byProducer := map[string][]string{}
 	for _, result := range results {
 		producer := f.protocol.Producer(result)
-		if len(f.pending[producer]) == 0 {
+		byProducer[producer] = append(byProducer[producer], result)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for producer, own := range byProducer {
+		waiting := f.pending[producer]
+		if waiting == nil {
+			waiting = &freeing{}
+			f.pending[producer] = waiting
 			time.AfterFunc(freePause, func() { f.flush(producer) })
 		}
-		f.pending[producer] = append(f.pending[producer], result)
+		waiting.results = append(waiting.results, own...)
+		waiting.done = append(waiting.done, func() { done(own) })
 	}
 }
 
 func (f *Freer) flush(producer string) {
 	f.mu.Lock()
-	results := f.pending[producer]
+	waiting := f.pending[producer]
 	delete(f.pending, producer)
 	f.mu.Unlock()
-	server, ok := f.servers(producer)
-	if !ok {
-		return // its results are gone with it
+	// Without a server its results are gone with it.
+	if server, ok := f.servers(producer); ok {
+		if err := f.send(server, waiting.results); err != nil {
+			events.FreeFailed.Log(context.Background(), f.logger, slog.String("server", server.ID), slog.Int("results", len(waiting.results)), slog.Any("error", err))
+			return
+		}
 	}
-	if err := f.send(server, results); err != nil {
-		events.FreeFailed.Log(context.Background(), f.logger, slog.String("server", server.ID), slog.Int("results", len(results)), slog.Any("error", err))
+	for _, done := range waiting.done {
+		done()
 	}
 }
 
--- a/internal/gateway/servicequeue.go
+++ b/internal/gateway/servicequeue.go
@@ -27,6 +27,11 @@
 	request  *peerpb.RunStageRequest
 	deadline time.Time
 	done     chan stagework.Done
+	// fetched is closed when the inputs may be freed. It is nil when the requester
+	// does not ask for that.
+	fetched chan struct{}
+	// told is true once the requester knows. Only the call that awaits the job uses it.
+	told bool
 	// abandoned cancels the job unless it is awaited again in time.
 	abandoned *time.Timer
 }
@@ -38,16 +43,36 @@
 	}
 }
 
-// wait estimates how long a new piece waits.
-func (w *serviceQueue) wait() time.Duration {
+// tell adds to a response how long a new piece waits and whether memory for results
+// is short.
+func (w *serviceQueue) tell(response *peerpb.RunStageResponse) *peerpb.RunStageResponse {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.queue.Wait(time.Now())
+	now := time.Now()
+	response.WaitMs, response.RoomShort = w.queue.Wait(now).Milliseconds(), w.queue.RoomShort(now)
+	return response
 }
 
-// offer puts a job into the queue, or returns why it is refused and how long a new
-// piece waits.
-func (w *serviceQueue) offer(now time.Time, job *stageJob) (stagework.JobID, stagework.Refusal, time.Duration) {
+// begun schedules the message that the inputs of jobs were fetched. It is called with
+// the lock held.
+func (w *serviceQueue) begun(call stagework.Call) {
+	for _, id := range call.Begun {
+		job := w.jobs[id]
+		if job == nil || !job.request.TellFetched {
+			continue
+		}
+		time.AfterFunc(call.FetchTime, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.queue.InputsFetched(id, call.ID) {
+				close(job.fetched)
+			}
+		})
+	}
+}
+
+// offer puts a job into the queue, or returns why it is refused.
+func (w *serviceQueue) offer(now time.Time, job *stageJob) (stagework.JobID, stagework.Refusal) {
 	r := job.request
 	job.deadline = now.Add(time.Duration(r.DeadlineMs) * time.Millisecond)
 	w.mu.Lock()
@@ -60,13 +85,13 @@
 	refusal, ok := w.queue.Offer(now, stagework.Job{
 		ID: w.last, Pieces: pieces, ResultBytes: r.ResultBytes, Priority: int(r.Priority),
 		Due:      now.Add(time.Duration(r.DueMs) * time.Millisecond),
-		Deadline: job.deadline, FailureDomain: r.FailureDomain, Started: r.Started,
+		Deadline: job.deadline, FailureDomain: r.FailureDomain, Started: r.Started, InputBytes: r.InputBytes,
 	})
 	if !ok {
-		return 0, refusal, w.queue.Wait(now)
+		return 0, refusal
 	}
 	w.jobs[w.last] = job
-	return w.last, "", 0
+	return w.last, ""
 }
 
 // pieces returns what a call sends. It is called with the lock held.
--- a/internal/gateway/stagecaller.go
+++ b/internal/gateway/stagecaller.go
@@ -108,9 +108,12 @@
 		return &peerpb.RunStageResponse{Refusal: string(stagework.RefusedNoServer)}, nil
 	}
 	job := &stageJob{request: request, done: make(chan stagework.Done, 1)}
-	id, refusal, wait := w.offer(time.Now(), job)
+	if request.TellFetched {
+		job.fetched = make(chan struct{})
+	}
+	id, refusal := w.offer(time.Now(), job)
 	if refusal != "" {
-		return &peerpb.RunStageResponse{Refusal: string(refusal), WaitMs: wait.Milliseconds()}, nil
+		return w.tell(&peerpb.RunStageResponse{Refusal: string(refusal)}), nil
 	}
 	s.pump(w)
 	s.review(w)
@@ -140,21 +143,34 @@
 func (s *StageCaller) await(ctx context.Context, w *serviceQueue, id stagework.JobID, job *stageJob) (*peerpb.RunStageResponse, error) {
 	timer := time.NewTimer(pendingAfter)
 	defer timer.Stop()
+	fetched := job.fetched
+	if job.told {
+		fetched = nil
+	}
 	select {
 	case done := <-job.done:
-		return &peerpb.RunStageResponse{Results: done.Results, Refusal: string(done.Refusal), WaitMs: w.wait().Milliseconds()}, nil
+		return w.tell(&peerpb.RunStageResponse{Results: done.Results, Refusal: string(done.Refusal)}), nil
+	case <-fetched:
+		job.told = true
+		return s.pending(w, id, job, &peerpb.RunStageResponse{InputsFetched: true}), nil
 	case <-timer.C:
-		w.mu.Lock()
-		w.pending[id] = job
-		job.abandoned = time.AfterFunc(abandonedAfter, func() { s.abandon(w, id, job) })
-		w.mu.Unlock()
-		return &peerpb.RunStageResponse{Pending: uint64(id), WaitMs: w.wait().Milliseconds()}, nil
+		return s.pending(w, id, job, &peerpb.RunStageResponse{}), nil
 	case <-ctx.Done():
 		s.abandon(w, id, job)
 		return nil, ctx.Err()
 	}
 }
 
+// pending keeps a job for the next call that awaits it.
+func (s *StageCaller) pending(w *serviceQueue, id stagework.JobID, job *stageJob, response *peerpb.RunStageResponse) *peerpb.RunStageResponse {
+	w.mu.Lock()
+	w.pending[id] = job
+	job.abandoned = time.AfterFunc(abandonedAfter, func() { s.abandon(w, id, job) })
+	w.mu.Unlock()
+	response.Pending = uint64(id)
+	return w.tell(response)
+}
+
 // abandon ends a job that nobody waits for and frees its results.
 func (s *StageCaller) abandon(w *serviceQueue, id stagework.JobID, job *stageJob) {
 	w.mu.Lock()
@@ -172,13 +188,24 @@
 
 // FreeResults implements peer.StageHandler.
 func (s *StageCaller) FreeResults(request *peerpb.FreeResultsRequest) {
-	if w := s.queueOf(request.Service, false); w != nil {
+	s.free(s.queueOf(request.Service, false), request.Results)
+}
+
+// free gives up results. Their memory is counted until their producer has given them
+// up: a call that is sent before would find no room.
+func (s *StageCaller) free(w *serviceQueue, results []string) {
+	if len(results) == 0 {
+		return
+	}
+	s.freer.Free(results, func(freed []string) {
+		if w == nil {
+			return
+		}
 		w.mu.Lock()
-		w.queue.Freed(request.Results)
+		w.queue.Freed(freed)
 		w.mu.Unlock()
 		s.pump(w)
-	}
-	s.freer.Free(request.Results)
+	})
 }
 
 // apply tells the waiting jobs their ends and frees what no job needs.
@@ -190,11 +217,8 @@
 			job.done <- done
 		}
 	}
-	w.queue.Freed(effects.Orphans)
 	w.mu.Unlock()
-	if len(effects.Orphans) > 0 {
-		s.freer.Free(effects.Orphans)
-	}
+	s.free(w, effects.Orphans)
 }
 
 // review schedules a look at the waiting jobs, which repeats while there are any.
@@ -225,6 +249,7 @@
 		if !ok {
 			return
 		}
+		w.begun(call)
 		go s.call(w, call, w.pieces(call, time.Now()))
 	}
 }
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -25,8 +25,8 @@
 	// silenceLimit is how long an instance that forms calls may stay silent: it
 	// answers within pendingAfter even when the stage has not ended.
 	silenceLimit = pendingAfter + 500*time.Millisecond
-	// toldWaitLife is how long the wait that a queue told is believed.
-	toldWaitLife = time.Second
+	// toldLife is how long the state that a queue told is believed.
+	toldLife = time.Second
 	// maxCallers is the number of instances that are asked for one stage.
 	maxCallers = 3
 	// freeFlush collects the results that a request gives up.
@@ -56,19 +56,21 @@
 
 	mu   sync.Mutex
 	free map[string][]string
-	// waits holds what the instances that form calls last told of their queues.
-	waits map[string]toldWait
+	// told holds what the instances that form calls last told of their queues.
+	told map[string]queueState
 }
 
-// toldWait is how long a new piece of a service waited at a time.
-type toldWait struct {
-	wait time.Duration
-	at   time.Time
+// queueState is how long a new piece of a service waited at a time, and whether
+// memory for results was short.
+type queueState struct {
+	wait      time.Duration
+	roomShort bool
+	at        time.Time
 }
 
 // NewStages returns a Stages that asks the local caller or those of peers.
 func NewStages(cluster *Cluster, client *peer.Client, local *StageCaller, logger *slog.Logger) *Stages {
-	return &Stages{cluster: cluster, client: client, local: local, logger: logger, typical: newAverages(), free: map[string][]string{}, waits: map[string]toldWait{}}
+	return &Stages{cluster: cluster, client: client, local: local, logger: logger, typical: newAverages(), free: map[string][]string{}, told: map[string]queueState{}}
 }
 
 // Chain is the stages of one request.
@@ -94,7 +96,9 @@
 	mu      sync.Mutex
 	results [][]string
 	// users counts the stages that still need the results of each stage.
-	users    []int
+	users []int
+	// released holds the stages whose inputs are not needed any more.
+	released []bool
 	progress *stagework.Progress
 	// changed is closed and replaced whenever a stage ends.
 	changed chan struct{}
@@ -105,7 +109,7 @@
 func (s *Stages) Run(ctx context.Context, chain Chain) ([]string, error) {
 	n := len(chain.Route.Stages)
 	r := &run{
-		Stages: s, Chain: chain, done: make([]chan struct{}, n), results: make([][]string, n), users: make([]int, n),
+		Stages: s, Chain: chain, done: make([]chan struct{}, n), results: make([][]string, n), users: make([]int, n), released: make([]bool, n),
 		progress: stagework.NewProgress(chain.Graph.After, chain.Graph.Counts), changed: make(chan struct{}),
 	}
 	r.progress.SetTypical(r.typicalTimes())
@@ -146,19 +150,27 @@
 		known = call
 	}
 	s.mu.Lock()
-	told := s.waits[service]
+	told := s.told[service]
 	s.mu.Unlock()
-	if time.Since(told.at) < toldWaitLife {
+	if time.Since(told.at) < toldLife {
 		known = max(known, told.wait+call)
 	}
 	return known
 }
 
-// told records the wait that an instance that forms calls tells.
-func (s *Stages) told(service string, wait time.Duration) {
+// learn records what an instance that forms calls tells of its queue.
+func (s *Stages) learn(service string, response *peerpb.RunStageResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.waits[service] = toldWait{wait, time.Now()}
+	s.told[service] = queueState{time.Duration(response.WaitMs) * time.Millisecond, response.RoomShort, time.Now()}
+}
+
+// roomShort reports whether memory for the results of a service was short lately.
+func (s *Stages) roomShort(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	told := s.told[service]
+	return told.roomShort && time.Since(told.at) < toldLife
 }
 
 // stage waits for the inputs of a stage and runs it.
@@ -188,15 +200,27 @@
 	r.progress.End(i)
 	close(r.changed)
 	r.changed = make(chan struct{})
+	r.mu.Unlock()
+	r.release(i)
+	close(r.done[i])
+	return nil
+}
+
+// release frees the inputs of a stage that no other stage needs. It may be called
+// more than once.
+func (r *run) release(i int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.released[i] {
+		return
+	}
+	r.released[i] = true
 	for _, j := range r.Graph.After[i] {
 		if r.users[j]--; r.users[j] == 0 {
 			r.Free(r.Route.Stages[j].Service, r.results[j])
 			r.results[j] = nil
 		}
 	}
-	r.mu.Unlock()
-	close(r.done[i])
-	return nil
 }
 
 // typicalTimes returns the typical duration of each stage at this moment.
@@ -246,7 +270,7 @@
 			break
 		}
 		started := time.Now()
-		response, err := r.askOne(ctx, address, r.request(i, inputs))
+		response, err := r.askOne(ctx, address, i, r.request(i, inputs))
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
@@ -260,7 +284,7 @@
 		events.StageEnded.Log(ctx, r.logger, slog.String("id", r.RequestID), slog.Int("stage", i), slog.String("service", stage.Service),
 			slog.Int("pieces", r.Graph.Counts[i]), slog.String("caller", address), slog.Int64("took_ms", time.Since(started).Milliseconds()),
 			slog.Int64("left_ms", time.Until(r.Deadline).Milliseconds()), slog.Int64("queue_ms", response.WaitMs), slog.String("refusal", response.Refusal))
-		r.told(stage.Service, time.Duration(response.WaitMs)*time.Millisecond)
+		r.learn(stage.Service, response)
 		if response.Refusal != "" {
 			return nil, &RefusedError{Stage: i, Reason: stagework.Refusal(response.Refusal), Wait: time.Duration(response.WaitMs) * time.Millisecond}
 		}
@@ -285,6 +309,11 @@
 		DeadlineMs:    min(time.Until(r.Deadline.Add(-tail)), r.inputsLife(i)).Milliseconds(),
 		FailureDomain: r.FailureDomain, Started: begun,
 	}
+	for _, j := range r.Graph.After[i] {
+		before := r.Route.Stages[j]
+		request.InputBytes += int64(r.Graph.Counts[j]) * before.ResultBytes
+		request.TellFetched = request.TellFetched || r.roomShort(before.Service)
+	}
 	for piece := range r.Graph.Counts[i] {
 		request.Pieces = append(request.Pieces, int32(piece))
 	}
@@ -305,9 +334,12 @@
 
 // askOne asks one instance, or this one for an empty address, until the stage has
 // ended. An instance that stays silent is given up.
-func (r *run) askOne(ctx context.Context, address string, request *peerpb.RunStageRequest) (*peerpb.RunStageResponse, error) {
+func (r *run) askOne(ctx context.Context, address string, i int, request *peerpb.RunStageRequest) (*peerpb.RunStageResponse, error) {
 	response, err := r.call(ctx, address, request)
 	for err == nil && response.Pending != 0 {
+		if response.InputsFetched {
+			r.release(i)
+		}
 		response, err = r.await(ctx, address, &peerpb.AwaitStageRequest{Service: request.Service, Job: response.Pending})
 	}
 	return response, err
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -214,6 +214,68 @@
 	c.Assert(freed.all(), qt.DeepEquals, inputs.all())
 }
 
+// Guards against results that take memory until the stage that fetched them ends,
+// while calls of other requests wait for that memory.
+func TestInputsOfStagesAreFreedWhenFetched(t *testing.T) {
+	c := qt.New(t)
+	w := generating(c, false, route.Stage{Service: "stage", ResultBytes: 1}, route.Stage{Service: "next", After: []int{0}})
+	w.config.Services[1].Work.RoomBytes = 3
+	w.config.Services[1].Work.CallTime = 200 * time.Millisecond
+	w.config.Routes[0].Target, w.config.Routes[0].Timeout = 5*time.Second, 10*time.Second
+	w.config.Services = append(w.config.Services, route.Service{Name: "next", Work: w.config.Services[1].Work})
+	var calls, freed recorder
+	w.stageServer(&calls, &freed)
+	w.backend("next", func(rw http.ResponseWriter, r *http.Request) {
+		var pieces []Piece
+		_ = json.NewDecoder(r.Body).Decode(&pieces)
+		if r.URL.Path == "/run" {
+			eventually(c, func() bool { return len(freed.all()) == 4 })
+		}
+		_ = json.NewEncoder(rw).Encode([]stagework.Outcome{{Result: r.Host + "/1"}})
+	})
+	w.backend("x", func(rw http.ResponseWriter, _ *http.Request) { sendEvents(rw, 1, 1) })
+	w.start()
+	// The result of another request leaves room for two, so that the stage tells of the
+	// lack.
+	results, err := w.caller.RunStage(c.Context(), &peerpb.RunStageRequest{Service: "stage", RequestId: "b", Pieces: []int32{0}, ResultBytes: 1, DueMs: 5000, DeadlineMs: 5000})
+	c.Assert(err, qt.IsNil)
+	go func() {
+		eventually(c, func() bool { return len(calls.all()) >= 3 })
+		w.caller.FreeResults(&peerpb.FreeResultsRequest{Service: "stage", Results: results.Results})
+	}()
+	_, body, err := w.do("POST", "/p/", "", "Counts", "3 1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, eventText(1, 1))
+}
+
+// Guards against calls that find no room because the results that should make it were
+// not given up yet.
+func TestMemoryIsCountedUntilResultsAreGivenUp(t *testing.T) {
+	c := qt.New(t)
+	w := generating(c, false, route.Stage{Service: "stage", ResultBytes: 1})
+	w.config.Services[1].Work.RoomBytes = 1
+	release := make(chan struct{})
+	var runs recorder
+	w.backend("stage", func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/free" {
+			<-release
+			return
+		}
+		_ = json.NewEncoder(rw).Encode([]stagework.Outcome{{Result: fmt.Sprintf("%s/%d", r.Host, runs.add(""))}})
+	})
+	w.start()
+	run := &peerpb.RunStageRequest{Service: "stage", RequestId: "a", Pieces: []int32{0}, ResultBytes: 1, DueMs: 5000, DeadlineMs: 5000}
+	first, err := w.caller.RunStage(c.Context(), run)
+	c.Assert(err, qt.IsNil)
+	w.caller.FreeResults(&peerpb.FreeResultsRequest{Service: "stage", Results: first.Results})
+	second, err := w.caller.RunStage(c.Context(), run)
+	c.Assert(err, qt.IsNil)
+	c.Assert(second.Pending, qt.Not(qt.Equals), uint64(0))
+	c.Assert(runs.all(), qt.HasLen, 1)
+	close(release)
+	eventually(c, func() bool { return len(runs.all()) == 2 })
+}
+
 // Guards against large results that are made long before the end of the chain beside
 // them.
 func TestStagesBesideAChainAreAskedLate(t *testing.T) {
@@ -384,7 +446,7 @@
 	w := generating(c, false, route.Stage{Service: "stage"}, route.Stage{Service: "stage", After: []int{0}})
 	table := route.NewTable(w.config)
 	chain := Chain{Table: table, Route: &table.Routes[0], Graph: table.Routes[0].NewGraph([]int{1, 1}), Deadline: time.Now().Add(time.Minute)}
-	r := &run{Chain: chain, progress: stagework.NewProgress(chain.Graph.After, chain.Graph.Counts)}
+	r := &run{Stages: NewStages(nil, nil, nil, logger()), Chain: chain, progress: stagework.NewProgress(chain.Graph.After, chain.Graph.Counts)}
 	r.progress.SetTypical(make([]time.Duration, 2))
 	c.Assert(r.request(0, nil).DeadlineMs > 50_000, qt.IsTrue)
 	c.Assert(r.request(1, nil).DeadlineMs, qt.Equals, int64(1000))
--- a/stagework/call.go
+++ b/stagework/call.go
@@ -97,6 +97,7 @@
 	var other *server
 	for _, s := range free {
 		if q.room(s, j, now) == 0 {
+			q.shortAt = now
 			continue
 		}
 		if s.FailureDomain == j.FailureDomain {
@@ -178,6 +179,7 @@
 	c.Waiting, _ = q.Load()
 	c.RoomLeft = q.roomLeft(s, now)
 	c.expected = time.Duration(float64(q.shape.CallDuration(len(c.Items))) * max(1, s.slowness(now)))
+	q.begun(c)
 	c.Timeout = timeoutFactor*c.expected + timeoutMargin
 	q.calls[c.ID] = c
 	s.running++
@@ -185,6 +187,20 @@
 	return c
 }
 
+// begun notes the jobs of which no piece waits any more.
+func (q *Queue) begun(c *call) {
+	var inputs int64
+	for _, item := range c.Items {
+		j := q.jobs[item.Job]
+		inputs += j.InputBytes
+		if len(j.waiting) == 0 && j.begunBy != c.ID {
+			j.begunBy = c.ID
+			c.Begun = append(c.Begun, item.Job)
+		}
+	}
+	c.FetchTime = q.fetch.Time(q.shape, inputs)
+}
+
 // add moves waiting pieces of a job into a call, as far as the batch and the
 // server's room allow.
 func (q *Queue) add(c *call, s *server, j *job, now time.Time) {
@@ -193,7 +209,10 @@
 
 // addUpTo moves at most a number of waiting pieces.
 func (q *Queue) addUpTo(most int, c *call, s *server, j *job, now time.Time) {
-	n := min(len(j.waiting), most, q.room(s, j, now))
+	n := min(len(j.waiting), most)
+	if room := q.room(s, j, now); room < n {
+		n, q.shortAt = room, now
+	}
 	for _, place := range j.waiting[:n] {
 		c.Items = append(c.Items, Item{Job: j.ID, Piece: j.Pieces[place]})
 		if j.FailureDomain != s.FailureDomain {
--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -42,6 +42,9 @@
 	factorWeight = 0.5
 	// slowFactor marks a server as slow against the fastest one.
 	slowFactor = 2.0
+	// shortLife is how long a lack of memory for results is told after it limited a
+	// call.
+	shortLife = time.Second
 	// factorLife is how long the slowness of a server is believed without a call.
 	factorLife = 3 * time.Second
 	// heavyResult is the size from which a result should stay in the failure
@@ -58,6 +61,11 @@
 	results  []string
 	left     int
 	failures int
+	// inputsFreed is true once the inputs exist no more, so that no piece can be
+	// produced again.
+	inputsFreed bool
+	// begunBy is the call with the last pieces that waited.
+	begunBy CallID
 }
 
 type call struct {
@@ -86,6 +94,10 @@
 	servers  map[string]*server
 	results  map[string]held
 	lastCall CallID
+	// shortAt is when memory for results last limited a call.
+	shortAt time.Time
+	// fetch estimates how long calls take to fetch their inputs.
+	fetch Fetch
 }
 
 // NewQueue returns a queue without servers.
@@ -175,6 +187,17 @@
 	return Effects{Orphans: q.remove(j)}
 }
 
+// InputsFetched reports whether the inputs of a job may be freed, and records that
+// they are: its last pieces are still in the call that was formed for them.
+func (q *Queue) InputsFetched(id JobID, begunBy CallID) bool {
+	j := q.jobs[id]
+	if j == nil || j.inputsFreed || len(j.waiting) > 0 || j.begunBy != begunBy {
+		return false
+	}
+	j.inputsFreed = true
+	return true
+}
+
 // remove forgets a job and returns the results that it has.
 func (q *Queue) remove(j *job) (orphans []string) {
 	delete(q.jobs, j.ID)
@@ -221,7 +244,7 @@
 		s.factor, s.factorAt = max(s.factor, overdueFactor*slowFactor), now
 	}
 	for i, item := range c.Items {
-		if j := q.jobs[item.Job]; j != nil && j.results[c.places[i]] == "" {
+		if j := q.jobs[item.Job]; j != nil && j.results[c.places[i]] == "" && !j.inputsFreed {
 			j.waiting = append(j.waiting, c.places[i])
 		}
 	}
@@ -276,11 +299,18 @@
 		q.refuse(e, j, RefusedLate)
 		return
 	case InputGone:
+		if j.inputsFreed {
+			q.fetch.Lost()
+		}
 		q.refuse(e, j, RefusedInputGone)
 		return
 	case Failed:
 		j.failures++
 	}
+	if j.inputsFreed {
+		q.refuse(e, j, RefusedInputGone)
+		return
+	}
 	if j.failures > maxFailures*len(j.Pieces) {
 		q.refuse(e, j, RefusedFailed)
 		return
@@ -297,6 +327,9 @@
 	if j.left > 0 {
 		return
 	}
+	if j.inputsFreed {
+		q.fetch.Fetched()
+	}
 	q.remove(j)
 	e.Done = append(e.Done, Done{Job: j.ID, Results: j.results})
 }
--- a/stagework/queue_test.go
+++ b/stagework/queue_test.go
@@ -304,3 +304,59 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(again.Items, qt.DeepEquals, []Item{{Job: 1, Piece: 1}})
 }
+
+// Guards against inputs that are freed while a piece still waits for a call, and
+// against pieces that are tried again without inputs.
+func TestJobsWithoutInputsAreNotTriedAgain(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a")
+	first, second := request(1, 6), request(2, 6)
+	offer(c, q, first)
+	offer(c, q, second)
+	call, _ := q.Next(epoch)
+	c.Assert(call.Begun, qt.DeepEquals, []JobID{1})
+	c.Assert(q.InputsFetched(2, call.ID), qt.IsFalse)
+	q.Finished(epoch, call.ID, same(call, Refused))
+	c.Assert(q.InputsFetched(1, call.ID), qt.IsFalse)
+	later := epoch.Add(refusedPause)
+	again, _ := q.Next(later)
+	c.Assert(again.Begun, qt.DeepEquals, []JobID{1})
+	c.Assert(q.InputsFetched(1, call.ID), qt.IsFalse)
+	c.Assert(q.InputsFetched(1, again.ID), qt.IsTrue)
+	c.Assert(q.InputsFetched(1, again.ID), qt.IsFalse)
+	outcomes := produce(again)
+	outcomes[0] = Outcome{Status: NoRoom}
+	e := q.Finished(later, again.ID, outcomes)
+	c.Assert(e.Done, qt.DeepEquals, []Done{{Job: 1, Refusal: RefusedInputGone}})
+	c.Assert(e.Orphans, qt.HasLen, 5)
+}
+
+// Guards against inputs that are freed before a server begins, again and again.
+func TestLostInputsLengthenTheFetchTime(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a")
+	offer(c, q, request(1, 1))
+	call, _ := q.Next(epoch)
+	c.Assert(call.FetchTime, qt.Equals, fetchLatency)
+	c.Assert(q.InputsFetched(1, call.ID), qt.IsTrue)
+	q.Finished(epoch, call.ID, same(call, InputGone))
+	offer(c, q, request(2, 1))
+	call, _ = q.Next(epoch)
+	c.Assert(call.FetchTime, qt.Equals, 2*fetchLatency)
+}
+
+// Guards against a lack of memory for results that is not told, and against one that
+// is told for ever.
+func TestALackOfRoomIsTold(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a")
+	j := request(1, 8)
+	j.ResultBytes = shape.RoomBytes / 4
+	offer(c, q, j)
+	c.Assert(q.RoomShort(epoch), qt.IsFalse)
+	call, _ := q.Next(epoch)
+	c.Assert(call.Items, qt.HasLen, 4)
+	c.Assert(call.Begun, qt.HasLen, 0)
+	c.Assert(q.RoomShort(epoch), qt.IsTrue)
+	c.Assert(q.RoomShort(epoch.Add(shortLife)), qt.IsFalse)
+}
--- a/stagework/server.go
+++ b/stagework/server.go
@@ -116,6 +116,12 @@
 	return int(q.roomLeft(s, now) / j.ResultBytes)
 }
 
+// RoomShort reports whether memory for results limited the calls of the service
+// lately.
+func (q *Queue) RoomShort(now time.Time) bool {
+	return !q.shortAt.IsZero() && now.Sub(q.shortAt) < shortLife
+}
+
 // roomLeft returns the memory for results in bytes that a server is believed to have
 // left.
 func (q *Queue) roomLeft(s *server, now time.Time) int64 {
--- a/stagework/stagework.go
+++ b/stagework/stagework.go
@@ -57,6 +57,8 @@
 	FailureDomain string
 	// Started is true when earlier stages of the request have run.
 	Started bool
+	// InputBytes is the approximate size of all inputs of one piece.
+	InputBytes int64
 }
 
 // CallID names a call within a Queue.
@@ -80,6 +82,10 @@
 	// RoomLeft the memory for results in bytes that the server has left beside it.
 	Waiting  int
 	RoomLeft int64
+	// Begun lists the jobs whose last waiting pieces are in the call, and FetchTime
+	// is how long the server takes at most to fetch the inputs of all pieces.
+	Begun     []JobID
+	FetchTime time.Duration
 	// Timeout is how long the call may take before its server is given up.
 	Timeout time.Duration
 }
