Place prompts by where their inputs were made

Cause: the model server was chosen as if all inputs had been made in the failure domain that was chosen before the stages; a call under load may make them in another one.

Change: the query has the size of the inputs by failure domain, from the producers of the results.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -116,10 +116,9 @@
 // Query describes the server that a prompt needs.
 type Query struct {
 	Prompt []Part
-	// FailureDomain is where the inputs of the request are, and InputBytes their
-	// size.
-	FailureDomain string
-	InputBytes    int64
+	// InputBytes is the size of the inputs of the request by the failure domain that
+	// they are in.
+	InputBytes map[string]int64
 	// Excluded are servers that the request was already sent to.
 	Excluded []string
 	// AskOnly is true for a question before the stages run: the prompt is not
@@ -189,9 +188,11 @@
 		expected += c.lag
 	}
 	cost = expected + time.Duration(shared)*rereadPenalty
-	if q.FailureDomain != "" && c.FailureDomain != q.FailureDomain {
-		const megabyte = 1e6
-		cost += time.Duration(float64(q.InputBytes) / megabyte * float64(crossPenalty))
+	const megabyte = 1e6
+	for domain, bytes := range q.InputBytes {
+		if domain != c.FailureDomain {
+			cost += time.Duration(float64(bytes) / megabyte * float64(crossPenalty))
+		}
 	}
 	return expected, cost + time.Duration((1-unit(key^c.hash))*float64(placePenalty))
 }
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -60,7 +60,17 @@
 func TestLargeInputsKeepTheirFailureDomain(t *testing.T) {
 	c := qt.New(t)
 	for i := range 20 {
-		q := Query{Prompt: prompt(fmt.Sprint("x", i), "1"), FailureDomain: "b", InputBytes: 12_000_000}
+		q := Query{Prompt: prompt(fmt.Sprint("x", i), "1"), InputBytes: map[string]int64{"b": 12_000_000}}
+		c.Assert(place(c, set(), start, q), qt.Equals, "3")
+	}
+}
+
+// Guards against a model server in the failure domain where the inputs should have
+// been made, when most were made elsewhere.
+func TestPromptsGoWhereMostOfTheirInputsAre(t *testing.T) {
+	c := qt.New(t)
+	for i := range 20 {
+		q := Query{Prompt: prompt(fmt.Sprint("x", i), "1"), InputBytes: map[string]int64{"a": 3_000_000, "b": 12_000_000}}
 		c.Assert(place(c, set(), start, q), qt.Equals, "3")
 	}
 }
--- a/internal/gateway/inputs.go
+++ b/internal/gateway/inputs.go
@@ -32,7 +32,7 @@
 		return domain
 	}
 	placed, ok := g.placer.Place(g.ctx, g.demand.ID, g.service.Name, engine.Query{
-		Prompt: g.demand.Prompt, FailureDomain: domain, InputBytes: g.inputBytes(), Excluded: g.tried, AskOnly: true,
+		Prompt: g.demand.Prompt, InputBytes: map[string]int64{domain: g.inputBytes()}, Excluded: g.tried, AskOnly: true,
 	})
 	if _, made := near[placed.FailureDomain]; ok && made {
 		return placed.FailureDomain
@@ -63,6 +63,21 @@
 	return bytes
 }
 
+// inputsByDomain returns the approximate size of the inputs that are held, by the
+// failure domain of their producers, which may not be the one that was chosen.
+func (g *generation) inputsByDomain() map[string]int64 {
+	bytes := map[string]int64{}
+	producers := g.views.Current().ByAddress
+	at := 0
+	for _, i := range g.graph.Final {
+		for range g.graph.Counts[i] {
+			bytes[producers[g.protocol.Producer(g.inputs[at])].FailureDomain] += g.route.Stages[i].ResultBytes
+			at++
+		}
+	}
+	return bytes
+}
+
 // prepare runs the stages unless their results are held. It returns false when the
 // request has its answer or must be tried again.
 func (g *generation) prepare() (ready, ended bool) {
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -105,7 +105,7 @@
 	if address == "" {
 		return p.placeHere(service, q)
 	}
-	request := &peerpb.PlacePromptRequest{Service: service, FailureDomain: q.FailureDomain, InputBytes: q.InputBytes, Excluded: q.Excluded, AskOnly: q.AskOnly}
+	request := &peerpb.PlacePromptRequest{Service: service, InputBytes: q.InputBytes, Excluded: q.Excluded, AskOnly: q.AskOnly}
 	for _, part := range q.Prompt {
 		request.Prompt = append(request.Prompt, &peerpb.PromptPart{Id: part.ID, Tokens: int64(part.Tokens)})
 	}
@@ -129,7 +129,7 @@
 
 // PlacePrompt implements peer.PlacementHandler.
 func (p *Placer) PlacePrompt(request *peerpb.PlacePromptRequest) *peerpb.PlacePromptResponse {
-	q := engine.Query{FailureDomain: request.FailureDomain, InputBytes: request.InputBytes, Excluded: request.Excluded, AskOnly: request.AskOnly}
+	q := engine.Query{InputBytes: request.InputBytes, Excluded: request.Excluded, AskOnly: request.AskOnly}
 	for _, part := range request.Prompt {
 		q.Prompt = append(q.Prompt, engine.Part{ID: part.Id, Tokens: int(part.Tokens)})
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -50,7 +50,7 @@
 		return g.remake("a producer of inputs has left")
 	}
 	placed, ok := g.placer.Place(g.ctx, g.demand.ID, g.service.Name, engine.Query{
-		Prompt: g.demand.Prompt, FailureDomain: g.domain, InputBytes: g.inputBytes(), Excluded: g.tried,
+		Prompt: g.demand.Prompt, InputBytes: g.inputsByDomain(), Excluded: g.tried,
 	})
 	if !ok {
 		return g.giveUp("no server", retryLater, nil)
