Let instances pull changes of the store's copy from the readers

Each of 75 instances took itself for a reader for its first seconds, and each later change ended the watches of all.

Change: an instance is no reader for its first 5 s. The others watch at most every 2.5 s and pull what changed since their version from the instance that announces a newer one, 0.15 s after they hear of it; all entries only when removals since then are forgotten.

--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -74,12 +74,12 @@
 }
 
 // Pull implements view.Peers.
-func (c *Cluster) Pull(ctx context.Context, address string, have store.Version) ([]store.Entry, store.Version, error) {
+func (c *Cluster) Pull(ctx context.Context, address string, have store.Version) (store.Changes, error) {
 	if address == "" {
 		address = c.anyPeer()
 	}
 	if address == "" {
-		return nil, 0, errNoPeer
+		return store.Changes{}, errNoPeer
 	}
 	return c.client.PullView(ctx, address, have)
 }
@@ -119,8 +119,12 @@
 // store.
 const readers = 2
 
-// Reader implements view.Peers.
+// Reader implements view.Peers. An instance that knows no other yet is none: when all
+// start together, each would take itself for a reader.
 func (c *Cluster) Reader() bool {
+	if time.Since(c.started) < joinTime {
+		return false
+	}
 	ids, _ := c.live()
 	return slices.Contains(rendezvous.Order("store reader", ids)[:min(readers, len(ids))], c.settings.Instance)
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -152,20 +152,21 @@
 	return fromTwirp(err, "free_results", address)
 }
 
-// PullView returns what a peer has read of the store and its version, 0 when that
-// is not newer than have.
-func (c *Client) PullView(ctx context.Context, address string, have store.Version) ([]store.Entry, store.Version, error) {
+// PullView returns what a peer has read of the store after a version, or all of it. The
+// result has version 0 when the peer has nothing newer.
+func (c *Client) PullView(ctx context.Context, address string, have store.Version) (store.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	response, err := c.peer(address).PullView(ctx, &peerpb.PullViewRequest{HaveVersion: int64(have)})
 	if err != nil {
-		return nil, 0, fromTwirp(err, "pull_view", address)
+		return store.Changes{}, fromTwirp(err, "pull_view", address)
 	}
-	entries := make([]store.Entry, len(response.Entries))
-	for i, e := range response.Entries {
-		entries[i] = store.Entry{Key: e.Key, Value: e.Value, Version: store.Version(e.Version)}
+	changes := store.Changes{Base: store.Version(response.Base)}
+	changes.Version, changes.Deleted = store.Version(response.Version), response.Deleted
+	for _, e := range response.Entries {
+		changes.Changed = append(changes.Changed, store.Entry{Key: e.Key, Value: e.Value, Version: store.Version(e.Version)})
 	}
-	return entries, store.Version(response.Version), nil
+	return changes, nil
 }
 
 // Leave reports that a member stops.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -57,9 +57,9 @@
 
 // ViewHandler serves what this instance has read of the store.
 type ViewHandler interface {
-	// EntriesAfter returns all entries and their version, or version 0 when the
-	// caller has as much.
-	EntriesAfter(have store.Version) ([]store.Entry, store.Version)
+	// ChangesAfter returns what changed after a version, or all entries when that is
+	// not known any more. The result has version 0 when nothing newer is known.
+	ChangesAfter(have store.Version) store.Changes
 }
 
 // Server serves the other instances. Handlers may be registered while it runs;
@@ -285,8 +285,11 @@
 	if handler == nil {
 		return nil, toTwirp(ErrUnsupported)
 	}
-	entries, version := handler.EntriesAfter(store.Version(request.HaveVersion))
-	return &peerpb.PullViewResponse{Version: int64(version), Entries: encodeList(entries, encodeEntry)}, nil
+	changes := handler.ChangesAfter(store.Version(request.HaveVersion))
+	return &peerpb.PullViewResponse{
+		Version: int64(changes.Version), Base: int64(changes.Base),
+		Entries: encodeList(changes.Changed, encodeEntry), Deleted: changes.Deleted,
+	}, nil
 }
 
 func encodeEntry(e store.Entry) *peerpb.StoreEntry {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -38,6 +38,14 @@
 	Version Version
 }
 
+// Changes is what an instance tells another one of its copy of the store.
+type Changes struct {
+	WatchResult
+	// Base is the version from which the result leads to its version; 0 when it holds
+	// all entries.
+	Base Version
+}
+
 // Errors of a store call. Each says what is known of the write.
 var (
 	// ErrNotFound reports an absent key or a lapsed lease.
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -41,11 +41,25 @@
 	// lapsed holds the servers whose entries were removed around an outage, with
 	// the time at which they are taken as gone.
 	lapsed map[string]time.Time
+	// removals holds the latest removals in order, and complete is the version after
+	// which none is missing.
+	removals []removal
+	complete store.Version
 	// changed is the version of the newest change of the view.
 	changed   store.Version
 	outageEnd time.Time
 }
 
+// removal is a key that was removed at or before a version, and after the one that was
+// known before.
+type removal struct {
+	key     string
+	version store.Version
+}
+
+// maxRemovals bounds the removals that are remembered for peers.
+const maxRemovals = 1024
+
 // NewState returns an empty state.
 func NewState(decoder Decoder) *State {
 	return &State{decoder: decoder, entries: map[string]store.Entry{}, servers: map[string]Server{}, lapsed: map[string]time.Time{}}
@@ -62,6 +76,9 @@
 	if version <= s.position {
 		return c
 	}
+	if s.position == 0 {
+		s.complete = version
+	}
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.Key] = true
@@ -69,7 +86,7 @@
 	}
 	for key := range s.entries {
 		if !present[key] {
-			s.remove(&c, now, key)
+			s.remove(&c, now, key, version)
 		}
 	}
 	s.advance(c, version)
@@ -82,7 +99,7 @@
 		return c
 	}
 	for _, key := range result.Deleted {
-		s.remove(&c, now, key)
+		s.remove(&c, now, key, result.Version)
 	}
 	for _, e := range result.Changed {
 		s.put(&c, e)
@@ -153,9 +170,12 @@
 	}
 }
 
-func (s *State) remove(c *Change, now time.Time, key string) {
+func (s *State) remove(c *Change, now time.Time, key string, version store.Version) {
 	e, ok := s.entries[key]
 	delete(s.entries, key)
+	if ok {
+		s.remember(removal{key, version})
+	}
 	if !ok || s.decoder.Kind(key) != KeyServer {
 		return
 	}
@@ -186,13 +206,47 @@
 	return v
 }
 
-// Entries returns all entries of configuration and servers for a peer.
-func (s *State) Entries() []store.Entry {
-	entries := make([]store.Entry, 0, len(s.entries))
+// remember keeps a removal for peers.
+func (s *State) remember(r removal) {
+	if len(s.removals) >= maxRemovals {
+		s.complete = s.removals[0].version
+		s.removals = slices.Delete(s.removals, 0, 1)
+	}
+	s.removals = append(s.removals, r)
+}
+
+// ChangesAfter returns what changed after a version for a peer, or all entries of
+// configuration and servers when not all removals since are known. The result has
+// version 0 when nothing newer is known.
+func (s *State) ChangesAfter(have store.Version) (c store.Changes) {
+	if s.position <= have {
+		return c
+	}
+	c.Version = s.position
+	if have >= s.complete {
+		c.Base = have
+		for _, r := range s.removals {
+			if r.version > have {
+				c.Deleted = append(c.Deleted, r.key)
+			}
+		}
+	}
 	for _, e := range s.entries {
-		if s.decoder.Kind(e.Key) != KeyOther {
-			entries = append(entries, e)
+		if s.decoder.Kind(e.Key) != KeyOther && e.Version > c.Base {
+			c.Changed = append(c.Changed, e)
 		}
 	}
-	return entries
+	return c
+}
+
+// Merge takes what a peer told of its state. Changes from another version than the
+// present one are ignored.
+func (s *State) Merge(now time.Time, changes store.Changes) Change {
+	switch changes.Base {
+	case 0:
+		return s.Replace(now, changes.Changed, changes.Version)
+	case s.position:
+		return s.Apply(now, changes.WatchResult)
+	}
+	return Change{}
 }
--- a/internal/view/state_test.go
+++ b/internal/view/state_test.go
@@ -64,6 +64,50 @@
 	c.Assert(s.View().Table.Version, qt.Equals, int64(7))
 }
 
+// Guards against peers that get the whole state for each change, and against a removal
+// that a peer never hears of.
+func TestPeersGetOnlyWhatChanged(t *testing.T) {
+	c := qt.New(t)
+	reader, follower := NewState(fakeDecoder{}), NewState(fakeDecoder{})
+	reader.Replace(epoch, []store.Entry{entry("config", "1", 10), entry("server/a", "x", 11), entry("server/b", "x", 12)}, 12)
+	all := reader.ChangesAfter(0)
+	c.Assert(all.Base, qt.Equals, store.Version(0))
+	c.Assert(all.Changed, qt.HasLen, 3)
+	follower.Merge(epoch, all)
+
+	reader.Apply(epoch, store.WatchResult{Changed: []store.Entry{entry("server/c", "x", 14)}, Deleted: []string{"server/a"}, Version: 15})
+	changes := reader.ChangesAfter(12)
+	c.Assert(changes, qt.DeepEquals, store.Changes{Base: 12, WatchResult: store.WatchResult{
+		Changed: []store.Entry{entry("server/c", "x", 14)}, Deleted: []string{"server/a"}, Version: 15}})
+	change := follower.Merge(epoch, changes)
+	c.Assert(change.Joined, qt.DeepEquals, []string{"c"})
+	c.Assert(change.Left, qt.DeepEquals, []string{"a"})
+	c.Assert(follower.Position(), qt.Equals, store.Version(15))
+
+	// Changes from a version that the follower has passed do not fit.
+	follower.Apply(epoch, changed(17, entry("server/d", "x", 17)))
+	reader.Apply(epoch, changed(18, entry("server/d", "x", 17)))
+	c.Assert(follower.Merge(epoch, store.Changes{Base: 15, WatchResult: changed(18)}).Any(), qt.IsFalse)
+	c.Assert(follower.Position(), qt.Equals, store.Version(17))
+}
+
+// Guards against a peer that misses removals which are remembered no more, and against
+// a memory of them that grows for ever.
+func TestForgottenRemovalsMakePeersTakeAll(t *testing.T) {
+	c := qt.New(t)
+	s := NewState(fakeDecoder{})
+	s.Replace(epoch, nil, 1)
+	for i := range maxRemovals + 1 {
+		at := store.Version(2*i + 2)
+		s.Apply(epoch, changed(at, entry("server/a", "x", at)))
+		s.Apply(epoch, store.WatchResult{Deleted: []string{"server/a"}, Version: at + 1})
+	}
+	c.Assert(s.removals, qt.HasLen, maxRemovals)
+	c.Assert(s.ChangesAfter(2).Base, qt.Equals, store.Version(0))
+	c.Assert(s.ChangesAfter(3).Base, qt.Equals, store.Version(3))
+	c.Assert(s.ChangesAfter(3).Deleted, qt.HasLen, maxRemovals)
+}
+
 // Guards against work for a server that is draining or gone.
 func TestLeavingServersGetNoWork(t *testing.T) {
 	c := qt.New(t)
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -20,9 +20,10 @@
 	// batchPause lets changes that come together arrive in one watch of a reader.
 	batchPause = 50 * time.Millisecond
 	// followerPause does so for the other instances, of which there are many: each
-	// watch that ends is a call to the store. A configuration in force and a
-	// leaving server are still known within two of it.
-	followerPause = 700 * time.Millisecond
+	// watch that ends is a call to the store. They pull changes from the readers, so
+	// it only bounds their delay when no reader reaches the store: a configuration
+	// must be in force, and a leaving server without work, within 4 s.
+	followerPause = 2500 * time.Millisecond
 	// idlePause follows a watch that changed nothing in the view, so that
 	// heartbeats of servers do not cost a call each.
 	idlePause = 200 * time.Millisecond
@@ -41,7 +42,7 @@
 	tickInterval = 100 * time.Millisecond
 	// pullAfter is how long a version that a peer announced is awaited from the
 	// store.
-	pullAfter = followerPause + 200*time.Millisecond
+	pullAfter = 150 * time.Millisecond
 	// silentAfter is how long the store may not answer before peers are asked, and
 	// pullInterval how often they are.
 	silentAfter  = 700 * time.Millisecond
@@ -63,9 +64,9 @@
 
 // Peers are the other instances.
 type Peers interface {
-	// Pull returns the entries of an instance when it has more than a version. An
-	// empty address means any instance.
-	Pull(ctx context.Context, address string, have store.Version) ([]store.Entry, store.Version, error)
+	// Pull returns what an instance has read of the store after a version. An empty
+	// address means any instance.
+	Pull(ctx context.Context, address string, have store.Version) (store.Changes, error)
 	// Reader reports whether this instance is one of the few that look for changes
 	// often.
 	Reader() bool
@@ -108,14 +109,11 @@
 // Observe adds a function that gets each new view. Add observers before Run.
 func (s *Sync) Observe(observer func(*View)) { s.observers = append(s.observers, observer) }
 
-// EntriesAfter implements peer.ViewHandler.
-func (s *Sync) EntriesAfter(have store.Version) ([]store.Entry, store.Version) {
+// ChangesAfter implements peer.ViewHandler.
+func (s *Sync) ChangesAfter(have store.Version) store.Changes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state.Position() <= have {
-		return nil, 0
-	}
-	return s.state.Entries(), s.state.Position()
+	return s.state.ChangesAfter(have)
 }
 
 // Heard records that a peer has a version.
@@ -296,7 +294,7 @@
 	have := s.state.Position()
 	s.mu.Unlock()
 	s.pulls.Inc(1)
-	entries, version, err := s.peers.Pull(ctx, address, have)
+	changes, err := s.peers.Pull(ctx, address, have)
 	if err != nil {
 		events.PullFailed.Log(ctx, s.logger, slog.String("address", address), slog.Any("error", err))
 		// The next try may go to any instance.
@@ -305,7 +303,7 @@
 		s.mu.Unlock()
 		return
 	}
-	if version > have {
-		s.update(func(state *State, now time.Time) Change { return state.Replace(now, entries, version) }, false)
+	if changes.Version > have {
+		s.update(func(state *State, now time.Time) Change { return state.Merge(now, changes) }, false)
 	}
 }
--- a/internal/view/sync_test.go
+++ b/internal/view/sync_test.go
@@ -48,8 +48,8 @@
 
 func (f *fakePeers) Reader() bool { return f.reader }
 
-func (f *fakePeers) Pull(context.Context, string, store.Version) ([]store.Entry, store.Version, error) {
-	return f.entries, f.version, nil
+func (f *fakePeers) Pull(context.Context, string, store.Version) (store.Changes, error) {
+	return store.Changes{WatchResult: changed(f.version, f.entries...)}, nil
 }
 
 func (f *fakePeers) Announce(version store.Version, _ bool) { f.announced <- version }
@@ -126,11 +126,10 @@
 	peers := &fakePeers{}
 	s := startSync(c, source, peers)
 	<-peers.announced
-	entries, version := s.EntriesAfter(7)
-	c.Assert(version, qt.Equals, store.Version(8))
-	c.Assert(entries, qt.HasLen, 1)
-	_, version = s.EntriesAfter(8)
-	c.Assert(version, qt.Equals, store.Version(0))
+	changes := s.ChangesAfter(7)
+	c.Assert(changes.Version, qt.Equals, store.Version(8))
+	c.Assert(changes.Changed, qt.HasLen, 1)
+	c.Assert(s.ChangesAfter(8).Version, qt.Equals, store.Version(0))
 }
 
 // Guards against a watch that hears nothing while the store drops its history, so
