Run stages where their inputs are

Change: a stage whose inputs are larger than its results prefers the failure domain in which most inputs are. A job waits for a server there for 50 ms a megabyte of inputs and results, and no longer than lets it be on time; before, only large results waited, and until they would be late. The event of a send tells how many bytes of inputs cross.

--- a/internal/gateway/inputs.go
+++ b/internal/gateway/inputs.go
@@ -67,17 +67,32 @@
 // failure domain of their producers, which may not be the one that was chosen.
 func (g *generation) inputsByDomain() map[string]int64 {
 	bytes := map[string]int64{}
-	producers := g.views.Current().ByAddress
 	at := 0
 	for _, i := range g.graph.Final {
 		for range g.graph.Counts[i] {
-			bytes[producers[g.protocol.Producer(g.inputs[at])].FailureDomain] += g.route.Stages[i].ResultBytes
+			bytes[g.domainOf(g.inputs[at])] += g.route.Stages[i].ResultBytes
 			at++
 		}
 	}
 	return bytes
 }
 
+// domainOf returns the failure domain in which a result is held, or an empty string
+// when its producer is not registered any more.
+func (g *generation) domainOf(result string) string {
+	return g.views.Current().ByAddress[g.protocol.Producer(result)].FailureDomain
+}
+
+// crossing returns the size of the inputs that are in other failure domains.
+func crossing(inputs map[string]int64, domain string) (bytes int64) {
+	for at, size := range inputs {
+		if at != domain {
+			bytes += size
+		}
+	}
+	return bytes
+}
+
 // prepare runs the stages unless their results are held. It returns false when the
 // request has its answer or must be tried again.
 func (g *generation) prepare() (ready, ended bool) {
@@ -95,7 +110,7 @@
 		RequestID: g.demand.ID, Key: g.demand.PieceKey, Table: g.view.Table, Route: g.route, Graph: g.graph, Priority: g.priority,
 		Due:           g.arrived.Add(g.route.Target - typical),
 		Deadline:      g.stagesDeadline(typical),
-		FailureDomain: g.domain,
+		FailureDomain: g.domain, DomainOf: g.domainOf,
 	})
 	if err == nil {
 		g.inputs = inputs
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -86,6 +86,8 @@
 	Deadline time.Time
 	// FailureDomain is where the model server stands.
 	FailureDomain string
+	// DomainOf returns the failure domain in which a result is held.
+	DomainOf func(result string) string
 }
 
 // run is the state of a chain.
@@ -305,21 +307,40 @@
 	request := &peerpb.RunStageRequest{
 		Service: stage.Service, RequestId: r.RequestID, Stage: int32(i), Key: r.Key, Inputs: inputs,
 		ResultBytes: stage.ResultBytes, Priority: int32(r.Priority),
-		DueMs:         time.Until(r.Due.Add(-tail)).Milliseconds(),
-		DeadlineMs:    min(time.Until(r.Deadline.Add(-tail)), r.inputsLife(i)).Milliseconds(),
-		FailureDomain: r.FailureDomain, Started: begun,
+		DueMs:      time.Until(r.Due.Add(-tail)).Milliseconds(),
+		DeadlineMs: min(time.Until(r.Deadline.Add(-tail)), r.inputsLife(i)).Milliseconds(),
+		Started:    begun,
 	}
 	for _, j := range r.Graph.After[i] {
 		before := r.Route.Stages[j]
 		request.InputBytes += int64(r.Graph.Counts[j]) * before.ResultBytes
 		request.TellFetched = request.TellFetched || r.roomShort(before.Service)
 	}
+	request.FailureDomain = r.domain(request)
 	for piece := range r.Graph.Counts[i] {
 		request.Pieces = append(request.Pieces, int32(piece))
 	}
 	return request
 }
 
+// domain returns the failure domain in which a stage should run: where most of its
+// inputs are, as each piece fetches all of them, or where its results are used when
+// those are larger.
+func (r *run) domain(request *peerpb.RunStageRequest) string {
+	if request.InputBytes <= request.ResultBytes {
+		return r.FailureDomain
+	}
+	held := map[string]int{}
+	most := r.FailureDomain
+	for _, input := range request.Inputs {
+		at := r.DomainOf(input)
+		if held[at]++; held[at] > held[most] {
+			most = at
+		}
+	}
+	return most
+}
+
 // inputsLife returns how long the inputs of a stage are kept, if they were made just
 // now. A stage that waits longer would find them gone.
 func (r *run) inputsLife(i int) time.Duration {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -49,8 +49,9 @@
 	if !g.producersLive() {
 		return g.remake("a producer of inputs has left")
 	}
+	inputs := g.inputsByDomain()
 	placed, ok := g.placer.Place(g.ctx, g.demand.ID, g.service.Name, engine.Query{
-		Prompt: g.demand.Prompt, InputBytes: g.inputsByDomain(), Excluded: g.tried,
+		Prompt: g.demand.Prompt, InputBytes: inputs, Excluded: g.tried,
 	})
 	if !ok {
 		return g.giveUp("no server", retryLater, nil)
@@ -64,7 +65,7 @@
 	sent := time.Now()
 	g.log(events.AttemptSent, slog.String("server", placed.Server), slog.String("route", g.route.Name), slog.Int("try", len(g.tried)),
 		slog.Int64("left_ms", g.remaining().Milliseconds()), slog.Int("inputs", len(g.inputs)), slog.Int64("expected_ms", placed.Expected.Milliseconds()),
-		slog.String("copy_from", placed.CopyFrom),
+		slog.String("copy_from", placed.CopyFrom), slog.Int64("crossing_bytes", crossing(inputs, placed.FailureDomain)),
 		slog.Int64("view", g.viewVersion()))
 	source, _ := g.fleet.Server(placed.CopyFrom)
 	request := g.outgoing(target, Send{Urgency: &urgency, Inputs: g.inputs, LastEventID: g.lastID, CopyFrom: source.Address})
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -483,6 +483,19 @@
 	c.Assert(asked.all(), qt.HasLen, 2)
 }
 
+// Guards against pieces that fetch their inputs from another failure domain although
+// these are larger than their results, and the other way round.
+func TestStagesRunWhereMostBytesAre(t *testing.T) {
+	c := qt.New(t)
+	domains := map[string]string{"1": "a", "2": "b", "3": "b", "4": ""}
+	r := &run{Chain: Chain{FailureDomain: "c", DomainOf: func(result string) string { return domains[result] }}}
+	request := &peerpb.RunStageRequest{Inputs: []string{"1", "2", "3"}, InputBytes: 300, ResultBytes: 100}
+	c.Assert(r.domain(request), qt.Equals, "b")
+	request.ResultBytes = 300
+	c.Assert(r.domain(request), qt.Equals, "c")
+	c.Assert(r.domain(&peerpb.RunStageRequest{ResultBytes: 1}), qt.Equals, "c")
+}
+
 // Guards against a stage that waits until its inputs are gone, which costs a call and
 // the work of the stages before.
 func TestStagesEndBeforeTheLifeOfTheirInputs(t *testing.T) {
--- a/stagework/call.go
+++ b/stagework/call.go
@@ -113,11 +113,12 @@
 	return nil
 }
 
-// mayCross reports whether a result may be made in another failure domain than the
-// one that uses it: always when it is small, otherwise when waiting for a server
-// of the own domain would make it late.
+// mayCross reports whether a job may run in another failure domain than its own:
+// always when its inputs and results are small, otherwise when its own domain has no
+// server soon, or so late that the job would be.
 func (q *Queue) mayCross(j *job, now time.Time) bool {
-	if j.ResultBytes < heavyResult {
+	bytes := int64(len(j.waiting)) * (j.InputBytes + j.ResultBytes)
+	if bytes < heavyJob {
 		return true
 	}
 	near, found := q.nearestEnd(j.FailureDomain, now)
@@ -125,7 +126,9 @@
 		return true
 	}
 	end := near.Add(q.shape.CallDuration(min(q.shape.Batch, len(j.Pieces))))
-	return end.After(j.Due)
+	const megabyte = 1e6
+	patience := time.Duration(float64(bytes) / megabyte * float64(crossPatience))
+	return end.After(j.Due) || near.Sub(now) > patience
 }
 
 // nearestEnd returns when the first server of a failure domain is expected to be
--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -47,9 +47,10 @@
 	shortLife = time.Second
 	// factorLife is how long the slowness of a server is believed without a call.
 	factorLife = 3 * time.Second
-	// heavyResult is the size from which a result should stay in the failure
-	// domain in which it is used.
-	heavyResult = 100 << 10
+	// heavyJob is the size of inputs and results from which a job should run in its
+	// failure domain, and crossPatience how long it waits for that for each megabyte.
+	heavyJob      = 100 << 10
+	crossPatience = 50 * time.Millisecond
 )
 
 type job struct {
