--- a/cmd/coltsfootdrift/main.go
+++ b/cmd/coltsfootdrift/main.go
@@ -6,6 +6,8 @@
 	"os"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/cli"
+	// SIGHUP must not end a process that has just started.
+	_ "github.com/coltsfootdrift/coltsfootdrift/internal/hangup"
 )
 
 func main() {
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -54,6 +54,8 @@
 	"head-of-line": headOfLine,
 	"regions":      regions,
 	"overhead":     overhead,
+	"stages":       stages,
+	"admission":    admission,
 }
 
 // Run measures all policies of an experiment in turn, repeatedly. The arrivals
--- /dev/null
+++ b/internal/experiment/stages_test.go
@@ -0,0 +1,30 @@
+package experiment
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a change of the stage queue under which baselines that share nothing,
+// or refuse nothing, answer as many requests on time under a burst.
+func TestStagePoliciesBeatTheirBaselines(t *testing.T) {
+	c := qt.New(t)
+	for _, name := range []string{"stages", "admission"} {
+		report, err := Run(name, 1, 3)
+		c.Assert(err, qt.IsNil)
+		for _, goal := range report.Goals {
+			c.Check(goal.Reached, qt.IsTrue, qt.Commentf("%s: %s is %.3f", name, goal.Figure, goal.Median))
+		}
+	}
+}
+
+// Guards against an experiment whose figures change from run to run.
+func TestStageExperimentsRepeat(t *testing.T) {
+	c := qt.New(t)
+	first, err := Run("stages", 7, 1)
+	c.Assert(err, qt.IsNil)
+	second, err := Run("stages", 7, 1)
+	c.Assert(err, qt.IsNil)
+	c.Assert(second, qt.DeepEquals, first)
+}
--- /dev/null
+++ b/internal/experiment/stagesim.go
@@ -0,0 +1,227 @@
+package experiment
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/stagework"
+)
+
+// stageShape is the stage server of the experiments.
+var stageShape = stagework.Shape{
+	Slots: 1, Batch: 8, CallTime: 200 * time.Millisecond, PieceTime: 20 * time.Millisecond,
+	RoomBytes: 12 * stageResult, ResultLife: 4 * time.Second,
+}
+
+const (
+	// stageResult is the size in bytes of a result, of which a server holds twelve.
+	stageResult    = 1_500_000
+	stageServers   = 4
+	stageInstances = 9
+	stageTarget    = 900 * time.Millisecond
+	stageDeadline  = 3 * time.Second
+	mostPieces     = 6
+	// firstEventAfter is how long after the send of a request its model server sends
+	// the first event.
+	firstEventAfter = 350 * time.Millisecond
+	reviewEvery     = 25 * time.Millisecond
+)
+
+// stageArrival is one request that needs pieces of the stage.
+type stageArrival struct {
+	at       time.Duration
+	instance int
+	pieces   int
+}
+
+// stageArrivals returns requests at a rate per second, three times as many in the
+// middle third.
+func stageArrivals(perSecond float64, length time.Duration, seed uint64) (arrivals []stageArrival) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	for at := time.Duration(0); ; {
+		rate := perSecond
+		if at > length/3 && at < 2*length/3 {
+			rate *= 3
+		}
+		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+		if at >= length {
+			return arrivals
+		}
+		arrivals = append(arrivals, stageArrival{at, random.IntN(stageInstances), 1 + random.IntN(mostPieces)})
+	}
+}
+
+// stagePolicy is how instances use the stage servers.
+type stagePolicy struct {
+	// queues is the number of queues that instances divide among them.
+	queues int
+	// alone gives each request a call of its own.
+	alone bool
+	// freedAfter is how long after a stage its results are freed.
+	freedAfter time.Duration
+	// offered returns the job of a request; its times are those that the queue knows.
+	offered func(j stagework.Job, now time.Time) stagework.Job
+}
+
+// stageSim plays requests in virtual time.
+type stageSim struct {
+	policy   stagePolicy
+	agenda   agenda
+	queues   []*stagework.Queue
+	busy     map[string]bool
+	requests map[stagework.JobID]stageRequest
+	figures  stageFigures
+}
+
+type stageRequest struct {
+	due, deadline time.Time
+	pieces        int
+}
+
+// stageFigures count what became of the requests.
+type stageFigures struct {
+	all, onTime, served, refused int
+	calls, turnedAway            int
+	produced, used               int
+	// refusedAfter is the sum of the times after which requests were refused.
+	refusedAfter time.Duration
+}
+
+// event is something that happens at a virtual time.
+type event struct {
+	at  time.Time
+	run func(now time.Time)
+}
+
+type agenda []event
+
+func (a agenda) Len() int           { return len(a) }
+func (a agenda) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
+func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)        { *a = append(*a, x.(event)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// playStages plays arrivals under a policy.
+func playStages(policy stagePolicy, arrivals []stageArrival) stageFigures {
+	s := &stageSim{policy: policy, busy: map[string]bool{}, requests: map[stagework.JobID]stageRequest{}}
+	var servers []stagework.Server
+	for i := range stageServers {
+		servers = append(servers, stagework.Server{ID: fmt.Sprint(i), FailureDomain: "d"})
+	}
+	for range policy.queues {
+		q := stagework.NewQueue(stageShape)
+		q.SetServers(servers)
+		s.queues = append(s.queues, q)
+	}
+	epoch := time.Unix(0, 0)
+	for i, a := range arrivals {
+		s.after(epoch, a.at, func(now time.Time) { s.arrive(stagework.JobID(i+1), a, now) })
+	}
+	end := arrivals[len(arrivals)-1].at + stageDeadline
+	for at := time.Duration(0); at < end; at += reviewEvery {
+		s.after(epoch, at, s.review)
+	}
+	for s.agenda.Len() > 0 {
+		e := heap.Pop(&s.agenda).(event)
+		e.run(e.at)
+	}
+	return s.figures
+}
+
+func (s *stageSim) after(now time.Time, d time.Duration, run func(time.Time)) {
+	heap.Push(&s.agenda, event{now.Add(d), run})
+}
+
+func (s *stageSim) arrive(id stagework.JobID, a stageArrival, now time.Time) {
+	r := stageRequest{now.Add(stageTarget), now.Add(stageDeadline), a.pieces}
+	s.figures.all++
+	job := stagework.Job{ID: id, ResultBytes: stageResult, FailureDomain: "d", Due: r.due, Deadline: r.deadline}
+	for piece := range a.pieces {
+		job.Pieces = append(job.Pieces, piece)
+	}
+	if s.policy.offered != nil {
+		job = s.policy.offered(job, now)
+	}
+	if _, ok := s.queues[a.instance%len(s.queues)].Offer(now, job); !ok {
+		s.figures.refused++
+		return
+	}
+	s.requests[id] = r
+	s.pump(now)
+}
+
+func (s *stageSim) review(now time.Time) {
+	for _, q := range s.queues {
+		s.apply(q, q.Expire(now), now)
+	}
+	s.pump(now)
+}
+
+// pump makes the calls that the queues ask for. A busy server turns them away.
+func (s *stageSim) pump(now time.Time) {
+	for _, q := range s.queues {
+		for {
+			if s.policy.alone {
+				shape := stageShape
+				shape.Batch = max(1, q.FirstWaiting(now))
+				q.SetShape(shape)
+			}
+			call, ok := q.Next(now)
+			if !ok {
+				break
+			}
+			s.figures.calls++
+			if s.busy[call.Server] {
+				s.figures.turnedAway++
+				s.after(now, time.Millisecond, func(now time.Time) {
+					q.Finished(now, call.ID, stagework.SameOutcome(stagework.Refused, len(call.Items)))
+				})
+				continue
+			}
+			s.busy[call.Server] = true
+			s.after(now, stageShape.CallDuration(len(call.Items)), func(now time.Time) { s.end(q, call, now) })
+		}
+	}
+}
+
+func (s *stageSim) end(q *stagework.Queue, call stagework.Call, now time.Time) {
+	s.busy[call.Server] = false
+	outcomes := make([]stagework.Outcome, len(call.Items))
+	for i, item := range call.Items {
+		outcomes[i].Result = fmt.Sprintf("%s/%d-%d", call.Server, item.Job, item.Piece)
+	}
+	s.figures.produced += len(outcomes)
+	s.apply(q, q.Finished(now, call.ID, outcomes), now)
+	s.pump(now)
+}
+
+func (s *stageSim) apply(q *stagework.Queue, e stagework.Effects, now time.Time) {
+	q.Freed(e.Orphans)
+	for _, done := range e.Done {
+		r := s.requests[done.Job]
+		switch {
+		case done.Refusal != "":
+			s.figures.refused++
+			s.figures.refusedAfter += now.Sub(r.deadline.Add(-stageDeadline))
+			continue
+		case now.After(r.deadline):
+		case now.After(r.due):
+			s.figures.served++
+			s.figures.used += r.pieces
+		default:
+			s.figures.served++
+			s.figures.onTime++
+			s.figures.used += r.pieces
+		}
+		s.after(now, s.policy.freedAfter, func(now time.Time) {
+			q.Freed(done.Results)
+			s.pump(now)
+		})
+	}
+}
--- a/stagework/estimate.go
+++ b/stagework/estimate.go
@@ -54,3 +54,15 @@
 	full := pieces / q.shape.Batch
 	return soonest + time.Duration(full)*perCall/time.Duration(servers*q.shape.Slots)
 }
+
+// FirstWaiting returns the number of waiting pieces of the job that ranks first among
+// those with any, 0 when none waits.
+func (q *Queue) FirstWaiting(now time.Time) int {
+	q.sort(now)
+	for _, j := range q.order {
+		if len(j.waiting) > 0 {
+			return len(j.waiting)
+		}
+	}
+	return 0
+}
--- a/stagework/load_test.go
+++ b/stagework/load_test.go
@@ -105,16 +105,7 @@
 	for _, q := range s.queues {
 		for {
 			if s.perRequest {
-				q.shape.Batch = 1
-				if len(q.order) > 0 {
-					q.sort(now)
-					for _, j := range q.order {
-						if len(j.waiting) > 0 {
-							q.shape.Batch = len(j.waiting)
-							break
-						}
-					}
-				}
+				q.shape.Batch = max(1, q.FirstWaiting(now))
 			}
 			call, ok := q.Next(now)
 			if !ok {
