--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -253,10 +253,22 @@
 		attrs = append(attrs, slog.Int64("configuration", next.Table.Version))
 	}
 	attrs = append(attrs, slog.Bool("new_configuration", change.Configuration),
-		slog.Any("joined", change.Joined), slog.Any("drained", change.Drained), slog.Any("left", change.Left))
+		servers("joined", change.Joined), servers("drained", change.Drained), servers("left", change.Left))
 	events.ViewChanged.Log(context.Background(), s.logger, attrs...)
 }
 
+// loggedServers bounds the servers that one line names: the first view has all.
+const loggedServers = 20
+
+// servers returns an attribute that names servers, or tells their number when there
+// are many.
+func servers(name string, ids []string) slog.Attr {
+	if len(ids) > loggedServers {
+		return slog.Int(name, len(ids))
+	}
+	return slog.Any(name, ids)
+}
+
 func (s *Sync) logRejected(change Change) {
 	for _, r := range change.Rejected {
 		events.EntryRejected.Log(context.Background(), s.logger, slog.String("key", r.Key), slog.Any("error", r.Error))
--- a/internal/view/sync_test.go
+++ b/internal/view/sync_test.go
@@ -151,3 +151,11 @@
 		c.Assert(<-waits <= readerWait, qt.Equals, reader)
 	}
 }
+
+// Guards against log lines that grow with the deployment.
+func TestLinesNameFewServers(t *testing.T) {
+	c := qt.New(t)
+	ids := make([]string, loggedServers+1)
+	c.Assert(servers("joined", ids).Value.Any(), qt.Equals, any(int64(loggedServers+1)))
+	c.Assert(servers("joined", ids[1:]).Value.Any(), qt.DeepEquals, any(ids[1:]))
+}
