Hand stages over when an instance stops

An instance that stopped kept forming calls from its queue beside the one that took its place, up to 7 s long: the stage servers were asked for 9.9 of 5 servers' time, calls waited at the servers behind each other and found the memory for results taken.

Change: once the others know that it leaves, an instance refuses the stages that have not begun as moved, and their requesters ask the next one. It finishes those that have begun, and takes stages that it is the last to be asked for.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -215,6 +215,7 @@
 	leaving, cancel := context.WithTimeout(ctx, leaveBudget)
 	d.Cluster.Leave(leaving)
 	cancel()
+	d.Caller.HandOver()
 	for !d.Drain.done(time.Now(), d.Gateway.Running()) {
 		clock.Sleep(ctx, drainPoll)
 	}
--- a/internal/gateway/stageask.go
+++ b/internal/gateway/stageask.go
@@ -26,13 +26,13 @@
 func (r *run) ask(ctx context.Context, i int, inputs []string) ([]string, error) {
 	stage := r.Route.Stages[i]
 	callers := r.cluster.Callers(stage.Service)
+	callers = callers[:min(maxCallers, len(callers))]
 	var failed error
 	for try, address := range callers {
-		if try >= maxCallers {
-			break
-		}
 		started := time.Now()
-		response, err := r.askOne(ctx, address, i, r.request(i, inputs))
+		request := r.request(i, inputs)
+		request.Forced = try == len(callers)-1
+		response, err := r.askOne(ctx, address, i, request)
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
@@ -43,6 +43,10 @@
 				slog.Int64("waited_ms", time.Since(started).Milliseconds()), slog.Any("error", err))
 			continue
 		}
+		if response.Refusal == string(stagework.RefusedMoved) {
+			r.cluster.Avoid(address)
+			continue
+		}
 		events.StageEnded.Log(ctx, r.logger, slog.String("id", r.RequestID), slog.Int("stage", i), slog.String("service", stage.Service),
 			slog.Int("pieces", r.Graph.Counts[i]), slog.String("caller", address), slog.Int64("took_ms", time.Since(started).Milliseconds()),
 			slog.Int64("left_ms", time.Until(r.Deadline).Milliseconds()), slog.Int64("queue_ms", response.WaitMs), slog.String("refusal", response.Refusal))
--- a/internal/gateway/stagecaller.go
+++ b/internal/gateway/stagecaller.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +43,8 @@
 
 	mu     sync.Mutex
 	queues map[string]*serviceQueue
+	// stopping is true once the queues were handed over.
+	stopping bool
 }
 
 // NewStageCaller returns a caller without services.
@@ -105,6 +109,9 @@
 	if w == nil {
 		return &peerpb.RunStageResponse{Refusal: string(stagework.RefusedNoServer)}, nil
 	}
+	if s.handedOver() && !request.Forced {
+		return &peerpb.RunStageResponse{Refusal: string(stagework.RefusedMoved)}, nil
+	}
 	job := &stageJob{request: request, done: make(chan stagework.Done, 1)}
 	if request.TellFetched {
 		job.fetched = make(chan struct{})
@@ -118,6 +125,28 @@
 	return s.await(ctx, w, id, job)
 }
 
+// HandOver gives the stages that have not begun back to their requesters, which ask
+// another instance. Two instances that form calls for the same servers take room and
+// slots from each other.
+func (s *StageCaller) HandOver() {
+	s.mu.Lock()
+	s.stopping = true
+	queues := slices.Collect(maps.Values(s.queues))
+	s.mu.Unlock()
+	for _, w := range queues {
+		w.mu.Lock()
+		effects := w.queue.HandOver()
+		w.mu.Unlock()
+		s.apply(w, effects)
+	}
+}
+
+func (s *StageCaller) handedOver() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
 // AwaitStage implements peer.StageHandler.
 func (s *StageCaller) AwaitStage(ctx context.Context, request *peerpb.AwaitStageRequest) (*peerpb.RunStageResponse, error) {
 	w := s.queueOf(request.Service, false)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -359,6 +359,49 @@
 	c.Assert(errors.Is(err, errUnknownJob), qt.IsTrue)
 }
 
+// Guards against a stopping instance that goes on forming calls beside the one that
+// takes its place, and against a stage that no instance takes because all stop.
+func TestStoppingInstancesHandStagesOver(t *testing.T) {
+	c := qt.New(t)
+	w := generating(c, false, route.Stage{Service: "stage"})
+	w.config.Services[1].Work.Batch = 1
+	begun, release := make(chan struct{}, 4), make(chan struct{})
+	w.backend("stage", func(rw http.ResponseWriter, _ *http.Request) {
+		begun <- struct{}{}
+		<-release
+		_ = json.NewEncoder(rw).Encode([]stagework.Outcome{{Result: "m/1"}})
+	})
+	w.start()
+	run := func(id string, forced bool) (*peerpb.RunStageResponse, error) {
+		return w.caller.RunStage(c.Context(), &peerpb.RunStageRequest{Service: "stage", RequestId: id, Pieces: []int32{0}, DueMs: 9000, DeadlineMs: 9000, Forced: forced})
+	}
+	answers := make(chan *peerpb.RunStageResponse, 2)
+	ask := func(id string) {
+		response, err := run(id, false)
+		c.Check(err, qt.IsNil)
+		answers <- response
+	}
+	go ask("first")
+	<-begun
+	go ask("second")
+	eventually(c, func() bool {
+		w := w.caller.queueOf("stage", false)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return len(w.jobs) == 2
+	})
+	w.caller.HandOver()
+	c.Assert((<-answers).Refusal, qt.Equals, string(stagework.RefusedMoved))
+	response, err := run("third", false)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Refusal, qt.Equals, string(stagework.RefusedMoved))
+	close(release)
+	c.Assert((<-answers).Refusal, qt.Equals, "")
+	response, err = run("fourth", true)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Refusal, qt.Not(qt.Equals), string(stagework.RefusedMoved))
+}
+
 // Guards against bytes of an event that are changed, joined or lost.
 func TestEventReader(t *testing.T) {
 	c := qt.New(t)
--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -217,6 +217,17 @@
 	e.Done = append(e.Done, Done{Job: j.ID, Refusal: why})
 }
 
+// HandOver refuses the jobs of which no piece is in a call or produced, so that another
+// queue takes them. The others end here.
+func (q *Queue) HandOver() (e Effects) {
+	for _, j := range slices.Clone(q.order) {
+		if len(j.waiting) == len(j.Pieces) {
+			q.refuse(&e, j, RefusedMoved)
+		}
+	}
+	return e
+}
+
 // Expire refuses the jobs that can't end in time any more, and offers the pieces
 // of overdue calls to other servers. Call it every few tens of milliseconds.
 func (q *Queue) Expire(now time.Time) Effects {
--- a/stagework/queue_test.go
+++ b/stagework/queue_test.go
@@ -387,3 +387,22 @@
 	c.Assert(q.RoomShort(epoch), qt.IsTrue)
 	c.Assert(q.RoomShort(epoch.Add(shortLife)), qt.IsFalse)
 }
+
+// Guards against a handover that loses what has begun, or keeps what has not.
+func TestHandOverKeepsWhatHasBegun(t *testing.T) {
+	c := qt.New(t)
+	q := queue("a")
+	offer(c, q, request(1, 10))
+	second := request(2, 3)
+	second.Due = epoch.Add(3 * time.Second)
+	offer(c, q, second)
+	call, _ := q.Next(epoch)
+	c.Assert(call.Items, qt.HasLen, 8)
+	c.Assert(q.HandOver().Done, qt.DeepEquals, []Done{{Job: 2, Refusal: RefusedMoved}})
+	later := epoch.Add(shape.CallDuration(8))
+	c.Assert(q.Finished(later, call.ID, produce(call)).Done, qt.HasLen, 0)
+	rest, _ := q.Next(later)
+	done := q.Finished(later, rest.ID, produce(rest)).Done
+	c.Assert(done, qt.HasLen, 1)
+	c.Assert(done[0].Results, qt.HasLen, 10)
+}
--- a/stagework/stagework.go
+++ b/stagework/stagework.go
@@ -134,6 +134,9 @@
 	RefusedInputGone Refusal = "input_gone"
 	// RefusedFailed jobs failed at several servers.
 	RefusedFailed Refusal = "failed"
+	// RefusedMoved jobs had not begun when the instance that forms the calls began to
+	// stop. Another instance takes them.
+	RefusedMoved Refusal = "moved"
 )
 
 // Done is a job that has ended.
