End the long watch of an instance that becomes a reader

Both readers of norte had been killed and started at 18.7. As an instance is no reader for its first 5 s, they began a watch of 10 s at 20.8; while the store compacted, it told waiting watches nothing, and the readers of the other region were cut off. A follower that takes the place of a lost reader has the same gap.

Change: an instance that becomes a reader ends its long watch and begins short ones. Ruled out: the pulls from peers, which came within 0.25 s of the first instance that knew.

Test: TestNewReadersDoNotFinishALongWatch, which failed before. Besides, a stage that a stopping instance gives back has a line in the log, and some names are clearer.

--- a/engine/copy.go
+++ b/engine/copy.go
@@ -19,9 +19,9 @@
 	unread int
 }
 
-// source returns the server that keeps most of a prompt. Of equal ones it is that of
+// bestSource returns the server that keeps most of a prompt. Of equal ones it is that of
 // the own region, then the one from which was copied least recently.
-func (s *Set) source(now time.Time, prompt []Part) (best source) {
+func (s *Set) bestSource(now time.Time, prompt []Part) (best source) {
 	for _, c := range s.list {
 		if now.Before(c.pausedUntil) {
 			continue
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -156,12 +156,12 @@
 		return Placement{}, false
 	}
 	key := sharedKey(q.Prompt)
-	from := s.source(now, q.Prompt)
+	from := s.bestSource(now, q.Prompt)
 	var best *state
 	var bestCost time.Duration
 	var bestNeed need
 	for _, c := range candidates {
-		n := s.need(c, q.Prompt, from)
+		n := s.needOf(c, q.Prompt, from)
 		if cost := s.cost(c, now, q, n, key); best == nil || cost < bestCost {
 			best, bestCost, bestNeed = c, cost, n
 		}
@@ -205,8 +205,8 @@
 	copied int
 }
 
-// need returns what a server has to do for a prompt.
-func (s *Set) need(c *state, prompt []Part, from source) need {
+// needOf returns what a server has to do for a prompt.
+func (s *Set) needOf(c *state, prompt []Part, from source) need {
 	unread, shared := c.unread(prompt)
 	copied := from.copied(c, unread)
 	return need{read: unread - copied, reread: max(0, shared-copied), copied: copied}
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -36,4 +36,5 @@
 	PlacerChanged   = define(7215, slog.LevelInfo, "instance places the prompts of a service")
 	CacheUnknown    = define(7216, slog.LevelInfo, "model server did not tell which prompt parts it keeps")
 	ShareFailed     = define(7217, slog.LevelInfo, "another region was not told what model servers keep")
+	StageMoved      = define(7218, slog.LevelInfo, "stopping instance gave a stage back")
 )
--- a/internal/gateway/stageask.go
+++ b/internal/gateway/stageask.go
@@ -15,7 +15,8 @@
 
 const (
 	// silenceLimit is how long an instance that forms calls may stay silent: it
-	// answers within pendingAfter even when the stage has not ended.
+	// answers within pendingAfter even when the stage has not ended. The rest leaves
+	// a slow machine time.
 	silenceLimit = pendingAfter + 350*time.Millisecond
 	// maxCallers is the number of instances that are asked for one stage.
 	maxCallers = 3
@@ -45,6 +46,7 @@
 		}
 		if response.Refusal == string(stagework.RefusedMoved) {
 			r.cluster.Avoid(address)
+			events.StageMoved.Log(ctx, r.logger, slog.String("id", r.RequestID), slog.Int("stage", i), slog.String("address", address))
 			continue
 		}
 		events.StageEnded.Log(ctx, r.logger, slog.String("id", r.RequestID), slog.Int("stage", i), slog.String("service", stage.Service),
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -59,6 +59,9 @@
 	Watch(ctx context.Context, prefix string, after store.Version) (store.WatchResult, error)
 }
 
+// errBecameReader ends the long watch of an instance that has become a reader.
+var errBecameReader = errors.New("instance has become a reader of the store")
+
 // ErrHistoryLost reports a watch from a version whose changes the store dropped.
 var ErrHistoryLost = errors.New("history of the store is no longer available")
 
@@ -93,6 +96,8 @@
 	heardAt      time.Time
 	heardAddress string
 	pulledAt     time.Time
+	// endWatch ends the watch of a follower that waits; nil otherwise.
+	endWatch context.CancelCauseFunc
 }
 
 // NewSync returns a Sync that knows nothing.
@@ -145,6 +150,9 @@
 			clock.Sleep(ctx, s.pause(changed))
 			continue
 		}
+		if errors.Is(err, errBecameReader) {
+			continue
+		}
 		if errors.Is(err, ErrHistoryLost) {
 			known = false
 			continue
@@ -175,13 +183,7 @@
 	s.mu.Lock()
 	after := s.state.Position()
 	s.mu.Unlock()
-	wait := followerWait
-	if s.peers.Reader() {
-		wait = readerWait
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	result, err := s.source.Watch(ctx, "", after)
+	result, err := s.watch(ctx, after)
 	if err != nil {
 		return false, err
 	}
@@ -189,6 +191,46 @@
 	return change.Any(), nil
 }
 
+// watch waits for changes after a version: a reader not for long, the others until they
+// become one.
+func (s *Sync) watch(ctx context.Context, after store.Version) (store.WatchResult, error) {
+	wait := readerWait
+	if !s.peers.Reader() {
+		wait = followerWait
+		ended, end := context.WithCancelCause(ctx)
+		ctx = ended
+		s.setEndWatch(end)
+		defer s.setEndWatch(nil)
+		defer end(nil)
+	}
+	bounded, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	result, err := s.source.Watch(bounded, "", after)
+	if err != nil && errors.Is(context.Cause(ctx), errBecameReader) {
+		return result, errBecameReader
+	}
+	return result, err
+}
+
+func (s *Sync) setEndWatch(end context.CancelCauseFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endWatch = end
+}
+
+// becomeReader ends the long watch of an instance that has become a reader: the store
+// may tell waiting watches nothing for a while.
+func (s *Sync) becomeReader() {
+	if !s.peers.Reader() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.endWatch != nil {
+		s.endWatch(errBecameReader)
+	}
+}
+
 func (s *Sync) snapshot(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
@@ -253,16 +295,16 @@
 		attrs = append(attrs, slog.Int64("configuration", next.Table.Version))
 	}
 	attrs = append(attrs, slog.Bool("new_configuration", change.Configuration),
-		servers("joined", change.Joined), servers("drained", change.Drained), servers("left", change.Left))
+		serversAttr("joined", change.Joined), serversAttr("drained", change.Drained), serversAttr("left", change.Left))
 	events.ViewChanged.Log(context.Background(), s.logger, attrs...)
 }
 
 // loggedServers bounds the servers that one line names: the first view has all.
 const loggedServers = 20
 
-// servers returns an attribute that names servers, or tells their number when there
+// serversAttr returns an attribute that names servers, or tells their number when there
 // are many.
-func servers(name string, ids []string) slog.Attr {
+func serversAttr(name string, ids []string) slog.Attr {
 	if len(ids) > loggedServers {
 		return slog.Int(name, len(ids))
 	}
@@ -279,6 +321,7 @@
 func (s *Sync) watchPeers(ctx context.Context) {
 	for clock.Sleep(ctx, tickInterval) {
 		s.update(func(state *State, now time.Time) Change { return state.Tick(now) }, false)
+		s.becomeReader()
 		if address, due := s.pullDue(time.Now()); due {
 			s.pull(ctx, address)
 		}
--- a/internal/view/sync_test.go
+++ b/internal/view/sync_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,9 +45,11 @@
 	version   store.Version
 	announced chan store.Version
 	reader    bool
+	// becomes makes this instance a reader.
+	becomes atomic.Bool
 }
 
-func (f *fakePeers) Reader() bool { return f.reader }
+func (f *fakePeers) Reader() bool { return f.reader || f.becomes.Load() }
 
 func (f *fakePeers) Pull(context.Context, string, store.Version) (store.Changes, error) {
 	return store.Changes{WatchResult: changed(f.version, f.entries...)}, nil
@@ -152,10 +155,32 @@
 	}
 }
 
+// Guards against an instance that becomes a reader while its watch waits long: two
+// readers that had just started heard of a configuration 5 s late, because the store
+// told waiting watches nothing.
+func TestNewReadersDoNotFinishALongWatch(t *testing.T) {
+	c := qt.New(t)
+	waits := make(chan time.Duration, 10)
+	source := &fakeSource{snapshot: []store.Entry{entry("config", "1", 1)}, version: 1}
+	source.watch = func(ctx context.Context) (store.WatchResult, error) {
+		deadline, _ := ctx.Deadline()
+		waits <- time.Until(deadline)
+		return hang(ctx)
+	}
+	peers := &fakePeers{}
+	s := startSync(c, source, peers)
+	c.Assert(<-waits > readerWait, qt.IsTrue)
+	peers.becomes.Store(true)
+	c.Assert(<-waits <= readerWait, qt.IsTrue)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.Assert(s.reachable, qt.IsTrue)
+}
+
 // Guards against log lines that grow with the deployment.
 func TestLinesNameFewServers(t *testing.T) {
 	c := qt.New(t)
 	ids := make([]string, loggedServers+1)
-	c.Assert(servers("joined", ids).Value.Any(), qt.Equals, any(int64(loggedServers+1)))
-	c.Assert(servers("joined", ids[1:]).Value.Any(), qt.DeepEquals, any(ids[1:]))
+	c.Assert(serversAttr("joined", ids).Value.Any(), qt.Equals, any(int64(loggedServers+1)))
+	c.Assert(serversAttr("joined", ids[1:]).Value.Any(), qt.DeepEquals, any(ids[1:]))
 }
