--- a/internal/experiment/stagesim.go
+++ b/internal/experiment/stagesim.go
@@ -1,11 +1,11 @@
 package experiment
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/virtualtime"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
 
@@ -68,7 +68,7 @@
 // stageSim plays requests in virtual time.
 type stageSim struct {
 	policy   stagePolicy
-	agenda   agenda
+	agenda   virtualtime.Agenda
 	queues   []*stagework.Queue
 	busy     map[string]bool
 	requests map[stagework.JobID]stageRequest
@@ -89,24 +89,6 @@
 	refusedAfter time.Duration
 }
 
-// event is something that happens at a virtual time.
-type event struct {
-	at  time.Time
-	run func(now time.Time)
-}
-
-type agenda []event
-
-func (a agenda) Len() int           { return len(a) }
-func (a agenda) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
-func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)        { *a = append(*a, x.(event)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // playStages plays arrivals under a policy.
 func playStages(policy stagePolicy, arrivals []stageArrival) stageFigures {
 	s := &stageSim{policy: policy, busy: map[string]bool{}, requests: map[stagework.JobID]stageRequest{}}
@@ -127,15 +109,12 @@
 	for at := time.Duration(0); at < end; at += reviewEvery {
 		s.after(epoch, at, s.review)
 	}
-	for s.agenda.Len() > 0 {
-		e := heap.Pop(&s.agenda).(event)
-		e.run(e.at)
-	}
+	s.agenda.Run()
 	return s.figures
 }
 
 func (s *stageSim) after(now time.Time, d time.Duration, run func(time.Time)) {
-	heap.Push(&s.agenda, event{now.Add(d), run})
+	s.agenda.At(now.Add(d), run)
 }
 
 func (s *stageSim) arrive(id stagework.JobID, a stageArrival, now time.Time) {
--- a/stagework/load_test.go
+++ b/stagework/load_test.go
@@ -1,38 +1,21 @@
 package stagework
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-)
-
-// event is something that happens at a virtual time.
-type event struct {
-	at  time.Time
-	run func(now time.Time)
-}
-
-type agenda []event
 
-func (a agenda) Len() int           { return len(a) }
-func (a agenda) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
-func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)        { *a = append(*a, x.(event)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
+	"github.com/coltsfootdrift/coltsfootdrift/internal/virtualtime"
+)
 
 // simulation plays requests of one stage against three servers in virtual time.
 // Each request arrives at one of several instances, which use one queue together or
 // one each.
 type simulation struct {
-	agenda agenda
+	agenda virtualtime.Agenda
 	queues []*Queue
 	// perRequest lets no two requests share a call.
 	perRequest bool
@@ -58,7 +41,7 @@
 }
 
 func (s *simulation) after(now time.Time, d time.Duration, run func(time.Time)) {
-	heap.Push(&s.agenda, event{now.Add(d), run})
+	s.agenda.At(now.Add(d), run)
 }
 
 // burst lets requests arrive at a mean rate per second, three times as many from
@@ -94,10 +77,7 @@
 			s.pump(now)
 		})
 	}
-	for s.agenda.Len() > 0 {
-		e := heap.Pop(&s.agenda).(event)
-		e.run(e.at)
-	}
+	s.agenda.Run()
 }
 
 // pump makes the calls that the queues ask for. A server that is busy refuses.
