--- a/internal/gateway/chain.go
+++ b/internal/gateway/chain.go
@@ -52,7 +52,6 @@
 		Stages: s, Chain: chain, done: make([]chan struct{}, n), results: make([][]string, n), users: make([]int, n), released: make([]bool, n),
 		progress: stagework.NewProgress(chain.Graph.After, chain.Graph.Counts), changed: make(chan struct{}),
 	}
-	r.progress.SetTypical(r.typicalTimes())
 	for i := range n {
 		r.done[i] = make(chan struct{})
 		for _, j := range chain.Graph.After[i] {
--- a/internal/gateway/fakes_test.go
+++ b/internal/gateway/fakes_test.go
@@ -220,7 +220,7 @@
 	w.config.Routes[0].Target = time.Second
 	w.config.Services[0].Engine = &route.EngineShape{}
 	w.config.Services = append(w.config.Services, route.Service{Name: "stage",
-		Work: &route.StageShape{Slots: 1, Batch: 4, CallTime: time.Millisecond, PieceTime: time.Millisecond, ResultLife: time.Second}})
+		Work: &stagework.Shape{Slots: 1, Batch: 4, CallTime: time.Millisecond, PieceTime: time.Millisecond, ResultLife: time.Second}})
 	return w
 }
 
--- a/internal/gateway/fetches.go
+++ b/internal/gateway/fetches.go
@@ -33,7 +33,7 @@
 	defer f.mu.Unlock()
 	for made := range results {
 		if described := table.Service(made); described != nil && described.Work != nil {
-			longest = max(longest, f.of(service).Time(stagework.Shape(*described.Work), bytes))
+			longest = max(longest, f.of(service).Time(*described.Work, bytes))
 		}
 	}
 	return longest
--- a/internal/gateway/inputs.go
+++ b/internal/gateway/inputs.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"iter"
 	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/engine"
+	"github.com/coltsfootdrift/coltsfootdrift/route"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
 
@@ -67,16 +69,27 @@
 // failure domain of their producers, which may not be the one that was chosen.
 func (g *generation) inputsByDomain() map[string]int64 {
 	bytes := map[string]int64{}
-	at := 0
-	for _, i := range g.graph.Final {
-		for range g.graph.Counts[i] {
-			bytes[g.domainOf(g.inputs[at])] += g.route.Stages[i].ResultBytes
-			at++
-		}
+	for input, stage := range g.eachInput() {
+		bytes[g.domainOf(input)] += stage.ResultBytes
 	}
 	return bytes
 }
 
+// eachInput yields the inputs that are held with the stage that made each.
+func (g *generation) eachInput() iter.Seq2[string, *route.Stage] {
+	return func(yield func(string, *route.Stage) bool) {
+		at := 0
+		for _, i := range g.graph.Final {
+			for range g.graph.Counts[i] {
+				if !yield(g.inputs[at], &g.route.Stages[i]) {
+					return
+				}
+				at++
+			}
+		}
+	}
+}
+
 // domainOf returns the failure domain in which a result is held, or an empty string
 // when its producer is not registered any more.
 func (g *generation) domainOf(result string) string {
@@ -180,9 +193,7 @@
 	if len(g.inputs) == 0 {
 		return
 	}
-	for service, results := range g.inputsByService() {
-		g.stages.Free(service, results)
-	}
+	g.stages.FreeAll(g.inputsByService())
 	g.inputs = nil
 }
 
@@ -190,11 +201,8 @@
 // room that they take.
 func (g *generation) inputsByService() map[string][]string {
 	results := map[string][]string{}
-	at := 0
-	for _, i := range g.graph.Final {
-		service := g.route.Stages[i].Service
-		results[service] = append(results[service], g.inputs[at:at+g.graph.Counts[i]]...)
-		at += g.graph.Counts[i]
+	for input, stage := range g.eachInput() {
+		results[stage.Service] = append(results[stage.Service], input)
 	}
 	return results
 }
@@ -207,11 +215,7 @@
 		return func() bool { return false }
 	}
 	results := g.inputsByService()
-	timer := time.AfterFunc(g.fetches.time(g.service.Name, g.view.Table, results, g.inputBytes()), func() {
-		for service, made := range results {
-			g.stages.Free(service, made)
-		}
-	})
+	timer := time.AfterFunc(g.fetches.time(g.service.Name, g.view.Table, results, g.inputBytes()), func() { g.stages.FreeAll(results) })
 	return func() bool {
 		if timer.Stop() {
 			return false
--- a/internal/gateway/stagecaller.go
+++ b/internal/gateway/stagecaller.go
@@ -68,7 +68,7 @@
 		}
 		w := s.queueOf(service.Name, true)
 		w.mu.Lock()
-		w.queue.SetShape(stagework.Shape(*service.Work))
+		w.queue.SetShape(*service.Work)
 		w.queue.SetServers(s.nearServers(v.Servers[service.Name]))
 		w.mu.Unlock()
 		s.pump(w)
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -68,7 +68,7 @@
 func (s *Stages) Typical(table *route.Table, service string) time.Duration {
 	var call time.Duration
 	if described := table.Service(service); described != nil && described.Work != nil {
-		call = stagework.Shape(*described.Work).CallDuration(min(firstPieces, described.Work.Batch))
+		call = described.Work.CallDuration(min(firstPieces, described.Work.Batch))
 	}
 	known := s.typical.of(service)
 	if known == 0 {
@@ -111,6 +111,13 @@
 	s.free[service] = append(s.free[service], results...)
 }
 
+// FreeAll gives up results, listed by the service that made them, soon.
+func (s *Stages) FreeAll(results map[string][]string) {
+	for service, made := range results {
+		s.Free(service, made)
+	}
+}
+
 // flush tells the instance that forms the calls of a service, which counts the
 // room for results, what is given up.
 func (s *Stages) flush(service string) {
--- a/route/route.go
+++ b/route/route.go
@@ -5,6 +5,8 @@
 
 import (
 	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
 
 // Kind says what a request of a route may do.
@@ -82,7 +84,7 @@
 	// MaxConnections bounds the connections to one server from all instances.
 	MaxConnections int
 	// Work is set for services that run the pieces of stages.
-	Work *StageShape
+	Work *stagework.Shape
 	// Engine is set for services of model servers.
 	Engine *EngineShape
 }
@@ -97,23 +99,6 @@
 	LinkRate   float64
 }
 
-// StageShape is how one server of a stage service works.
-type StageShape struct {
-	// Slots is the number of calls in progress at once.
-	Slots int
-	// Batch is the largest number of pieces in a call.
-	Batch int
-	// CallTime is the time of a call without pieces, PieceTime what a piece adds.
-	CallTime  time.Duration
-	PieceTime time.Duration
-	// RoomBytes is the memory for results.
-	RoomBytes int64
-	// ResultLife is how long a result is kept after its call.
-	ResultLife time.Duration
-	// LinkRate is the speed of a server's link in bytes a second; 0 when unknown.
-	LinkRate int64
-}
-
 // Organisation is a customer with its keys.
 type Organisation struct {
 	Name string
--- a/stagework/progress.go
+++ b/stagework/progress.go
@@ -1,6 +1,9 @@
 package stagework
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // startMargin is how much earlier than needed a stage starts whose results would
 // wait for other stages. It covers the spread of the stages' durations.
@@ -63,12 +66,7 @@
 // AnyEnded reports whether some stage has ended, whose work is lost if a later one is
 // refused.
 func (p *Progress) AnyEnded() bool {
-	for _, ended := range p.ended {
-		if ended {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(p.ended, true)
 }
 
 // Delay returns how long a stage whose inputs are there may still wait so that it
