gateway: choose owners of services among strong instances and rank them once per change

Cause: one instance schedules all calls of a stage service of its region and places all prompts. Rendezvous hashing gave that to any instance; on the large site 277 of 295 have 0.192 of a core and a link of 20 Mbit/s, 18 have four and ten times as much. Each request also built and sorted the list of 145 instances several times.

Change: the settings carry link and processor, which travel in the record of a member and in the registration. Instances with less than a quarter of the largest capacity come after the others. Ranks are kept until membership changes; a new address of a member is a change.

--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -18,7 +17,6 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
-	"github.com/coltsfootdrift/coltsfootdrift/rendezvous"
 )
 
 const (
@@ -56,23 +54,27 @@
 
 	mu         sync.Mutex
 	avoidUntil map[string]time.Time
+	ranks      ownerRanks
 	started    time.Time
 	// rereadInterval is the mean time between rereads of the registrations.
 	rereadInterval time.Duration
-	// registered holds the peer addresses of the region's other instances by ID, as last
+	// registered holds the registrations of the region's other instances by ID, as last
 	// read from the store during the start.
-	registered map[string]string
+	registered map[string]registration
 }
 
 // registration is the value that an instance stores under its registration key.
 type registration struct {
-	Address string `json:"address"`
-	Region  string `json:"region"`
+	Address  string              `json:"address"`
+	Region   string              `json:"region"`
+	Capacity membership.Capacity `json:"capacity"`
 }
 
 // NewCluster returns a Cluster that reads the live instances from a membership node.
 func NewCluster(s settings.Gateway, node *peer.Node, peerClient *peer.Client, st store.Store, logger *slog.Logger) *Cluster {
-	return &Cluster{settings: s, node: node, peerClient: peerClient, store: st, logger: logger, avoidUntil: map[string]time.Time{}, started: time.Now(), rereadInterval: registrationRereadInterval}
+	c := &Cluster{settings: s, node: node, peerClient: peerClient, store: st, logger: logger, avoidUntil: map[string]time.Time{}, started: time.Now(), rereadInterval: registrationRereadInterval}
+	node.Observe(c.observeMembers)
+	return c
 }
 
 // Pull implements view.Peers.
@@ -134,59 +136,6 @@
 // intervals.
 const storeReaders = 2
 
-// IsReader implements view.Peers. It returns false until joinGracePeriod has passed:
-// when all instances start together, each would otherwise be a reader.
-func (c *Cluster) IsReader() bool {
-	if time.Since(c.started) < joinGracePeriod {
-		return false
-	}
-	ids, _ := c.liveInstances()
-	return slices.Contains(rendezvous.Order("store reader", ids)[:min(storeReaders, len(ids))], c.settings.Instance)
-}
-
-// liveInstances returns the IDs of the live instances of the region, and their
-// addresses by ID. The address of this instance is empty.
-func (c *Cluster) liveInstances() (ids []string, addresses map[string]string) {
-	addresses = map[string]string{c.settings.Instance: ""}
-	if time.Since(c.started) < joinGracePeriod {
-		c.mu.Lock()
-		maps.Copy(addresses, c.registered)
-		c.mu.Unlock()
-	}
-	c.node.View(func(s *membership.State) {
-		for _, record := range s.LiveMembers() {
-			if record.State == membership.Alive && record.ID != c.settings.Instance {
-				addresses[record.ID] = record.Address
-			}
-		}
-	})
-	return slices.Collect(maps.Keys(addresses)), addresses
-}
-
-// Owners returns the addresses of the region's live instances in the order of
-// rendezvous hashing of a key. The first one owns the key: it batches the calls of the
-// stage service of that name, or places the prompts of a service of model servers.
-// Instances that did not answer lately come last. An empty address is this instance,
-// which is always in the list.
-func (c *Cluster) Owners(key string) []string {
-	ids, byID := c.liveInstances()
-	var owners, avoided []string
-	for _, id := range rendezvous.Order(key, ids) {
-		if c.avoided(byID[id]) {
-			avoided = append(avoided, byID[id])
-		} else {
-			owners = append(owners, byID[id])
-		}
-	}
-	return append(owners, avoided...)
-}
-
-func (c *Cluster) avoided(address string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return time.Now().Before(c.avoidUntil[address])
-}
-
 // Avoid ranks an instance that did not answer last among owners for avoidDuration.
 func (c *Cluster) Avoid(address string) {
 	c.mu.Lock()
@@ -251,7 +200,7 @@
 	if err != nil {
 		return 0, err
 	}
-	value, err := json.Marshal(registration{Address: c.settings.PeerAddress, Region: c.settings.Region})
+	value, err := json.Marshal(registration{Address: c.settings.PeerAddress, Region: c.settings.Region, Capacity: c.settings.Capacity()})
 	if err != nil {
 		return 0, err
 	}
@@ -263,7 +212,7 @@
 // entries, which may belong to other instances.
 func (c *Cluster) addCandidates(entries []store.Entry) {
 	addresses := slices.Clone(c.settings.Peers)
-	registered := map[string]string{}
+	registered := map[string]registration{}
 	for _, e := range entries {
 		id := strings.TrimPrefix(e.Key, registrationPrefix)
 		var r registration
@@ -276,7 +225,7 @@
 		}
 		addresses = append(addresses, r.Address)
 		if r.Region == c.settings.Region {
-			registered[id] = r.Address
+			registered[id] = r
 		}
 	}
 	c.mu.Lock()
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -114,7 +114,7 @@
 func newNode(s settings.Gateway, m *metrics.Metrics, logger *slog.Logger) (*peer.Node, error) {
 	identity := membership.Identity{
 		ID: s.Instance, FailureDomain: s.Region, Address: s.PeerAddress,
-		Incarnation: uint64(time.Now().Unix()),
+		Incarnation: uint64(time.Now().Unix()), Capacity: s.Capacity(),
 	}
 	return peer.Listen(identity, logger, m.Scope)
 }
--- a/internal/gateway/placementsharing.go
+++ b/internal/gateway/placementsharing.go
@@ -57,7 +57,7 @@
 // SharePlacements implements peer.PlacementHandler. An instance that does not place the
 // prompts of the service forwards the message once to the one of its region that does.
 func (p *Placer) SharePlacements(request *peerpb.SharePlacementsRequest) {
-	address := p.cluster.Owners(placementKey(request.Service))[0]
+	address := p.cluster.Owner(placementKey(request.Service))
 	if address != "" && !request.Forwarded {
 		request.Forwarded = true
 		go p.sendShare(address, request)
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -61,7 +61,7 @@
 // placed them before is lost.
 func (p *Placer) Restore(ctx context.Context) {
 	for _, service := range p.servers.EngineServices() {
-		owned := p.cluster.Owners(placementKey(service))[0] == ""
+		owned := p.cluster.Owner(placementKey(service)) == ""
 		if owned && !p.restored[service] {
 			p.restore(ctx, service)
 		}
@@ -111,7 +111,7 @@
 // Place chooses the model server for a prompt of the request with an ID. It returns
 // false when there is none.
 func (p *Placer) Place(ctx context.Context, id, service string, q engine.Query) (engine.Placement, bool) {
-	address := p.cluster.Owners(placementKey(service))[0]
+	address := p.cluster.Owner(placementKey(service))
 	if address == "" {
 		return p.placeForRegion(service, q)
 	}
@@ -156,7 +156,7 @@
 // Report records the outcome of a placement, here and at the instance that made it.
 func (p *Placer) Report(service string, r engine.Report) {
 	p.servers.WithEngineScheduler(service, func(s *engine.Scheduler) { s.Report(time.Now(), r) })
-	address := p.cluster.Owners(placementKey(service))[0]
+	address := p.cluster.Owner(placementKey(service))
 	if address == "" {
 		return
 	}
--- a/internal/gateway/stagerunner.go
+++ b/internal/gateway/stagerunner.go
@@ -132,7 +132,7 @@
 	request := &peerpb.FreeResultsRequest{Service: service, Results: s.pendingFrees[service]}
 	delete(s.pendingFrees, service)
 	s.mu.Unlock()
-	address := s.cluster.Owners(service)[0]
+	address := s.cluster.Owner(service)
 	if address == "" {
 		s.scheduler.FreeResults(request)
 		return
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -55,7 +55,8 @@
 
 func encodeRecord(r membership.Record) *peerpb.Record {
 	return &peerpb.Record{Id: r.ID, FailureDomain: r.FailureDomain, Address: r.Address, Incarnation: r.Incarnation,
-		Counter: r.Counter, State: int64(r.State), Load: int64(r.Load), Revision: r.Revision}
+		Counter: r.Counter, State: int64(r.State), Load: int64(r.Load), Revision: r.Revision,
+		LinkMbits: int64(r.Capacity.LinkMbits), ProcessorMillis: int64(r.Capacity.ProcessorMillis)}
 }
 
 func encodeDemand(d membership.Demand) *peerpb.Demand {
@@ -108,7 +109,8 @@
 		state = membership.Alive
 	}
 	return membership.Record{ID: r.GetId(), FailureDomain: r.GetFailureDomain(), Address: r.GetAddress(), Incarnation: r.GetIncarnation(),
-		Counter: r.GetCounter(), State: state, Load: int(r.GetLoad()), Revision: r.GetRevision()}
+		Counter: r.GetCounter(), State: state, Load: int(r.GetLoad()), Revision: r.GetRevision(),
+		Capacity: membership.Capacity{LinkMbits: int(r.GetLinkMbits()), ProcessorMillis: int(r.GetProcessorMillis())}}
 }
 
 func decodeDemand(d *peerpb.Demand) membership.Demand {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"os"
 	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/membership"
 )
 
 // Gateway holds the settings of a gateway.
@@ -25,6 +27,11 @@
 	MetricsAddress string `json:"metrics_address"`
 	// StoreAddress is the address of the platform's key-value service.
 	StoreAddress string `json:"store_address"`
+	// LinkMbits is the bandwidth of the instance's link in Mbit/s, Processor its share of
+	// the processor in cores. Stronger instances are chosen first for work that one
+	// instance does for others. 0 means unknown.
+	LinkMbits float64 `json:"link_mbits,omitempty"`
+	Processor float64 `json:"processor,omitempty"`
 	// Peers lists peer addresses to use before others are known.
 	Peers []string `json:"peers,omitempty"`
 	// GraceSeconds is the time from SIGTERM to SIGKILL.
@@ -44,6 +51,11 @@
 	return time.Duration(g.GraceSeconds * float64(time.Second))
 }
 
+// Capacity returns the capacity that the instance announces to the others.
+func (g Gateway) Capacity() membership.Capacity {
+	return membership.Capacity{LinkMbits: int(g.LinkMbits), ProcessorMillis: int(1000 * g.Processor)}
+}
+
 // ReadGateway reads and checks the settings file of a gateway. If the file can be
 // read but has mistakes, the error is a *MistakesError that lists all of them.
 func ReadGateway(path string) (Gateway, error) {
@@ -65,6 +77,8 @@
 		c.checkNotEmpty("instance")
 		c.checkAddresses("client_address", "ready_address", "peer_address", "metrics_address", "store_address")
 		c.checkPositive("grace_seconds", gateway.GraceSeconds)
+		c.checkPositive("link_mbits", gateway.LinkMbits)
+		c.checkPositive("processor", gateway.Processor)
 		c.checkPositive("retry_window_seconds", gateway.RetryWindowSeconds)
 	}
 	return gateway, c.err(path)
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -102,7 +102,7 @@
 		return
 	}
 	if record.Incarnation >= m.addressIncarnation {
-		m.addressIncarnation, m.record.Address = record.Incarnation, record.Address
+		s.updateIdentity(m, record)
 	}
 	m.record.Revision = max(m.record.Revision, record.Revision)
 	if record.newer(m.record) {
@@ -111,6 +111,17 @@
 	s.mergeState(now, m, record)
 }
 
+// updateIdentity adopts the address and the capacity of a member, which change when it
+// is replaced.
+func (s *State) updateIdentity(m *member, record Record) {
+	m.addressIncarnation = record.Incarnation
+	if m.record.Address == record.Address && m.record.Capacity == record.Capacity {
+		return
+	}
+	m.record.Address, m.record.Capacity = record.Address, record.Capacity
+	s.outputs = append(s.outputs, MemberChanged{m.record})
+}
+
 // mergeState adopts the state in a received record of a member: a higher state of the
 // known incarnation, or any state of a later one.
 func (s *State) mergeState(now time.Time, m *member, record Record) {
--- a/membership/size.go
+++ b/membership/size.go
@@ -28,7 +28,8 @@
 
 func (r Record) bytes() int {
 	return embeddedHeaderBytes + stringBytes(r.ID) + stringBytes(r.FailureDomain) + stringBytes(r.Address) +
-		numberBytes(r.Incarnation) + numberBytes(r.Counter) + numberBytes(int(r.State)) + numberBytes(r.Load) + numberBytes(r.Revision)
+		numberBytes(r.Incarnation) + numberBytes(r.Counter) + numberBytes(int(r.State)) + numberBytes(r.Load) + numberBytes(r.Revision) +
+		numberBytes(r.Capacity.LinkMbits) + numberBytes(r.Capacity.ProcessorMillis)
 }
 
 func (m DrainMarker) bytes() int {
--- a/membership/state.go
+++ b/membership/state.go
@@ -52,6 +52,7 @@
 	// Incarnation must increase with each start. The adapter uses the Unix time in
 	// seconds.
 	Incarnation uint64
+	Capacity    Capacity
 }
 
 // member is the record of a member with its local bookkeeping.
@@ -137,7 +138,7 @@
 func New(identity Identity, random *rand.Rand, now time.Time) *State {
 	return &State{
 		self: Record{ID: identity.ID, FailureDomain: identity.FailureDomain, Address: identity.Address,
-			Incarnation: identity.Incarnation, Counter: 1},
+			Incarnation: identity.Incarnation, Counter: 1, Capacity: identity.Capacity},
 		random:          random,
 		lastTick:        now,
 		lastReceived:    now,
