view: followers make no store calls while a reader confirms that it reaches the store

Change: a reader announces to its region that it reaches the store, at most every 0.5 s and at the end of each watch. A follower without such an announcement for 1.5 to 1.8 s watches the store as before. Readers are chosen 1.5 s after the start in place of 5 s.

The test of a malformed heartbeat now cuts off one byte in place of three, because three cut off a whole field.

--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -36,7 +36,6 @@
 	// the others.
 	joinGracePeriod    = 5 * time.Second
 	registerRetryDelay = 2 * time.Second
-	maxRegistrations   = 1000
 	// avoidDuration is how long an instance that did not answer ranks last among owners.
 	avoidDuration = 2 * time.Second
 )
@@ -49,7 +48,7 @@
 	settings   settings.Gateway
 	node       *peer.Node
 	peerClient *peer.Client
-	store      store.Store
+	store      RegistrationStore
 	logger     *slog.Logger
 
 	mu         sync.Mutex
@@ -63,6 +62,16 @@
 	registered map[string]registration
 }
 
+// RegistrationStore is the part of the store that holds the registrations of instances.
+type RegistrationStore interface {
+	GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error)
+	KeepAlive(ctx context.Context, lease store.LeaseID) error
+	CompareAndSwap(ctx context.Context, key string, expected store.Version, value []byte, lease store.LeaseID) (store.Version, error)
+	// ListStale returns all entries with a prefix as they were up to seconds ago. It
+	// costs the store less than store.Store.List.
+	ListStale(ctx context.Context, prefix string) ([]store.Entry, error)
+}
+
 // registration is the value that an instance stores under its registration key.
 type registration struct {
 	Address  string              `json:"address"`
@@ -71,7 +80,7 @@
 }
 
 // NewCluster returns a Cluster that reads the live instances from a membership node.
-func NewCluster(s settings.Gateway, node *peer.Node, peerClient *peer.Client, st store.Store, logger *slog.Logger) *Cluster {
+func NewCluster(s settings.Gateway, node *peer.Node, peerClient *peer.Client, st RegistrationStore, logger *slog.Logger) *Cluster {
 	c := &Cluster{settings: s, node: node, peerClient: peerClient, store: st, logger: logger, avoidUntil: map[string]time.Time{}, started: time.Now(), rereadInterval: registrationRereadInterval}
 	node.Observe(c.observeMembers)
 	return c
@@ -93,6 +102,11 @@
 	c.node.Do(func(s *membership.State) []membership.Output { return s.SetRevision(int64(version), fromStore) })
 }
 
+// ConfirmStoreContact implements view.Peers.
+func (c *Cluster) ConfirmStoreContact() {
+	c.node.Do(func(s *membership.State) []membership.Output { return s.ConfirmStoreContact() })
+}
+
 // randomPeer returns the address of a random other instance, or an empty string when
 // none is known.
 func (c *Cluster) randomPeer() string {
@@ -132,6 +146,10 @@
 	return n
 }
 
+// firstReadDelay is how long an instance reads the registrations of the others before it
+// may become a reader.
+const firstReadDelay = 1500 * time.Millisecond
+
 // storeReaders is the number of instances of a region that watch the store at short
 // intervals.
 const storeReaders = 2
@@ -174,7 +192,7 @@
 func (c *Cluster) rereadRegistrations(ctx context.Context) {
 	for range registrationRereads {
 		clock.Sleep(ctx, c.rereadInterval/2+rand.N(c.rereadInterval))
-		entries, err := c.store.List(ctx, registrationPrefix, "", maxRegistrations)
+		entries, err := c.store.ListStale(ctx, registrationPrefix)
 		if err != nil {
 			events.NotRegistered.Log(ctx, c.logger, slog.Any("error", err))
 			continue
@@ -183,29 +201,38 @@
 	}
 }
 
+// register writes the registration of this instance and then reads those of the others:
+// of two instances that start together, at least the later one reads the other's, or
+// rereads it when the first read was stale.
 func (c *Cluster) register(ctx context.Context) (store.LeaseID, error) {
-	entries, err := c.store.List(ctx, registrationPrefix, "", maxRegistrations)
+	lease, err := c.store.GrantLease(ctx, registrationTTL)
 	if err != nil {
 		return 0, err
 	}
-	c.addCandidates(entries)
-	key := registrationPrefix + c.settings.Instance
-	var expect store.Version
-	for _, e := range entries {
-		if e.Key == key {
-			expect = e.Version
-		}
-	}
-	lease, err := c.store.GrantLease(ctx, registrationTTL)
+	value, err := json.Marshal(registration{Address: c.settings.PeerAddress, Region: c.settings.Region, Capacity: c.settings.Capacity()})
 	if err != nil {
 		return 0, err
 	}
-	value, err := json.Marshal(registration{Address: c.settings.PeerAddress, Region: c.settings.Region, Capacity: c.settings.Capacity()})
+	if err := c.replaceRegistration(ctx, value, lease); err != nil {
+		return 0, err
+	}
+	entries, err := c.store.ListStale(ctx, registrationPrefix)
 	if err != nil {
 		return 0, err
 	}
-	_, err = c.store.CompareAndSwap(ctx, key, expect, value, lease)
-	return lease, err
+	c.addCandidates(entries)
+	return lease, nil
+}
+
+// replaceRegistration writes the registration, also over that of an earlier process.
+func (c *Cluster) replaceRegistration(ctx context.Context, value []byte, lease store.LeaseID) error {
+	key := registrationPrefix + c.settings.Instance
+	_, err := c.store.CompareAndSwap(ctx, key, 0, value, lease)
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		_, err = c.store.CompareAndSwap(ctx, key, conflict.Current, value, lease)
+	}
+	return err
 }
 
 // addCandidates passes membership the addresses of the settings and of the registration
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -29,7 +29,7 @@
 
 // Store is a client of the platform's store.
 type Store interface {
-	store.Store
+	RegistrationStore
 	view.Source
 }
 
@@ -87,7 +87,7 @@
 			NewPlacer,
 			func() Protocol { return adapter.Protocol },
 			func() Store { return adapter.Store(s.StoreAddress) },
-			func(st Store) store.Store { return st },
+			func(st Store) RegistrationStore { return st },
 			func(m *metrics.Metrics) *upstream.Client { return upstream.NewClient(m.Scope) },
 			func(m *metrics.Metrics) (*peer.Node, error) { return newNode(s, m, logger) },
 			func(st Store, c *Cluster, m *metrics.Metrics) *view.Sync {
@@ -163,8 +163,11 @@
 	d.Views.Observe(d.Scheduler.Update)
 	d.Views.Observe(d.Frontend.Update)
 	d.Node.Observe(func(output membership.Output) {
-		if announced, ok := output.(membership.NewRevision); ok {
-			d.Views.RecordAnnouncement(store.Version(announced.Revision), announced.Address)
+		switch out := output.(type) {
+		case membership.NewRevision:
+			d.Views.RecordAnnouncement(store.Version(out.Revision), out.Address)
+		case membership.StoreContact:
+			d.Views.RecordStoreContact(store.Version(out.Revision), out.Address)
 		}
 	})
 	d.Readiness.Require("configuration", func() bool {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -115,7 +115,7 @@
 // fakeSource is a view.Source whose entries never change.
 type fakeSource struct{ entries []store.Entry }
 
-func (f fakeSource) Snapshot(context.Context) ([]store.Entry, store.Version, error) {
+func (f fakeSource) Snapshot(context.Context, bool) ([]store.Entry, store.Version, error) {
 	return f.entries, 1, nil
 }
 
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -148,10 +148,10 @@
 // Owner returns the address of the instance that owns a key, empty for this one.
 func (c *Cluster) Owner(key string) string { return c.Owners(key)[0] }
 
-// IsReader implements view.Peers. It returns false until joinGracePeriod has passed:
-// when all instances start together, each would otherwise be a reader.
+// IsReader implements view.Peers. It returns false until firstReadDelay has passed: when
+// all instances start together, each would otherwise be a reader.
 func (c *Cluster) IsReader() bool {
-	if c.joining() {
+	if time.Since(c.started) < firstReadDelay {
 		return false
 	}
 	ids, _ := c.rank("store reader")
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -25,7 +25,7 @@
 	record := membership.Record{ID: "a", FailureDomain: "d", Address: "10.0.0.1:1", Incarnation: 1 << 40, Counter: 3,
 		State: membership.Left, Load: 4, Revision: 5, Capacity: membership.Capacity{LinkMbits: 20, ProcessorMillis: 192}}
 	message := membership.Message{From: record, Urgent: true, WantsAnswer: true, ProbeMember: "b",
-		LiveMembers: 4, SyncRequest: &membership.SyncRequest{After: "c"}, SyncReply: &membership.SyncReply{Last: true},
+		StoreContact: true, LiveMembers: 4, SyncRequest: &membership.SyncRequest{After: "c"}, SyncReply: &membership.SyncReply{Last: true},
 		Records:        []membership.Record{record},
 		DrainMarkers:   []membership.DrainMarker{{Server: "s", Incarnation: 6, Cleared: true, Remaining: time.Second}},
 		Stragglers:     []membership.Straggler{{Server: "s", Remaining: time.Second}},
@@ -39,7 +39,7 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(decoded, qt.DeepEquals, message)
 
-	_, err = Decode(data[:len(data)-3])
+	_, err = Decode(data[:len(data)-1])
 	c.Assert(err, qt.ErrorIs, ErrMalformed)
 	_, err = Decode(make([]byte, membership.MaxMessageBytes+1))
 	c.Assert(err, qt.ErrorIs, ErrTooLarge)
--- a/internal/store/storetest/fake.go
+++ b/internal/store/storetest/fake.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -138,6 +139,11 @@
 }
 
 // CompareAndSwap implements store.Store.
+// ListStale returns the current entries with a prefix.
+func (f *Fake) ListStale(ctx context.Context, prefix string) ([]store.Entry, error) {
+	return f.List(ctx, prefix, "", math.MaxInt)
+}
+
 func (f *Fake) CompareAndSwap(ctx context.Context, key string, expected store.Version, value []byte, id store.LeaseID) (version store.Version, err error) {
 	if len(value) > store.MaxValueBytes {
 		return 0, store.ErrTooLarge
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -58,8 +58,8 @@
 // Source reads the store.
 type Source interface {
 	// Snapshot returns all entries of configuration and servers, and the version from
-	// which Watch continues.
-	Snapshot(ctx context.Context) ([]store.Entry, store.Version, error)
+	// which Watch continues. A stale one may be seconds old and is cheap.
+	Snapshot(ctx context.Context, stale bool) ([]store.Entry, store.Version, error)
 	// Watch waits for changes after a version, until shortly before the deadline of the
 	// context. It returns ErrHistoryLost when the store no longer has these changes.
 	Watch(ctx context.Context, prefix string, after store.Version) (store.WatchResult, error)
@@ -82,6 +82,8 @@
 	// Announce announces the version of this instance's view to the others. fromStore is
 	// false when its newest change did not come from a store call of this instance.
 	Announce(version store.Version, fromStore bool)
+	// ConfirmStoreContact announces that this instance, a reader, reaches the store.
+	ConfirmStoreContact()
 }
 
 // Sync keeps a view up to date.
@@ -109,6 +111,11 @@
 	lastPull    time.Time
 	// interruptWatch cancels the waiting watch of a follower; nil when there is none.
 	interruptWatch context.CancelCauseFunc
+	// relyUntil is until when a follower relies on the readers.
+	relyUntil time.Time
+	// lastConfirmed is when this instance, as a reader, last confirmed that it reaches the
+	// store. Only watchStore uses it.
+	lastConfirmed time.Time
 }
 
 // NewSync returns a Sync without a view.
@@ -116,6 +123,7 @@
 	return &Sync{
 		source: source, peers: peers, logger: logger, state: NewState(decoder),
 		pulls: scope.Counter("view_pulls"), reads: scope.Counter("view_store_reads"),
+		relyUntil: time.Now().Add(startWatchDelay + rand.N(maxWatchDelay)),
 	}
 }
 
@@ -157,9 +165,14 @@
 	backoff := initialBackoff
 	hasSnapshot := false
 	for ctx.Err() == nil {
+		if hasSnapshot && s.reliesOnReader(time.Now()) {
+			clock.Sleep(ctx, tickInterval)
+			continue
+		}
 		changed, err := s.readStore(ctx, hasSnapshot)
 		if err == nil {
 			hasSnapshot, backoff = true, initialBackoff
+			s.confirmStoreContact(time.Now())
 			clock.Sleep(ctx, s.pauseAfterWatch(changed))
 			continue
 		}
@@ -249,7 +262,12 @@
 func (s *Sync) snapshot(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	entries, version, err := s.source.Snapshot(ctx)
+	// The first snapshot may be stale, because later changes follow. One after a loss of
+	// history must be newer than the view.
+	s.mu.Lock()
+	first := s.state.Position() == 0
+	s.mu.Unlock()
+	entries, version, err := s.source.Snapshot(ctx, first)
 	if err != nil {
 		return false, err
 	}
--- a/internal/view/sync_test.go
+++ b/internal/view/sync_test.go
@@ -24,7 +24,7 @@
 	onWatch  func(ctx context.Context) (store.WatchResult, error)
 }
 
-func (f *fakeSource) Snapshot(context.Context) ([]store.Entry, store.Version, error) {
+func (f *fakeSource) Snapshot(context.Context, bool) ([]store.Entry, store.Version, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.snapshot, f.version, f.err
@@ -44,6 +44,7 @@
 	entries   []store.Entry
 	version   store.Version
 	announced chan store.Version
+	confirmed chan struct{}
 	reader    bool
 	// becomesReader turns this instance into a reader.
 	becomesReader atomic.Bool
@@ -57,9 +58,18 @@
 
 func (f *fakePeers) Announce(version store.Version, _ bool) { f.announced <- version }
 
+func (f *fakePeers) ConfirmStoreContact() {
+	select {
+	case f.confirmed <- struct{}{}:
+	default:
+	}
+}
+
 func startSync(c *qt.C, source Source, peers *fakePeers) *Sync {
 	peers.announced = make(chan store.Version, 10)
+	peers.confirmed = make(chan struct{}, 1)
 	s := NewSync(source, peers, fakeDecoder{}, slog.New(slog.NewJSONHandler(io.Discard, nil)), tally.NoopScope)
+	s.relyUntil = time.Time{}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -177,6 +187,38 @@
 	c.Assert(s.reachable, qt.IsTrue)
 }
 
+// Guards against followers that each watch the store although a reader does, which makes
+// the calls to the store grow with the number of instances, and against followers that
+// still rely on a reader that no longer reaches the store.
+func TestFollowersRelyOnReaders(t *testing.T) {
+	c := qt.New(t)
+	watches := make(chan time.Time, 10)
+	source := &fakeSource{snapshot: []store.Entry{entry("config", "1", 1)}, version: 1}
+	source.onWatch = func(context.Context) (store.WatchResult, error) {
+		watches <- time.Now()
+		return store.WatchResult{}, store.ErrUnavailable
+	}
+	peers := &fakePeers{entries: []store.Entry{entry("config", "2", 5)}, version: 5}
+	s := startSync(c, source, peers)
+	<-peers.announced
+	contact := time.Now()
+	s.RecordStoreContact(5, "reader")
+	c.Assert(<-peers.announced, qt.Equals, store.Version(5))
+	for len(watches) > 0 {
+		<-watches // made before the contact
+	}
+	c.Assert((<-watches).Sub(contact) >= confirmTimeout, qt.IsTrue)
+}
+
+// Guards against a reader that confirms nothing, so that all followers watch the store.
+func TestReadersConfirmStoreContact(t *testing.T) {
+	c := qt.New(t)
+	source := &fakeSource{snapshot: []store.Entry{entry("config", "1", 1)}, version: 1, onWatch: waitForCancel}
+	peers := &fakePeers{reader: true}
+	startSync(c, source, peers)
+	<-peers.confirmed
+}
+
 // Guards against log lines that grow with the number of servers.
 func TestLogLinesListFewServers(t *testing.T) {
 	c := qt.New(t)
--- a/membership/build.go
+++ b/membership/build.go
@@ -181,6 +181,16 @@
 	return s.outputs
 }
 
+// ConfirmStoreContact tells the members of the failure domain that this instance has
+// just reached the store.
+func (s *State) ConfirmStoreContact() []Output {
+	s.outputs = nil
+	message := s.urgentMessage(nil, nil)
+	message.StoreContact = true
+	s.broadcast(message)
+	return s.outputs
+}
+
 // SetLoad reports the number of requests that this instance has in flight.
 func (s *State) SetLoad(load int) { s.self.Load = max(0, load) }
 
--- a/membership/message.go
+++ b/membership/message.go
@@ -154,6 +154,8 @@
 	// ProbeMember is the ID of a member that the receiver probes on behalf of the
 	// sender; empty for none.
 	ProbeMember string
+	// StoreContact is set when the sender has just reached the store.
+	StoreContact bool
 	// LiveMembers is the number of live members that the sender knows, itself
 	// included.
 	LiveMembers int
@@ -184,6 +186,12 @@
 	// IsolationChanged reports that this instance receives nothing from the other
 	// members of its failure domain any longer, or that it does again.
 	IsolationChanged struct{ Isolated bool }
+	// StoreContact reports that another member of the failure domain has reached the
+	// store, and the configuration revision that it has.
+	StoreContact struct {
+		Revision int64
+		Address  string
+	}
 	// NewRevision reports a configuration revision that is higher than all known
 	// before, with the address of an instance that has it.
 	NewRevision struct {
@@ -202,6 +210,7 @@
 func (Send) membershipOutput()                   {}
 func (MemberChanged) membershipOutput()          {}
 func (IsolationChanged) membershipOutput()       {}
+func (StoreContact) membershipOutput()           {}
 func (NewRevision) membershipOutput()            {}
 func (NewDrainMarker) membershipOutput()         {}
 func (InFlightCountsReceived) membershipOutput() {}
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -56,6 +56,9 @@
 	s.noteReceipt(now)
 	s.endProbes(from.ID)
 	s.domainRevision = max(s.domainRevision, from.Revision)
+	if message.StoreContact {
+		s.outputs = append(s.outputs, StoreContact{from.Revision, from.Address})
+	}
 	_, known := s.members[from.ID]
 	s.mergeRecord(now, from)
 	if m, added := s.members[from.ID]; added && !known {
--- a/membership/size.go
+++ b/membership/size.go
@@ -65,7 +65,7 @@
 
 // Bytes returns an upper bound of the encoded size in bytes.
 func (m Message) Bytes() int {
-	return m.From.bytes() + 2*numberBytes(1) + stringBytes(m.ProbeMember) + numberBytes(m.LiveMembers) + m.syncBytes() + listBytes(m.Records) +
+	return m.From.bytes() + 3*numberBytes(1) + stringBytes(m.ProbeMember) + numberBytes(m.LiveMembers) + m.syncBytes() + listBytes(m.Records) +
 		listBytes(m.DrainMarkers) + listBytes(m.Stragglers) + listBytes(m.InFlightCounts) + listBytes(m.Demand) + listBytes(m.Summaries)
 }
 
