view: one reader a region, with a standby, at intervals of 0.8 s

Cause: heartbeats of servers change their entries, so each watch of a reader returned at once; two readers a region called several times a second.

Change: one reader; the second in rank takes over after 1.3 s without a confirmation, the others after 1.8 to 2.1 s. A reader starts its watches 0.8 s apart, and 0.15 s after a change of the view.

--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -150,10 +150,6 @@
 // may become a reader.
 const firstReadDelay = 1500 * time.Millisecond
 
-// storeReaders is the number of instances of a region that watch the store at short
-// intervals.
-const storeReaders = 2
-
 // Avoid ranks an instance that did not answer last among owners for avoidDuration.
 func (c *Cluster) Avoid(address string) {
 	c.mu.Lock()
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -148,14 +148,17 @@
 // Owner returns the address of the instance that owns a key, empty for this one.
 func (c *Cluster) Owner(key string) string { return c.Owners(key)[0] }
 
-// IsReader implements view.Peers. It returns false until firstReadDelay has passed: when
-// all instances start together, each would otherwise be a reader.
-func (c *Cluster) IsReader() bool {
+// ReaderRank implements view.Peers. The rank is the lowest one until firstReadDelay has
+// passed: when all instances start together, each would otherwise be a reader.
+func (c *Cluster) ReaderRank() int {
 	if time.Since(c.started) < firstReadDelay {
-		return false
+		return maxRanked
 	}
 	ids, _ := c.rank("store reader")
-	return slices.Contains(ids[:min(storeReaders, len(ids))], c.settings.Instance)
+	if rank := slices.Index(ids, c.settings.Instance); rank >= 0 {
+		return rank
+	}
+	return maxRanked
 }
 
 // observeMembers has the owners chosen anew when an instance joins, leaves or fails.
--- a/internal/view/readers.go
+++ b/internal/view/readers.go
@@ -14,9 +14,13 @@
 const (
 	// confirmInterval is the least time between two confirmations of a reader.
 	confirmInterval = 500 * time.Millisecond
-	// confirmTimeout is how long followers rely on a confirmation. A reader that has
-	// nothing to read confirms at each end of its watch.
-	confirmTimeout = readerWatchTimeout + readerIdlePause + 500*time.Millisecond
+	// confirmTimeout is how long the standby of the reader relies on a confirmation. A
+	// reader without news confirms once in readerInterval.
+	confirmTimeout = readerInterval + 500*time.Millisecond
+	// followerDelay is how much longer the other followers rely on a confirmation, so that
+	// they hear from the standby first. Together with confirmTimeout and a watch it must
+	// be shorter than the time in which a configuration must be in force, 2.5 s.
+	followerDelay = 500 * time.Millisecond
 	// maxWatchDelay bounds a random delay before a follower watches the store itself, so
 	// that not all of them call at once.
 	maxWatchDelay = 300 * time.Millisecond
@@ -28,15 +32,19 @@
 // RecordStoreContact records that a reader has confirmed that it reaches the store, where
 // it knows a version.
 func (s *Sync) RecordStoreContact(version store.Version, address string) {
+	rely := confirmTimeout
+	if !s.readsForRegion() {
+		rely += followerDelay + rand.N(maxWatchDelay)
+	}
 	s.mu.Lock()
-	s.relyUntil = latest(s.relyUntil, time.Now().Add(confirmTimeout+rand.N(maxWatchDelay)))
+	s.relyUntil = latest(s.relyUntil, time.Now().Add(rely))
 	s.mu.Unlock()
 	s.RecordAnnouncement(version, address)
 }
 
 // reliesOnReader reports whether this instance leaves calls to the store to a reader.
 func (s *Sync) reliesOnReader(now time.Time) bool {
-	if s.peers.IsReader() {
+	if s.peers.ReaderRank() == 0 {
 		return false
 	}
 	s.mu.Lock()
@@ -44,9 +52,13 @@
 	return now.Before(s.relyUntil)
 }
 
+// readsForRegion reports whether this instance is the reader of its region or the
+// standby, whose calls to the store count for the others.
+func (s *Sync) readsForRegion() bool { return s.peers.ReaderRank() <= 1 }
+
 // confirmStoreContact tells the followers that this reader reaches the store.
 func (s *Sync) confirmStoreContact(now time.Time) {
-	if !s.peers.IsReader() || now.Sub(s.lastConfirmed) < confirmInterval {
+	if !s.readsForRegion() || now.Sub(s.lastConfirmed) < confirmInterval {
 		return
 	}
 	s.lastConfirmed = now
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -17,18 +17,19 @@
 )
 
 const (
-	// readerBatchPause separates two watches of a reader, so that one watch returns all
-	// changes that are made in quick succession.
-	readerBatchPause = 50 * time.Millisecond
+	// readerBatchPause follows a watch of a reader that changed the view, so that the next
+	// one returns all changes that are made in quick succession.
+	readerBatchPause = 150 * time.Millisecond
+	// readerInterval is the least time between the starts of two watches of a reader when
+	// the first one changed nothing in the view, so that the heartbeats of servers, which
+	// change their entries, do not cost a call each.
+	readerInterval = 800 * time.Millisecond
 	// followerPause does the same for followers. It is longer, because there are many of
 	// them and each watch is a call to the store. Followers pull changes from the
 	// readers, so it only bounds their delay when no reader reaches the store: a new
 	// configuration must be in force, and a draining server must get no more requests,
 	// within 2.5 s.
 	followerPause = 1500 * time.Millisecond
-	// readerIdlePause follows a watch that changed nothing in the view, so that the
-	// heartbeats of servers, which change their entries, do not cost a call each.
-	readerIdlePause = 200 * time.Millisecond
 	// initialBackoff and maxBackoff bound the mean delay before the retry of a failed
 	// store call.
 	initialBackoff = 100 * time.Millisecond
@@ -76,9 +77,11 @@
 	// Pull returns the changes after a version that an instance has read from the store.
 	// An empty address means any instance.
 	Pull(ctx context.Context, address string, have store.Version) (store.Changes, error)
-	// IsReader reports whether this instance is one of the few readers, which watch the
-	// store at short intervals. All others are followers.
-	IsReader() bool
+	// ReaderRank returns the position of this instance among those of its region that
+	// may read the store for it. The first one, 0, is the reader, which watches the store
+	// at short intervals. The second one takes over when the reader does not confirm
+	// that it reaches the store. All others are followers.
+	ReaderRank() int
 	// Announce announces the version of this instance's view to the others. fromStore is
 	// false when its newest change did not come from a store call of this instance.
 	Announce(version store.Version, fromStore bool)
@@ -169,11 +172,12 @@
 			clock.Sleep(ctx, tickInterval)
 			continue
 		}
+		started := time.Now()
 		changed, err := s.readStore(ctx, hasSnapshot)
 		if err == nil {
 			hasSnapshot, backoff = true, initialBackoff
 			s.confirmStoreContact(time.Now())
-			clock.Sleep(ctx, s.pauseAfterWatch(changed))
+			clock.Sleep(ctx, s.pauseAfterWatch(changed, time.Since(started)))
 			continue
 		}
 		if errors.Is(err, errBecameReader) {
@@ -190,15 +194,15 @@
 }
 
 // pauseAfterWatch returns the pause before the next watch. changed is whether the last
-// call changed the view.
-func (s *Sync) pauseAfterWatch(changed bool) time.Duration {
+// call changed the view, took how long it lasted.
+func (s *Sync) pauseAfterWatch(changed bool, took time.Duration) time.Duration {
 	switch {
-	case !s.peers.IsReader():
+	case !s.readsForRegion():
 		return followerPause
 	case changed:
 		return readerBatchPause
 	}
-	return readerIdlePause
+	return max(0, readerInterval-took)
 }
 
 // readStore makes one call to the store, a snapshot or a watch, and reports whether the
@@ -223,7 +227,7 @@
 // interrupted when the instance becomes a reader.
 func (s *Sync) watch(ctx context.Context, after store.Version) (store.WatchResult, error) {
 	timeout := readerWatchTimeout
-	if !s.peers.IsReader() {
+	if !s.readsForRegion() {
 		timeout = followerWatchTimeout
 		interruptible, interrupt := context.WithCancelCause(ctx)
 		ctx = interruptible
@@ -249,7 +253,7 @@
 // interruptFollowerWatch interrupts the long watch of an instance that has become a
 // reader, because the store may return nothing to waiting watches for a while.
 func (s *Sync) interruptFollowerWatch() {
-	if !s.peers.IsReader() {
+	if !s.readsForRegion() {
 		return
 	}
 	s.mu.Lock()
--- a/internal/view/sync_test.go
+++ b/internal/view/sync_test.go
@@ -50,7 +50,12 @@
 	becomesReader atomic.Bool
 }
 
-func (f *fakePeers) IsReader() bool { return f.reader || f.becomesReader.Load() }
+func (f *fakePeers) ReaderRank() int {
+	if f.reader || f.becomesReader.Load() {
+		return 0
+	}
+	return 2
+}
 
 func (f *fakePeers) Pull(context.Context, string, store.Version) (store.Changes, error) {
 	return store.Changes{WatchResult: watchResult(f.version, f.entries...)}, nil
