gateway: stop using servers that say that they leave, keep pauses, bound heads of answers

A server says in all its answers that it leaves (Server-Leaving) or asks with a refusal for a pause (Retry-After of a 503); neither was read. An answer's head was read without a bound: TestAnswersWithoutEndAreBounded read 256 MiB of a status line, header line, headers and bytes that are no answer.

Change: all sends to servers go through ServerClient, which reads both. A leaving server counts as draining here at once, whatever its entry in the store says, until its next incarnation; the other instances learn it by the drain markers of membership. During a pause nothing is sent to the server, also no calls and frees of stages; requests go to others or are refused with the time at which the first pause ends. A pause is extended by up to a tenth at random. A head may have 64 KiB.

Ruled out by test: interim answers, answers to other requests, chunk extensions, trailers and bodies without end were bounded before.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -37,4 +37,6 @@
 	CacheUnknown         = define(7216, slog.LevelInfo, "cached prompt parts of a model server could not be read")
 	PlacementShareFailed = define(7217, slog.LevelInfo, "cached prompt parts could not be shared with another region")
 	StageHandedBack      = define(7218, slog.LevelInfo, "stopping instance handed a stage back")
+	ServerLeaving        = define(7219, slog.LevelInfo, "backend server leaves and gets no new requests")
+	ServerPaused         = define(7220, slog.LevelInfo, "backend server asked for a pause and gets no requests until it ends")
 )
--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -102,6 +102,17 @@
 	c.node.Do(func(s *membership.State) []membership.Output { return s.SetRevision(int64(version), fromStore) })
 }
 
+// leavingMarkerLifetime is how long the other instances are told that a server leaves. It
+// covers the time from its first such answer to its exit.
+const leavingMarkerLifetime = 2 * time.Minute
+
+// MarkLeaving tells the other instances that an incarnation of a server leaves.
+func (c *Cluster) MarkLeaving(server string, incarnation int64) {
+	c.node.Do(func(s *membership.State) []membership.Output {
+		return s.MarkDraining(time.Now(), server, incarnation, leavingMarkerLifetime)
+	})
+}
+
 // ConfirmStoreContact implements view.Peers.
 func (c *Cluster) ConfirmStoreContact() {
 	c.node.Do(func(s *membership.State) []membership.Output { return s.ConfirmStoreContact() })
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -93,14 +93,17 @@
 			func(st Store, c *Cluster, m *metrics.Metrics) *view.Sync {
 				return view.NewSync(st, c, adapter.Protocol, logger, m.Scope)
 			},
-			func(upstreamClient *upstream.Client, views *view.Sync) *ResultFreer {
-				return NewResultFreer(adapter.Protocol, upstreamClient, serverByAddress(views), logger)
+			func(upstreamClient *upstream.Client, views *view.Sync, c *Cluster, m *metrics.Metrics) *ServerClient {
+				return NewServerClient(upstreamClient, adapter.Protocol, markLeaving(views, c, logger), logger, m.Scope)
 			},
-			func(upstreamClient *upstream.Client, servers *Servers, freer *ResultFreer, m *metrics.Metrics) *StageScheduler {
-				return NewStageScheduler(adapter.Protocol, upstreamClient, servers, freer, logger, m.Scope)
+			func(client *ServerClient, views *view.Sync) *ResultFreer {
+				return NewResultFreer(adapter.Protocol, client, serverByAddress(views), logger)
 			},
-			func(views *view.Sync, servers *Servers, upstreamClient *upstream.Client, stages *StageRunner, placer *Placer, drain *Drain, m *metrics.Metrics) *Gateway {
-				return New(adapter.Protocol, views, servers, upstreamClient, stages, placer, drain, logger, m.Scope)
+			func(client *ServerClient, servers *Servers, freer *ResultFreer, m *metrics.Metrics) *StageScheduler {
+				return NewStageScheduler(adapter.Protocol, client, servers, freer, logger, m.Scope)
+			},
+			func(views *view.Sync, servers *Servers, client *ServerClient, stages *StageRunner, placer *Placer, drain *Drain, m *metrics.Metrics) *Gateway {
+				return New(adapter.Protocol, views, servers, client, stages, placer, drain, logger, m.Scope)
 			},
 			func() *Drain { return NewDrain(s.Grace()) },
 			func() *readiness.Readiness { return &readiness.Readiness{Logger: logger, Ready: events.GatewayReady} },
@@ -119,6 +122,20 @@
 	return peer.Listen(identity, logger, m.Scope)
 }
 
+// markLeaving returns a function that stops the use of a server that leaves, here and
+// at the other instances.
+func markLeaving(views *view.Sync, c *Cluster, logger *slog.Logger) func(server string) {
+	return func(id string) {
+		server, listed := views.Current().ByID(id)
+		if !listed || server.Draining {
+			return
+		}
+		events.ServerLeaving.Log(context.Background(), logger, slog.String("server", id), slog.Int64("incarnation", server.Incarnation))
+		views.MarkLeaving(id, server.Incarnation)
+		c.MarkLeaving(id, server.Incarnation)
+	}
+}
+
 func serverByAddress(views *view.Sync) func(string) (upstream.Server, bool) {
 	return func(address string) (upstream.Server, bool) {
 		v := views.Current()
@@ -166,6 +183,10 @@
 		switch out := output.(type) {
 		case membership.NewRevision:
 			d.Views.RecordAnnouncement(store.Version(out.Revision), out.Address)
+		case membership.NewDrainMarker:
+			if !out.Marker.Cleared {
+				d.Views.MarkLeaving(out.Marker.Server, out.Marker.Incarnation)
+			}
 		case membership.StoreContact:
 			d.Views.RecordStoreContact(store.Version(out.Revision), out.Address)
 		}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -82,7 +82,8 @@
 func (fakeProtocol) Belongs(h http.Header, id string) bool { return h.Get("Id") == id }
 
 func (fakeProtocol) ReadAnswer(_ int, h http.Header) AnswerInfo {
-	return AnswerInfo{NotRun: h.Get("Not-Run") != "", InputsLost: h.Get("Not-Run") == "inputs"}
+	pause, _ := time.ParseDuration(h.Get("Pause"))
+	return AnswerInfo{NotRun: h.Get("Not-Run") != "", InputsLost: h.Get("Not-Run") == "inputs", Leaving: h.Get("Leaving") != "", RetryAfter: pause}
 }
 
 func (fakeProtocol) StageCall(s upstream.Server, pieces []Piece) (*upstream.Request, error) {
@@ -196,11 +197,11 @@
 	cluster := NewCluster(s, node, peerClient, storetest.New(), discardLogger())
 	views := view.NewSync(fakeSource{entries}, cluster, protocol, discardLogger(), tally.NoopScope)
 	servers := NewServers(s, cluster)
-	upstreamClient := upstream.NewClient(tally.NoopScope)
-	freer := NewResultFreer(protocol, upstreamClient, serverByAddress(views), discardLogger())
-	f.scheduler = NewStageScheduler(protocol, upstreamClient, servers, freer, discardLogger(), tally.NoopScope)
+	client := NewServerClient(upstream.NewClient(tally.NoopScope), protocol, markLeaving(views, cluster, discardLogger()), discardLogger(), tally.NoopScope)
+	freer := NewResultFreer(protocol, client, serverByAddress(views), discardLogger())
+	f.scheduler = NewStageScheduler(protocol, client, servers, freer, discardLogger(), tally.NoopScope)
 	f.drain = NewDrain(s.Grace())
-	f.gateway = New(protocol, views, servers, upstreamClient, NewStageRunner(cluster, peerClient, f.scheduler, discardLogger()), NewPlacer(cluster, peerClient, servers, upstreamClient, protocol, discardLogger()), f.drain, discardLogger(), tally.NoopScope)
+	f.gateway = New(protocol, views, servers, client, NewStageRunner(cluster, peerClient, f.scheduler, discardLogger()), NewPlacer(cluster, peerClient, servers, client, protocol, discardLogger()), f.drain, discardLogger(), tally.NoopScope)
 	changed := make(chan struct{}, 10)
 	views.Observe(servers.Update)
 	views.Observe(f.scheduler.Update)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,7 +12,6 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
 )
@@ -22,7 +21,7 @@
 	protocol   Protocol
 	views      *view.Sync
 	servers    *Servers
-	upstream   *upstream.Client
+	client     *ServerClient
 	stages     *StageRunner
 	placer     *Placer
 	drain      *Drain
@@ -53,8 +52,8 @@
 }
 
 // New returns a gateway that serves requests by the current view of views.
-func New(protocol Protocol, views *view.Sync, servers *Servers, upstreamClient *upstream.Client, stages *StageRunner, placer *Placer, drain *Drain, logger *slog.Logger, scope tally.Scope) *Gateway {
-	return &Gateway{protocol: protocol, views: views, servers: servers, upstream: upstreamClient, stages: stages, placer: placer, drain: drain, logger: logger, metrics: newRequestMetrics(scope), runTimes: newMovingAverages(), fetchEstimates: newFetchEstimates(), bodyMemory: newBodyMemory()}
+func New(protocol Protocol, views *view.Sync, servers *Servers, client *ServerClient, stages *StageRunner, placer *Placer, drain *Drain, logger *slog.Logger, scope tally.Scope) *Gateway {
+	return &Gateway{protocol: protocol, views: views, servers: servers, client: client, stages: stages, placer: placer, drain: drain, logger: logger, metrics: newRequestMetrics(scope), runTimes: newMovingAverages(), fetchEstimates: newFetchEstimates(), bodyMemory: newBodyMemory()}
 }
 
 // InFlight returns the number of requests in flight.
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -37,8 +37,8 @@
 	cluster    *Cluster
 	peerClient *peer.Client
 	servers    *Servers
-	// upstream and protocol read the cached prompt parts of model servers.
-	upstream *upstream.Client
+	// client and protocol read the cached prompt parts of model servers.
+	client   *ServerClient
 	protocol Protocol
 	logger   *slog.Logger
 	// restored holds the services whose prompts this instance places and whose servers'
@@ -52,8 +52,8 @@
 }
 
 // NewPlacer returns a placer for the model servers in servers.
-func NewPlacer(cluster *Cluster, peerClient *peer.Client, servers *Servers, upstreamClient *upstream.Client, protocol Protocol, logger *slog.Logger) *Placer {
-	return &Placer{cluster: cluster, peerClient: peerClient, servers: servers, upstream: upstreamClient, protocol: protocol, logger: logger, restored: map[string]bool{}, pendingShares: map[string][]*peerpb.SharedPlacement{}}
+func NewPlacer(cluster *Cluster, peerClient *peer.Client, servers *Servers, client *ServerClient, protocol Protocol, logger *slog.Logger) *Placer {
+	return &Placer{cluster: cluster, peerClient: peerClient, servers: servers, client: client, protocol: protocol, logger: logger, restored: map[string]bool{}, pendingShares: map[string][]*peerpb.SharedPlacement{}}
 }
 
 // Restore reads the cached prompt parts of the model servers of each service whose
@@ -90,7 +90,7 @@
 func (p *Placer) readCache(ctx context.Context, server upstream.Server) ([]engine.Part, error) {
 	ctx, cancel := context.WithTimeout(ctx, cacheReadTimeout)
 	defer cancel()
-	answer, err := p.upstream.Send(ctx, server, p.protocol.CacheCall(server))
+	answer, err := p.client.Send(ctx, server, p.protocol.CacheCall(server))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -30,12 +30,15 @@
 	for unsentTries := 0; ; {
 		send, ok := c.pickServer(excluded)
 		if !ok {
-			c.refuse("no server", longRetryAfter)
+			c.refuse("no server", c.client.retryAfterPause(longRetryAfter))
 			return
 		}
 		excluded = append(excluded, send.index)
-		answer, err := c.upstream.Send(c.ctx, send.server, c.outgoingRequest(send.server, SendInfo{}))
+		answer, err := c.client.Send(c.ctx, send.server, c.outgoingRequest(send.server, SendInfo{}))
 		switch {
+		case errors.Is(err, errServerHeld):
+			c.finishSend(send, routing.Refused)
+			continue
 		case errors.Is(err, upstream.ErrNotSent) && !c.clientGone() && !c.expired():
 			c.finishSend(send, routing.Unreachable)
 			c.logSendFailed(send.server, 0, err)
@@ -131,7 +134,7 @@
 		if c.mayRetry() {
 			return false
 		}
-		c.refuse("servers are full", longRetryAfter)
+		c.refuse("servers are full", c.client.retryAfterPause(longRetryAfter))
 		return true
 	}
 	c.mayHaveRun = true
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -58,6 +58,11 @@
 	NotRun bool
 	// InputsLost is true when an input of the request does not exist any more.
 	InputsLost bool
+	// Leaving is true when the server will exit.
+	Leaving bool
+	// RetryAfter is how long the server wants no requests of this instance, when it
+	// refused the request; 0 when it says nothing.
+	RetryAfter time.Duration
 	// Load is the server's own load report, nil without one.
 	Load *routing.LoadReport
 }
--- a/internal/gateway/resultfreer.go
+++ b/internal/gateway/resultfreer.go
@@ -21,7 +21,7 @@
 // stays until its time to live ends.
 type ResultFreer struct {
 	protocol Protocol
-	upstream *upstream.Client
+	client   *ServerClient
 	serverAt func(address string) (upstream.Server, bool)
 	logger   *slog.Logger
 
@@ -38,8 +38,8 @@
 }
 
 // NewResultFreer returns a ResultFreer that looks up servers by address with serverAt.
-func NewResultFreer(protocol Protocol, upstreamClient *upstream.Client, serverAt func(address string) (upstream.Server, bool), logger *slog.Logger) *ResultFreer {
-	return &ResultFreer{protocol: protocol, upstream: upstreamClient, serverAt: serverAt, logger: logger, pending: map[string]*pendingFree{}}
+func NewResultFreer(protocol Protocol, client *ServerClient, serverAt func(address string) (upstream.Server, bool), logger *slog.Logger) *ResultFreer {
+	return &ResultFreer{protocol: protocol, client: client, serverAt: serverAt, logger: logger, pending: map[string]*pendingFree{}}
 }
 
 // Free frees results after freeCallDelay. onFreed is called once for each producer with
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	answer, err := f.upstream.Send(ctx, server, request)
+	answer, err := f.client.Send(ctx, server, request)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/gateway/serverclient.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
+)
+
+// errServerHeld reports a request that was not sent because the server asked for a pause.
+var errServerHeld = errors.New("server asked for a pause")
+
+// holdJitter is the largest share by which a requested pause is extended, so that the
+// instances do not all return to a server at the same time.
+const holdJitter = 0.1
+
+// ServerClient sends all requests of this instance to backend servers. It observes in
+// their answers whether a server is leaving or asks for a pause, and sends nothing to a
+// server during its pause.
+type ServerClient struct {
+	upstream *upstream.Client
+	protocol Protocol
+	logger   *slog.Logger
+	holds    *serverHolds
+	// onLeaving is called with the ID of a server whose answer says that it leaves.
+	onLeaving func(server string)
+
+	leaving, held tally.Counter
+}
+
+// NewServerClient returns a client that passes the IDs of leaving servers to onLeaving,
+// which may be called several times for one server.
+func NewServerClient(upstreamClient *upstream.Client, protocol Protocol, onLeaving func(server string), logger *slog.Logger, scope tally.Scope) *ServerClient {
+	return &ServerClient{
+		upstream: upstreamClient, protocol: protocol, logger: logger, holds: newServerHolds(), onLeaving: onLeaving,
+		leaving: scope.Counter("leaving_answers"), held: scope.Counter("server_pauses"),
+	}
+}
+
+// Send sends a request like upstream.Client.Send. During a pause of the server its error
+// wraps upstream.ErrNotSent.
+func (c *ServerClient) Send(ctx context.Context, server upstream.Server, request *upstream.Request) (*upstream.Answer, error) {
+	if c.holds.remaining(server.ID, time.Now()) > 0 {
+		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, errServerHeld)
+	}
+	answer, err := c.upstream.Send(ctx, server, request)
+	if err != nil {
+		return nil, err
+	}
+	info := c.protocol.ReadAnswer(answer.Status, answer.Header)
+	if info.Leaving {
+		c.leaving.Inc(1)
+		c.onLeaving(server.ID)
+	}
+	if answer.Status == http.StatusServiceUnavailable && info.RetryAfter > 0 {
+		c.hold(ctx, server.ID, info.RetryAfter)
+	}
+	return answer, nil
+}
+
+func (c *ServerClient) hold(ctx context.Context, server string, pause time.Duration) {
+	c.held.Inc(1)
+	events.ServerPaused.Log(ctx, c.logger, slog.String("server", server), slog.Int64("pause_ms", pause.Milliseconds()))
+	c.holds.add(server, time.Now(), pause+time.Duration(holdJitter*rand.Float64()*float64(pause)))
+}
+
+// retryAfterPause returns when to retry a request for which no server was left: after
+// the first pause of a server ends, and not before a minimum.
+func (c *ServerClient) retryAfterPause(minimum time.Duration) time.Duration {
+	_, shortest := c.holds.held(time.Now())
+	return max(minimum, shortest)
+}
--- a/internal/gateway/stagecalls.go
+++ b/internal/gateway/stagecalls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"time"
@@ -40,8 +41,10 @@
 		attrs = append(attrs, slog.Any("error", err))
 	}
 	events.StageCallEnded.Log(context.Background(), s.logger, attrs...)
+	now := time.Now()
 	q.mu.Lock()
-	effects := q.queue.Finished(time.Now(), call.ID, outcomes)
+	effects := q.queue.Finished(now, call.ID, outcomes)
+	q.queue.Pause(call.Server, now.Add(s.client.holds.remaining(call.Server, now)))
 	q.mu.Unlock()
 	s.applyEffects(q, effects)
 	s.startCalls(q)
@@ -60,7 +63,10 @@
 	if err != nil {
 		return stagework.SameOutcome(stagework.Failed, len(pieces)), err
 	}
-	answer, err := s.upstream.Send(ctx, server, request)
+	answer, err := s.client.Send(ctx, server, request)
+	if errors.Is(err, errServerHeld) {
+		return stagework.SameOutcome(stagework.Refused, len(pieces)), err
+	}
 	if err != nil {
 		return stagework.SameOutcome(stagework.Failed, len(pieces)), err
 	}
--- a/internal/gateway/stagescheduler.go
+++ b/internal/gateway/stagescheduler.go
@@ -12,7 +12,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
-	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
@@ -34,7 +33,7 @@
 // to stage servers.
 type StageScheduler struct {
 	protocol    Protocol
-	upstream    *upstream.Client
+	client      *ServerClient
 	servers     *Servers
 	logger      *slog.Logger
 	calls       tally.Counter
@@ -49,9 +48,9 @@
 }
 
 // NewStageScheduler returns a scheduler without services.
-func NewStageScheduler(protocol Protocol, upstreamClient *upstream.Client, servers *Servers, freer *ResultFreer, logger *slog.Logger, scope tally.Scope) *StageScheduler {
+func NewStageScheduler(protocol Protocol, client *ServerClient, servers *Servers, freer *ResultFreer, logger *slog.Logger, scope tally.Scope) *StageScheduler {
 	return &StageScheduler{
-		protocol: protocol, upstream: upstreamClient, servers: servers, freer: freer, logger: logger,
+		protocol: protocol, client: client, servers: servers, freer: freer, logger: logger,
 		calls: scope.Counter("stage_calls"), callsFailed: scope.Counter("stage_calls_refused"), callTime: scope.Timer("stage_call_time"),
 		queues: map[string]*serviceQueue{},
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -54,11 +54,12 @@
 		return g.rerunStages("a producer of inputs has left")
 	}
 	inputs := g.inputsByDomain()
+	held, _ := g.client.holds.held(time.Now())
 	placed, ok := g.placer.Place(g.ctx, g.requestInfo.ID, g.service.Name, engine.Query{
-		Prompt: g.requestInfo.Prompt, InputBytes: inputs, Excluded: g.tried,
+		Prompt: g.requestInfo.Prompt, InputBytes: inputs, Excluded: append(held, g.tried...),
 	})
 	if !ok {
-		return g.giveUp("no server", longRetryAfter, nil)
+		return g.giveUp("no server", g.client.retryAfterPause(longRetryAfter), nil)
 	}
 	g.tried = append(g.tried, placed.Server)
 	server, known := g.servers.Server(placed.Server)
@@ -74,7 +75,7 @@
 	source, _ := g.servers.Server(placed.CopyFrom)
 	request := g.outgoingRequest(server, SendInfo{Urgency: &urgency, Inputs: g.inputs, LastEventID: g.lastID, CopyFrom: source.Address})
 	stop := g.freeInputsWhenFetched()
-	answer, err := g.upstream.Send(g.ctx, server, request)
+	answer, err := g.client.Send(g.ctx, server, request)
 	freed := stop()
 	if err != nil {
 		return g.handleSendError(placed, err)
@@ -173,7 +174,7 @@
 		if g.mayRetry() {
 			return false
 		}
-		return g.giveUp("servers are full", longRetryAfter, nil)
+		return g.giveUp("servers are full", g.client.retryAfterPause(longRetryAfter), nil)
 	}
 	g.mayHaveRun = true
 	if answer.Status == http.StatusOK {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -102,7 +103,9 @@
 // readAnswer returns the head of the answer. Answers to other requests are skipped.
 func (e *exchange) readAnswer(request *Request) (*Answer, error) {
 	for range maxStrayAnswers + 1 {
+		e.conn.limit.allow(maxHeadBytes)
 		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: request.Method})
+		e.conn.limit.allow(math.MaxInt64)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -79,6 +79,8 @@
 	// maxInlineBodyBytes is the size up to which a body is written before the answer is
 	// awaited. It fits the smallest TCP window.
 	maxInlineBodyBytes = 1 << 10
+	// maxHeadBytes bounds the head of an answer. A faulty server may send one without end.
+	maxHeadBytes = 64 << 10
 	// maxStrayAnswers bounds the answers to other requests that are skipped.
 	maxStrayAnswers = 2
 	// maxStrayAnswerBytes bounds what is read of the body of a skipped answer.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -215,3 +216,76 @@
 	answer.Close()
 	c.Assert(sendAndRead(c, client, server, "b"), qt.Equals, "second")
 }
+
+// Guards against memory and time that grow without bound when a faulty server sends bytes
+// without end in place of an answer.
+func TestAnswersWithoutEndAreBounded(t *testing.T) {
+	for name, answer := range map[string]struct{ start, repeated string }{
+		"status line":      {"HTTP/1.1 200 ", "x"},
+		"no answer":        {"", "\x00\xff"},
+		"empty lines":      {"", "\r\n"},
+		"header line":      {"HTTP/1.1 200 OK\r\nA: ", "x"},
+		"headers":          {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"interim answers":  {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"answers of other": {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n"},
+		"chunk extension":  {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+		"trailer":          {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			sent := make(chan int, 1)
+			server := serveConns(c, func(_ int, conn net.Conn, r *bufio.Reader) {
+				readRequestID(r)
+				sent <- writeWithoutEnd(conn, answer.start, answer.repeated)
+			})
+			received, err := newClient().Send(context.Background(), server, newRequest("a"))
+			if err == nil {
+				_, err = io.Copy(io.Discard, received.Body)
+				received.Close()
+			}
+			c.Assert(err, qt.IsNotNil)
+			// What the client did not read is in the buffers of the connection.
+			const socketBufferBytes = 16 << 20
+			c.Assert(<-sent < socketBufferBytes, qt.IsTrue)
+		})
+	}
+}
+
+// writeWithoutEnd writes until the client closes the connection, and returns the number of
+// bytes. It gives up at a size that no client should read.
+func writeWithoutEnd(conn net.Conn, start, repeated string) (sent int) {
+	const unboundedBytes = 256 << 20
+	data := []byte(start)
+	for sent < unboundedBytes {
+		n, err := conn.Write(data)
+		sent += n
+		if err != nil {
+			break
+		}
+		data = bytes.Repeat([]byte(repeated), 1+(64<<10)/len(repeated))
+	}
+	return sent
+}
+
+// Guards against an endless body that is read on after its reader has stopped, and against
+// the reuse of its connection.
+func TestBodyWithoutEndEndsWithItsReader(t *testing.T) {
+	c := qt.New(t)
+	sent := make(chan int, 1)
+	server := serveConns(c, func(n int, conn net.Conn, r *bufio.Reader) {
+		id := readRequestID(r)
+		if n > 0 {
+			writeAnswer(conn, id, "new connection")
+			return
+		}
+		sent <- writeWithoutEnd(conn, "HTTP/1.1 200 OK\r\nId: a\r\n\r\n", "x")
+	})
+	client := newClient()
+	answer, err := client.Send(context.Background(), server, newRequest("a"))
+	c.Assert(err, qt.IsNil)
+	_, err = io.CopyN(io.Discard, answer.Body, 1<<20)
+	c.Assert(err, qt.IsNil)
+	answer.Close()
+	c.Assert(<-sent < 32<<20, qt.IsTrue)
+	c.Assert(sendAndRead(c, client, server, "b"), qt.Equals, "new connection")
+}
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -50,6 +51,9 @@
 	removalsSince store.Version
 	// viewVersion is the store's version at the newest change of the view.
 	viewVersion store.Version
+	// leaving holds, by server ID, the incarnation of the servers that said themselves
+	// that they leave. Their entries may still say otherwise.
+	leaving map[string]int64
 	// outageUntil is until when removals count as caused by a store outage.
 	outageUntil time.Time
 }
@@ -66,7 +70,7 @@
 
 // NewState returns an empty state.
 func NewState(decoder Decoder) *State {
-	return &State{decoder: decoder, entries: map[string]store.Entry{}, servers: map[string]Server{}, graceUntil: map[string]time.Time{}}
+	return &State{decoder: decoder, entries: map[string]store.Entry{}, servers: map[string]Server{}, graceUntil: map[string]time.Time{}, leaving: map[string]int64{}}
 }
 
 // Position returns the store's version up to which all changes are applied.
@@ -166,6 +170,11 @@
 		return
 	}
 	delete(s.graceUntil, server.ID)
+	if incarnation, ok := s.leaving[server.ID]; ok && incarnation == server.Incarnation {
+		server.Draining = true
+	} else {
+		delete(s.leaving, server.ID)
+	}
 	known, listed := s.servers[server.ID]
 	s.servers[server.ID] = server
 	switch {
@@ -176,6 +185,36 @@
 	}
 }
 
+// maxLeaving bounds the servers that are remembered as leaving.
+const maxLeaving = 4096
+
+// MarkLeaving records that an incarnation of a server leaves, as it said itself. The
+// server counts as draining until it has restarted.
+func (s *State) MarkLeaving(id string, incarnation int64) (c Change) {
+	known, listed := s.servers[id]
+	if listed && known.Incarnation != incarnation {
+		return c
+	}
+	if _, marked := s.leaving[id]; !marked && len(s.leaving) >= maxLeaving {
+		s.dropUnlistedLeaving()
+	}
+	s.leaving[id] = incarnation
+	if listed && !known.Draining {
+		known.Draining = true
+		s.servers[id] = known
+		c.Drained = append(c.Drained, id)
+	}
+	return c
+}
+
+// dropUnlistedLeaving drops the marks of servers that are not listed.
+func (s *State) dropUnlistedLeaving() {
+	maps.DeleteFunc(s.leaving, func(id string, _ int64) bool {
+		_, listed := s.servers[id]
+		return !listed
+	})
+}
+
 func (s *State) remove(c *Change, now time.Time, key string, version store.Version) {
 	e, ok := s.entries[key]
 	delete(s.entries, key)
@@ -199,7 +238,7 @@
 
 // View returns the current view.
 func (s *State) View() *View {
-	v := &View{Version: s.viewVersion, Table: s.table, Servers: map[string][]Server{}, ByAddress: map[string]Server{}}
+	v := &View{Version: s.viewVersion, Table: s.table, Servers: map[string][]Server{}, ByAddress: map[string]Server{}, byID: maps.Clone(s.servers)}
 	for _, server := range s.servers {
 		v.ByAddress[server.Address] = server
 		if !server.Draining {
--- a/internal/view/state_test.go
+++ b/internal/view/state_test.go
@@ -46,6 +46,24 @@
 	return store.Entry{Key: key, Value: []byte(value), Version: version}
 }
 
+// Guards against a server that said that it leaves and is used again because its entry in
+// the store still says that it is ready, and against one that is not used after it has
+// started again under the same ID.
+func TestLeavingServerStaysOut(t *testing.T) {
+	c := qt.New(t)
+	s := NewState(fakeDecoder{})
+	s.Apply(epoch, watchResult(1, entry("config", "1", 1), entry("server/a", "x", 1)))
+	incarnation := s.View().ByAddress["x"].Incarnation
+	c.Assert(s.MarkLeaving("a", incarnation+1).Any(), qt.IsFalse)
+	c.Assert(s.MarkLeaving("a", incarnation).Drained, qt.DeepEquals, []string{"a"})
+	c.Assert(s.MarkLeaving("a", incarnation).Any(), qt.IsFalse)
+	s.Apply(epoch, watchResult(2, entry("server/a", "x", 2)))
+	c.Assert(s.View().Servers, qt.HasLen, 0)
+	s.leaving["a"] = incarnation + 1
+	s.Apply(epoch, watchResult(3, entry("server/a", "x", 3)))
+	c.Assert(s.View().Servers, qt.HasLen, 1)
+}
+
 func watchResult(version store.Version, entries ...store.Entry) store.WatchResult {
 	return store.WatchResult{Changed: entries, Version: version}
 }
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -154,6 +154,11 @@
 	s.announced, s.announcedAt, s.announcedBy = version, time.Now(), address
 }
 
+// MarkLeaving records that an incarnation of a server leaves, as it said itself.
+func (s *Sync) MarkLeaving(id string, incarnation int64) {
+	s.update(func(state *State, _ time.Time) Change { return state.MarkLeaving(id, incarnation) }, false)
+}
+
 // Run keeps the view up to date from the store and the peers until the context ends.
 func (s *Sync) Run(ctx context.Context) {
 	var running sync.WaitGroup
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -35,6 +35,16 @@
 	Servers map[string][]Server
 	// ByAddress holds all registered servers by address, including draining ones.
 	ByAddress map[string]Server
+	byID      map[string]Server
+}
+
+// ByID returns a registered server, also a draining one.
+func (v *View) ByID(id string) (Server, bool) {
+	if v == nil {
+		return Server{}, false
+	}
+	server, ok := v.byID[id]
+	return server, ok
 }
 
 // KeyKind is the kind of data under a key of the store.
--- a/stagework/server.go
+++ b/stagework/server.go
@@ -77,6 +77,15 @@
 	s.slownessAt = now
 }
 
+// Pause keeps calls from a server until a time. It never shortens a pause.
+func (q *Queue) Pause(id string, until time.Time) {
+	for _, s := range q.servers {
+		if s.ID == id && until.After(s.pausedUntil) {
+			s.pausedUntil = until
+		}
+	}
+}
+
 // needsProbe reports whether a server was slow when it was last measured and that
 // measurement has expired.
 func (s *server) needsProbe(now time.Time) bool {
