store: follow a store that was restored from a backup

Cause: the users' new rule: the store may return from a copy some seconds old, gives out revisions again and counts Store-Era up. A gateway's view ignored every version that was not above its own, so after a restoration it stayed at the old state until the revisions had passed it, read the store without a pause meanwhile (a lost history had no backoff), and missed the changes between.

Change: a version of the store consists of the generation and the revision; the adapter fills in the generation from the header. The view goes on to the newer generation: the configuration never goes back, servers that the copy lacks have the grace period of an outage, servers that drained stay out, and servers that had left are used only when they write their entry again. Peers learn it by the same changes. Instances write their registration again within 3 s.

Ruled out: comparing revisions within one generation at each use; the composed version keeps every comparison in the product as it was.

--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -16,6 +16,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
 )
 
@@ -60,6 +61,12 @@
 	// registered holds the registrations of the region's other instances by ID, as last
 	// read from the store during the start.
 	registered map[string]registration
+	// viewed is true after the first view, generation the store's generation in the last
+	// one.
+	viewed     bool
+	generation int64
+	// registrationLost receives a value when the registration may have been lost.
+	registrationLost chan struct{}
 }
 
 // RegistrationStore is the part of the store that holds the registrations of instances.
@@ -81,7 +88,7 @@
 
 // NewCluster returns a Cluster that reads the live instances from a membership node.
 func NewCluster(s settings.Gateway, node *peer.Node, peerClient *peer.Client, st RegistrationStore, logger *slog.Logger) *Cluster {
-	c := &Cluster{settings: s, node: node, peerClient: peerClient, store: st, logger: logger, avoidUntil: map[string]time.Time{}, started: time.Now(), rereadInterval: registrationRereadInterval}
+	c := &Cluster{settings: s, node: node, peerClient: peerClient, store: st, logger: logger, avoidUntil: map[string]time.Time{}, started: time.Now(), rereadInterval: registrationRereadInterval, registrationLost: make(chan struct{}, 1)}
 	node.Observe(c.observeMembers)
 	return c
 }
@@ -178,7 +185,7 @@
 	var lease store.LeaseID
 	for ctx.Err() == nil {
 		if lease != 0 && c.store.KeepAlive(ctx, lease) == nil {
-			clock.Sleep(ctx, registrationRenewInterval)
+			c.awaitRenewal(ctx)
 			continue
 		}
 		granted, err := c.register(ctx)
@@ -190,7 +197,40 @@
 		lease = granted
 		events.Registered.Log(ctx, c.logger, slog.String("address", c.settings.PeerAddress))
 		c.rereadRegistrations(ctx)
-		clock.Sleep(ctx, registrationRenewInterval)
+		c.awaitRenewal(ctx)
+	}
+}
+
+// maxReregisterDelay bounds a random delay before a lost registration is written again, so
+// that the instances don't all write at the same time.
+const maxReregisterDelay = 3 * time.Second
+
+// awaitRenewal waits until the registration is due to be renewed.
+func (c *Cluster) awaitRenewal(ctx context.Context) {
+	timer := time.NewTimer(registrationRenewInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-c.registrationLost:
+		clock.Sleep(ctx, rand.N(maxReregisterDelay))
+	}
+}
+
+// ObserveView has the registration written again when the store was restored from a
+// backup.
+func (c *Cluster) ObserveView(v *view.View) {
+	generation := v.Version.Generation()
+	c.mu.Lock()
+	restored := c.viewed && generation > c.generation
+	c.viewed, c.generation = true, max(c.generation, generation)
+	c.mu.Unlock()
+	if !restored {
+		return
+	}
+	select {
+	case c.registrationLost <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,7 +13,8 @@
 // MaxValueBytes is the size of the largest value that the service stores.
 const MaxValueBytes = 1 << 20
 
-// Version orders all writes of the store. 0 means that the key is absent.
+// Version orders all writes of the store, also across its restoration from a backup. 0
+// means that the key is absent.
 type Version int64
 
 // LeaseID identifies a lease. 0 means no lease.
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -20,6 +20,8 @@
 type Change struct {
 	// Configuration is true when another configuration came into force.
 	Configuration bool
+	// Restored is true when the store was restored from a backup.
+	Restored bool
 	// Joined, Drained and Left are the IDs of the backend servers that were added or
 	// changed, that started to drain, and that were removed.
 	Joined, Drained, Left []string
@@ -29,7 +31,7 @@
 
 // Any reports whether the view changed.
 func (c Change) Any() bool {
-	return c.Configuration || len(c.Joined)+len(c.Drained)+len(c.Left) > 0
+	return c.Configuration || c.Restored || len(c.Joined)+len(c.Drained)+len(c.Left) > 0
 }
 
 // State is a copy of the store's entries, from which views are built. Its position never
@@ -54,6 +56,12 @@
 	// leaving holds, by server ID, the incarnation of the servers that said themselves
 	// that they leave. Their entries may still say otherwise.
 	leaving map[string]int64
+	// restoring is true while the first entries of a restored store are applied.
+	restoring bool
+	// departed holds, by server ID, the incarnation of the servers whose entries were
+	// removed, the last maxLeaving of them in departedOrder.
+	departed      map[string]int64
+	departedOrder []string
 	// outageUntil is until when removals count as caused by a store outage.
 	outageUntil time.Time
 }
@@ -70,7 +78,7 @@
 
 // NewState returns an empty state.
 func NewState(decoder Decoder) *State {
-	return &State{decoder: decoder, entries: map[string]store.Entry{}, servers: map[string]Server{}, graceUntil: map[string]time.Time{}, leaving: map[string]int64{}}
+	return &State{decoder: decoder, entries: map[string]store.Entry{}, servers: map[string]Server{}, graceUntil: map[string]time.Time{}, leaving: map[string]int64{}, departed: map[string]int64{}}
 }
 
 // Position returns the store's version up to which all changes are applied.
@@ -88,6 +96,7 @@
 	if s.position == 0 {
 		s.removalsSince = version
 	}
+	s.beginUpdate(&c, now, version)
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.Key] = true
@@ -108,6 +117,7 @@
 	if result.Version <= s.position {
 		return c
 	}
+	s.beginUpdate(&c, now, result.Version)
 	for _, key := range result.Deleted {
 		s.remove(&c, now, key, result.Version)
 	}
@@ -118,6 +128,25 @@
 	return c
 }
 
+// beginUpdate prepares for entries of a version. When the store was restored from a
+// backup since the last update, entries that it lacks are written again within
+// reregisterGracePeriod. Servers that have left since the backup are in it as if they were
+// ready: those that were draining stay so, and those that were removed are not used
+// before their entries are written again.
+func (s *State) beginUpdate(c *Change, now time.Time, version store.Version) {
+	s.restoring = s.position != 0 && version.Generation() > s.position.Generation()
+	if !s.restoring {
+		return
+	}
+	c.Restored = true
+	s.RecordOutage(now)
+	for id, server := range s.servers {
+		if server.Draining {
+			s.leaving[id] = server.Incarnation
+		}
+	}
+}
+
 func (s *State) advance(c Change, version store.Version) {
 	s.position = version
 	if c.Any() {
@@ -130,6 +159,7 @@
 	for id, until := range s.graceUntil {
 		if !now.Before(until) {
 			delete(s.graceUntil, id)
+			s.recordDeparture(s.servers[id])
 			delete(s.servers, id)
 			c.Left = append(c.Left, id)
 		}
@@ -175,6 +205,9 @@
 	} else {
 		delete(s.leaving, server.ID)
 	}
+	if incarnation, ok := s.departed[server.ID]; ok && incarnation == server.Incarnation && s.restoring {
+		server.Draining = true
+	}
 	known, listed := s.servers[server.ID]
 	s.servers[server.ID] = server
 	switch {
@@ -233,9 +266,22 @@
 		return
 	}
 	delete(s.servers, server.ID)
+	s.recordDeparture(server)
 	c.Left = append(c.Left, server.ID)
 }
 
+// recordDeparture remembers a server whose entry was removed.
+func (s *State) recordDeparture(server Server) {
+	if _, known := s.departed[server.ID]; !known {
+		s.departedOrder = append(s.departedOrder, server.ID)
+	}
+	s.departed[server.ID] = server.Incarnation
+	if len(s.departedOrder) > maxLeaving {
+		delete(s.departed, s.departedOrder[0])
+		s.departedOrder = s.departedOrder[1:]
+	}
+}
+
 // View returns the current view.
 func (s *State) View() *View {
 	v := &View{Version: s.viewVersion, Table: s.table, Servers: map[string][]Server{}, ByAddress: map[string]Server{}, byID: maps.Clone(s.servers)}
--- a/internal/view/state_test.go
+++ b/internal/view/state_test.go
@@ -64,6 +64,56 @@
 	c.Assert(s.View().Servers, qt.HasLen, 1)
 }
 
+// Guards against a view that stays at the entries of a store that was restored from a
+// backup, or that takes over its old state: an older configuration, servers that have left
+// or drain since, and the lack of servers that have registered since.
+func TestRestoredStore(t *testing.T) {
+	c := qt.New(t)
+	s := NewState(fakeDecoder{})
+	before := func(revision int64) store.Version { return store.NewVersion(1, revision) }
+	after := func(revision int64) store.Version { return store.NewVersion(2, revision) }
+	s.Replace(epoch, []store.Entry{entry("config", "3", before(10)), entry("server/ready", "x", before(11)),
+		entry("server/draining", "x", before(12)), entry("server/left", "x", before(13))}, before(20))
+	s.Apply(epoch, watchResult(before(30), entry("config", "4", before(21)), entry("server/draining", "x draining", before(22)), entry("server/new", "x", before(23))))
+	s.Apply(epoch, store.WatchResult{Deleted: []string{"server/left"}, Version: before(31)})
+
+	change := s.Replace(epoch, []store.Entry{entry("config", "3", after(10)), entry("server/ready", "x", after(11)),
+		entry("server/draining", "x", after(12)), entry("server/left", "x", after(13))}, after(20))
+	c.Assert(change.Restored, qt.IsTrue)
+	c.Assert(s.View().Table.Version, qt.Equals, int64(4))
+	c.Assert(serverIDs(s.View()), qt.DeepEquals, []string{"new", "ready"})
+	s.Tick(epoch.Add(2 * reregisterGracePeriod))
+	c.Assert(serverIDs(s.View()), qt.DeepEquals, []string{"ready"})
+
+	s.Apply(epoch, watchResult(after(21), entry("server/left", "x", after(21)), entry("server/draining", "x", after(21)), entry("config", "5", after(21))))
+	c.Assert(serverIDs(s.View()), qt.DeepEquals, []string{"left", "ready"}, qt.Commentf("one writes its entry again, the other still drains"))
+	c.Assert(s.View().Table.Version, qt.Equals, int64(5))
+	c.Assert(s.Apply(epoch, watchResult(before(99), entry("config", "9", before(99)))).Any(), qt.IsFalse)
+}
+
+// Guards against a peer that follows a restored store only by the changes of another
+// instance and does not notice that it was restored.
+func TestRestoredStoreReachesPeers(t *testing.T) {
+	c := qt.New(t)
+	reader, follower := NewState(fakeDecoder{}), NewState(fakeDecoder{})
+	entries := []store.Entry{entry("config", "3", store.NewVersion(1, 10)), entry("server/a", "x", store.NewVersion(1, 11))}
+	reader.Replace(epoch, entries, store.NewVersion(1, 20))
+	follower.Replace(epoch, entries, store.NewVersion(1, 20))
+	reader.Replace(epoch, []store.Entry{entry("config", "3", store.NewVersion(2, 10))}, store.NewVersion(2, 12))
+	change := follower.Merge(epoch, reader.ChangesAfter(follower.Position()))
+	c.Assert(change.Restored, qt.IsTrue)
+	c.Assert(follower.View().Version, qt.Equals, reader.View().Version)
+	c.Assert(serverIDs(follower.View()), qt.DeepEquals, []string{"a"}, qt.Commentf("it may register again"))
+}
+
+// serverIDs returns the IDs of the servers of service x in use.
+func serverIDs(v *View) (ids []string) {
+	for _, server := range v.Servers["x"] {
+		ids = append(ids, server.ID)
+	}
+	return ids
+}
+
 func watchResult(version store.Version, entries ...store.Entry) store.WatchResult {
 	return store.WatchResult{Changed: entries, Version: version}
 }
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -41,6 +41,9 @@
 	// followerWatchTimeout is how long the watch of a follower waits. Followers pull
 	// from the readers what their own watch does not return.
 	followerWatchTimeout = 10 * time.Second
+	// historyLostPause precedes the listing of all entries after a loss of history, so
+	// that a store that loses it again and again is not called without a pause.
+	historyLostPause = 20 * time.Millisecond
 	// snapshotTimeout bounds the listing of all entries.
 	snapshotTimeout = 2 * time.Second
 	// tickInterval is how often pulls and the grace periods of servers are checked.
@@ -190,6 +193,7 @@
 		}
 		if errors.Is(err, ErrHistoryLost) {
 			hasSnapshot = false
+			clock.Sleep(ctx, historyLostPause)
 			continue
 		}
 		s.markUnreachable(ctx, err)
@@ -334,11 +338,12 @@
 
 func (s *Sync) logChange(change Change, next *View, fromStore bool) {
 	s.logRejected(change)
-	attrs := []slog.Attr{slog.Int64("version", int64(next.Version)), slog.Bool("from_store", fromStore)}
+	attrs := []slog.Attr{slog.Int64("version", next.Version.Revision()), slog.Int64("generation", next.Version.Generation()), slog.Bool("from_store", fromStore)}
 	if next.Table != nil {
 		attrs = append(attrs, slog.Int64("configuration", next.Table.Version))
 	}
 	attrs = append(attrs, slog.Bool("new_configuration", change.Configuration),
+		slog.Bool("store_restored", change.Restored),
 		serversAttr("joined", change.Joined), serversAttr("drained", change.Drained), serversAttr("left", change.Left))
 	events.ViewChanged.Log(context.Background(), s.logger, attrs...)
 }
