--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -35,8 +35,11 @@
 	// joinGracePeriod is how long after the start registered instances count as live.
 	// Without it, every instance would own all services until membership has discovered
 	// the others.
-	joinGracePeriod    = 5 * time.Second
-	registerRetryDelay = 2 * time.Second
+	joinGracePeriod = 5 * time.Second
+	// registerRetryDelay and maxRegisterRetryDelay bound the mean delay before the retry
+	// of a registration. It doubles with each failure.
+	registerRetryDelay    = 2 * time.Second
+	maxRegisterRetryDelay = 30 * time.Second
 	// avoidDuration is how long an instance that did not answer ranks last among owners.
 	avoidDuration = 2 * time.Second
 )
@@ -183,6 +186,7 @@
 func (c *Cluster) Register(ctx context.Context) {
 	c.addCandidates(nil)
 	var lease store.LeaseID
+	retryDelay := registerRetryDelay
 	for ctx.Err() == nil {
 		if lease != 0 && c.store.KeepAlive(ctx, lease) == nil {
 			c.awaitRenewal(ctx)
@@ -191,10 +195,11 @@
 		granted, err := c.register(ctx)
 		if err != nil {
 			events.NotRegistered.Log(ctx, c.logger, slog.Any("error", err))
-			clock.Sleep(ctx, registerRetryDelay/2+rand.N(registerRetryDelay))
+			clock.Sleep(ctx, retryDelay/2+rand.N(retryDelay))
+			retryDelay = min(2*retryDelay, maxRegisterRetryDelay)
 			continue
 		}
-		lease = granted
+		lease, retryDelay = granted, registerRetryDelay
 		events.Registered.Log(ctx, c.logger, slog.String("address", c.settings.PeerAddress))
 		c.rereadRegistrations(ctx)
 		c.awaitRenewal(ctx)
--- a/internal/store/version.go
+++ b/internal/store/version.go
@@ -3,7 +3,7 @@
 // A store that is restored from a backup loses its newest writes and gives out their
 // revisions again. Its generation rises then, so a version consists of both: versions of
 // a later generation are larger, and those of an earlier one are never given out again.
-const revisionBits = 40
+const revisionBits = 48
 
 // NewVersion returns the version of a revision in a generation of the store.
 func NewVersion(generation, revision int64) Version {
