jobs: read a value that a record names until it is visible

The instance that ran a durable request read its body from a store whose reads were held at an earlier time, got 'key or lease does not exist' (2106), and ended the run as not_run; after five runs the request was lost. The record that names a value is written after the value, so a read that does not find it is no proof of absence.

Change: a run waits, while its lease is valid and at most for the time in which reads may be stale, until the values of its job are visible. No run is counted meanwhile.

Shown by TestStaleReadsDoNotEndAJob, which failed before ('the job did not run').

--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -133,7 +134,12 @@
 	cluster := newTestCluster()
 	a, b := cluster.instance(c, "a"), cluster.instance(c, "b")
 	id := a.submit(c)
-	run := <-a.runs
+	var run *testRun
+	select {
+	case run = <-a.runs:
+	case <-time.After(2 * job.MaxRuns * recordRetryDelay * 2):
+		c.Fatal("the job did not run")
+	}
 	c.Assert(string(run.job.Body), qt.Equals, `{"a":1}`)
 	large, err := json.Marshal(string(bytes.Repeat([]byte("x"), job.PieceBytes)))
 	c.Assert(err, qt.IsNil)
@@ -356,3 +362,31 @@
 	_, err = a.Status(c.Context(), id)
 	c.Assert(err, qt.ErrorIs, ErrNotFound)
 }
+
+// Guards against a job that ends without having run because the store returned stale data:
+// a value that the record names exists, whatever a read says.
+func TestStaleReadsDoNotEndAJob(t *testing.T) {
+	c := qt.New(t)
+	cluster := newTestCluster()
+	a := cluster.instance(c, "a")
+	var stale atomic.Int64
+	stale.Store(2 * job.MaxRuns)
+	cluster.fake.Before = func(_ context.Context, op storetest.Op, key string) error {
+		if op == storetest.Get && strings.HasPrefix(key, job.ResultPrefix) && stale.Add(-1) >= 0 {
+			return store.ErrNotFound
+		}
+		return nil
+	}
+	id := a.submit(c)
+	var run *testRun
+	select {
+	case run = <-a.runs:
+	case <-time.After(2 * job.MaxRuns * recordRetryDelay * 2):
+		c.Fatal("the job did not run")
+	}
+	c.Assert(string(run.job.Body), qt.Equals, `{"a":1}`)
+	run.result <- Result{Outcome: "completed"}
+	status := a.waitFinished(c, id)
+	c.Assert(status.Record.Outcome, qt.Equals, "completed")
+	c.Assert(status.Record.Runs, qt.Equals, 1)
+}
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -207,13 +207,13 @@
 
 // loadRun reads the body and the stage results of a job from the store.
 func (j *Jobs) loadRun(r *run, record job.Record) (Job, Progress, error) {
-	body, err := j.values.get(r.ctx, record.ID, record.Body)
+	body, err := j.awaitValue(r, record.ID, record.Body)
 	if err != nil {
 		return Job{}, Progress{}, err
 	}
 	results := map[string]json.RawMessage{}
 	for _, stage := range record.Stages {
-		if results[stage.Name], err = j.values.get(r.ctx, record.ID, stage); err != nil {
+		if results[stage.Name], err = j.awaitValue(r, record.ID, stage); err != nil {
 			return Job{}, Progress{}, err
 		}
 	}
@@ -234,6 +234,25 @@
 	}, progress, nil
 }
 
+// awaitValue reads a value that the record of a job names, with retries while the lease is
+// valid. The value was written before the record, so a read that does not find it was
+// answered with stale data, at most for maxVisibilityDelay.
+func (j *Jobs) awaitValue(r *run, id string, value job.Value) ([]byte, error) {
+	for visibleAt := time.Now().Add(maxVisibilityDelay); ; {
+		data, err := j.values.get(r.ctx, id, value)
+		if err == nil || errors.Is(err, errWrongDigest) || time.Now().After(visibleAt) {
+			return data, err
+		}
+		if _, ok := j.currentHolder(); !ok {
+			return nil, errStopped
+		}
+		events.JobRecordError.Log(r.ctx, j.Log, slog.String("job", id), slog.Any("error", err))
+		if !clock.Sleep(r.ctx, recordRetryDelay) {
+			return nil, err
+		}
+	}
+}
+
 // storeResult writes a result to the store, with retries while the lease is valid.
 func (j *Jobs) storeResult(r *run, id string, value job.Value, data []byte) error {
 	for {
--- a/internal/jobs/values.go
+++ b/internal/jobs/values.go
@@ -9,6 +9,8 @@
 	"github.com/coltsfootdrift/coltsfootdrift/job"
 )
 
+var errWrongDigest = errors.New("value does not match its digest")
+
 // maxPutAttempts limits the attempts to write one piece if the responses are lost.
 const maxPutAttempts = 3
 
@@ -55,7 +57,7 @@
 		data = append(data, entry.Value...)
 	}
 	if !value.Matches(data) {
-		return nil, fmt.Errorf("%s of job %s does not match its digest", value.Name, id)
+		return nil, fmt.Errorf("%s of job %s: %w", value.Name, id, errWrongDigest)
 	}
 	return data, nil
 }
