--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -112,11 +112,11 @@
 	c.node.Do(func(s *membership.State) []membership.Output { return s.SetRevision(int64(version), fromStore) })
 }
 
-// leavingMarkerLifetime is how long the other instances are told that a server leaves. It
-// covers the time from its first such answer to its exit.
+// leavingMarkerLifetime is the lifetime of the marker of a server that leaves. It covers
+// the time from its first such answer to its exit.
 const leavingMarkerLifetime = 2 * time.Minute
 
-// MarkLeaving tells the other instances that an incarnation of a server leaves.
+// MarkLeaving announces to the other instances that an incarnation of a server leaves.
 func (c *Cluster) MarkLeaving(server string, incarnation int64) {
 	c.node.Do(func(s *membership.State) []membership.Output {
 		return s.MarkDraining(time.Now(), server, incarnation, leavingMarkerLifetime)
--- a/internal/view/readers.go
+++ b/internal/view/readers.go
@@ -56,7 +56,7 @@
 // standby, whose calls to the store count for the others.
 func (s *Sync) readsForRegion() bool { return s.peers.ReaderRank() <= 1 }
 
-// confirmStoreContact tells the followers that this reader reaches the store.
+// confirmStoreContact announces to the followers that this reader reaches the store.
 func (s *Sync) confirmStoreContact(now time.Time) {
 	if !s.readsForRegion() || now.Sub(s.lastConfirmed) < confirmInterval {
 		return
--- a/membership/build.go
+++ b/membership/build.go
@@ -181,7 +181,7 @@
 	return s.outputs
 }
 
-// ConfirmStoreContact tells the members of the failure domain that this instance has
+// ConfirmStoreContact announces to the members of the failure domain that this instance has
 // just reached the store.
 func (s *State) ConfirmStoreContact() []Output {
 	s.outputs = nil
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -48,7 +48,7 @@
 	s.sendContact(now, m.record.Address)
 }
 
-// probeSuspect tells a random suspected member of the suspicion, so that this instance
+// probeSuspect sends the suspicion to a random suspected member, so that this instance
 // learns of its refutation also when the messages that announced it were lost.
 func (s *State) probeSuspect() {
 	var suspects []*member
