gateway: keep the registration of the earlier process after a restart

Change: an instance first reads the registrations, a stale read at a tenth of the price, and renews the lease of its own one if that is unchanged.

Shown by TestRegistrationIsKeptAfterRestart.

--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -244,42 +245,60 @@
 func (c *Cluster) rereadRegistrations(ctx context.Context) {
 	for range registrationRereads {
 		clock.Sleep(ctx, c.rereadInterval/2+rand.N(c.rereadInterval))
-		entries, err := c.store.ListStale(ctx, registrationPrefix)
-		if err != nil {
+		if _, err := c.readRegistrations(ctx); err != nil {
 			events.NotRegistered.Log(ctx, c.logger, slog.Any("error", err))
-			continue
 		}
-		c.addCandidates(entries)
 	}
 }
 
 // register writes the registration of this instance and then reads those of the others:
 // of two instances that start together, at least the later one reads the other's, or
-// rereads it when the first read was stale.
+// rereads it when the first read was stale. After a restart at the same address, the
+// registration of the earlier process is kept instead.
 func (c *Cluster) register(ctx context.Context) (store.LeaseID, error) {
-	lease, err := c.store.GrantLease(ctx, registrationTTL)
+	value, err := json.Marshal(registration{Address: c.settings.PeerAddress, Region: c.settings.Region, Capacity: c.settings.Capacity()})
 	if err != nil {
 		return 0, err
 	}
-	value, err := json.Marshal(registration{Address: c.settings.PeerAddress, Region: c.settings.Region, Capacity: c.settings.Capacity()})
+	known, err := c.readRegistrations(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if known.Lease != 0 && bytes.Equal(known.Value, value) && c.store.KeepAlive(ctx, known.Lease) == nil {
+		return known.Lease, nil
+	}
+	lease, err := c.store.GrantLease(ctx, registrationTTL)
 	if err != nil {
 		return 0, err
 	}
-	if err := c.replaceRegistration(ctx, value, lease); err != nil {
+	if err := c.replaceRegistration(ctx, known.Version, value, lease); err != nil {
 		return 0, err
 	}
+	_, err = c.readRegistrations(ctx)
+	return lease, err
+}
+
+// readRegistrations reads the registrations of all instances and returns that of this one,
+// an empty entry when there is none.
+func (c *Cluster) readRegistrations(ctx context.Context) (own store.Entry, err error) {
 	entries, err := c.store.ListStale(ctx, registrationPrefix)
 	if err != nil {
-		return 0, err
+		return store.Entry{}, err
 	}
 	c.addCandidates(entries)
-	return lease, nil
+	for _, e := range entries {
+		if e.Key == registrationPrefix+c.settings.Instance {
+			return e, nil
+		}
+	}
+	return store.Entry{}, nil
 }
 
-// replaceRegistration writes the registration, also over that of an earlier process.
-func (c *Cluster) replaceRegistration(ctx context.Context, value []byte, lease store.LeaseID) error {
+// replaceRegistration writes the registration over one with a version, or over a newer one
+// of an earlier process.
+func (c *Cluster) replaceRegistration(ctx context.Context, known store.Version, value []byte, lease store.LeaseID) error {
 	key := registrationPrefix + c.settings.Instance
-	_, err := c.store.CompareAndSwap(ctx, key, 0, value, lease)
+	_, err := c.store.CompareAndSwap(ctx, key, known, value, lease)
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		_, err = c.store.CompareAndSwap(ctx, key, conflict.Current, value, lease)
--- a/internal/gateway/cluster_test.go
+++ b/internal/gateway/cluster_test.go
@@ -101,6 +101,27 @@
 	c.Assert(cluster.Owners("x"), qt.DeepEquals, []string{""})
 }
 
+// Guards against writes to the store at each restart of an instance, which all restart
+// together after a loss of power.
+func TestRegistrationIsKeptAfterRestart(t *testing.T) {
+	c := qt.New(t)
+	st := storetest.New()
+	cluster := newTestCluster(c, st)
+	first, err := cluster.register(context.Background())
+	c.Assert(err, qt.IsNil)
+	writes := st.Count(storetest.Swap)
+	restarted := NewCluster(cluster.settings, cluster.node, cluster.peerClient, st, discardLogger())
+	second, err := restarted.register(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(second, qt.Equals, first)
+	moved := restarted.settings
+	moved.Region = "other"
+	third, err := NewCluster(moved, cluster.node, cluster.peerClient, st, discardLogger()).register(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(third, qt.Not(qt.Equals), first)
+	c.Assert(st.Count(storetest.Swap), qt.Equals, writes+1)
+}
+
 // Guards against an instance that does not answer but is still called for each request,
 // and against two instances that choose different owners.
 func TestUnresponsiveOwnersRankLast(t *testing.T) {
