experiment: owners of stage services in regions of 30 to 1,000 instances

Baselines: any instance (the policy until today), and four shards a service over any instance.

The split by capacity moved from the gateway to membership, so that both use it.

--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -57,6 +57,7 @@
 	"overhead":     overhead,
 	"stages":       stages,
 	"admission":    admission,
+	"owners":       owners,
 }
 
 // Run measures all policies of an experiment in turn and repeats this. Within one
--- a/internal/experiment/stages_test.go
+++ b/internal/experiment/stages_test.go
@@ -11,7 +11,7 @@
 // requests on time.
 func TestStagePoliciesBeatTheirBaselines(t *testing.T) {
 	c := qt.New(t)
-	for _, name := range []string{"stages", "admission"} {
+	for _, name := range []string{"stages", "admission", "owners"} {
 		report, err := Run(name, 1, 3)
 		c.Assert(err, qt.IsNil)
 		for _, goal := range report.Goals {
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -9,14 +9,8 @@
 	"github.com/coltsfootdrift/coltsfootdrift/rendezvous"
 )
 
-const (
-	// strongFraction is the share of the largest capacity in the region that an instance
-	// needs to be chosen as an owner before weaker ones. It is below one half because one
-	// strong instance may have to own several services.
-	strongFraction = 0.25
-	// maxRanked bounds the instances that are ranked for a key.
-	maxRanked = 8
-)
+// maxRanked bounds the instances that are ranked for a key.
+const maxRanked = 8
 
 // ownerRanks ranks the live instances of the region for keys. It ranks each key once
 // per change of membership.
@@ -57,18 +51,9 @@
 func (r *ownerRanks) update(live []membership.Record) {
 	r.byKey = map[string][]string{}
 	r.addresses = map[string]string{}
-	r.strong, r.weak = nil, nil
-	var largest membership.Capacity
-	for _, record := range live {
-		largest = largest.Max(record.Capacity)
-	}
+	r.strong, r.weak = membership.SplitByCapacity(live)
 	for _, record := range live {
 		r.addresses[record.ID] = record.Address
-		if record.Capacity.AtLeast(largest, strongFraction) {
-			r.strong = append(r.strong, record.ID)
-		} else {
-			r.weak = append(r.weak, record.ID)
-		}
 	}
 }
 
--- a/membership/message.go
+++ b/membership/message.go
@@ -33,25 +33,6 @@
 	return [...]string{"alive", "suspected", "removed", "left"}[s]
 }
 
-// Capacity is the capacity of an instance; 0 means unknown.
-type Capacity struct {
-	// LinkMbits is the bandwidth of its link in Mbit/s.
-	LinkMbits int `json:"link_mbits"`
-	// ProcessorMillis is its share of the processor in thousandths of a core.
-	ProcessorMillis int `json:"processor_millis"`
-}
-
-// Max returns the larger value of each part.
-func (c Capacity) Max(other Capacity) Capacity {
-	return Capacity{max(c.LinkMbits, other.LinkMbits), max(c.ProcessorMillis, other.ProcessorMillis)}
-}
-
-// AtLeast reports whether each part is at least a fraction of that of another capacity.
-func (c Capacity) AtLeast(other Capacity, fraction float64) bool {
-	return float64(c.LinkMbits) >= fraction*float64(other.LinkMbits) &&
-		float64(c.ProcessorMillis) >= fraction*float64(other.ProcessorMillis)
-}
-
 // Record describes one member of a failure domain.
 type Record struct {
 	ID            string
