gateway: run the stages that a stopping instance handed back to itself

The two instances of a region stop at the same time; the second hands its waiting stages back, its own requests find no other owner, and 40 are refused with 'stages: failed' although the process has eight seconds left.

Ruled out: a lost owner (no call was unanswered at that second); the forced flag was sent, but the stage had been queued before the hand-over and was handed back with the others.

Change: the last owner is asked once more after it has handed back; it accepts then. TestStoppingOnlyInstanceRunsItsStages failed before (503, 200) and passes.

--- a/internal/gateway/stagerequest.go
+++ b/internal/gateway/stagerequest.go
@@ -35,6 +35,10 @@
 		// The last owner must accept the stage even if it is stopping.
 		request.Forced = try == len(owners)-1
 		response, err := r.requestFrom(ctx, address, i, request)
+		if err == nil && response.Refusal == string(stagework.RefusedMoved) && request.Forced {
+			// The owner began to stop while the stage waited. It accepts the stage now.
+			response, err = r.requestFrom(ctx, address, i, request)
+		}
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
--- a/internal/gateway/stages_test.go
+++ b/internal/gateway/stages_test.go
@@ -287,6 +287,42 @@
 	c.Assert(response.Refusal, qt.Not(qt.Equals), string(stagework.RefusedMoved))
 }
 
+// Guards against requests that are refused because the only instance of the region stops
+// and hands back their stages to itself.
+func TestStoppingOnlyInstanceRunsItsStages(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(c, false, route.Stage{Service: "stage"})
+	f.config.Services[1].StageProfile.Batch = 1
+	begun, release := make(chan struct{}, 4), make(chan struct{})
+	f.addServer("stage", func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/run" {
+			begun <- struct{}{}
+			<-release
+		}
+		answerPieces(rw, r)
+	})
+	f.addServer("x", func(rw http.ResponseWriter, _ *http.Request) { sendEvents(rw, 1, 1) })
+	f.start()
+	statuses := make(chan int, 2)
+	send := func() {
+		response, _, err := f.do("POST", "/p/", "", "Counts", "1")
+		c.Check(err, qt.IsNil)
+		statuses <- response.StatusCode
+	}
+	go send()
+	<-begun
+	go send()
+	eventually(c, func() bool {
+		queue := f.scheduler.queueOf("stage", false)
+		queue.mu.Lock()
+		defer queue.mu.Unlock()
+		return len(queue.jobs) == 2
+	})
+	f.scheduler.HandOver()
+	close(release)
+	c.Assert([]int{<-statuses, <-statuses}, qt.DeepEquals, []int{http.StatusOK, http.StatusOK})
+}
+
 // Guards against pieces that fetch their inputs from another failure domain although the
 // inputs are larger than the results, and against results that cross failure domains
 // although they are larger.
