--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -91,7 +91,11 @@
 			func(m *metrics.Metrics) *upstream.Client { return upstream.NewClient(m.Scope) },
 			func(m *metrics.Metrics) (*peer.Node, error) { return newNode(s, m, logger) },
 			func(st Store, c *Cluster, m *metrics.Metrics) *view.Sync {
-				return view.NewSync(st, c, adapter.Protocol, logger, m.Scope)
+				views := view.NewSync(st, c, adapter.Protocol, logger, m.Scope)
+				if s.FirstStart {
+					views.AllowStaleStart()
+				}
+				return views
 			},
 			func(upstreamClient *upstream.Client, views *view.Sync, c *Cluster, m *metrics.Metrics) *ServerClient {
 				return NewServerClient(upstreamClient, adapter.Protocol, markLeaving(views, c, logger), logger, m.Scope)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -188,3 +188,34 @@
 	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(body, qt.Equals, "draining\n")
 }
+
+// Guards against a stream that is cut although its server is only slow, and against one
+// that stays open beyond its deadline because its server sends a byte now and then.
+func TestSlowAndStalledStreams(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(c, false)
+	f.config.Routes[0].Timeout = 1500 * time.Millisecond
+	f.addServer("x", func(rw http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Prompt") == "slow" {
+			for event := 1; event <= 4; event++ {
+				time.Sleep(300 * time.Millisecond)
+				sendEvents(rw, event, event)
+			}
+			return
+		}
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(rw, ":")
+			_ = http.NewResponseController(rw).Flush()
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	f.start()
+	_, body, err := f.do("POST", "/p/", "", "Prompt", "slow")
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, eventText(1, 4))
+
+	started := time.Now()
+	response, _, err := f.do("POST", "/p/", "", "Prompt", "stalled")
+	c.Assert(err != nil || response.StatusCode != http.StatusOK, qt.IsTrue)
+	c.Assert(time.Since(started) < 2*f.config.Routes[0].Timeout, qt.IsTrue)
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -32,6 +32,8 @@
 	// instance does for others. 0 means unknown.
 	LinkMbits float64 `json:"link_mbits,omitempty"`
 	Processor float64 `json:"processor,omitempty"`
+	// FirstStart is true when the whole system starts for the first time.
+	FirstStart bool `json:"first_start,omitempty"`
 	// Peers lists peer addresses to use before others are known.
 	Peers []string `json:"peers,omitempty"`
 	// GraceSeconds is the time from SIGTERM to SIGKILL.
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -94,12 +94,14 @@
 
 // Sync keeps a view up to date.
 type Sync struct {
-	source  Source
-	peers   Peers
-	logger  *slog.Logger
-	pulls   tally.Counter
-	reads   tally.Counter
-	current atomic.Pointer[View]
+	source Source
+	peers  Peers
+	logger *slog.Logger
+	// staleStart is true when the first snapshot may be stale.
+	staleStart bool
+	pulls      tally.Counter
+	reads      tally.Counter
+	current    atomic.Pointer[View]
 
 	mu        sync.Mutex
 	state     *State
@@ -133,6 +135,11 @@
 	}
 }
 
+// AllowStaleStart lets the first snapshot be stale, which is cheaper. It suits only the
+// first start of the whole system: after a restart, a key or a server that was withdrawn
+// shortly before would be in use again. It must be called before Run.
+func (s *Sync) AllowStaleStart() { s.staleStart = true }
+
 // Current returns the view, nil until there is one.
 func (s *Sync) Current() *View { return s.current.Load() }
 
@@ -275,12 +282,11 @@
 func (s *Sync) snapshot(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	// The first snapshot may be stale, because later changes follow. One after a loss of
-	// history must be newer than the view.
+	// A snapshot after a loss of history must be newer than the view.
 	s.mu.Lock()
-	first := s.state.Position() == 0
+	stale := s.staleStart && s.state.Position() == 0
 	s.mu.Unlock()
-	entries, version, err := s.source.Snapshot(ctx, first)
+	entries, version, err := s.source.Snapshot(ctx, stale)
 	if err != nil {
 		return false, err
 	}
--- a/internal/view/sync_test.go
+++ b/internal/view/sync_test.go
@@ -22,11 +22,16 @@
 	version  store.Version
 	err      error
 	onWatch  func(ctx context.Context) (store.WatchResult, error)
+	// staleReads counts the snapshots that may be stale.
+	staleReads int
 }
 
-func (f *fakeSource) Snapshot(context.Context, bool) ([]store.Entry, store.Version, error) {
+func (f *fakeSource) Snapshot(_ context.Context, stale bool) ([]store.Entry, store.Version, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if stale {
+		f.staleReads++
+	}
 	return f.snapshot, f.version, f.err
 }
 
@@ -215,6 +220,19 @@
 	c.Assert((<-watches).Sub(contact) >= confirmTimeout, qt.IsTrue)
 }
 
+// Guards against a key or a server that was withdrawn shortly before and is in use again
+// after a restart, because the instance started from a stale read.
+func TestRestartedInstanceReadsTheCurrentState(t *testing.T) {
+	c := qt.New(t)
+	source := &fakeSource{snapshot: []store.Entry{entry("config", "1", 1)}, version: 1, onWatch: waitForCancel}
+	peers := &fakePeers{}
+	startSync(c, source, peers)
+	<-peers.announced
+	source.mu.Lock()
+	defer source.mu.Unlock()
+	c.Assert(source.staleReads, qt.Equals, 0)
+}
+
 // Guards against a reader that confirms nothing, so that all followers watch the store.
 func TestReadersConfirmStoreContact(t *testing.T) {
 	c := qt.New(t)
