--- a/internal/gateway/stages_test.go
+++ b/internal/gateway/stages_test.go
@@ -244,6 +244,16 @@
 	c.Assert(errors.Is(err, errUnknownJob), qt.IsTrue)
 }
 
+// awaitJobs waits until the queue of a service has a number of jobs.
+func (f *fixture) awaitJobs(service string, jobs int) {
+	eventually(f.c, func() bool {
+		queue := f.scheduler.queueOf(service, false)
+		queue.mu.Lock()
+		defer queue.mu.Unlock()
+		return len(queue.jobs) == jobs
+	})
+}
+
 // Guards against a stopping instance that schedules calls at the same time as its
 // successor, and against a stage that no instance runs because all are stopping.
 func TestStoppingInstancesHandStagesOver(t *testing.T) {
@@ -269,12 +279,7 @@
 	go runAsync("first")
 	<-begun
 	go runAsync("second")
-	eventually(c, func() bool {
-		queue := f.scheduler.queueOf("stage", false)
-		queue.mu.Lock()
-		defer queue.mu.Unlock()
-		return len(queue.jobs) == 2
-	})
+	f.awaitJobs("stage", 2)
 	f.scheduler.HandOver()
 	c.Assert((<-answers).Refusal, qt.Equals, string(stagework.RefusedMoved))
 	response, err := run("third", false)
@@ -312,12 +317,7 @@
 	go send()
 	<-begun
 	go send()
-	eventually(c, func() bool {
-		queue := f.scheduler.queueOf("stage", false)
-		queue.mu.Lock()
-		defer queue.mu.Unlock()
-		return len(queue.jobs) == 2
-	})
+	f.awaitJobs("stage", 2)
 	f.scheduler.HandOver()
 	close(release)
 	c.Assert([]int{<-statuses, <-statuses}, qt.DeepEquals, []int{http.StatusOK, http.StatusOK})
