gateway: drop registered instances from the owners when joining has ended

While an instance joins, registered instances count as live. The ranks of owners are kept until membership changes, so the last ranks of the join stayed, with instances that had failed and left a registration of up to 10 minutes.

Change: ranks of a joining instance are replaced at the next use. Shown by TestRegistrationsCountOnlyWhileJoining, which failed before.

--- a/internal/gateway/cluster_test.go
+++ b/internal/gateway/cluster_test.go
@@ -122,6 +122,20 @@
 	c.Assert(st.Count(storetest.Swap), qt.Equals, writes+1)
 }
 
+// Guards against an instance that counts as an owner because of a registration that it left
+// behind, after membership has had the time to find all instances.
+func TestRegistrationsCountOnlyWhileJoining(t *testing.T) {
+	c := qt.New(t)
+	st := storetest.New()
+	addRegistration(c, st, "failed", "r")
+	cluster := newTestCluster(c, st)
+	_, err := cluster.register(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Assert(cluster.Owners("x"), qt.HasLen, 2)
+	cluster.started = time.Now().Add(-2 * joinGracePeriod)
+	c.Assert(cluster.Owners("x"), qt.DeepEquals, []string{""})
+}
+
 // Guards against an instance that does not answer but is still called for each request,
 // and against two instances that choose different owners.
 func TestUnresponsiveOwnersRankLast(t *testing.T) {
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -20,6 +20,8 @@
 	byKey map[string][]string
 	// addresses holds the peer addresses by ID. It is nil after a change.
 	addresses map[string]string
+	// provisional is true when the instances may include some that are only registered.
+	provisional bool
 	// strong and weak hold the IDs of the instances by capacity.
 	strong, weak []string
 }
@@ -32,12 +34,14 @@
 }
 
 // rank returns the IDs of the first instances for a key, and the peer addresses of all
-// instances. live returns the live instances of the region.
-func (r *ownerRanks) rank(key string, live func() []membership.Record) (ids []string, addresses map[string]string) {
+// instances. live returns the live instances of the region. A provisional ranking is
+// replaced by the next one.
+func (r *ownerRanks) rank(key string, live func() []membership.Record, provisional bool) (ids []string, addresses map[string]string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.addresses == nil {
+	if r.addresses == nil || r.provisional {
 		r.update(live())
+		r.provisional = provisional
 	}
 	ranked, known := r.byKey[key]
 	if !known {
@@ -57,9 +61,10 @@
 	}
 }
 
-// liveInstances returns the records of the live instances of the region. The address of
-// this instance is empty.
-func (c *Cluster) liveInstances() []membership.Record {
+// liveInstances returns the records of the live instances of the region, while this one
+// is joining also those of instances that are only registered. The address of this
+// instance is empty.
+func (c *Cluster) liveInstances(joining bool) []membership.Record {
 	var live []membership.Record
 	known := map[string]bool{}
 	c.node.View(func(s *membership.State) {
@@ -73,7 +78,7 @@
 			}
 		}
 	})
-	if !c.joining() {
+	if !joining {
 		return live
 	}
 	c.mu.Lock()
@@ -92,10 +97,8 @@
 
 // rank returns the instances that come first for a key, and the addresses by ID.
 func (c *Cluster) rank(key string) (ids []string, addresses map[string]string) {
-	if c.joining() {
-		c.ranks.invalidate()
-	}
-	return c.ranks.rank(key, c.liveInstances)
+	joining := c.joining()
+	return c.ranks.rank(key, func() []membership.Record { return c.liveInstances(joining) }, joining)
 }
 
 // Owners returns the addresses of some of the region's live instances in the order of
--- a/internal/store/storetest/fake.go
+++ b/internal/store/storetest/fake.go
@@ -138,12 +138,12 @@
 	return list, err
 }
 
-// CompareAndSwap implements store.Store.
 // ListStale returns the current entries with a prefix.
 func (f *Fake) ListStale(ctx context.Context, prefix string) ([]store.Entry, error) {
 	return f.List(ctx, prefix, "", math.MaxInt)
 }
 
+// CompareAndSwap implements store.Store.
 func (f *Fake) CompareAndSwap(ctx context.Context, key string, expected store.Version, value []byte, id store.LeaseID) (version store.Version, err error) {
 	if len(value) > store.MaxValueBytes {
 		return 0, store.ErrTooLarge
