--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -30,7 +30,7 @@
 	for unsentTries := 0; ; {
 		send, ok := c.pickServer(excluded)
 		if !ok {
-			c.refuse("no server", c.client.retryAfterPause(longRetryAfter))
+			c.refuse("no server", c.retryAfter())
 			return
 		}
 		excluded = append(excluded, send.index)
@@ -134,7 +134,7 @@
 		if c.mayRetry() {
 			return false
 		}
-		c.refuse("servers are full", c.client.retryAfterPause(longRetryAfter))
+		c.refuse("servers are full", c.retryAfter())
 		return true
 	}
 	c.mayHaveRun = true
--- a/internal/gateway/serverclient.go
+++ b/internal/gateway/serverclient.go
@@ -72,9 +72,18 @@
 	c.holds.add(server, time.Now(), pause+time.Duration(holdJitter*rand.Float64()*float64(pause)))
 }
 
-// retryAfterPause returns when to retry a request for which no server was left: after
-// the first pause of a server ends, and not before a minimum.
-func (c *ServerClient) retryAfterPause(minimum time.Duration) time.Duration {
-	_, shortest := c.holds.held(time.Now())
-	return max(minimum, shortest)
+// retryAfter returns when to retry a request for which no server of its service was left:
+// when the first pause ends if all of them are in one, otherwise after the usual time.
+func (c *clientRequest) retryAfter() time.Duration {
+	now, shortest := time.Now(), time.Duration(0)
+	for _, server := range c.view.Servers[c.service.Name] {
+		pause := c.client.holds.remaining(server.ID, now)
+		if pause == 0 {
+			return longRetryAfter
+		}
+		if shortest == 0 || pause < shortest {
+			shortest = pause
+		}
+	}
+	return max(longRetryAfter, shortest)
 }
--- a/internal/gateway/serverclient_test.go
+++ b/internal/gateway/serverclient_test.go
@@ -98,6 +98,26 @@
 	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
 }
 
+// Guards against clients that are sent away for the whole pause of one server although
+// another one of the service is only full.
+func TestPauseOfOneServerDoesNotDelayRetries(t *testing.T) {
+	c := qt.New(t)
+	f := newPlainFixture(c, route.Idempotent)
+	for _, pause := range []string{"10s", ""} {
+		f.addServer("x", func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set("Pause", pause)
+			rw.Header().Set("Not-Run", "1")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		})
+	}
+	f.start()
+	for range 4 {
+		response, _, err := f.do("POST", "/p/", "b")
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.Header.Get("Retry-After"), qt.Equals, "0.3")
+	}
+}
+
 // Guards against calls to a stage server, and frees of its results, during its pause.
 func TestStageServerPauses(t *testing.T) {
 	c := qt.New(t)
@@ -133,11 +153,8 @@
 	c.Assert(h.remaining("a", now.Add(9*time.Second)), qt.Equals, time.Second)
 	h.add("b", now, 1e6*time.Hour)
 	c.Assert(h.remaining("b", now), qt.Equals, maxHold)
-	ids, shortest := h.held(now)
-	c.Assert(ids, qt.HasLen, 2)
-	c.Assert(shortest, qt.Equals, 10*time.Second)
-	ids, _ = h.held(now.Add(11 * time.Second))
-	c.Assert(ids, qt.DeepEquals, []string{"b"})
+	c.Assert(h.held(now), qt.HasLen, 2)
+	c.Assert(h.held(now.Add(11*time.Second)), qt.DeepEquals, []string{"b"})
 	for i := range 2 * maxHeldServers {
 		h.add(strconv.Itoa(i), now, time.Minute)
 	}
--- a/internal/gateway/serverholds.go
+++ b/internal/gateway/serverholds.go
@@ -52,20 +52,16 @@
 	return max(0, h.until[server].Sub(now))
 }
 
-// held returns the IDs of the servers in a pause, and when the first of these ends.
-func (h *serverHolds) held(now time.Time) (ids []string, shortest time.Duration) {
+// held returns the IDs of the servers in a pause.
+func (h *serverHolds) held(now time.Time) (ids []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for id, end := range h.until {
-		left := end.Sub(now)
-		if left <= 0 {
+		if now.Before(end) {
+			ids = append(ids, id)
+		} else {
 			delete(h.until, id)
-			continue
 		}
-		if shortest == 0 || left < shortest {
-			shortest = left
-		}
-		ids = append(ids, id)
 	}
-	return ids, shortest
+	return ids
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -54,12 +54,12 @@
 		return g.rerunStages("a producer of inputs has left")
 	}
 	inputs := g.inputsByDomain()
-	held, _ := g.client.holds.held(time.Now())
+	held := g.client.holds.held(time.Now())
 	placed, ok := g.placer.Place(g.ctx, g.requestInfo.ID, g.service.Name, engine.Query{
 		Prompt: g.requestInfo.Prompt, InputBytes: inputs, Excluded: append(held, g.tried...),
 	})
 	if !ok {
-		return g.giveUp("no server", g.client.retryAfterPause(longRetryAfter), nil)
+		return g.giveUp("no server", g.retryAfter(), nil)
 	}
 	g.tried = append(g.tried, placed.Server)
 	server, known := g.servers.Server(placed.Server)
@@ -174,7 +174,7 @@
 		if g.mayRetry() {
 			return false
 		}
-		return g.giveUp("servers are full", g.client.retryAfterPause(longRetryAfter), nil)
+		return g.giveUp("servers are full", g.retryAfter(), nil)
 	}
 	g.mayHaveRun = true
 	if answer.Status == http.StatusOK {
