--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -60,8 +60,8 @@
 	InputsLost bool
 	// Leaving is true when the server will exit.
 	Leaving bool
-	// RetryAfter is how long the server wants no requests of this instance, when it
-	// refused the request; 0 when it says nothing.
+	// RetryAfter is the pause for which the server asks this instance when it refuses a
+	// request; 0 without one.
 	RetryAfter time.Duration
 	// Load is the server's own load report, nil without one.
 	Load *routing.LoadReport
