--- a/internal/gateway/serverclient_test.go
+++ b/internal/gateway/serverclient_test.go
@@ -66,7 +66,7 @@
 }
 
 // Guards against requests to a server during the pause that it asked for, against a
-// refusal that tells the client to come back too early, and against a server that stays
+// refusal whose Retry-After is too short, and against a server that stays
 // unused after its pause.
 func TestServerPauses(t *testing.T) {
 	c := qt.New(t)
