--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -225,7 +225,7 @@
 	if len(buffered) < maxBufferedAnswerBytes {
 		c.writeHead(answer, int64(len(buffered)))
 		_, _ = c.writer.Write(buffered) // a failure ends the context of the client's request
-		c.recordAnswered(answer.Status, server)
+		c.recordAnswered(answer, server)
 		return nil
 	}
 	c.writeHead(answer, answer.Length)
@@ -235,15 +235,16 @@
 	if _, err := io.Copy(c.writer, answer.Body); err != nil {
 		c.abort(err)
 	}
-	c.recordAnswered(answer.Status, server)
+	c.recordAnswered(answer, server)
 	return nil
 }
 
 // recordAnswered records the end of a request whose answer was passed on completely.
-func (c *clientRequest) recordAnswered(status int, server string) {
+func (c *clientRequest) recordAnswered(answer *upstream.Answer, server string, attrs ...slog.Attr) {
 	took := time.Since(c.arrived)
 	c.metrics.answered.Inc(1)
 	c.metrics.duration.RecordDuration(took)
-	c.log(events.AttemptEnded, slog.Int("status", status), slog.String("server", server), slog.String("route", c.route.Name),
-		slog.Int("sends", c.sends), slog.Int64("first_event_ms", c.firstEventDelay.Milliseconds()), slog.Int64("left_ms", c.remaining().Milliseconds()))
+	c.log(events.AttemptEnded, append(attrs, slog.Int("status", answer.Status), slog.String("server", server), slog.String("route", c.route.Name),
+		slog.String("framing", string(answer.Framing)), slog.Int("sends", c.sends),
+		slog.Int64("first_event_ms", c.firstEventDelay.Milliseconds()), slog.Int64("left_ms", c.remaining().Milliseconds()))...)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -231,7 +231,7 @@
 				g.writeHead(answer, -1)
 			}
 			g.runTimes.observe(g.route.Name, time.Since(sent))
-			g.recordAnswered(answer.Status, placed.Server)
+			g.recordAnswered(answer, placed.Server, slog.Int("events", g.eventsSent), slog.Int("unfinished_bytes", len(e.data)))
 			return true
 		}
 		if !reader.buffered() {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -128,7 +129,21 @@
 	e.answerHeader = response.Header
 	e.serverCloses = response.Close
 	e.body = &trackedBody{reader: response.Body}
-	return &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: e.body, exchange: e}
+	framing := framingOf(response)
+	if framing == CloseDelimited {
+		e.client.closeDelimited.Inc(1)
+	}
+	return &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: framing, Body: e.body, exchange: e}
+}
+
+func framingOf(response *http.Response) Framing {
+	switch {
+	case response.ContentLength >= 0:
+		return FramedByLength
+	case slices.Contains(response.TransferEncoding, "chunked"):
+		return Chunked
+	}
+	return CloseDelimited
 }
 
 // abort closes the connection.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -15,9 +15,10 @@
 
 // Client sends requests to backend servers over a pool of connections.
 type Client struct {
-	dialer net.Dialer
-	dials  tally.Counter
-	strays tally.Counter
+	dialer         net.Dialer
+	dials          tally.Counter
+	strays         tally.Counter
+	closeDelimited tally.Counter
 
 	mu sync.Mutex
 	// idle holds the idle connections, and open the number of all connections, by the ID
@@ -34,10 +35,11 @@
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
 			Control:         setUserTimeout,
 		},
-		dials:  scope.Counter("upstream_connections_opened"),
-		strays: scope.Counter("upstream_stray_answers"),
-		idle:   map[string][]*conn{},
-		open:   map[string]int{},
+		dials:          scope.Counter("upstream_connections_opened"),
+		strays:         scope.Counter("upstream_stray_answers"),
+		closeDelimited: scope.Counter("upstream_close_delimited_answers"),
+		idle:           map[string][]*conn{},
+		open:           map[string]int{},
 	}
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -48,12 +48,25 @@
 	Status int
 	Header http.Header
 	// Length is the length of the body in bytes, -1 when it is not known beforehand.
-	Length int64
-	Body   io.Reader
+	Length  int64
+	Framing Framing
+	Body    io.Reader
 
 	exchange *exchange
 }
 
+// Framing is how the end of a body is marked (RFC 9112, section 6.3).
+type Framing string
+
+// Framings of a body.
+const (
+	FramedByLength Framing = "length"
+	Chunked        Framing = "chunked"
+	// CloseDelimited bodies end with their connection. A server that fails and one that
+	// has sent everything may then look the same.
+	CloseDelimited Framing = "close-delimited"
+)
+
 // Close ends the use of the answer. Its connection is kept for other requests when the
 // whole answer was read and nothing follows it, and closed otherwise.
 func (a *Answer) Close() { a.exchange.close() }
