--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -127,6 +127,63 @@
 	c.Assert(seen.all(), qt.DeepEquals, []string{"", "2"})
 }
 
+// closeDelimitedAnswer answers with neither a length nor chunks, so that the end of the
+// connection is the end of the answer.
+func closeDelimitedAnswer(rw http.ResponseWriter, r *http.Request, body string) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), body)
+}
+
+// chunkedAnswer answers in chunks, with the last chunk that marks a complete body.
+func chunkedAnswer(rw http.ResponseWriter, _ *http.Request, body string) {
+	_, _ = io.WriteString(rw, body)
+	_ = http.NewResponseController(rw).Flush()
+}
+
+// Guards against a stream that its server broke off inside an event and that reaches the
+// client as a complete answer, however the end of the server's answer is marked.
+func TestStreamsThatEndInsideAnEventAreNotComplete(t *testing.T) {
+	for framing, answer := range map[string]func(http.ResponseWriter, *http.Request, string){"close-delimited": closeDelimitedAnswer, "chunked": chunkedAnswer} {
+		for _, unfinished := range []string{"id: 3", "id: 3\ndata: x\n", "id: 3\ndata: x"} {
+			t.Run(fmt.Sprintf("%s/%q", framing, unfinished), func(t *testing.T) {
+				c := qt.New(t)
+				f := newEngineFixture(c, false)
+				f.addServer("x", func(rw http.ResponseWriter, r *http.Request) { answer(rw, r, eventText(1, 2)+unfinished) })
+				f.start()
+				_, body, err := f.do("POST", "/p/", "")
+				c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+				c.Assert(body, qt.Equals, eventText(1, 2))
+			})
+		}
+	}
+}
+
+// Guards against a resumable stream that is not resumed after it ended inside an event,
+// and against a close-delimited stream with whole events that is taken for a broken one.
+func TestCloseDelimitedStreamsAreResumed(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(c, true)
+	var seen recorder
+	for range 2 {
+		f.addServer("x", func(rw http.ResponseWriter, r *http.Request) {
+			if seen.add(r.Header.Get("Last")) == 1 {
+				closeDelimitedAnswer(rw, r, eventText(1, 2)+"id: 3\nda")
+				return
+			}
+			closeDelimitedAnswer(rw, r, eventText(3, 4))
+		})
+	}
+	f.start()
+	_, body, err := f.do("POST", "/p/", "")
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, eventText(1, 4))
+	c.Assert(seen.all(), qt.DeepEquals, []string{"", "2"})
+}
+
 // Guards against bytes of an event that are changed or lost, and against events that are
 // joined.
 func TestEventReader(t *testing.T) {
