gateway: send the whole events before a break on to the client

Callers of a stream that broke off lost events that the gateway had: events that arrive together with the broken one are written to a buffer, and the abort dropped it, at worst with the head of the answer, so that the client saw a closed connection without an answer. The buffer is now flushed before the connection is closed; a client can resume after the last event it has.

TestEventsBeforeABreakReachTheClient failed before (EOF instead of the events).

--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -188,10 +188,11 @@
 }
 
 // abort closes the client connection in the middle of an answer, by a panic with
-// http.ErrAbortHandler.
+// http.ErrAbortHandler. What was written before still reaches the client.
 func (c *clientRequest) abort(err error) {
 	c.metrics.aborted.Inc(1)
 	c.log(events.AttemptAborted, slog.Any("error", err))
+	_ = http.NewResponseController(c.writer).Flush() // the client may be gone
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -78,6 +78,22 @@
 	c.Assert(seen.all(), qt.HasLen, 1)
 }
 
+// Guards against whole events that are lost because the next one breaks off before they
+// are sent on.
+func TestEventsBeforeABreakReachTheClient(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(c, false)
+	f.addServer("x", func(rw http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(rw, eventText(1, 2)+"id: 3")
+		_ = http.NewResponseController(rw).Flush()
+		abortConnection(rw, r)
+	})
+	f.start()
+	_, body, err := f.do("POST", "/p/", "")
+	c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	c.Assert(body, qt.Equals, eventText(1, 2))
+}
+
 // failingWriter accepts the head of an answer and then fails each write, like a
 // connection that the client has reset.
 type failingWriter struct {
