gateway: a stream that ends inside an event has been broken off

Cause: relay took io.EOF from the server's body for the end of the answer. That holds for a length and for chunks; an answer with neither ends with its connection, and a server that fails then looks like one that has sent everything. eventReader even returned the unfinished event together with io.EOF, and its test asked for that.

Now the content decides: an end inside an event is io.ErrUnexpectedEOF, whatever the framing, and a close-delimited stream without any event is broken too. Both go the way of every broken stream: resumed on another server where the route allows it, else broken off towards the client too, the unfinished event dropped. Comments after the last event are still passed on.

TestEventReader asserted that an unfinished event comes with io.EOF, which is the fault itself; it now asserts io.ErrUnexpectedEOF for the same bytes, and four more endings.

Not covered: a close-delimited stream that breaks off exactly between two events. Nothing in the protocol tells it from a whole one.

--- a/internal/gateway/eventreader.go
+++ b/internal/gateway/eventreader.go
@@ -27,15 +27,21 @@
 	data []byte
 	// id is the event's ID, empty when it has none.
 	id string
+	// begun is true after a line that is not a comment.
+	begun bool
 }
 
-// next returns the next complete event. At the end of the stream it returns the rest of
-// the stream with io.EOF. With any other error the returned event is incomplete.
+// next returns the next complete event. At the end of the stream it returns io.EOF and any
+// comments that follow the last event. With any other error the returned event is
+// incomplete; a stream that ends inside an event returns io.ErrUnexpectedEOF.
 func (r *eventReader) next() (streamEvent, error) {
 	var e streamEvent
 	for {
 		line, err := r.reader.ReadBytes('\n')
 		e.data = append(e.data, line...)
+		if errors.Is(err, io.EOF) && (e.begun || len(line) > 0) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			return e, err
 		}
@@ -46,6 +52,9 @@
 		if len(text) == 0 {
 			return e, nil
 		}
+		if text[0] != ':' {
+			e.begun = true
+		}
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			e.id = string(bytes.TrimPrefix(value, []byte(" ")))
 		}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -94,8 +94,8 @@
 	})
 }
 
-func (c *clientRequest) logSendFailed(server upstream.Server, status int, err error) {
-	attrs := []slog.Attr{slog.String("server", server.ID), slog.Int("status", status)}
+func (c *clientRequest) logSendFailed(server upstream.Server, status int, err error, attrs ...slog.Attr) {
+	attrs = append(attrs, slog.String("server", server.ID), slog.Int("status", status))
 	if err != nil {
 		attrs = append(attrs, slog.Any("error", err))
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -198,40 +198,32 @@
 	return true
 }
 
+// errStreamWithoutEvents reports a close-delimited stream that ended before its first event.
+var errStreamWithoutEvents = errors.New("close-delimited stream ended without an event")
+
 // relay passes on the events of an answer as they arrive. It returns true when the
 // request has ended.
 func (g *generateRequest) relay(placed engine.Placement, answer *upstream.Answer, sent time.Time) bool {
 	reader := newEventReader(answer.Body)
 	controller := http.NewResponseController(g.writer)
+	hasEvent := false
 	for first := true; ; first = false {
 		e, err := reader.next()
-		complete := err == nil || errors.Is(err, io.EOF)
-		if !complete {
-			return g.handleBrokenStream(placed, err)
+		hasEvent = hasEvent || e.begun
+		if errors.Is(err, io.EOF) && !hasEvent && answer.Framing == upstream.CloseDelimited {
+			err = errStreamWithoutEvents
+		}
+		ended := errors.Is(err, io.EOF)
+		if err != nil && !ended {
+			return g.handleBrokenStream(placed, answer, len(e.data), err)
 		}
 		if first {
 			g.recordFirstEvent(placed, time.Since(sent))
 		}
-		if len(e.data) > 0 {
-			if !g.streaming {
-				g.streaming = true
-				g.writeHead(answer, -1)
-			}
-			if _, writeErr := g.writer.Write(e.data); writeErr != nil {
-				g.abort(writeErr)
-			}
-			g.eventsSent++
-			if e.id != "" {
-				g.lastID = e.id
-			}
-		}
-		if err != nil {
-			if !g.streaming {
-				g.streaming = true
-				g.writeHead(answer, -1)
-			}
+		g.passOn(answer, e)
+		if ended {
 			g.runTimes.observe(g.route.Name, time.Since(sent))
-			g.recordAnswered(answer, placed.Server, slog.Int("events", g.eventsSent), slog.Int("unfinished_bytes", len(e.data)))
+			g.recordAnswered(answer, placed.Server, slog.Int("events", g.eventsSent))
 			return true
 		}
 		if !reader.buffered() {
@@ -240,6 +232,23 @@
 	}
 }
 
+// passOn writes an event to the client, after the head of the answer if it is the first.
+func (g *generateRequest) passOn(answer *upstream.Answer, e streamEvent) {
+	if !g.streaming {
+		g.streaming = true
+		g.writeHead(answer, -1)
+	}
+	if _, err := g.writer.Write(e.data); err != nil {
+		g.abort(err)
+	}
+	if e.begun {
+		g.eventsSent++
+	}
+	if e.id != "" {
+		g.lastID = e.id
+	}
+}
+
 // recordFirstEvent records the arrival of the first event and frees the inputs, which
 // the model server has fetched by then.
 func (g *generateRequest) recordFirstEvent(placed engine.Placement, delay time.Duration) {
@@ -250,13 +259,14 @@
 	g.freeInputs()
 }
 
-// handleBrokenStream handles a stream that broke off. An incomplete last event is
-// dropped. It returns true when the request has ended.
-func (g *generateRequest) handleBrokenStream(placed engine.Placement, err error) bool {
+// handleBrokenStream handles a stream that broke off. Its last event, of which
+// unfinishedBytes were received, is dropped. It returns true when the request has ended.
+func (g *generateRequest) handleBrokenStream(placed engine.Placement, answer *upstream.Answer, unfinishedBytes int, err error) bool {
 	if g.clientGone() || g.expired() {
 		return g.endIncomplete()
 	}
 	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Failed: true})
-	g.logSendFailed(upstream.Server{ID: placed.Server}, http.StatusOK, err)
+	g.logSendFailed(upstream.Server{ID: placed.Server}, answer.Status, err, slog.String("framing", string(answer.Framing)),
+		slog.Int("events", g.eventsSent), slog.Int("unfinished_bytes", unfinishedBytes))
 	return g.resumeOrFail(err)
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -178,6 +178,18 @@
 	}
 }
 
+// Guards against an answer whose connection ends after its head, and that reaches the
+// client as a complete stream without events.
+func TestCloseDelimitedStreamWithoutEventsIsNotComplete(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(c, false)
+	f.addServer("x", func(rw http.ResponseWriter, r *http.Request) { closeDelimitedAnswer(rw, r, "") })
+	f.start()
+	response, _, err := f.do("POST", "/p/", "")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+}
+
 // Guards against a resumable stream that is not resumed after it ended inside an event,
 // and against a close-delimited stream with whole events that is taken for a broken one.
 func TestCloseDelimitedStreamsAreResumed(t *testing.T) {
@@ -200,8 +212,8 @@
 	c.Assert(seen.all(), qt.DeepEquals, []string{"", "2"})
 }
 
-// Guards against bytes of an event that are changed or lost, and against events that are
-// joined.
+// Guards against bytes of an event that are changed or lost, against events that are
+// joined, and against an end inside an event that looks like the end of the stream.
 func TestEventReader(t *testing.T) {
 	c := qt.New(t)
 	reader := newEventReader(strings.NewReader("id:1\r\ndata: a\r\n\r\n: comment\n\nid: 2\ndata: b"))
@@ -213,8 +225,13 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(second.id, qt.Equals, "")
 	third, err := reader.next()
-	c.Assert(err, qt.Equals, io.EOF)
+	c.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
 	c.Assert(string(third.data), qt.Equals, "id: 2\ndata: b")
+	for rest, want := range map[string]error{"": io.EOF, ": comment\n": io.EOF, ": comm": io.ErrUnexpectedEOF, "data: b\n": io.ErrUnexpectedEOF} {
+		last, err := newEventReader(strings.NewReader(rest)).next()
+		c.Assert(err, qt.Equals, want)
+		c.Assert(string(last.data), qt.Equals, rest)
+	}
 }
 
 // blockedWriter blocks each write until release is closed.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -43,7 +43,9 @@
 	Belongs func(http.Header) bool
 }
 
-// Answer is the answer to a request. Its body ends with io.EOF only when it is complete.
+// Answer is the answer to a request. A body that is FramedByLength or Chunked ends with
+// io.EOF only when it is complete. For a CloseDelimited one, io.EOF only means that the
+// server closed the connection in order; its content must show that it is complete.
 type Answer struct {
 	Status int
 	Header http.Header
