peer: the first part of an answer is not a whole answer

Answers of peers are protobuf messages, and a part of one can be a valid message. The client cut answers at 1 MB with io.LimitReader, which ends like a whole body, and took answers with neither a length nor chunks. A view cut after an entry then lost the servers in the rest and, because its base comes after the entries, a change was taken for the whole view: all other servers gone. A whole view above 1 MB (a large configuration) could not be pulled at all.

httpbody.Transport now refuses answers without a length and chunks, and bodies over the limit fail with ErrTooLarge instead of ending. The limit is 4 MB: a configuration of 1 MB and the entries of all servers.

TestIncompleteAnswersOfPeersAreErrors: 'over the limit' and 'close-delimited' were accepted before; 'shorter than its length' and 'broken off between chunks' were refused before too. TestLargeViewsArePulled failed before.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
@@ -29,9 +29,9 @@
 	maxIdlePerPeer = 16
 )
 
-// maxResponseBytes limits the size of a response. It leaves room for parts of
-// maxPartsBytes, or a head, and for the encoding around them.
-const maxResponseBytes = 1 << 20
+// maxResponseBytes limits the size of a response. The largest one is a whole view: a
+// configuration of up to 1 MB and the entries of all backend servers.
+const maxResponseBytes = 4 << 20
 
 // Client calls other instances.
 type Client struct {
@@ -51,24 +51,7 @@
 		IdleConnTimeout:        30 * time.Second,
 		MaxResponseHeaderBytes: 16 << 10,
 	}
-	return &Client{http: &http.Client{Transport: limitedTransport{transport}}}
-}
-
-// limitedTransport limits the size of response bodies.
-type limitedTransport struct{ next http.RoundTripper }
-
-func (t limitedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.next.RoundTrip(request)
-	if err != nil {
-		return nil, err
-	}
-	response.Body = limitedBody{io.LimitReader(response.Body, maxResponseBytes), response.Body}
-	return response, nil
-}
-
-type limitedBody struct {
-	io.Reader
-	io.Closer
+	return &Client{http: &http.Client{Transport: httpbody.Transport{Next: transport, Limit: maxResponseBytes}}}
 }
 
 func (c *Client) peer(address string) peerpb.Peer {
