--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -296,7 +296,7 @@
 	s := q.servers[c.Server]
 	s.running--
 	s.resultBytes -= c.resultBytes
-	if s.repeatsLastAnswer(outcomes) {
+	if s.repeatsResults(outcomes) {
 		outcomes = SameOutcome(Failed, len(outcomes))
 	}
 	var e Effects
--- a/stagework/queue_test.go
+++ b/stagework/queue_test.go
@@ -261,6 +261,18 @@
 	c.Assert(e.Orphans, qt.HasLen, 0)
 }
 
+// Guards against one result that is taken for those of two pieces.
+func TestAResultIsThatOfOnePiece(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue("a")
+	offer(c, q, newJob(1, 2))
+	call, _ := q.Next(epoch)
+	outcomes := producedOutcomes(call)
+	outcomes[1] = outcomes[0]
+	e := q.Finished(epoch, call.ID, outcomes)
+	c.Assert(e.Done, qt.HasLen, 0)
+}
+
 // Guards against repeated calls to a server without memory for results, after the
 // instance whose queue counted those results has stopped.
 func TestServersThatReportNoRoomCountAsFull(t *testing.T) {
--- a/stagework/server.go
+++ b/stagework/server.go
@@ -30,19 +30,20 @@
 	lastResults map[string]bool
 }
 
-// repeatsLastAnswer reports whether outcomes contain a result of the last call to the
-// server; otherwise it stores their results. A faulty server may answer a call twice,
-// and the second answer would be taken for that of the next call: stage answers carry
-// no ID of their call.
-func (s *server) repeatsLastAnswer(outcomes []Outcome) bool {
+// repeatsResults reports whether outcomes contain a result twice, or one of the last call
+// to the server; otherwise it stores their results. A faulty server may answer a call
+// twice, and the second answer would be taken for that of the next call: stage answers
+// carry no ID of their call.
+func (s *server) repeatsResults(outcomes []Outcome) bool {
 	results := map[string]bool{}
 	for _, o := range outcomes {
-		if o.Result != "" {
-			if s.lastResults[o.Result] {
-				return true
-			}
-			results[o.Result] = true
+		if o.Result == "" {
+			continue
 		}
+		if s.lastResults[o.Result] || results[o.Result] {
+			return true
+		}
+		results[o.Result] = true
 	}
 	s.lastResults = results
 	return false
