gateway: results are freed only when their server says so

Now 200 and 421 (another server has the address, so the results are gone) count; with any other status they keep their memory until their lifetime ends, as after a call without an answer.

TestRefusedFreesKeepTheirMemory failed before (both results counted as freed).

--- a/internal/gateway/resultfreer.go
+++ b/internal/gateway/resultfreer.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
+	"net/http"
 	"sync"
 	"time"
 
@@ -93,6 +95,11 @@
 		return err
 	}
 	defer answer.Close()
+	switch answer.Status {
+	case http.StatusOK, http.StatusMisdirectedRequest: // the latter: another server has the address
+	default:
+		return fmt.Errorf("stage server answered with status %d", answer.Status)
+	}
 	_, err = io.Copy(io.Discard, answer.Body)
 	return err
 }
--- a/internal/gateway/stages_test.go
+++ b/internal/gateway/stages_test.go
@@ -163,6 +163,26 @@
 	eventually(c, func() bool { return len(runs.all()) == 2 })
 }
 
+// Guards against results that count as freed although their server refused to free them.
+func TestRefusedFreesKeepTheirMemory(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(c, false)
+	var frees recorder
+	address := f.addServer("stage", func(rw http.ResponseWriter, _ *http.Request) {
+		if frees.add("") == 1 {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	f.start()
+	var freed recorder
+	record := func(results []string) { freed.add(results[0]) }
+	f.scheduler.freer.Free([]string{address + "/refused"}, record)
+	eventually(c, func() bool { return len(frees.all()) == 1 })
+	f.scheduler.freer.Free([]string{address + "/freed"}, record)
+	eventually(c, func() bool { return slices.Contains(freed.all(), address+"/freed") })
+	c.Assert(freed.all(), qt.HasLen, 1)
+}
+
 // Guards against a stage with large results that runs long before a parallel sequence of
 // stages ends, so that its results take memory meanwhile.
 func TestStagesBesideALongerChainStartLate(t *testing.T) {
