--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -51,6 +51,8 @@
 var (
 	errDeadlinePassed = errors.New("deadline has passed")
 	errMayHaveRun     = errors.New("an earlier send may have run the request")
+	// errUnverifiedAnswer reports a success with AnswerInfo.Unverified.
+	errUnverifiedAnswer = errors.New("success is not the server's own answer")
 )
 
 // remaining returns the time left for the request.
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -83,7 +83,7 @@
 
 func (fakeProtocol) ReadAnswer(_ int, h http.Header) AnswerInfo {
 	pause, _ := time.ParseDuration(h.Get("Pause"))
-	return AnswerInfo{NotRun: h.Get("Not-Run") != "", InputsLost: h.Get("Not-Run") == "inputs", Leaving: h.Get("Leaving") != "", RetryAfter: pause}
+	return AnswerInfo{NotRun: h.Get("Not-Run") != "", Unverified: h.Get("Unsigned") != "", InputsLost: h.Get("Not-Run") == "inputs", Leaving: h.Get("Leaving") != "", RetryAfter: pause}
 }
 
 func (fakeProtocol) StageCall(s upstream.Server, pieces []Piece) (*upstream.Request, error) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -137,6 +137,9 @@
 		c.refuse("servers are full", c.retryAfter())
 		return true
 	}
+	if info.Unverified {
+		return c.handlePlainSendError(send, errUnverifiedAnswer)
+	}
 	c.mayHaveRun = true
 	if answer.Status >= http.StatusInternalServerError {
 		c.finishSend(send, routing.Failed)
--- a/internal/gateway/plain_test.go
+++ b/internal/gateway/plain_test.go
@@ -222,6 +222,35 @@
 	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
 }
 
+// Guards against a success that is not the server's own answer and reaches the client.
+func TestUnverifiedSuccessesAreNotPassedOn(t *testing.T) {
+	for name, kind := range map[string]route.Kind{"retried": route.Idempotent, "not retried": route.NonIdempotent} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newPlainFixture(c, kind)
+			var runs recorder
+			for range 2 {
+				f.addServer("x", func(rw http.ResponseWriter, _ *http.Request) {
+					if runs.add("") == 1 {
+						rw.Header().Set("Unsigned", "1")
+					}
+					_, _ = io.WriteString(rw, "answer")
+				})
+			}
+			f.start()
+			response, body, err := f.do("POST", "/p/", "")
+			c.Assert(err, qt.IsNil)
+			if kind == route.Idempotent {
+				c.Assert(body, qt.Equals, "answer")
+				c.Assert(runs.all(), qt.HasLen, 2)
+				return
+			}
+			c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+			c.Assert(runs.all(), qt.HasLen, 1)
+		})
+	}
+}
+
 // Guards against a server that continues to work on a request whose client has
 // disconnected.
 func TestDisconnectedClientsCancelTheirRequests(t *testing.T) {
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -56,6 +56,9 @@
 type AnswerInfo struct {
 	// NotRun is true when the answer states that the request has not run.
 	NotRun bool
+	// Unverified is true for a success that may not be the server's own answer to the
+	// request, because it lacks what each of them has.
+	Unverified bool
 	// InputsLost is true when an input of the request does not exist any more.
 	InputsLost bool
 	// Leaving is true when the server will exit.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -175,6 +175,8 @@
 			return false
 		}
 		return g.giveUp("servers are full", g.retryAfter(), nil)
+	case info.Unverified:
+		return g.handleBrokenStream(placed, answer, 0, errUnverifiedAnswer)
 	}
 	g.mayHaveRun = true
 	if answer.Status == http.StatusOK {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -178,6 +178,20 @@
 	}
 }
 
+// Guards against a stream that is not the server's own answer and reaches the client.
+func TestUnverifiedStreamsAreNotPassedOn(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(c, false)
+	f.addServer("x", func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Unsigned", "1")
+		sendEvents(rw, 1, 2)
+	})
+	f.start()
+	response, _, err := f.do("POST", "/p/", "")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+}
+
 // Guards against an answer whose connection ends after its head, and that reaches the
 // client as a complete stream without events.
 func TestCloseDelimitedStreamWithoutEventsIsNotComplete(t *testing.T) {
