--- a/internal/backend/http_test.go
+++ b/internal/backend/http_test.go
@@ -77,6 +77,8 @@
 		{200, eventType, first + event(EventEnd, `{"attempt":"a1","bytes":3}`), "abc", io.EOF, false},
 		{200, eventType, first, "abc", ErrBrokenStream, false},
 		{200, eventType, first + "<cut>", "abc", ErrBrokenStream, false},
+		{200, eventType, first + "event: " + EventEnd + "\ndata: " + `{"attempt":"a1","bytes":3}` + "\n", "abc", ErrBrokenStream, false},
+		{200, eventType, strings.TrimSuffix(first, "\n"), "", ErrBrokenStream, false},
 		{200, eventType, first + event(EventEnd, `{"attempt":"a1","bytes":4}`), "abc", ErrBadAnswer, false},
 		{200, eventType, first + event(EventEnd, `{"attempt":"a2","bytes":3}`), "abc", ErrWrongAttempt, false},
 		{200, eventType, first + event(EventChunk, `{"attempt":"a2","offset":3,"data":"d"}`), "abc", ErrWrongAttempt, false},
--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 )
 
 // LoadReport is the load that a backend server reported last. It lags behind the
@@ -48,7 +48,7 @@
 		return LoadReport{}, fmt.Errorf("%w: load report: status %d", ErrBadAnswer, response.StatusCode)
 	}
 	var wire WireLoad
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&wire); err != nil {
+	if err := httpbody.DecodeJSON(response.Body, maxLoadBytes, &wire); err != nil {
 		return LoadReport{}, fmt.Errorf("%w: load report: %w", ErrBadAnswer, err)
 	}
 	return LoadReport{
--- a/internal/backend/orders.go
+++ b/internal/backend/orders.go
@@ -6,9 +6,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 	"github.com/coltsfootdrift/coltsfootdrift/order"
 )
 
@@ -54,7 +54,7 @@
 		return order.Observed{}, fmt.Errorf("%w: status %d", ErrStateUnavailable, response.StatusCode)
 	}
 	var state WireState
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&state); err != nil {
+	if err := httpbody.DecodeJSON(response.Body, maxStateBytes, &state); err != nil {
 		return order.Observed{}, fmt.Errorf("%w: %w", ErrStateUnavailable, err)
 	}
 	return order.Observed{
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -12,6 +11,7 @@
 	"github.com/samber/oops"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 )
 
 const statusHelp = `Shows the state of one instance: configuration revision, peers, backend servers
@@ -59,7 +59,7 @@
 		return nil, fmt.Errorf("status of %s: %s", c.Address, response.Status)
 	}
 	var sections map[string]any
-	err = json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&sections)
+	err = httpbody.DecodeJSON(response.Body, maxStatusBytes, &sections)
 	return sections, err
 }
 
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -11,6 +10,7 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/engine"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	defer answer.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxCacheListBytes))
+	body, err := httpbody.Read(answer.Body, maxCacheListBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/stagecalls.go
+++ b/internal/gateway/stagecalls.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
 
@@ -71,7 +71,7 @@
 		return stagework.SameOutcome(stagework.Failed, len(pieces)), err
 	}
 	defer answer.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxStageAnswerBytes))
+	body, err := httpbody.Read(answer.Body, maxStageAnswerBytes)
 	if err != nil {
 		return stagework.SameOutcome(stagework.Failed, len(pieces)), err
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,12 +6,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 
 	"github.com/samber/oops"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 )
 
 // State is the state of a process in the list.
@@ -55,6 +57,9 @@
 // PathList is the URL path of the list.
 const PathList = "/v1/instances"
 
+// maxListBytes limits the size of the list. It is many times that of 1,500 processes.
+const maxListBytes = 4 << 20
+
 // HTTPLister reads the list over HTTP.
 type HTTPLister struct {
 	Client *http.Client
@@ -77,9 +82,12 @@
 		return nil, l.failure(fmt.Errorf("status %d", response.StatusCode))
 	}
 	var members []Member
-	if err := json.NewDecoder(response.Body).Decode(&members); err != nil {
+	if err := httpbody.DecodeJSON(response.Body, maxListBytes, &members); err != nil {
 		return nil, l.failure(err)
 	}
+	if slices.ContainsFunc(members, func(m Member) bool { return m.ID == "" }) {
+		return nil, l.failure(errors.New("member without an ID"))
+	}
 	return members, nil
 }
 
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -11,11 +11,14 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 )
 
 // maxIdleConnections limits the idle connections to the store. An instance has
@@ -52,11 +55,19 @@
 	return &HTTP{client: client, address: address, watchWait: defaultWatchWait}
 }
 
+// errIncompleteAnswer reports an answer that lacks a field.
+var errIncompleteAnswer = errors.New("answer of the store is incomplete")
+
 // Get returns one entry, or ErrNotFound.
 func (s *HTTP) Get(ctx context.Context, key string) (Entry, error) {
 	var entry WireEntry
-	err := s.read(ctx, PathKeys+key, nil, &entry)
-	return entry.Entry(), err
+	if err := s.read(ctx, PathKeys+key, nil, &entry); err != nil {
+		return Entry{}, err
+	}
+	if !entry.complete() || entry.Key != key {
+		return Entry{}, s.annotate(http.MethodGet, key, fmt.Errorf("%w: %w", ErrUnavailable, errIncompleteAnswer))
+	}
+	return entry.Entry(), nil
 }
 
 // List returns up to limit entries with the prefix and a key after the given one.
@@ -66,6 +77,9 @@
 	if err := s.read(ctx, PathList, query, &list); err != nil {
 		return nil, err
 	}
+	if slices.ContainsFunc(list.Entries, func(e WireEntry) bool { return !e.complete() }) {
+		return nil, s.annotate(http.MethodGet, PathList, fmt.Errorf("%w: %w", ErrUnavailable, errIncompleteAnswer))
+	}
 	return entries(list.Entries), nil
 }
 
@@ -80,6 +94,9 @@
 		query.Set(ParamLease, formatID(lease))
 	}
 	err := s.write(ctx, http.MethodPut, PathKeys+key, query, value, &written)
+	if err == nil && written.Version == 0 {
+		err = s.annotate(http.MethodPut, key, fmt.Errorf("%w: %w", ErrUnknownOutcome, errIncompleteAnswer))
+	}
 	return written.Version, err
 }
 
@@ -97,6 +114,9 @@
 	}
 	var granted WireLease
 	err = s.write(ctx, http.MethodPost, PathLeases, nil, body, &granted)
+	if err == nil && granted.Lease == 0 {
+		err = s.annotate(http.MethodPost, PathLeases, fmt.Errorf("%w: %w", ErrUnknownOutcome, errIncompleteAnswer))
+	}
 	return granted.Lease, err
 }
 
@@ -188,18 +208,17 @@
 // decode decodes an answer into a value, or returns the error of the package that its
 // status stands for.
 func decode(response *http.Response, path string, answer any) error {
-	body := io.LimitReader(response.Body, maxAnswerBytes)
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
 		if answer == nil {
 			return nil
 		}
-		return json.NewDecoder(body).Decode(answer)
+		return httpbody.DecodeJSON(response.Body, maxAnswerBytes, answer)
 	case http.StatusNotFound:
 		return ErrNotFound
 	case http.StatusConflict:
 		var conflict WireConflict
-		if err := json.NewDecoder(body).Decode(&conflict); err != nil {
+		if err := httpbody.DecodeJSON(response.Body, maxAnswerBytes, &conflict); err != nil {
 			return err
 		}
 		return &ConflictError{Key: path[min(len(path), len(PathKeys)):], Current: conflict.Current}
--- a/internal/store/http_test.go
+++ b/internal/store/http_test.go
@@ -88,3 +88,33 @@
 	_, err = NewHTTP(listener.Addr().String()).CompareAndSwap(c.Context(), "k", 0, nil, 0)
 	c.Assert(err, qt.ErrorIs, ErrUnavailable)
 }
+
+// Guards against an answer that lacks a part, and that is taken for an absent key, for the
+// version of a key that does not exist, or for a lease.
+func TestIncompleteAnswersAreErrors(t *testing.T) {
+	calls := map[string]func(*testing.T, *HTTP) error{
+		"get":   func(t *testing.T, s *HTTP) error { _, err := s.Get(t.Context(), "a"); return err },
+		"list":  func(t *testing.T, s *HTTP) error { _, err := s.List(t.Context(), "a", "", 1); return err },
+		"swap":  func(t *testing.T, s *HTTP) error { _, err := s.CompareAndSwap(t.Context(), "a", 7, nil, 0); return err },
+		"grant": func(t *testing.T, s *HTTP) error { _, err := s.GrantLease(t.Context(), time.Second); return err },
+	}
+	for _, test := range []struct {
+		call, body string
+		want       error
+	}{
+		{"get", `{}`, ErrUnavailable},
+		{"get", `{"key":"b","version":7}`, ErrUnavailable},
+		{"list", `{"entries":[{"version":7}]}`, ErrUnavailable},
+		{"list", `{"entries":[]}{"entries":[]}`, ErrUnavailable},
+		{"swap", `{}`, ErrUnknownOutcome},
+		{"swap", `{"version":8}8`, ErrUnknownOutcome},
+		{"grant", `{}`, ErrUnknownOutcome},
+	} {
+		t.Run(test.call+test.body, func(t *testing.T) {
+			c := qt.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, test.body) }))
+			c.Cleanup(server.Close)
+			c.Assert(calls[test.call](t, NewHTTP(server.Listener.Addr().String())), qt.ErrorIs, test.want)
+		})
+	}
+}
--- a/internal/store/wire.go
+++ b/internal/store/wire.go
@@ -27,6 +27,9 @@
 	Lease   LeaseID `json:"lease,omitempty"`
 }
 
+// complete reports whether the entry has the fields that each stored entry has.
+func (w WireEntry) complete() bool { return w.Key != "" && w.Version > 0 }
+
 // Entry returns w as an Entry.
 func (w WireEntry) Entry() Entry {
 	return Entry(w)
