--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -195,6 +195,10 @@
 	c.metrics.aborted.Inc(1)
 	c.log(events.AttemptAborted, slog.Any("error", err))
 	_ = http.NewResponseController(c.writer).Flush() // the client may be gone
+	if !c.request.ProtoAtLeast(1, 1) {
+		// Without chunks, the end of the connection is the end of the answer.
+		resetOnClose(c.request)
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -99,7 +99,7 @@
 	f.current = &connListener{address: f.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{})}
 	server := &http.Server{
 		Handler: f.handler, MaxHeaderBytes: limits.HeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
-		ConnState: f.countConnection, ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelDebug),
+		ConnState: f.countConnection, ConnContext: withClientConn, ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelDebug),
 	}
 	f.servers = append(f.servers, server)
 	go func(l *connListener) {
@@ -109,6 +109,21 @@
 	}(f.current)
 }
 
+// clientConnKey is the key of the client's connection in the context of a request.
+type clientConnKey struct{}
+
+func withClientConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, clientConnKey{}, conn)
+}
+
+// resetOnClose makes the end of the client's connection a reset, which no client takes for
+// the end of an answer.
+func resetOnClose(r *http.Request) {
+	if conn, ok := r.Context().Value(clientConnKey{}).(*net.TCPConn); ok {
+		_ = conn.SetLinger(0) // fails only for a connection that is closed
+	}
+}
+
 // countConnection counts the open connections.
 func (f *Frontend) countConnection(_ net.Conn, state http.ConnState) {
 	switch state {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -94,6 +96,33 @@
 	c.Assert(body, qt.Equals, eventText(1, 2))
 }
 
+// Guards against a stream that breaks off and looks complete to an HTTP/1.0 client, whose
+// answer ends with its connection.
+func TestBrokenStreamsResetHTTP10Clients(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(c, false)
+	f.addServer("x", func(rw http.ResponseWriter, r *http.Request) {
+		sendEvents(rw, 1, 2)
+		if r.Header.Get("Prompt") == "broken" {
+			abortConnection(rw, r)
+		}
+	})
+	f.start()
+	get := func(prompt string) (string, error) {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+		fmt.Fprintf(conn, "POST /p/ HTTP/1.0\r\nHost: h\r\nId: a1\r\nPrompt: %s\r\n\r\n", prompt)
+		answer, err := io.ReadAll(conn)
+		return string(answer), err
+	}
+	whole, err := get("whole")
+	c.Assert(err, qt.IsNil)
+	c.Assert(strings.HasSuffix(whole, "\r\n\r\n"+eventText(1, 2)), qt.IsTrue)
+	_, err = get("broken")
+	c.Assert(err, qt.ErrorIs, syscall.ECONNRESET)
+}
+
 // failingWriter accepts the head of an answer and then fails each write, like a
 // connection that the client has reset.
 type failingWriter struct {
