gateway: streams of services without model servers go through the relay too

The relay of events is now one function for both, in a file of its own; until the first event such a request is retried where the route allows it, after it the client's answer is broken off too.

TestStreamsOfPlainServices failed before (504 in place of the first event).

--- /dev/null
+++ b/internal/gateway/eventrelay.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
+)
+
+// clientStream is the stream of events that a client receives, from one server or, after a
+// resume, from several.
+type clientStream struct {
+	// started is true once the head of the answer was written to the client.
+	started bool
+	// lastID is the ID of the last event that the client has received.
+	lastID string
+	// events is the number of events that the client has received.
+	events int
+}
+
+// errStreamWithoutEvents reports a close-delimited stream that ended before its first event.
+var errStreamWithoutEvents = errors.New("close-delimited stream ended without an event")
+
+// relayEvents passes on the events of an answer as they arrive, and calls onFirst when the
+// first one has. It returns nil at the end of a complete stream, and otherwise an error and
+// the number of bytes that were received of the event in which the stream broke off, and
+// that were not passed on.
+func (c *clientRequest) relayEvents(stream *clientStream, answer *upstream.Answer, onFirst func()) (unfinishedBytes int, err error) {
+	reader := newEventReader(answer.Body)
+	controller := http.NewResponseController(c.writer)
+	hasEvent := false
+	for first := true; ; first = false {
+		e, err := reader.next()
+		hasEvent = hasEvent || e.begun
+		if errors.Is(err, io.EOF) && !hasEvent && answer.Framing == upstream.CloseDelimited {
+			err = errStreamWithoutEvents
+		}
+		ended := errors.Is(err, io.EOF)
+		if err != nil && !ended {
+			return len(e.data), err
+		}
+		if first {
+			onFirst()
+		}
+		c.passOn(stream, answer, e)
+		if ended {
+			return 0, nil
+		}
+		if !reader.buffered() {
+			_ = controller.Flush() // the next write returns the error
+		}
+	}
+}
+
+// passOn writes an event to the client, after the head of the answer if it is the first.
+func (c *clientRequest) passOn(stream *clientStream, answer *upstream.Answer, e streamEvent) {
+	if !stream.started {
+		stream.started = true
+		c.writeHead(answer, -1)
+	}
+	if _, err := c.writer.Write(e.data); err != nil {
+		c.abort(err)
+	}
+	if e.begun {
+		stream.events++
+	}
+	if e.id != "" {
+		stream.lastID = e.id
+	}
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -10,6 +10,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+	"github.com/coltsfootdrift/coltsfootdrift/route"
 	"github.com/coltsfootdrift/coltsfootdrift/routing"
 )
 
@@ -154,6 +155,9 @@
 		c.fail(http.StatusBadGateway, "backend server refused without saying that it did not run", nil)
 		return true
 	}
+	if c.route.Kind == route.Stream && answer.Status == http.StatusOK {
+		return c.relayPlainStream(send, answer)
+	}
 	err := c.forwardAnswer(answer, send.server.ID)
 	if err == nil {
 		return true
@@ -170,6 +174,32 @@
 	return true
 }
 
+// relayPlainStream passes on a stream of events of a plain service. It returns true when the
+// request has ended, and false when it is to be retried, which is possible until the
+// client has received an event.
+func (c *clientRequest) relayPlainStream(send plainSend, answer *upstream.Answer) bool {
+	var stream clientStream
+	unfinished, err := c.relayEvents(&stream, answer, func() { c.firstEventDelay = time.Since(send.started) })
+	if err == nil {
+		c.recordAnswered(answer, send.server.ID, slog.Int("events", stream.events))
+		return true
+	}
+	if !stream.started && (c.clientGone() || c.expired()) {
+		c.endUnanswered()
+		return true
+	}
+	c.logSendFailed(send.server, answer.Status, err, slog.String("framing", string(answer.Framing)),
+		slog.Int("events", stream.events), slog.Int("unfinished_bytes", unfinished))
+	if stream.started {
+		c.abort(err)
+	}
+	if c.route.Repeatable() && c.mayRetry() {
+		return false
+	}
+	c.fail(http.StatusBadGateway, "stream of the backend server broke off", err)
+	return true
+}
+
 // impliesNotRun reports whether clients take a status to mean that the request has not
 // run. A server that answers with it may have run the request nevertheless, unless the
 // answer's headers state that it did not.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"time"
@@ -26,11 +25,7 @@
 	tried       []string
 	unsentTries int
 	stageReruns int
-	// lastID is the ID of the last event that the client has received.
-	lastID string
-	// streaming is true once the head of the answer was written to the client.
-	streaming  bool
-	eventsSent int
+	stream      clientStream
 }
 
 // maxStageReruns bounds how often the stages run again because results were lost.
@@ -38,7 +33,7 @@
 
 // serveEngine runs the stages of a request and sends it to a model server.
 func (c *clientRequest) serveEngine() {
-	g := &generateRequest{clientRequest: c, graph: c.route.NewGraph(c.requestInfo.PieceCounts), lastID: c.requestInfo.LastEventID}
+	g := &generateRequest{clientRequest: c, graph: c.route.NewGraph(c.requestInfo.PieceCounts), stream: clientStream{lastID: c.requestInfo.LastEventID}}
 	defer g.freeInputs()
 	for !g.try() {
 	}
@@ -73,7 +68,7 @@
 		slog.String("copy_from", placed.CopyFrom), slog.Int64("crossing_bytes", crossDomainBytes(inputs, placed.FailureDomain)),
 		slog.Int64("view", g.viewVersion()))
 	source, _ := g.servers.Server(placed.CopyFrom)
-	request := g.outgoingRequest(server, SendInfo{Urgency: &urgency, Inputs: g.inputs, LastEventID: g.lastID, CopyFrom: source.Address})
+	request := g.outgoingRequest(server, SendInfo{Urgency: &urgency, Inputs: g.inputs, LastEventID: g.stream.lastID, CopyFrom: source.Address})
 	stop := g.freeInputsWhenFetched()
 	answer, err := g.client.Send(g.ctx, server, request)
 	freed := stop()
@@ -100,7 +95,7 @@
 // when the request has ended.
 func (g *generateRequest) giveUp(reason string, retry time.Duration, err error) bool {
 	switch {
-	case g.streaming:
+	case g.stream.started:
 		g.abort(errors.Join(errors.New(reason), err))
 	case g.clientGone() || g.expired():
 		g.endUnanswered()
@@ -132,7 +127,7 @@
 // passed, also in the middle of a stream. It returns true, as try does when the request
 // has ended.
 func (g *generateRequest) endIncomplete() bool {
-	if g.streaming && !g.clientGone() {
+	if g.stream.started && !g.clientGone() {
 		g.abort(errDeadlinePassed)
 	}
 	g.endUnanswered()
@@ -145,13 +140,13 @@
 func (g *generateRequest) resumeOrFail(err error) bool {
 	g.mayHaveRun = true
 	if g.route.Repeatable() && g.mayRetry() {
-		if g.streaming {
+		if g.stream.started {
 			g.metrics.resumed.Inc(1)
-			g.log(events.StreamResumed, slog.String("after", g.lastID), slog.Int("events", g.eventsSent))
+			g.log(events.StreamResumed, slog.String("after", g.stream.lastID), slog.Int("events", g.stream.events))
 		}
 		return false
 	}
-	if g.streaming {
+	if g.stream.started {
 		g.abort(err)
 	}
 	g.fail(http.StatusBadGateway, "no answer from the model server", err)
@@ -188,7 +183,7 @@
 		return false
 	}
 	switch {
-	case g.streaming:
+	case g.stream.started:
 		g.abort(errors.New("model server failed after the stream began"))
 	case impliesNotRun(answer.Status):
 		g.fail(http.StatusBadGateway, "model server refused without saying that it did not run", nil)
@@ -200,55 +195,15 @@
 	return true
 }
 
-// errStreamWithoutEvents reports a close-delimited stream that ended before its first event.
-var errStreamWithoutEvents = errors.New("close-delimited stream ended without an event")
-
-// relay passes on the events of an answer as they arrive. It returns true when the
-// request has ended.
+// relay passes on the events of an answer. It returns true when the request has ended.
 func (g *generateRequest) relay(placed engine.Placement, answer *upstream.Answer, sent time.Time) bool {
-	reader := newEventReader(answer.Body)
-	controller := http.NewResponseController(g.writer)
-	hasEvent := false
-	for first := true; ; first = false {
-		e, err := reader.next()
-		hasEvent = hasEvent || e.begun
-		if errors.Is(err, io.EOF) && !hasEvent && answer.Framing == upstream.CloseDelimited {
-			err = errStreamWithoutEvents
-		}
-		ended := errors.Is(err, io.EOF)
-		if err != nil && !ended {
-			return g.handleBrokenStream(placed, answer, len(e.data), err)
-		}
-		if first {
-			g.recordFirstEvent(placed, time.Since(sent))
-		}
-		g.passOn(answer, e)
-		if ended {
-			g.runTimes.observe(g.route.Name, time.Since(sent))
-			g.recordAnswered(answer, placed.Server, slog.Int("events", g.eventsSent))
-			return true
-		}
-		if !reader.buffered() {
-			_ = controller.Flush() // the next write returns the error
-		}
-	}
-}
-
-// passOn writes an event to the client, after the head of the answer if it is the first.
-func (g *generateRequest) passOn(answer *upstream.Answer, e streamEvent) {
-	if !g.streaming {
-		g.streaming = true
-		g.writeHead(answer, -1)
-	}
-	if _, err := g.writer.Write(e.data); err != nil {
-		g.abort(err)
-	}
-	if e.begun {
-		g.eventsSent++
-	}
-	if e.id != "" {
-		g.lastID = e.id
+	unfinished, err := g.relayEvents(&g.stream, answer, func() { g.recordFirstEvent(placed, time.Since(sent)) })
+	if err != nil {
+		return g.handleBrokenStream(placed, answer, unfinished, err)
 	}
+	g.runTimes.observe(g.route.Name, time.Since(sent))
+	g.recordAnswered(answer, placed.Server, slog.Int("events", g.stream.events))
+	return true
 }
 
 // recordFirstEvent records the arrival of the first event and frees the inputs, which
@@ -269,6 +224,6 @@
 	}
 	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Failed: true})
 	g.logSendFailed(upstream.Server{ID: placed.Server}, answer.Status, err, slog.String("framing", string(answer.Framing)),
-		slog.Int("events", g.eventsSent), slog.Int("unfinished_bytes", unfinishedBytes))
+		slog.Int("events", g.stream.events), slog.Int("unfinished_bytes", unfinishedBytes))
 	return g.resumeOrFail(err)
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -352,3 +352,42 @@
 	c.Assert(err != nil || response.StatusCode != http.StatusOK, qt.IsTrue)
 	c.Assert(time.Since(started) < 2*f.config.Routes[0].Timeout, qt.IsTrue)
 }
+
+// Guards against a stream of a service without model servers that is held back until it
+// ends, or that looks complete although it broke off inside an event.
+func TestStreamsOfPlainServices(t *testing.T) {
+	c := qt.New(t)
+	f := newPlainFixture(c, route.Stream)
+	received := make(chan struct{})
+	f.addServer("x", func(rw http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Prompt") == "broken" {
+			closeDelimitedAnswer(rw, r, eventText(1, 2)+"id: 3")
+			return
+		}
+		sendEvents(rw, 1, 1)
+		select {
+		case <-received:
+		case <-r.Context().Done():
+		}
+		sendEvents(rw, 2, 2)
+	})
+	f.start()
+	request, err := http.NewRequest("POST", f.url+"/p/", nil)
+	c.Assert(err, qt.IsNil)
+	request.Host = "h"
+	request.Header.Set("Wait", "1000")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	first := make([]byte, len(eventText(1, 1)))
+	_, err = io.ReadFull(response.Body, first)
+	c.Assert(err, qt.IsNil)
+	close(received)
+	rest, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(first)+string(rest), qt.Equals, eventText(1, 2))
+
+	_, body, err := f.do("POST", "/p/", "", "Prompt", "broken")
+	c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	c.Assert(body, qt.Equals, eventText(1, 2))
+}
