view: first form of a start from peers

Instances without a view pull it from their peers, readers read the store, and whole views are compressed and bounded.

--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -105,7 +106,11 @@
 	if address == "" {
 		return store.Changes{}, errNoPeerKnown
 	}
-	return c.peerClient.PullView(ctx, address, have)
+	changes, err := c.peerClient.PullView(ctx, address, have)
+	if errors.Is(err, peer.ErrBusy) {
+		err = fmt.Errorf("%w: %w", view.ErrPeerBusy, err)
+	}
+	return changes, err
 }
 
 // Announce implements view.Peers.
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -195,6 +195,7 @@
 	}
 	protocol, peerClient := fakeProtocol{}, peer.NewClient()
 	cluster := NewCluster(s, node, peerClient, storetest.New(), discardLogger())
+	cluster.started = cluster.started.Add(-firstReadDelay) // no other instance starts
 	views := view.NewSync(fakeSource{entries}, cluster, protocol, discardLogger(), tally.NoopScope)
 	servers := NewServers(s, cluster)
 	client := NewServerClient(upstream.NewClient(tally.NoopScope), protocol, markLeaving(views, cluster, discardLogger()), discardLogger(), tally.NoopScope)
--- a/internal/httpbody/httpbody.go
+++ b/internal/httpbody/httpbody.go
@@ -70,7 +70,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked") {
+	// A decompressed body has lost its length, and ends with the checksum of gzip.
+	if response.ContentLength < 0 && !response.Uncompressed && !slices.Contains(response.TransferEncoding, "chunked") {
 		response.Body.Close()
 		return nil, ErrCloseDelimited
 	}
--- a/internal/peer/incomplete_test.go
+++ b/internal/peer/incomplete_test.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
 	"net/http"
@@ -73,6 +75,19 @@
 			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n\r\n")
 			_, _ = conn.Write(first)
 		}},
+		"compressed and cut": {smallPart, func(rw http.ResponseWriter, first, rest []byte) {
+			conn, _, err := http.NewResponseController(rw).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			var body bytes.Buffer
+			compressor := gzip.NewWriter(&body)
+			_, _ = compressor.Write(first)
+			_ = compressor.Flush()
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\nContent-Encoding: gzip\r\n\r\n")
+			_, _ = conn.Write(body.Bytes())
+		}},
 		"shorter than its length": {smallPart, func(rw http.ResponseWriter, first, rest []byte) {
 			rw.Header().Set("Content-Length", strconv.Itoa(len(first)+len(rest)))
 			_, _ = rw.Write(first)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -15,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
 )
 
@@ -127,6 +128,33 @@
 	c.Assert(err, qt.ErrorIs, ErrUnreachable)
 }
 
+// fakeViews has one view, of version 7, with changes after version 6.
+type fakeViews struct{ entries []store.Entry }
+
+func (f fakeViews) ChangesAfter(have store.Version) store.Changes {
+	if have == 6 {
+		return store.Changes{Base: 6, WatchResult: store.WatchResult{Version: 7}}
+	}
+	return store.Changes{WatchResult: store.WatchResult{Version: 7, Changed: f.entries}}
+}
+
+// Guards against a restarted region whose instances all pull the whole view from one
+// instance, over its link, and against changes that are refused meanwhile.
+func TestPullsOfWholeViewsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	server := NewServer(nil)
+	server.HandleViews(fakeViews{[]store.Entry{{Key: "servers/a", Value: bytes.Repeat([]byte("a"), 2*minCompressedBytes), Version: 7}}})
+	address := startServer(c, server)
+	client := NewClient()
+	pull := func(have store.Version) error { _, err := client.PullView(c.Context(), address, have); return err }
+	c.Assert(pull(0), qt.IsNil)
+	c.Assert(server.viewPulls.Acquire(c.Context(), maxViewPulls), qt.IsNil) // waits until the pull has ended
+	c.Assert(pull(0), qt.ErrorIs, ErrBusy)
+	c.Assert(pull(6), qt.IsNil)
+	server.viewPulls.Release(1)
+	c.Assert(pull(0), qt.IsNil)
+}
+
 // Guards against a failure domain whose members all pull from one instance at the
 // same time.
 func TestPullsAtOnceAreBounded(t *testing.T) {
--- a/internal/view/readers.go
+++ b/internal/view/readers.go
@@ -27,6 +27,13 @@
 	// startWatchDelay is how long a follower waits after its start for the confirmation
 	// of a reader. Instances that start together need that time to choose the readers.
 	startWatchDelay = 3 * time.Second
+	// firstReadDelay is how long after its start a follower without a view leaves the read
+	// of all entries to the readers, and pulls the view from its peers. If all instances
+	// that start together read them, over one link, no read ends in its time.
+	firstReadDelay = 3 * time.Second
+	// maxFirstReadDelay bounds a random delay after that, for a region whose readers do
+	// not reach the store.
+	maxFirstReadDelay = 3 * time.Second
 )
 
 // RecordStoreContact records that a reader has confirmed that it reaches the store, where
@@ -52,6 +59,17 @@
 	return now.Before(s.relyUntil)
 }
 
+// awaitsPeers reports whether this instance, which has no view yet, leaves the read of all
+// entries to a reader.
+func (s *Sync) awaitsPeers(now time.Time) bool {
+	if s.readsForRegion() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.firstReadAt)
+}
+
 // readsForRegion reports whether this instance is the reader of its region or the
 // standby, whose calls to the store count for the others.
 func (s *Sync) readsForRegion() bool { return s.peers.ReaderRank() <= 1 }
--- /dev/null
+++ b/internal/view/start_test.go
@@ -0,0 +1,85 @@
+package view
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+)
+
+// region is the instances of a region that start at the same time.
+type region struct {
+	instances []*Sync
+	// snapshots counts the reads of all entries in the store.
+	snapshots atomic.Int64
+}
+
+// Snapshot implements Source.
+func (r *region) Snapshot(context.Context, bool) ([]store.Entry, store.Version, error) {
+	r.snapshots.Add(1)
+	return []store.Entry{entry("config", "1", 1)}, 1, nil
+}
+
+// Watch implements Source.
+func (r *region) Watch(ctx context.Context, _ string, _ store.Version) (store.WatchResult, error) {
+	return waitForCancel(ctx)
+}
+
+// regionPeers are the peers of one instance of a region, which serve one pull at a time.
+type regionPeers struct {
+	region *region
+	rank   int
+	busy   atomic.Bool
+}
+
+func (p *regionPeers) ReaderRank() int              { return p.rank }
+func (p *regionPeers) Announce(store.Version, bool) {}
+func (p *regionPeers) ConfirmStoreContact()         {}
+
+func (p *regionPeers) Pull(_ context.Context, _ string, have store.Version) (store.Changes, error) {
+	peer := p.region.instances[rand.IntN(len(p.region.instances))]
+	busy := &peer.peers.(*regionPeers).busy
+	if !busy.CompareAndSwap(false, true) {
+		return store.Changes{}, ErrPeerBusy
+	}
+	defer busy.Store(false)
+	return peer.ChangesAfter(have), nil
+}
+
+// Guards against a region that does not start because all its instances read all entries
+// of the store at once, over one link, so that no read ends before its timeout.
+func TestRestartedRegionReadsTheStoreOnce(t *testing.T) {
+	c := qt.New(t)
+	const instances, readers = 40, 2
+	r := &region{}
+	for rank := range instances {
+		s := newTestSync(r, &regionPeers{region: r, rank: rank})
+		s.firstReadAt = time.Now().Add(time.Hour)
+		r.instances = append(r.instances, s)
+	}
+	for _, s := range r.instances {
+		run(c, s)
+	}
+	for _, s := range r.instances {
+		for s.Current() == nil {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	c.Assert(r.snapshots.Load() <= readers, qt.IsTrue)
+}
+
+// Guards against a follower that never reads the store itself although no peer has a view.
+func TestFollowersReadTheStoreInTheEnd(t *testing.T) {
+	c := qt.New(t)
+	source := &fakeSource{snapshot: []store.Entry{entry("config", "1", 1)}, version: 1, onWatch: waitForCancel}
+	peers := &fakePeers{announced: make(chan store.Version, 10)}
+	s := newTestSync(source, peers)
+	s.firstReadAt = time.Now().Add(2 * tickInterval)
+	run(c, s)
+	c.Assert(<-peers.announced, qt.Equals, store.Version(1))
+}
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -57,6 +57,9 @@
 	// pullInterval is the minimum time between two pulls. The first pull of a newly
 	// announced version may come sooner.
 	pullInterval = 500 * time.Millisecond
+	// firstPullInterval is the minimum time between two pulls without a view: most peers
+	// of an instance that starts with them have none either, or serve others.
+	firstPullInterval = 150 * time.Millisecond
 )
 
 // Source reads the store.
@@ -75,10 +78,14 @@
 // ErrHistoryLost reports a watch from a version after which the store has dropped changes.
 var ErrHistoryLost = errors.New("history of the store is no longer available")
 
+// ErrPeerBusy reports a peer that serves too many other pulls.
+var ErrPeerBusy = errors.New("peer is busy")
+
 // Peers are the other instances.
 type Peers interface {
 	// Pull returns the changes after a version that an instance has read from the store.
-	// An empty address means any instance.
+	// An empty address means any instance. It returns ErrPeerBusy when another one should
+	// be asked.
 	Pull(ctx context.Context, address string, have store.Version) (store.Changes, error)
 	// ReaderRank returns the position of this instance among those of its region that
 	// may read the store for it. The first one, 0, is the reader, which watches the store
@@ -121,6 +128,8 @@
 	interruptWatch context.CancelCauseFunc
 	// relyUntil is until when a follower relies on the readers.
 	relyUntil time.Time
+	// firstReadAt is from when a follower without a view reads the store itself.
+	firstReadAt time.Time
 	// lastConfirmed is when this instance, as a reader, last confirmed that it reaches the
 	// store. Only watchStore uses it.
 	lastConfirmed time.Time
@@ -131,7 +140,8 @@
 	return &Sync{
 		source: source, peers: peers, logger: logger, state: NewState(decoder),
 		pulls: scope.Counter("view_pulls"), reads: scope.Counter("view_store_reads"),
-		relyUntil: time.Now().Add(startWatchDelay + rand.N(maxWatchDelay)),
+		relyUntil:   time.Now().Add(startWatchDelay + rand.N(maxWatchDelay)),
+		firstReadAt: time.Now().Add(firstReadDelay + rand.N(maxFirstReadDelay)),
 	}
 }
 
@@ -177,20 +187,22 @@
 	running.Wait()
 }
 
-// watchStore takes a snapshot of the store and then watches it for changes. It retries
-// failed calls with exponential backoff, and takes a new snapshot after a loss of history.
+// watchStore takes a snapshot of the store, unless a view was pulled from a peer, and then
+// watches it for changes. It retries failed calls with exponential backoff, and takes a
+// new snapshot after a loss of history.
 func (s *Sync) watchStore(ctx context.Context) {
 	backoff := initialBackoff
-	hasSnapshot := false
+	historyLost := false
 	for ctx.Err() == nil {
-		if hasSnapshot && s.reliesOnReader(time.Now()) {
+		hasView := s.hasView()
+		if !hasView && s.awaitsPeers(time.Now()) || hasView && !historyLost && s.reliesOnReader(time.Now()) {
 			clock.Sleep(ctx, tickInterval)
 			continue
 		}
 		started := time.Now()
-		changed, err := s.readStore(ctx, hasSnapshot)
+		changed, err := s.readStore(ctx, hasView && !historyLost)
 		if err == nil {
-			hasSnapshot, backoff = true, initialBackoff
+			historyLost, backoff = false, initialBackoff
 			s.confirmStoreContact(time.Now())
 			clock.Sleep(ctx, s.pauseAfterWatch(changed, time.Since(started)))
 			continue
@@ -199,7 +211,7 @@
 			continue
 		}
 		if errors.Is(err, ErrHistoryLost) {
-			hasSnapshot = false
+			historyLost = true
 			clock.Sleep(ctx, historyLostPause)
 			continue
 		}
@@ -221,11 +233,18 @@
 	return max(0, readerInterval-took)
 }
 
+// hasView reports whether this instance has entries of the store, from which it can watch.
+func (s *Sync) hasView() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Position() > 0
+}
+
 // readStore makes one call to the store, a snapshot or a watch, and reports whether the
 // view changed.
-func (s *Sync) readStore(ctx context.Context, hasSnapshot bool) (changed bool, err error) {
+func (s *Sync) readStore(ctx context.Context, watch bool) (changed bool, err error) {
 	s.reads.Inc(1)
-	if !hasSnapshot {
+	if !watch {
 		return s.snapshot(ctx)
 	}
 	s.mu.Lock()
@@ -390,13 +409,16 @@
 func (s *Sync) pullDue(now time.Time) (address string, due bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.state.Position() == 0 {
+		return s.announcedBy, now.Sub(s.lastPull) >= firstPullInterval
+	}
 	if s.announced > s.state.Position() && now.Sub(s.announcedAt) >= announcementPullDelay {
 		if now.Sub(s.lastPull) < pullInterval {
 			return s.announcedBy, s.lastPull.Before(s.announcedAt)
 		}
 		return s.announcedBy, true
 	}
-	unreachable := !s.reachable && now.Sub(s.lastReached) >= outagePullDelay
+	unreachable := !s.reachable && now.Sub(s.lastReached) >= outagePullDelay && !now.Before(s.relyUntil)
 	return "", unreachable && now.Sub(s.lastPull) >= pullInterval
 }
 
@@ -407,8 +429,10 @@
 	s.mu.Unlock()
 	s.pulls.Inc(1)
 	changes, err := s.peers.Pull(ctx, address, have)
-	if err != nil {
+	if err != nil && !errors.Is(err, ErrPeerBusy) {
 		events.ViewPullFailed.Log(ctx, s.logger, slog.String("address", address), slog.Any("error", err))
+	}
+	if err != nil {
 		// The next pull may go to any instance.
 		s.mu.Lock()
 		s.announcedBy = ""
--- a/internal/view/sync_test.go
+++ b/internal/view/sync_test.go
@@ -78,8 +78,17 @@
 func startSync(c *qt.C, source Source, peers *fakePeers) *Sync {
 	peers.announced = make(chan store.Version, 10)
 	peers.confirmed = make(chan struct{}, 1)
-	s := NewSync(source, peers, fakeDecoder{}, slog.New(slog.NewJSONHandler(io.Discard, nil)), tally.NoopScope)
-	s.relyUntil = time.Time{}
+	s := newTestSync(source, peers)
+	s.relyUntil, s.firstReadAt = time.Time{}, time.Time{}
+	run(c, s)
+	return s
+}
+
+func newTestSync(source Source, peers Peers) *Sync {
+	return NewSync(source, peers, fakeDecoder{}, slog.New(slog.NewJSONHandler(io.Discard, nil)), tally.NoopScope)
+}
+
+func run(c *qt.C, s *Sync) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -90,7 +99,6 @@
 		cancel()
 		<-done
 	})
-	return s
 }
 
 // Guards against an instance that keeps an old configuration because its watch hangs,
