--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -66,6 +66,9 @@
 	// registered holds the registrations of the region's other instances by ID, as last
 	// read from the store during the start.
 	registered map[string]registration
+	// knownInstances is the number of instances that are registered in all regions, 0 until
+	// the registrations were read.
+	knownInstances int
 	// viewed is true after the first view, generation the store's generation in the last
 	// one.
 	viewed     bool
@@ -154,6 +157,17 @@
 	return known[rand.IntN(len(known))]
 }
 
+// maxOwnReads is the number of instances up to which each reads all entries of the store
+// after a restart. The reads of more instances at once exceed the link between regions.
+const maxOwnReads = 100
+
+// FewInstances implements view.Peers.
+func (c *Cluster) FewInstances() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.knownInstances > 0 && c.knownInstances <= maxOwnReads
+}
+
 // RegionContacts returns the address of one random instance of each other region.
 func (c *Cluster) RegionContacts() (addresses []string) {
 	c.node.View(func(s *membership.State) {
@@ -290,6 +304,9 @@
 	if err != nil {
 		return store.Entry{}, err
 	}
+	c.mu.Lock()
+	c.knownInstances = max(1, len(entries))
+	c.mu.Unlock()
 	c.addCandidates(entries)
 	for _, e := range entries {
 		if e.Key == registrationPrefix+c.settings.Instance {
--- a/internal/view/readers.go
+++ b/internal/view/readers.go
@@ -60,9 +60,10 @@
 }
 
 // awaitsPeers reports whether this instance, which has no view yet, leaves the read of all
-// entries to a reader.
+// entries to a reader. At the first start of the whole system, the number of instances is
+// not known.
 func (s *Sync) awaitsPeers(now time.Time) bool {
-	if s.readsForRegion() {
+	if s.readsForRegion() || !s.staleStart && s.peers.FewInstances() {
 		return false
 	}
 	s.mu.Lock()
--- a/internal/view/start_test.go
+++ b/internal/view/start_test.go
@@ -38,6 +38,7 @@
 }
 
 func (p *regionPeers) ReaderRank() int              { return p.rank }
+func (p *regionPeers) FewInstances() bool           { return false }
 func (p *regionPeers) Announce(store.Version, bool) {}
 func (p *regionPeers) ConfirmStoreContact()         {}
 
@@ -73,6 +74,18 @@
 	c.Assert(r.snapshots.Load() <= readers, qt.IsTrue)
 }
 
+// Guards against a small deployment that is served late after a restart of all instances,
+// because each waits for the reader.
+func TestFewInstancesReadTheStoreAtOnce(t *testing.T) {
+	c := qt.New(t)
+	source := &fakeSource{snapshot: []store.Entry{entry("config", "1", 1)}, version: 1, onWatch: waitForCancel}
+	peers := &fakePeers{announced: make(chan store.Version, 10), few: true}
+	s := newTestSync(source, peers)
+	s.firstReadAt = time.Now().Add(time.Hour)
+	run(c, s)
+	c.Assert(<-peers.announced, qt.Equals, store.Version(1))
+}
+
 // Guards against a follower that never reads the store itself although no peer has a view.
 func TestFollowersReadTheStoreInTheEnd(t *testing.T) {
 	c := qt.New(t)
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -48,6 +48,9 @@
 	snapshotTimeout = 2 * time.Second
 	// tickInterval is how often pulls and the grace periods of servers are checked.
 	tickInterval = 100 * time.Millisecond
+	// startPollInterval is how often an instance without a view checks whether it is to
+	// read the store itself.
+	startPollInterval = 20 * time.Millisecond
 	// announcementPullDelay is how long the store has to return a version that a peer
 	// announced before it is pulled from the peer.
 	announcementPullDelay = 150 * time.Millisecond
@@ -92,6 +95,9 @@
 	// at short intervals. The second one takes over when the reader does not confirm
 	// that it reaches the store. All others are followers.
 	ReaderRank() int
+	// FewInstances reports whether so few instances are known to exist that each may read
+	// all entries of the store after a restart.
+	FewInstances() bool
 	// Announce announces the version of this instance's view to the others. fromStore is
 	// false when its newest change did not come from a store call of this instance.
 	Announce(version store.Version, fromStore bool)
@@ -195,7 +201,11 @@
 	historyLost := false
 	for ctx.Err() == nil {
 		hasView := s.hasView()
-		if !hasView && s.awaitsPeers(time.Now()) || hasView && !historyLost && s.reliesOnReader(time.Now()) {
+		if !hasView && s.awaitsPeers(time.Now()) {
+			clock.Sleep(ctx, startPollInterval)
+			continue
+		}
+		if hasView && !historyLost && s.reliesOnReader(time.Now()) {
 			clock.Sleep(ctx, tickInterval)
 			continue
 		}
--- a/internal/view/sync_test.go
+++ b/internal/view/sync_test.go
@@ -51,6 +51,7 @@
 	announced chan store.Version
 	confirmed chan struct{}
 	reader    bool
+	few       bool
 	// becomesReader turns this instance into a reader.
 	becomesReader atomic.Bool
 }
@@ -66,6 +67,8 @@
 	return store.Changes{WatchResult: watchResult(f.version, f.entries...)}, nil
 }
 
+func (f *fakePeers) FewInstances() bool { return f.few }
+
 func (f *fakePeers) Announce(version store.Version, _ bool) { f.announced <- version }
 
 func (f *fakePeers) ConfirmStoreContact() {
