--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -86,8 +86,12 @@
 		return false
 	}
 	s.w.Header().Set("Content-Type", "application/json")
-	if s.run.Fault == FaultHalf {
+	switch s.run.Fault {
+	case FaultHalf:
 		s.abort(answer[:len(answer)/2])
+	case FaultCloseDelimited:
+		s.sendCloseDelimited(answer[:len(answer)/2])
+		return false
 	}
 	_, err = s.w.Write(answer)
 	return err == nil
@@ -100,6 +104,17 @@
 	panic(http.ErrAbortHandler)
 }
 
+// sendCloseDelimited sends a part of the answer whose only end is that of its connection.
+func (s *stageResponse) sendCloseDelimited(part []byte) {
+	conn, buffered, err := http.NewResponseController(s.w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\n\r\n%s", s.w.Header().Get("Content-Type"), part)
+	_ = buffered.Flush() // fails when the caller is gone
+}
+
 // answerBytes returns the length of a generated answer: the one that the caller
 // requests, or else the server's, limited by the maximum number of tokens.
 func (b *Backend) answerBytes(body backend.Body) int {
@@ -141,6 +156,10 @@
 			s.abort(nil)
 		}
 		chunk := backend.StreamChunk{Attempt: s.run.Attempt, Offset: int64(offset), Data: text[offset:end]}
+		if s.run.Fault == FaultCloseDelimited {
+			s.sendUnfinishedEvent(backend.EventChunk, chunk)
+			return false
+		}
 		if s.sendEvent(backend.EventChunk, chunk) != nil {
 			return false
 		}
@@ -157,14 +176,29 @@
 
 // sendEvent sends one server-sent event with a JSON document as its data.
 func (s *stageResponse) sendEvent(name string, data any) error {
-	encoded, err := json.Marshal(data)
+	event, err := encodeEvent(name, data)
 	if err != nil {
-		return fmt.Errorf("encode event: %w", err)
+		return err
 	}
-	message := sse.Message{Type: sse.Type(name)}
-	message.AppendData(string(encoded))
-	if _, err := message.WriteTo(s.w); err != nil {
+	if _, err := s.w.Write(event); err != nil {
 		return err
 	}
 	return http.NewResponseController(s.w).Flush()
 }
+
+// sendUnfinishedEvent sends a close-delimited stream that ends inside its first event.
+func (s *stageResponse) sendUnfinishedEvent(name string, data any) {
+	if event, err := encodeEvent(name, data); err == nil {
+		s.sendCloseDelimited(event[:len(event)-1])
+	}
+}
+
+func encodeEvent(name string, data any) ([]byte, error) {
+	encoded, err := json.Marshal(data)
+	if err != nil {
+		return nil, fmt.Errorf("encode event: %w", err)
+	}
+	message := sse.Message{Type: sse.Type(name)}
+	message.AppendData(string(encoded))
+	return message.MarshalText()
+}
--- a/internal/standin/backend_test.go
+++ b/internal/standin/backend_test.go
@@ -65,6 +65,7 @@
 		{FaultNone, nil, 1}, {FaultRefuse, backend.ErrRefused, 0}, {FaultError, backend.ErrMayHaveRun, 1},
 		{FaultHalf, backend.ErrBadAnswer, 1}, {FaultGarbage, backend.ErrBadAnswer, 1},
 		{FaultTooMuch, backend.ErrBadAnswer, 1}, {FaultCrossed, backend.ErrBadAnswer, 1},
+		{FaultCloseDelimited, backend.ErrBadAnswer, 1},
 	} {
 		for _, stage := range []pipeline.StageType{pipeline.StageService, pipeline.StageGenerate} {
 			before := len(b.Runs())
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -19,10 +19,13 @@
 	FaultTooMuch Fault = "too_much" // an oversized answer of oversizedAnswerBytes
 	FaultCrossed Fault = "crossed"  // an answer with the attempt ID of another request
 	FaultHang    Fault = "hang"     // no answer until the caller disconnects
+	// FaultCloseDelimited is a part of an answer with neither a length nor chunks, after
+	// which the connection is closed in order.
+	FaultCloseDelimited Fault = "close_delimited"
 )
 
 // allFaults lists the faults in the order in which the next one is chosen.
-var allFaults = []Fault{FaultRefuse, FaultError, FaultHalf, FaultGarbage, FaultTooMuch, FaultCrossed, FaultHang}
+var allFaults = []Fault{FaultRefuse, FaultError, FaultHalf, FaultGarbage, FaultTooMuch, FaultCrossed, FaultHang, FaultCloseDelimited}
 
 // BackendFaults configures the faults of a backend server.
 type BackendFaults struct {
