view: few instances read the store once at a restart, then leave it to the reader

A follower now tries its own read once, for 0.8 s; after that it waits for its peers as in a large deployment, so that the link is free for the readers.

TestFailedOwnReadsAreLeftToTheReader fails when the read is repeated.

--- a/internal/view/readers.go
+++ b/internal/view/readers.go
@@ -60,10 +60,11 @@
 }
 
 // awaitsPeers reports whether this instance, which has no view yet, leaves the read of all
-// entries to a reader. At the first start of the whole system, the number of instances is
-// not known.
+// entries to a reader. Few instances each try it once. At the first start of the whole
+// system, the number of instances is not known.
 func (s *Sync) awaitsPeers(now time.Time) bool {
-	if s.readsForRegion() || !s.staleStart && s.peers.FewInstances() {
+	ownRead := !s.staleStart && !s.ownReadFailed && s.peers.FewInstances()
+	if ownRead || s.readsForRegion() {
 		return false
 	}
 	s.mu.Lock()
--- a/internal/view/start_test.go
+++ b/internal/view/start_test.go
@@ -34,11 +34,12 @@
 type regionPeers struct {
 	region *region
 	rank   int
+	few    bool
 	busy   atomic.Bool
 }
 
 func (p *regionPeers) ReaderRank() int              { return p.rank }
-func (p *regionPeers) FewInstances() bool           { return false }
+func (p *regionPeers) FewInstances() bool           { return p.few }
 func (p *regionPeers) Announce(store.Version, bool) {}
 func (p *regionPeers) ConfirmStoreContact()         {}
 
@@ -86,6 +87,43 @@
 	c.Assert(<-peers.announced, qt.Equals, store.Version(1))
 }
 
+// Guards against a link that stays overloaded by the reads of few instances, because each
+// repeats a read that failed instead of leaving it to the reader.
+func TestFailedOwnReadsAreLeftToTheReader(t *testing.T) {
+	c := qt.New(t)
+	r := &region{}
+	for rank := range 10 {
+		s := newTestSync(&slowForFollowers{region: r, rank: rank}, &regionPeers{region: r, rank: rank, few: true})
+		s.firstReadAt = time.Now().Add(time.Hour)
+		r.instances = append(r.instances, s)
+	}
+	for _, s := range r.instances {
+		run(c, s)
+	}
+	for _, s := range r.instances {
+		for s.Current() == nil {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	c.Assert(r.snapshots.Load() <= int64(len(r.instances)), qt.IsTrue)
+}
+
+// slowForFollowers is a store whose reads by followers end with their timeout.
+type slowForFollowers struct {
+	*region
+	rank int
+}
+
+// Snapshot implements Source.
+func (s *slowForFollowers) Snapshot(ctx context.Context, stale bool) ([]store.Entry, store.Version, error) {
+	if s.rank <= 1 {
+		return s.region.Snapshot(ctx, stale)
+	}
+	s.snapshots.Add(1)
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
 // Guards against a follower that never reads the store itself although no peer has a view.
 func TestFollowersReadTheStoreInTheEnd(t *testing.T) {
 	c := qt.New(t)
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -44,8 +44,10 @@
 	// historyLostPause precedes the listing of all entries after a loss of history, so
 	// that a store that loses it again and again is not called without a pause.
 	historyLostPause = 20 * time.Millisecond
-	// snapshotTimeout bounds the listing of all entries.
+	// snapshotTimeout bounds the listing of all entries, and ownReadTimeout that of a
+	// follower which may pull the view from its peers instead.
 	snapshotTimeout = 2 * time.Second
+	ownReadTimeout  = 800 * time.Millisecond
 	// tickInterval is how often pulls and the grace periods of servers are checked.
 	tickInterval = 100 * time.Millisecond
 	// startPollInterval is how often an instance without a view checks whether it is to
@@ -136,6 +138,9 @@
 	relyUntil time.Time
 	// firstReadAt is from when a follower without a view reads the store itself.
 	firstReadAt time.Time
+	// ownReadFailed is true after a failed read of a follower without a view. Only
+	// watchStore uses it.
+	ownReadFailed bool
 	// lastConfirmed is when this instance, as a reader, last confirmed that it reaches the
 	// store. Only watchStore uses it.
 	lastConfirmed time.Time
@@ -220,6 +225,7 @@
 		if errors.Is(err, errBecameReader) {
 			continue
 		}
+		s.ownReadFailed = true
 		if errors.Is(err, ErrHistoryLost) {
 			historyLost = true
 			clock.Sleep(ctx, historyLostPause)
@@ -308,8 +314,15 @@
 	}
 }
 
+func (s *Sync) snapshotTimeout(now time.Time) time.Duration {
+	if !s.hasView() && !s.readsForRegion() && now.Before(s.firstReadAt) {
+		return ownReadTimeout
+	}
+	return snapshotTimeout
+}
+
 func (s *Sync) snapshot(ctx context.Context) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.snapshotTimeout(time.Now()))
 	defer cancel()
 	// A snapshot after a loss of history must be newer than the view.
 	s.mu.Lock()
