--- a/internal/peer/incomplete_test.go
+++ b/internal/peer/incomplete_test.go
@@ -43,6 +43,16 @@
 	return err
 }
 
+// writeCloseDelimited writes an answer whose only end is that of its connection.
+func writeCloseDelimited(rw http.ResponseWriter, header string, body []byte) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n%s\r\n%s", header, body)
+}
+
 // Guards against a whole view that no instance can pull because of its size.
 func TestLargeViewsArePulled(t *testing.T) {
 	c := qt.New(t)
@@ -67,26 +77,14 @@
 			_, _ = rw.Write(rest)
 		}},
 		"close-delimited": {smallPart, func(rw http.ResponseWriter, first, _ []byte) {
-			conn, _, err := http.NewResponseController(rw).Hijack()
-			if err != nil {
-				return
-			}
-			defer conn.Close()
-			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n\r\n")
-			_, _ = conn.Write(first)
+			writeCloseDelimited(rw, "", first)
 		}},
 		"compressed and cut": {smallPart, func(rw http.ResponseWriter, first, rest []byte) {
-			conn, _, err := http.NewResponseController(rw).Hijack()
-			if err != nil {
-				return
-			}
-			defer conn.Close()
 			var body bytes.Buffer
 			compressor := gzip.NewWriter(&body)
 			_, _ = compressor.Write(first)
 			_ = compressor.Flush()
-			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\nContent-Encoding: gzip\r\n\r\n")
-			_, _ = conn.Write(body.Bytes())
+			writeCloseDelimited(rw, "Content-Encoding: gzip\r\n", body.Bytes())
 		}},
 		"shorter than its length": {smallPart, func(rw http.ResponseWriter, first, rest []byte) {
 			rw.Header().Set("Content-Length", strconv.Itoa(len(first)+len(rest)))
--- a/internal/view/start_test.go
+++ b/internal/view/start_test.go
@@ -19,6 +19,25 @@
 	snapshots atomic.Int64
 }
 
+// add adds an instance, which reads entries from source and never by its own turn.
+func (r *region) add(source Source, peers *regionPeers) {
+	s := newTestSync(source, peers)
+	s.firstReadAt = time.Now().Add(time.Hour)
+	r.instances = append(r.instances, s)
+}
+
+// runUntilServed starts all instances and waits until each has a view.
+func (r *region) runUntilServed(c *qt.C) {
+	for _, s := range r.instances {
+		run(c, s)
+	}
+	for _, s := range r.instances {
+		for s.Current() == nil {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
 // Snapshot implements Source.
 func (r *region) Snapshot(context.Context, bool) ([]store.Entry, store.Version, error) {
 	r.snapshots.Add(1)
@@ -60,18 +79,9 @@
 	const instances, readers = 40, 2
 	r := &region{}
 	for rank := range instances {
-		s := newTestSync(r, &regionPeers{region: r, rank: rank})
-		s.firstReadAt = time.Now().Add(time.Hour)
-		r.instances = append(r.instances, s)
-	}
-	for _, s := range r.instances {
-		run(c, s)
-	}
-	for _, s := range r.instances {
-		for s.Current() == nil {
-			time.Sleep(time.Millisecond)
-		}
+		r.add(r, &regionPeers{region: r, rank: rank})
 	}
+	r.runUntilServed(c)
 	c.Assert(r.snapshots.Load() <= readers, qt.IsTrue)
 }
 
@@ -93,18 +103,9 @@
 	c := qt.New(t)
 	r := &region{}
 	for rank := range 10 {
-		s := newTestSync(&slowForFollowers{region: r, rank: rank}, &regionPeers{region: r, rank: rank, few: true})
-		s.firstReadAt = time.Now().Add(time.Hour)
-		r.instances = append(r.instances, s)
-	}
-	for _, s := range r.instances {
-		run(c, s)
-	}
-	for _, s := range r.instances {
-		for s.Current() == nil {
-			time.Sleep(time.Millisecond)
-		}
+		r.add(&slowForFollowers{region: r, rank: rank}, &regionPeers{region: r, rank: rank, few: true})
 	}
+	r.runUntilServed(c)
 	c.Assert(r.snapshots.Load() <= int64(len(r.instances)), qt.IsTrue)
 }
 
