gateway: an abort does not wait for a client that does not read

The flush has a deadline of 0.5 s now.

TestAbortsDoNotWaitForClientsThatDoNotRead hangs without the deadline.

--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -189,12 +189,17 @@
 	c.fail(http.StatusGatewayTimeout, "deadline", errDeadlinePassed)
 }
 
+// abortFlushTimeout bounds how long an abort waits for a client that does not read.
+const abortFlushTimeout = 500 * time.Millisecond
+
 // abort closes the client connection in the middle of an answer, by a panic with
-// http.ErrAbortHandler. What was written before still reaches the client.
+// http.ErrAbortHandler. What was written before still reaches a client that reads it.
 func (c *clientRequest) abort(err error) {
 	c.metrics.aborted.Inc(1)
 	c.log(events.AttemptAborted, slog.Any("error", err))
-	_ = http.NewResponseController(c.writer).Flush() // the client may be gone
+	controller := http.NewResponseController(c.writer)
+	_ = controller.SetWriteDeadline(time.Now().Add(abortFlushTimeout))
+	_ = controller.Flush() // the client may be gone
 	if !c.request.ProtoAtLeast(1, 1) {
 		// Without chunks, the end of the connection is the end of the answer.
 		resetOnClose(c.request)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -123,6 +124,43 @@
 	c.Assert(err, qt.ErrorIs, syscall.ECONNRESET)
 }
 
+// stalledWriter blocks each flush until its write deadline, like a connection whose client
+// does not read.
+type stalledWriter struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (s *stalledWriter) SetWriteDeadline(t time.Time) error {
+	s.deadline = t
+	return nil
+}
+
+func (s *stalledWriter) FlushError() error {
+	if s.deadline.IsZero() {
+		select {}
+	}
+	time.Sleep(time.Until(s.deadline))
+	return os.ErrDeadlineExceeded
+}
+
+// Guards against a broken stream that is held open by a client that does not read.
+func TestAbortsDoNotWaitForClientsThatDoNotRead(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(c, false)
+	f.addServer("x", func(rw http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(rw, eventText(1, 2)+"id: 3")
+		_ = http.NewResponseController(rw).Flush()
+		abortConnection(rw, r)
+	})
+	f.start()
+	request := httptest.NewRequest("POST", "/p/", nil)
+	request.Host = "h"
+	request.Header.Set("Id", "a1")
+	writer := &stalledWriter{ResponseRecorder: httptest.NewRecorder()}
+	c.Assert(func() { f.gateway.ServeHTTP(writer, request) }, qt.PanicMatches, http.ErrAbortHandler.Error())
+}
+
 // failingWriter accepts the head of an answer and then fails each write, like a
 // connection that the client has reset.
 type failingWriter struct {
