--- a/internal/entry/requestmetrics.go
+++ b/internal/entry/requestmetrics.go
@@ -112,7 +112,7 @@
 	}
 	if !ok {
 		m.linkCounters.Add(1)
-		tags := map[string]string{"stage": stage, "organisation": organisation}
+		tags := map[string]string{"stage": stage, "organisation": key.organisation}
 		metric, _ = m.taggedMetrics.LoadOrStore(key, m.scope.Tagged(tags).Counter("link_bytes"))
 	}
 	metric.(tally.Counter).Inc(bytes)
--- a/internal/entry/requestmetrics_test.go
+++ b/internal/entry/requestmetrics_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against link byte counters whose number grows with the organisations, and
-// against bytes that are not counted beyond the limit.
+// against bytes beyond the limit that are not counted, or counted for one organisation.
 func TestLinkCountersAreBounded(t *testing.T) {
 	c := qt.New(t)
 	scope := tally.NewTestScope("", nil)
@@ -19,14 +19,18 @@
 	for i := range 2 * maxLinkCounters {
 		m.countLinkBytes(backend.Server{Region: "far"}, "stage", fmt.Sprint("o", i), 3)
 	}
-	counters, total := 0, int64(0)
+	counters, total, others := 0, int64(0), int64(0)
 	for _, counter := range scope.Snapshot().Counters() {
 		if counter.Name() == "link_bytes" {
 			counters++
 			total += counter.Value()
+			if counter.Tags()["organisation"] == otherOrganisations {
+				others += counter.Value()
+			}
 		}
 	}
 	// One more counter has the bytes of all other organisations.
 	c.Assert(counters, qt.Equals, maxLinkCounters+1)
 	c.Assert(total, qt.Equals, int64(2*maxLinkCounters*3))
+	c.Assert(others, qt.Equals, int64(maxLinkCounters*3))
 }
