--- a/lease/lease.go
+++ b/lease/lease.go
@@ -34,10 +34,6 @@
 	RequestedAt time.Time
 }
 
-// CallFailed reports a call to the store that failed and left open whether the
-// lease still exists.
-type CallFailed struct{}
-
 // LeaseNotFound reports that the lease no longer exists in the store.
 type LeaseNotFound struct{ Lease ID }
 
@@ -45,7 +41,6 @@
 func (Granted) input()       {}
 func (KeyWritten) input()    {}
 func (Extended) input()      {}
-func (CallFailed) input()    {}
 func (LeaseNotFound) input() {}
 
 // Output is an action that the adapter carries out.
