--- a/internal/gateway/eventrelay.go
+++ b/internal/gateway/eventrelay.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
@@ -53,6 +54,13 @@
 	}
 }
 
+// logStreamBroken logs that a server broke a stream off, after what the client has received
+// of it and the first bytes of another event.
+func (c *clientRequest) logStreamBroken(server upstream.Server, answer *upstream.Answer, stream clientStream, unfinishedBytes int, err error) {
+	c.logSendFailed(server, answer.Status, err, slog.String("framing", string(answer.Framing)),
+		slog.Int("events", stream.events), slog.Int("unfinished_bytes", unfinishedBytes))
+}
+
 // passOn writes an event to the client, after the head of the answer if it is the first.
 func (c *clientRequest) passOn(stream *clientStream, answer *upstream.Answer, e streamEvent) {
 	if !stream.started {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -188,8 +188,7 @@
 		c.endUnanswered()
 		return true
 	}
-	c.logSendFailed(send.server, answer.Status, err, slog.String("framing", string(answer.Framing)),
-		slog.Int("events", stream.events), slog.Int("unfinished_bytes", unfinished))
+	c.logStreamBroken(send.server, answer, stream, unfinished, err)
 	if stream.started {
 		c.abort(err)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -223,7 +223,6 @@
 		return g.endIncomplete()
 	}
 	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Failed: true})
-	g.logSendFailed(upstream.Server{ID: placed.Server}, answer.Status, err, slog.String("framing", string(answer.Framing)),
-		slog.Int("events", g.stream.events), slog.Int("unfinished_bytes", unfinishedBytes))
+	g.logStreamBroken(upstream.Server{ID: placed.Server}, answer, g.stream, unfinishedBytes, err)
 	return g.resumeOrFail(err)
 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -124,6 +124,14 @@
 	c.Assert(err, qt.ErrorIs, syscall.ECONNRESET)
 }
 
+// assertAborts serves a request with a writer and asserts that its answer is aborted.
+func (f *fixture) assertAborts(writer http.ResponseWriter) {
+	request := httptest.NewRequest("POST", "/p/", nil)
+	request.Host = "h"
+	request.Header.Set("Id", "a1")
+	f.c.Assert(func() { f.gateway.ServeHTTP(writer, request) }, qt.PanicMatches, http.ErrAbortHandler.Error())
+}
+
 // stalledWriter blocks each flush until its write deadline, like a connection whose client
 // does not read.
 type stalledWriter struct {
@@ -154,11 +162,7 @@
 		abortConnection(rw, r)
 	})
 	f.start()
-	request := httptest.NewRequest("POST", "/p/", nil)
-	request.Host = "h"
-	request.Header.Set("Id", "a1")
-	writer := &stalledWriter{ResponseRecorder: httptest.NewRecorder()}
-	c.Assert(func() { f.gateway.ServeHTTP(writer, request) }, qt.PanicMatches, http.ErrAbortHandler.Error())
+	f.assertAborts(&stalledWriter{ResponseRecorder: httptest.NewRecorder()})
 }
 
 // failingWriter accepts the head of an answer and then fails each write, like a
@@ -178,11 +182,8 @@
 	f := newEngineFixture(c, true)
 	f.addServer("x", func(rw http.ResponseWriter, _ *http.Request) { sendEvents(rw, 1, 2) })
 	f.start()
-	request := httptest.NewRequest("POST", "/p/", nil)
-	request.Host = "h"
-	request.Header.Set("Id", "a1")
 	writer := &failingWriter{ResponseRecorder: httptest.NewRecorder()}
-	c.Assert(func() { f.gateway.ServeHTTP(writer, request) }, qt.PanicMatches, http.ErrAbortHandler.Error())
+	f.assertAborts(writer)
 	c.Assert(writer.headsWritten, qt.Equals, 1)
 }
 
--- a/internal/httpbody/httpbody.go
+++ b/internal/httpbody/httpbody.go
@@ -18,7 +18,7 @@
 	// ErrTooLarge reports a body over its limit.
 	ErrTooLarge = errors.New("body of the answer is too large")
 	// ErrCloseDelimited reports a body with neither a length nor chunks. Its end can't be
-	// told from the end of a broken connection.
+	// distinguished from that of a connection which its sender closed early.
 	ErrCloseDelimited = errors.New("answer has neither a length nor chunks")
 )
 
@@ -55,6 +55,12 @@
 	return nil
 }
 
+// CloseDelimited reports whether a response has neither a length nor chunks, so that its
+// body ends with its connection (RFC 9112, section 6.3).
+func CloseDelimited(response *http.Response) bool {
+	return response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked")
+}
+
 // Transport is an http.RoundTripper for answers whose content does not show its end, such
 // as protobuf messages: a part of one may be a valid message. It fails with
 // ErrCloseDelimited for answers with neither a length nor chunks, and bodies over Limit
@@ -71,7 +77,7 @@
 		return nil, err
 	}
 	// A decompressed body has lost its length, and ends with the checksum of gzip.
-	if response.ContentLength < 0 && !response.Uncompressed && !slices.Contains(response.TransferEncoding, "chunked") {
+	if CloseDelimited(response) && !response.Uncompressed {
 		response.Body.Close()
 		return nil, ErrCloseDelimited
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -8,13 +8,14 @@
 	"io"
 	"math"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 )
 
 // exchange is one request and its answer on one connection.
@@ -138,12 +139,12 @@
 
 func framingOf(response *http.Response) Framing {
 	switch {
+	case httpbody.CloseDelimited(response):
+		return CloseDelimited
 	case response.ContentLength >= 0:
 		return FramedByLength
-	case slices.Contains(response.TransferEncoding, "chunked"):
-		return Chunked
 	}
-	return CloseDelimited
+	return Chunked
 }
 
 // abort closes the connection.
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -314,7 +314,8 @@
 	}
 }
 
-func (s *Sync) snapshotTimeout(now time.Time) time.Duration {
+// listTimeout returns the timeout of a listing of all entries.
+func (s *Sync) listTimeout(now time.Time) time.Duration {
 	if !s.hasView() && !s.readsForRegion() && now.Before(s.firstReadAt) {
 		return ownReadTimeout
 	}
@@ -322,7 +323,7 @@
 }
 
 func (s *Sync) snapshot(ctx context.Context) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.snapshotTimeout(time.Now()))
+	ctx, cancel := context.WithTimeout(ctx, s.listTimeout(time.Now()))
 	defer cancel()
 	// A snapshot after a loss of history must be newer than the view.
 	s.mu.Lock()
