--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -39,4 +39,5 @@
 	StageHandedBack      = define(7218, slog.LevelInfo, "stopping instance handed a stage back")
 	ServerLeaving        = define(7219, slog.LevelInfo, "backend server leaves and gets no new requests")
 	ServerPaused         = define(7220, slog.LevelInfo, "backend server asked for a pause and gets no requests until it ends")
+	AttemptCutShort      = define(7221, slog.LevelInfo, "request broke off before or at the start of its answer")
 )
--- a/internal/gateway/serverclient.go
+++ b/internal/gateway/serverclient.go
@@ -87,3 +87,8 @@
 	}
 	return max(longRetryAfter, shortest)
 }
+
+// Listening tells whether a server still accepts connections.
+func (c *ServerClient) Listening(ctx context.Context, server upstream.Server) upstream.Listening {
+	return c.upstream.Listening(ctx, server)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -26,6 +26,8 @@
 	unsentTries int
 	stageReruns int
 	stream      clientStream
+	// firstEventAt is when the first event of the last send arrived, zero before it has.
+	firstEventAt time.Time
 }
 
 // maxStageReruns bounds how often the stages run again because results were lost.
@@ -61,19 +63,20 @@
 	if !known {
 		return false // the server was removed since it was chosen
 	}
+	g.firstEventAt = time.Time{}
 	urgency := min(maxUrgency, g.priority+baseUrgency)
 	sent := time.Now()
 	g.log(events.AttemptSent, slog.String("server", placed.Server), slog.String("route", g.route.Name), slog.Int("try", len(g.tried)),
 		slog.Int64("left_ms", g.remaining().Milliseconds()), slog.Int("inputs", len(g.inputs)), slog.Int64("expected_ms", placed.Expected.Milliseconds()),
 		slog.String("copy_from", placed.CopyFrom), slog.Int64("crossing_bytes", crossDomainBytes(inputs, placed.FailureDomain)),
-		slog.Int64("view", g.viewVersion()))
+		slog.Any("prompt", engine.SharedParts(g.requestInfo.Prompt)), slog.Int64("view", g.viewVersion()))
 	source, _ := g.servers.Server(placed.CopyFrom)
 	request := g.outgoingRequest(server, SendInfo{Urgency: &urgency, Inputs: g.inputs, LastEventID: g.stream.lastID, CopyFrom: source.Address})
 	stop := g.freeInputsWhenFetched()
 	answer, err := g.client.Send(g.ctx, server, request)
 	freed := stop()
 	if err != nil {
-		return g.handleSendError(placed, err)
+		return g.handleSendError(placed, err, sent)
 	}
 	g.sends++
 	defer answer.Close()
@@ -107,7 +110,7 @@
 
 // handleSendError handles a send without an answer. It returns true when the request has
 // ended.
-func (g *generateRequest) handleSendError(placed engine.Placement, err error) bool {
+func (g *generateRequest) handleSendError(placed engine.Placement, err error, sent time.Time) bool {
 	if g.clientGone() || g.expired() {
 		return g.endIncomplete()
 	}
@@ -120,6 +123,7 @@
 		return false
 	}
 	g.sends++
+	g.recordCutShort(placed, sent)
 	return g.resumeOrFail(err)
 }
 
@@ -171,7 +175,7 @@
 		}
 		return g.giveUp("servers are full", g.retryAfter(), nil)
 	case info.Unverified:
-		return g.handleBrokenStream(placed, answer, 0, errUnverifiedAnswer)
+		return g.handleBrokenStream(placed, answer, 0, errUnverifiedAnswer, sent)
 	}
 	g.mayHaveRun = true
 	if answer.Status == http.StatusOK {
@@ -199,7 +203,7 @@
 func (g *generateRequest) relay(placed engine.Placement, answer *upstream.Answer, sent time.Time) bool {
 	unfinished, err := g.relayEvents(&g.stream, answer, func() { g.recordFirstEvent(placed, time.Since(sent)) })
 	if err != nil {
-		return g.handleBrokenStream(placed, answer, unfinished, err)
+		return g.handleBrokenStream(placed, answer, unfinished, err, sent)
 	}
 	g.runTimes.observe(g.route.Name, time.Since(sent))
 	g.recordAnswered(answer, placed.Server, slog.Int("events", g.stream.events))
@@ -210,7 +214,7 @@
 // the model server has fetched by then.
 func (g *generateRequest) recordFirstEvent(placed engine.Placement, delay time.Duration) {
 	now := time.Now()
-	g.firstEventDelay = delay
+	g.firstEventDelay, g.firstEventAt = delay, now
 	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Expected: placed.Expected, Delay: delay})
 	g.metrics.timeToFirstEvent.RecordDuration(now.Sub(g.arrived))
 	g.freeInputs()
@@ -218,11 +222,14 @@
 
 // handleBrokenStream handles a stream that broke off. Its last event, of which
 // unfinishedBytes were received, is dropped. It returns true when the request has ended.
-func (g *generateRequest) handleBrokenStream(placed engine.Placement, answer *upstream.Answer, unfinishedBytes int, err error) bool {
+func (g *generateRequest) handleBrokenStream(placed engine.Placement, answer *upstream.Answer, unfinishedBytes int, err error, sent time.Time) bool {
 	if g.clientGone() || g.expired() {
 		return g.endIncomplete()
 	}
 	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Failed: true})
 	g.logStreamBroken(upstream.Server{ID: placed.Server}, answer, g.stream, unfinishedBytes, err)
+	if !g.answerSurvived() {
+		g.recordCutShort(placed, sent)
+	}
 	return g.resumeOrFail(err)
 }
