quarantine: find the parts of prompts under which model servers crash

A crash is attributed to the parts of the requests whose answers had not begun; an answer that goes on beyond its start clears its parts; requests with a suspect run one at a time; after three crashes what they have in common is quarantined. Servers that end together count once, parts with recent answers need two crashes to be tried alone, a culprit acquits the bystanders of its crashes, and an ambiguous quarantine is narrowed by the next answer or crash.

--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,105 @@
+// Package quarantine finds the parts of prompts under which model servers crash, and decides
+// which requests may still be sent to a server.
+//
+// A crash is attributed to the parts of the requests whose answers had not begun when the
+// server ended. A part becomes a suspect with its first crash and is cleared by the next
+// answer under it that goes on beyond its start. Requests with a suspect run one at a time,
+// as a trial. After convictionCrashes crashes without an answer in between, the parts that
+// all crashes have in common are quarantined, and requests with all of them are refused.
+//
+// The package does no I/O and reads no clock.
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// convictionCrashes is the number of crashes after which a part is quarantined.
+	convictionCrashes = 3
+	// crashSeparation is the least time between two crashes that both count against a
+	// part, unless the second request was sent after the first crash. Servers that crash
+	// together, with the rack or the failure domain that they are in, count once.
+	crashSeparation = 250 * time.Millisecond
+	// evidenceLifetime is how long a crash counts.
+	evidenceLifetime = 10 * time.Minute
+	// Lifetime is how long a quarantine lasts. After it, one request is tried again.
+	Lifetime = 10 * time.Minute
+	// probationLifetime is how long one more crash quarantines a part again.
+	probationLifetime = time.Hour
+	// trialTimeout is how long a trial whose outcome is not reported blocks the next one.
+	trialTimeout = 3 * time.Second
+	// warmUp is how long a tracker that has just begun to receive the reports of other
+	// instances takes parts for established that it has not seen an answer under.
+	warmUp = 10 * time.Second
+	// maxSuspects and maxQuarantines bound the parts and quarantines of one service.
+	maxSuspects    = 2048
+	maxQuarantines = 256
+)
+
+// ServerStart identifies one run of a server's process.
+type ServerStart struct {
+	ID          string
+	Incarnation int64
+}
+
+// Crash is the end of a server under a request whose answer had not begun.
+type Crash struct {
+	Server ServerStart
+	// Parts are the IDs of all parts of the request's prompt.
+	Parts []string
+	// SentAt is when the request was sent to the server.
+	SentAt time.Time
+	// Remote is true for a crash that was reported from another region. It makes its parts
+	// suspects but does not convict them, because the answers that clear them are reported
+	// within that region.
+	Remote bool
+}
+
+// Record is a quarantine as the instances share it.
+type Record struct {
+	// ID is the same for all versions of a quarantine.
+	ID string
+	// Parts are the parts that a request must all have to be refused, sorted.
+	Parts []string
+	Until time.Time
+	// Crashes is the number of servers that ended before the quarantine began.
+	Crashes int
+	// Lifted is true for a quarantine that an operator or an answer ended before Until.
+	Lifted bool
+}
+
+// equal reports whether two records say the same.
+func (r Record) equal(other Record) bool {
+	return r.ID == other.ID && slices.Equal(r.Parts, other.Parts) && r.Lifted == other.Lifted
+}
+
+// Verdict says what may be done with a request.
+type Verdict int
+
+const (
+	// Admitted requests have no suspect part.
+	Admitted Verdict = iota
+	// OnTrial requests have a suspect part, and no other request with it is on trial.
+	OnTrial
+	// Waiting requests have a suspect part that another request is on trial for.
+	Waiting
+	// Quarantined requests are refused.
+	Quarantined
+)
+
+func (v Verdict) String() string {
+	return [...]string{"admitted", "on trial", "waiting", "quarantined"}[v]
+}
+
+// Decision is the verdict on one request.
+type Decision struct {
+	Verdict Verdict
+	// Isolate is true for a trial that should not share its server with other requests that
+	// have not begun to be answered.
+	Isolate bool
+	// Quarantine is the ID of the quarantine, and Remaining the time until it ends.
+	Quarantine string
+	Remaining  time.Duration
+}
--- /dev/null
+++ b/quarantine/tracker.go
@@ -0,0 +1,310 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Tracker holds the suspect and the quarantined parts of one service. It is not safe for
+// concurrent use.
+type Tracker struct {
+	suspects    map[string]*suspect
+	quarantines map[string]*Record
+	// probation holds, by part, until when one crash quarantines it again.
+	probation map[string]time.Time
+	answered  recentSet
+	// warmUntil is the end of the period in which unknown parts count as established.
+	warmUntil time.Time
+	// explained holds the ends of servers that are attributed to a quarantined part.
+	explained map[ServerStart]time.Time
+}
+
+// NewTracker returns a tracker without suspects.
+func NewTracker() *Tracker {
+	return &Tracker{
+		suspects: map[string]*suspect{}, quarantines: map[string]*Record{}, probation: map[string]time.Time{},
+		explained: map[ServerStart]time.Time{},
+	}
+}
+
+// suspect is a part under which servers ended, since the last answer under it.
+type suspect struct {
+	// crashes are in the order of their reports. Each is of another server.
+	crashes []attributed
+	// established is true when there were answers under the part shortly before.
+	established bool
+	// trial is the ID of the request that is on trial, until trialEnds.
+	trial     string
+	trialEnds time.Time
+}
+
+// attributed is a crash that counts against a part.
+type attributed struct {
+	server ServerStart
+	at     time.Time
+	// parts are those that all requests with the suspect part had at the server.
+	parts []string
+}
+
+// needsTrial reports whether requests with the part run one at a time. A part that answers
+// were given under shortly before its first crash is more likely that of a bystander.
+func (s *suspect) needsTrial() bool { return len(s.crashes) > 1 || !s.established }
+
+// BeginWarmUp records that the tracker receives the reports of other instances from now on.
+func (t *Tracker) BeginWarmUp(now time.Time) { t.warmUntil = now.Add(warmUp) }
+
+// Check returns whether a request with a prompt is refused. Its verdict is Admitted or
+// Quarantined.
+func (t *Tracker) Check(now time.Time, parts []string) Decision {
+	for _, q := range t.quarantines {
+		if q.activeAt(now) && containsAll(parts, q.Parts) {
+			return Decision{Verdict: Quarantined, Quarantine: q.ID, Remaining: q.Until.Sub(now)}
+		}
+	}
+	return Decision{}
+}
+
+func (r *Record) activeAt(now time.Time) bool { return !r.Lifted && now.Before(r.Until) }
+
+// Admit decides on a request that is about to be sent to a server. A request on trial holds
+// the trial of its suspect parts until it is answered, its server ends or trialTimeout has
+// passed.
+func (t *Tracker) Admit(now time.Time, request string, parts []string) Decision {
+	if d := t.Check(now, parts); d.Verdict == Quarantined {
+		return d
+	}
+	decision := Decision{}
+	var trials []*suspect
+	for _, part := range parts {
+		s := t.trialOf(now, part)
+		if s == nil {
+			continue
+		}
+		if s.trial != "" && s.trial != request && now.Before(s.trialEnds) {
+			return Decision{Verdict: Waiting}
+		}
+		decision.Verdict = OnTrial
+		decision.Isolate = decision.Isolate || len(s.crashes) > 1
+		trials = append(trials, s)
+	}
+	for _, s := range trials {
+		s.trial, s.trialEnds = request, now.Add(trialTimeout)
+	}
+	return decision
+}
+
+// trialOf returns the suspect that a part is, nil when requests with it need no trial.
+func (t *Tracker) trialOf(now time.Time, part string) *suspect {
+	t.expireEvidence(now, part)
+	s := t.suspects[part]
+	if s != nil && s.needsTrial() {
+		return s
+	}
+	if !now.Before(t.probation[part]) && !t.partlyQuarantined(now, part) {
+		return nil
+	}
+	if s == nil {
+		s = t.addSuspect(part, &suspect{})
+	}
+	return s
+}
+
+// partlyQuarantined reports whether a part is in a quarantine. A request that is admitted
+// nevertheless lacks another part of it, so that its outcome tells which one is the cause.
+func (t *Tracker) partlyQuarantined(now time.Time, part string) bool {
+	for _, q := range t.quarantines {
+		if q.activeAt(now) && slices.Contains(q.Parts, part) {
+			return true
+		}
+	}
+	return false
+}
+
+// Answered records that the answer to a request with these parts went on beyond its start,
+// which clears them. Quarantines are narrowed to their other parts, and one without other
+// parts is lifted.
+func (t *Tracker) Answered(now time.Time, parts []string) {
+	for _, part := range parts {
+		t.answered.add(now, part)
+		delete(t.suspects, part)
+		delete(t.probation, part)
+	}
+	for _, q := range t.quarantines {
+		if !q.activeAt(now) {
+			continue
+		}
+		if rest := without(q.Parts, parts); len(rest) > 0 {
+			q.Parts = rest
+		} else {
+			q.Lifted = true
+		}
+	}
+}
+
+// Crashed records the end of a server under a request. It returns the quarantine that this
+// begins, nil when none does.
+func (t *Tracker) Crashed(now time.Time, crash Crash) *Record {
+	t.expire(now)
+	if t.explain(now, crash) {
+		return nil
+	}
+	for _, part := range crash.Parts {
+		t.accuse(now, part, crash)
+	}
+	if crash.Remote {
+		return nil
+	}
+	return t.convict(now, crash)
+}
+
+// explain reports whether the end of a server is attributed to a quarantine. That is so for
+// requests with all of its parts, which were sent before it began. A request with some of
+// them narrows it: the cause must be one of these.
+func (t *Tracker) explain(now time.Time, crash Crash) bool {
+	for _, q := range t.quarantines {
+		common := intersection(q.Parts, crash.Parts)
+		if !q.activeAt(now) || len(common) == 0 {
+			continue
+		}
+		q.Parts = common
+		t.acquitBystanders(now, crash.Server)
+	}
+	for _, part := range crash.Parts {
+		if s := t.suspects[part]; s != nil {
+			s.trial = ""
+		}
+	}
+	_, explained := t.explained[crash.Server]
+	return explained
+}
+
+// accuse counts a crash against a part.
+func (t *Tracker) accuse(now time.Time, part string, crash Crash) {
+	s := t.suspects[part]
+	if s == nil {
+		established := t.answered.contains(now, part) || now.Before(t.warmUntil)
+		s = t.addSuspect(part, &suspect{established: established})
+	}
+	s.trial = ""
+	if n := len(s.crashes); n > 0 {
+		last := &s.crashes[n-1]
+		if last.server == crash.Server {
+			last.parts = intersection(last.parts, crash.Parts)
+			return
+		}
+		if now.Sub(last.at) < crashSeparation && crash.SentAt.Before(last.at) {
+			return
+		}
+	}
+	s.crashes = append(s.crashes, attributed{server: crash.Server, at: now, parts: slices.Clone(crash.Parts)})
+}
+
+// convict quarantines what the crashes of a part have in common when there are enough.
+func (t *Tracker) convict(now time.Time, crash Crash) *Record {
+	var worst *suspect
+	for _, part := range crash.Parts {
+		if s := t.suspects[part]; t.convictable(now, part) && (worst == nil || len(s.crashes) > len(worst.crashes)) {
+			worst = s
+		}
+	}
+	if worst == nil || len(t.quarantines) >= maxQuarantines {
+		return nil
+	}
+	crashes := slices.Clone(worst.crashes)
+	common := crashes[0].parts
+	for _, c := range crashes {
+		common = intersection(common, c.parts)
+	}
+	common = slices.DeleteFunc(common, func(part string) bool {
+		// A part that was cleared meanwhile has fewer crashes.
+		return !t.convictable(now, part) || len(t.suspects[part].crashes) < len(crashes)
+	})
+	slices.Sort(common)
+	q := &Record{ID: recordID(common, now), Parts: common, Until: now.Add(Lifetime), Crashes: len(crashes)}
+	t.quarantines[q.ID] = q
+	for _, c := range crashes {
+		t.acquitBystanders(now, c.server)
+	}
+	return q.clone()
+}
+
+// convictable reports whether there are enough crashes to quarantine a part.
+func (t *Tracker) convictable(now time.Time, part string) bool {
+	s := t.suspects[part]
+	return s != nil && len(s.crashes) > 0 && (len(s.crashes) >= convictionCrashes || now.Before(t.probation[part]))
+}
+
+// acquitBystanders attributes the end of a server to a quarantine, so that it counts against
+// no other part.
+func (t *Tracker) acquitBystanders(now time.Time, server ServerStart) {
+	t.explained[server] = now
+	for part, s := range t.suspects {
+		s.crashes = slices.DeleteFunc(s.crashes, func(c attributed) bool { return c.server == server })
+		if len(s.crashes) == 0 {
+			delete(t.suspects, part)
+		}
+	}
+}
+
+// addSuspect adds a suspect. When there are too many, the one with the fewest crashes is
+// dropped, the oldest of these.
+func (t *Tracker) addSuspect(part string, s *suspect) *suspect {
+	if len(t.suspects) >= maxSuspects {
+		delete(t.suspects, t.leastSuspect())
+	}
+	t.suspects[part] = s
+	return s
+}
+
+func (t *Tracker) leastSuspect() (least string) {
+	var chosen *suspect
+	for part, s := range t.suspects {
+		if chosen == nil || s.less(chosen) {
+			least, chosen = part, s
+		}
+	}
+	return least
+}
+
+// less reports whether there is less evidence against s than against other.
+func (s *suspect) less(other *suspect) bool {
+	if len(s.crashes) != len(other.crashes) {
+		return len(s.crashes) < len(other.crashes)
+	}
+	return len(s.crashes) > 0 && s.crashes[len(s.crashes)-1].at.Before(other.crashes[len(other.crashes)-1].at)
+}
+
+// expireEvidence drops the crashes of a part that are too old to count.
+func (t *Tracker) expireEvidence(now time.Time, part string) {
+	s := t.suspects[part]
+	if s == nil || len(s.crashes) == 0 {
+		return
+	}
+	s.crashes = slices.DeleteFunc(s.crashes, func(c attributed) bool { return now.Sub(c.at) >= evidenceLifetime })
+	if len(s.crashes) == 0 {
+		delete(t.suspects, part)
+	}
+}
+
+// expire drops what no longer counts. The parts of quarantines that have ended are on
+// probation.
+func (t *Tracker) expire(now time.Time) {
+	for part := range t.suspects {
+		t.expireEvidence(now, part)
+	}
+	for id, q := range t.quarantines {
+		if now.Before(q.Until) {
+			continue
+		}
+		delete(t.quarantines, id)
+		if q.Lifted {
+			continue
+		}
+		for _, part := range q.Parts {
+			t.probation[part] = q.Until.Add(probationLifetime)
+		}
+	}
+	maps.DeleteFunc(t.probation, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(t.explained, func(_ ServerStart, at time.Time) bool { return now.Sub(at) >= evidenceLifetime })
+}
