gateway: stop sending requests with parts under which model servers ended

Cause: a server's end was taken for a failure of that server only. The instance paused it and sent the next such request to the next one; no instance knew what the requests had in common, and none counted.

Now a send that breaks off before or at the start of its answer is checked: a server whose host refuses connections, or whose entry is removed, has ended. The instance reports the parts of the prompt to the one that places the prompts of the region, which holds the suspects (package quarantine), tries them one at a time, and quarantines what three crashes have in common. Quarantines are recorded in the store, under a lease, and reach each instance with its view, also after a restart of all; the other regions learn of crashes at once. Requests with a quarantined prompt are refused before their stages, with the time until its end.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -35,6 +35,8 @@
 	maxFailurePause = 4 * time.Second
 	// refusedPause is how long a server that refused a request gets no new prompts.
 	refusedPause = 250 * time.Millisecond
+	// isolationPeriod is how long a server gets no new prompts beside an isolated one.
+	isolationPeriod = time.Second
 	// excessDelayWeight is the weight of the newest excess delay in the moving average,
 	// and excessDelayTTL how long the average is used without a new report.
 	excessDelayWeight = 0.4
@@ -101,6 +103,8 @@
 	// failures is the number of consecutive failures.
 	failures    int
 	pausedUntil time.Time
+	// isolatedUntil is until when the server gets no new prompts beside an isolated one.
+	isolatedUntil time.Time
 	// excessDelay is the moving average of the time by which first events came later
 	// than expected, and excessDelayAt the time of its last change.
 	excessDelay   time.Duration
@@ -147,6 +151,9 @@
 	InputBytes map[string]int64
 	// Excluded lists the IDs of servers that the request was already sent to.
 	Excluded []string
+	// Isolate is true for a prompt that may crash its server. It is placed on the server
+	// with the least to do, which gets no other new prompts for isolationPeriod.
+	Isolate bool
 	// AskOnly is true when the placement is only an estimate, which is made before the
 	// stages run. The prompt is then not counted at the server.
 	AskOnly bool
@@ -184,10 +191,17 @@
 	var bestWork workload
 	for _, c := range candidates {
 		work := s.workloadFor(c, q.Prompt, copySource)
-		if cost := s.cost(c, now, q, work, key); best == nil || cost < bestCost {
+		cost := s.cost(c, now, q, work, key)
+		if q.Isolate {
+			cost = max(0, c.busyUntil.Sub(now))
+		}
+		if best == nil || cost < bestCost {
 			best, bestCost, bestWork = c, cost, work
 		}
 	}
+	if q.Isolate && !q.AskOnly {
+		best.isolatedUntil = now.Add(isolationPeriod)
+	}
 	placed := Placement{Server: best.ID, Expected: s.expected(best, now, bestWork), FailureDomain: best.FailureDomain}
 	if q.AskOnly {
 		return placed, true
@@ -207,7 +221,7 @@
 	for _, c := range s.servers {
 		switch {
 		case local && c.Region != s.region, slices.Contains(q.Excluded, c.ID):
-		case now.Before(c.pausedUntil):
+		case now.Before(c.pausedUntil), now.Before(c.isolatedUntil):
 			paused = append(paused, c)
 		default:
 			available = append(available, c)
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -137,12 +137,17 @@
 // refuse answers that the request has not run and when to retry it. When an earlier
 // send may have run the request, it answers with 502 instead, which leaves that open.
 func (c *clientRequest) refuse(reason string, retry time.Duration, attrs ...slog.Attr) {
+	c.refuseFor(reason, min(retry, maxRetryAfter), attrs...)
+}
+
+// refuseFor is refuse without an upper bound on the time after which to retry.
+func (c *clientRequest) refuseFor(reason string, retry time.Duration, attrs ...slog.Attr) {
 	if c.mayHaveRun {
 		c.fail(http.StatusBadGateway, reason, errMayHaveRun)
 		return
 	}
 	c.metrics.refused.Inc(1)
-	retry = min(max(retry, shortRetryAfter), maxRetryAfter)
+	retry = max(retry, shortRetryAfter)
 	c.log(events.AttemptRefused, append(attrs, slog.String("reason", reason), slog.Int64("retry_ms", retry.Milliseconds()),
 		slog.Int64("left_ms", c.remaining().Milliseconds()), slog.Int64("view", int64(c.viewVersion())))...)
 	c.writer.Header().Set("Retry-After", strconv.FormatFloat(math.Ceil(retry.Seconds()*1000)/1000, 'f', -1, 64))
--- a/internal/gateway/cutshort.go
+++ b/internal/gateway/cutshort.go
@@ -6,26 +6,95 @@
 	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/engine"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
+	"github.com/coltsfootdrift/coltsfootdrift/quarantine"
 )
 
-// answerStartPeriod is how long after its first event an answer counts as begun. A server
-// that crashes under a request does so before or at the start of the answer.
-const answerStartPeriod = 500 * time.Millisecond
+const (
+	// answerStartPeriod is how long after its first event an answer counts as begun. A
+	// server that crashes under a request does so before or at the start of the answer.
+	answerStartPeriod = 500 * time.Millisecond
+	// maxCrashesPerRequest is the number of servers that may end under one request.
+	maxCrashesPerRequest = 2
+	// removalWait is how long a server whose host does not answer is observed: one that has
+	// ended loses its entry in the store in that time.
+	removalWait     = 4 * time.Second
+	removalInterval = 250 * time.Millisecond
+)
+
+// answerBegan has the request's answer counted as begun after answerStartPeriod.
+func (g *generateRequest) answerBegan(placed placement) {
+	g.answerStart = time.AfterFunc(answerStartPeriod, func() { g.recordAnswerBegan(placed) })
+}
 
-// answerSurvived reports whether the answer of the last send went on beyond its start.
-func (g *generateRequest) answerSurvived() bool {
-	return !g.firstEventAt.IsZero() && time.Since(g.firstEventAt) >= answerStartPeriod
+// recordAnswerBegan clears the parts of the prompt.
+func (g *generateRequest) recordAnswerBegan(placed placement) {
+	parts := engine.SharedParts(g.requestInfo.Prompt)
+	if placed.onTrial {
+		parts = partIDs(g.requestInfo.Prompt)
+	}
+	if len(parts) > 0 {
+		g.placer.recordAnswered(g.service.Name, parts, placed.onTrial)
+	}
 }
 
-// recordCutShort logs a send that broke off before or at the start of its answer, and
-// whether the server has ended.
-func (g *generateRequest) recordCutShort(placed engine.Placement, sent time.Time) {
-	server, known := g.servers.Server(placed.Server)
-	if !known {
+// stopAnswerStart reports whether the answer of the last send had not begun.
+func (g *generateRequest) stopAnswerStart() bool {
+	return g.answerStart == nil || g.answerStart.Stop()
+}
+
+// handleCutShort handles a send that broke off before the answer had begun. When the server
+// has ended, the request may have caused it. A request that may be sent again waits until
+// this is reported, so that the next placement takes it into account.
+func (g *generateRequest) handleCutShort(placed placement, sent time.Time) {
+	listed, ok := g.views.Current().ByID(placed.Server)
+	if !ok || listed.Draining || len(g.requestInfo.Prompt) == 0 {
+		return
+	}
+	if !g.route.Repeatable() {
+		go g.reportCrash(listed, sent)
 		return
 	}
-	listening := g.client.Listening(context.WithoutCancel(g.ctx), server)
-	g.log(events.AttemptCutShort, slog.String("server", placed.Server), slog.String("listening", listening.String()),
+	if g.reportCrash(listed, sent) {
+		g.crashes++
+	}
+}
+
+// reportCrash reports a request that was cut short if its server has ended. It returns
+// whether it is known that the server has.
+func (g *generateRequest) reportCrash(server view.Server, sent time.Time) (ended bool) {
+	ctx := context.WithoutCancel(g.ctx)
+	listening := g.client.Listening(ctx, upstream.Server{ID: server.ID, Address: server.Address})
+	g.log(events.AttemptCutShort, slog.String("server", server.ID), slog.String("listening", listening.String()),
 		slog.Int64("sent_ms", time.Since(sent).Milliseconds()), slog.Any("prompt", engine.SharedParts(g.requestInfo.Prompt)))
+	crash := quarantine.Crash{
+		Server: quarantine.ServerStart{ID: server.ID, Incarnation: server.Incarnation},
+		Parts:  partIDs(g.requestInfo.Prompt), SentAt: sent,
+	}
+	switch listening {
+	case upstream.Refuses:
+		g.placer.ownCrash(ctx, g.service.Name, crash)
+	case upstream.Unreachable:
+		go g.reportWhenRemoved(ctx, server, crash)
+	}
+	return listening == upstream.Refuses
+}
+
+// reportWhenRemoved reports a crash of a server whose host does not answer once the server's
+// entry is removed. A server that only this instance does not reach keeps it.
+func (g *generateRequest) reportWhenRemoved(ctx context.Context, server view.Server, crash quarantine.Crash) {
+	for deadline := time.Now().Add(removalWait); time.Now().Before(deadline); {
+		listed, ok := g.views.Current().ByID(server.ID)
+		if ok && listed.Draining {
+			return
+		}
+		if !ok || listed.Incarnation != server.Incarnation {
+			g.placer.ownCrash(ctx, g.service.Name, crash)
+			return
+		}
+		clock.Sleep(ctx, removalInterval)
+	}
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -66,6 +66,7 @@
 	Upstream   *upstream.Client
 	Scheduler  *StageScheduler
 	Placer     *Placer
+	Quarantine *Quarantines
 	Gateway    *Gateway
 	Frontend   *Frontend
 	Drain      *Drain
@@ -85,6 +86,7 @@
 			NewServers,
 			NewStageRunner,
 			NewPlacer,
+			func(m *metrics.Metrics) *Quarantines { return NewQuarantines(logger, m.Scope) },
 			func() Protocol { return adapter.Protocol },
 			func() Store { return adapter.Store(s.StoreAddress) },
 			func(st Store) RegistrationStore { return st },
@@ -182,6 +184,7 @@
 func (d *daemon) start(ctx context.Context) error {
 	d.Views.Observe(d.Cluster.ObserveView)
 	d.Views.Observe(d.Servers.Update)
+	d.Views.Observe(d.Quarantine.ObserveView)
 	d.Views.Observe(d.Scheduler.Update)
 	d.Views.Observe(d.Frontend.Update)
 	d.Node.Observe(func(output membership.Output) {
--- a/internal/gateway/inputs.go
+++ b/internal/gateway/inputs.go
@@ -34,10 +34,10 @@
 	if g.inputBytes() < largeInputBytes {
 		return domain
 	}
-	placed, ok := g.placer.Place(g.ctx, g.requestInfo.ID, g.service.Name, engine.Query{
+	placed, err := g.placer.Place(g.ctx, g.requestInfo.ID, g.service.Name, engine.Query{
 		Prompt: g.requestInfo.Prompt, InputBytes: map[string]int64{domain: g.inputBytes()}, Excluded: g.tried, AskOnly: true,
 	})
-	if _, produces := producers[placed.FailureDomain]; ok && produces {
+	if _, produces := producers[placed.FailureDomain]; err == nil && produces {
 		return placed.FailureDomain
 	}
 	return domain
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
+	"github.com/coltsfootdrift/coltsfootdrift/quarantine"
 )
 
 // placePromptTimeout bounds the call to the instance that places prompts. When it
@@ -41,6 +43,8 @@
 	client   *ServerClient
 	protocol Protocol
 	logger   *slog.Logger
+	// quarantines decides which prompts may be placed.
+	quarantines *Quarantines
 	// restored holds the services whose prompts this instance places and whose servers'
 	// cached parts it has read. Only Restore uses it.
 	restored map[string]bool
@@ -52,20 +56,25 @@
 }
 
 // NewPlacer returns a placer for the model servers in servers.
-func NewPlacer(cluster *Cluster, peerClient *peer.Client, servers *Servers, client *ServerClient, protocol Protocol, logger *slog.Logger) *Placer {
-	return &Placer{cluster: cluster, peerClient: peerClient, servers: servers, client: client, protocol: protocol, logger: logger, restored: map[string]bool{}, pendingShares: map[string][]*peerpb.SharedPlacement{}}
+func NewPlacer(cluster *Cluster, peerClient *peer.Client, servers *Servers, client *ServerClient, protocol Protocol, quarantines *Quarantines, logger *slog.Logger) *Placer {
+	return &Placer{cluster: cluster, peerClient: peerClient, servers: servers, client: client, protocol: protocol, logger: logger, quarantines: quarantines, restored: map[string]bool{}, pendingShares: map[string][]*peerpb.SharedPlacement{}}
 }
 
 // Restore reads the cached prompt parts of the model servers of each service whose
 // prompts this instance has begun to place, because the state of the instance that
-// placed them before is lost.
+// placed them before is lost. It also records the quarantines of the services whose prompts
+// this instance places.
 func (p *Placer) Restore(ctx context.Context) {
 	for _, service := range p.servers.EngineServices() {
 		owned := p.cluster.Owner(placementKey(service)) == ""
 		if owned && !p.restored[service] {
+			p.quarantines.beginWarmUp(service)
 			p.restore(ctx, service)
 		}
 		p.restored[service] = owned
+		if owned {
+			p.quarantines.Record(ctx, p.cluster.store, service)
+		}
 	}
 }
 
@@ -108,49 +117,127 @@
 // placementKey returns the key whose owner places the prompts of a service.
 func placementKey(service string) string { return "place prompts of " + service }
 
-// Place chooses the model server for a prompt of the request with an ID. It returns
-// false when there is none.
-func (p *Placer) Place(ctx context.Context, id, service string, q engine.Query) (engine.Placement, bool) {
+// placement is a server that was chosen for a request.
+type placement struct {
+	engine.Placement
+	// onTrial is true when other requests wait for the outcome of this one.
+	onTrial bool
+}
+
+var (
+	// errNoServer reports that no model server is left for a request.
+	errNoServer = errors.New("no model server is left")
+	// errTrialRunning reports that another request with a suspect part is on trial.
+	errTrialRunning = errors.New("another request with a suspect prompt part is on trial")
+)
+
+// QuarantinedError reports a prompt with parts under which model servers ended.
+type QuarantinedError struct {
+	// Quarantine is the ID of the quarantine.
+	Quarantine string
+	// Remaining is the time until it ends.
+	Remaining time.Duration
+}
+
+func (e *QuarantinedError) Error() string {
+	return fmt.Sprintf("prompt is in quarantine %s for %s", e.Quarantine, e.Remaining)
+}
+
+// Place chooses the model server for a prompt of the request with an ID. Its errors are
+// errNoServer, errTrialRunning and QuarantinedError.
+func (p *Placer) Place(ctx context.Context, id, service string, q engine.Query) (placement, error) {
 	address := p.cluster.Owner(placementKey(service))
 	if address == "" {
-		return p.placeForRegion(service, q)
+		return p.placeForRegion(id, service, q)
 	}
-	request := &peerpb.PlacePromptRequest{Service: service, InputBytes: q.InputBytes, Excluded: q.Excluded, AskOnly: q.AskOnly}
+	request := &peerpb.PlacePromptRequest{Service: service, InputBytes: q.InputBytes, Excluded: q.Excluded, AskOnly: q.AskOnly, RequestId: id, Answered: p.quarantines.takeAnswered(service)}
 	request.Prompt = encodeParts(q.Prompt)
 	bounded, cancel := context.WithTimeout(ctx, placePromptTimeout)
 	defer cancel()
 	response, err := p.peerClient.PlacePrompt(bounded, address, request)
+	if err == nil {
+		if err := verdictError(quarantine.Verdict(response.Verdict), response.Quarantine, time.Duration(response.RemainingMs)*time.Millisecond); err != nil {
+			return placement{}, err
+		}
+	}
 	if err == nil && response.Server != "" && p.servers.InUse(response.Server) {
-		return engine.Placement{Server: response.Server, Expected: time.Duration(response.ExpectedUs) * time.Microsecond, FailureDomain: response.FailureDomain, CopyFrom: response.CopyFrom}, true
+		return placement{
+			Placement: engine.Placement{Server: response.Server, Expected: time.Duration(response.ExpectedUs) * time.Microsecond, FailureDomain: response.FailureDomain, CopyFrom: response.CopyFrom},
+			onTrial:   quarantine.Verdict(response.Verdict) == quarantine.OnTrial,
+		}, nil
 	}
 	if err != nil && ctx.Err() == nil {
 		p.cluster.Avoid(address)
 		events.PlacerFailed.Log(ctx, p.logger, slog.String("id", id), slog.String("address", address), slog.Any("error", err))
 	}
-	return p.placeLocally(service, q)
+	return p.placeLocally(id, service, q)
 }
 
-func (p *Placer) placeLocally(service string, q engine.Query) (placed engine.Placement, ok bool) {
-	p.servers.WithEngineScheduler(service, func(s *engine.Scheduler) { placed, ok = s.Place(time.Now(), q) })
-	return placed, ok
+// verdictError returns the error of a verdict by which a request is not placed, nil for
+// others.
+func verdictError(verdict quarantine.Verdict, id string, remaining time.Duration) error {
+	switch verdict {
+	case quarantine.Waiting:
+		return errTrialRunning
+	case quarantine.Quarantined:
+		return &QuarantinedError{Quarantine: id, Remaining: remaining}
+	}
+	return nil
+}
+
+// decide returns whether a request may be placed.
+func (p *Placer) decide(id, service string, q engine.Query) quarantine.Decision {
+	if q.AskOnly {
+		return p.quarantines.Check(service, q.Prompt)
+	}
+	return p.quarantines.admit(id, service, q.Prompt)
+}
+
+// placeLocally places a prompt by the state of this instance.
+func (p *Placer) placeLocally(id, service string, q engine.Query) (placed placement, err error) {
+	decision := p.decide(id, service, q)
+	if err := verdictError(decision.Verdict, decision.Quarantine, decision.Remaining); err != nil {
+		return placed, err
+	}
+	q.Isolate = decision.Isolate
+	placed.onTrial = decision.Verdict == quarantine.OnTrial
+	ok := false
+	p.servers.WithEngineScheduler(service, func(s *engine.Scheduler) { placed.Placement, ok = s.Place(time.Now(), q) })
+	if !ok {
+		p.quarantines.withdraw(id, service, q.Prompt)
+		return placed, errNoServer
+	}
+	return placed, nil
 }
 
 // placeForRegion places a prompt for an instance of the region, and queues the prompt
 // parts that the server newly caches for the next message to the other regions.
-func (p *Placer) placeForRegion(service string, q engine.Query) (engine.Placement, bool) {
-	placed, ok := p.placeLocally(service, q)
+func (p *Placer) placeForRegion(id, service string, q engine.Query) (placement, error) {
+	placed, err := p.placeLocally(id, service, q)
 	if len(placed.NewParts) > 0 {
-		p.queueShare(service, placed)
+		p.queueShare(service, placed.Placement)
 	}
-	return placed, ok
+	return placed, err
 }
 
 // PlacePrompt implements peer.PlacementHandler.
 func (p *Placer) PlacePrompt(request *peerpb.PlacePromptRequest) *peerpb.PlacePromptResponse {
+	p.quarantines.recordAnswered(request.Service, request.Answered)
 	q := engine.Query{InputBytes: request.InputBytes, Excluded: request.Excluded, AskOnly: request.AskOnly}
 	q.Prompt = decodeParts(request.Prompt)
-	placed, _ := p.placeForRegion(request.Service, q)
-	return &peerpb.PlacePromptResponse{Server: placed.Server, ExpectedUs: placed.Expected.Microseconds(), FailureDomain: placed.FailureDomain, CopyFrom: placed.CopyFrom}
+	placed, err := p.placeForRegion(request.RequestId, request.Service, q)
+	response := &peerpb.PlacePromptResponse{Server: placed.Server, ExpectedUs: placed.Expected.Microseconds(), FailureDomain: placed.FailureDomain, CopyFrom: placed.CopyFrom}
+	var quarantined *QuarantinedError
+	switch {
+	case errors.As(err, &quarantined):
+		response.Verdict = int32(quarantine.Quarantined)
+		response.Quarantine, response.RemainingMs = quarantined.Quarantine, quarantined.Remaining.Milliseconds()
+	case errors.Is(err, errTrialRunning):
+		response.Verdict = int32(quarantine.Waiting)
+	case placed.onTrial:
+		response.Verdict = int32(quarantine.OnTrial)
+	}
+	return response
 }
 
 // Report records the outcome of a placement, here and at the instance that made it.
@@ -164,6 +251,12 @@
 		Service: service, Server: r.Server, ExpectedUs: r.Expected.Microseconds(), DelayUs: r.Delay.Microseconds(),
 		Failed: r.Failed, Refused: r.Refused,
 	}
+	p.sendReport(address, request)
+}
+
+// sendReport sends a report together with the answered parts that are queued.
+func (p *Placer) sendReport(address string, request *peerpb.ReportPlacementRequest) {
+	request.Answered = p.quarantines.takeAnswered(request.Service)
 	go func() {
 		if err := p.peerClient.ReportPlacement(context.Background(), address, request); err != nil {
 			p.cluster.Avoid(address)
@@ -173,6 +266,7 @@
 
 // ReportPlacement implements peer.PlacementHandler.
 func (p *Placer) ReportPlacement(request *peerpb.ReportPlacementRequest) {
+	p.quarantines.recordAnswered(request.Service, request.Answered)
 	r := engine.Report{
 		Server: request.Server, Failed: request.Failed, Refused: request.Refused,
 		Expected: time.Duration(request.ExpectedUs) * time.Microsecond, Delay: time.Duration(request.DelayUs) * time.Microsecond,
--- a/internal/gateway/placer_test.go
+++ b/internal/gateway/placer_test.go
@@ -46,8 +46,8 @@
 	placer := f.gateway.placer
 	prompt := []engine.Part{{ID: "system", Tokens: 1000}, {ID: "own", Tokens: 10}}
 	for range 2 {
-		_, ok := placer.Place(c.Context(), "a", "x", engine.Query{Prompt: prompt})
-		c.Assert(ok, qt.IsTrue)
+		_, err := placer.Place(c.Context(), "a", "x", engine.Query{Prompt: prompt})
+		c.Assert(err, qt.IsNil)
 	}
 	placer.mu.Lock()
 	defer placer.mu.Unlock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -26,8 +26,13 @@
 	unsentTries int
 	stageReruns int
 	stream      clientStream
-	// firstEventAt is when the first event of the last send arrived, zero before it has.
-	firstEventAt time.Time
+	// answerStart fires when the answer of the last send has begun; nil before its first
+	// event.
+	answerStart *time.Timer
+	// crashes is the number of servers that ended under the request, as far as known.
+	crashes int
+	// trialWait is how long the request has waited for the trial of another one.
+	trialWait time.Duration
 }
 
 // maxStageReruns bounds how often the stages run again because results were lost.
@@ -44,6 +49,9 @@
 // try runs the stages unless their results exist, and sends the request to one server.
 // It returns true when the request has ended.
 func (g *generateRequest) try() bool {
+	if g.refuseQuarantined() {
+		return true
+	}
 	if ready, ended := g.prepareInputs(); !ready {
 		return ended
 	}
@@ -52,23 +60,23 @@
 	}
 	inputs := g.inputsByDomain()
 	held := g.client.holds.held(time.Now())
-	placed, ok := g.placer.Place(g.ctx, g.requestInfo.ID, g.service.Name, engine.Query{
+	placed, err := g.placer.Place(g.ctx, g.requestInfo.ID, g.service.Name, engine.Query{
 		Prompt: g.requestInfo.Prompt, InputBytes: inputs, Excluded: append(held, g.tried...),
 	})
-	if !ok {
-		return g.giveUp("no server", g.retryAfter(), nil)
+	if err != nil {
+		return g.handleNotPlaced(err)
 	}
 	g.tried = append(g.tried, placed.Server)
 	server, known := g.servers.Server(placed.Server)
 	if !known {
 		return false // the server was removed since it was chosen
 	}
-	g.firstEventAt = time.Time{}
+	g.answerStart = nil
 	urgency := min(maxUrgency, g.priority+baseUrgency)
 	sent := time.Now()
 	g.log(events.AttemptSent, slog.String("server", placed.Server), slog.String("route", g.route.Name), slog.Int("try", len(g.tried)),
 		slog.Int64("left_ms", g.remaining().Milliseconds()), slog.Int("inputs", len(g.inputs)), slog.Int64("expected_ms", placed.Expected.Milliseconds()),
-		slog.String("copy_from", placed.CopyFrom), slog.Int64("crossing_bytes", crossDomainBytes(inputs, placed.FailureDomain)),
+		slog.String("copy_from", placed.CopyFrom), slog.Bool("on_trial", placed.onTrial), slog.Int64("crossing_bytes", crossDomainBytes(inputs, placed.FailureDomain)),
 		slog.Any("prompt", engine.SharedParts(g.requestInfo.Prompt)), slog.Int64("view", g.viewVersion()))
 	source, _ := g.servers.Server(placed.CopyFrom)
 	request := g.outgoingRequest(server, SendInfo{Urgency: &urgency, Inputs: g.inputs, LastEventID: g.stream.lastID, CopyFrom: source.Address})
@@ -110,7 +118,7 @@
 
 // handleSendError handles a send without an answer. It returns true when the request has
 // ended.
-func (g *generateRequest) handleSendError(placed engine.Placement, err error, sent time.Time) bool {
+func (g *generateRequest) handleSendError(placed placement, err error, sent time.Time) bool {
 	if g.clientGone() || g.expired() {
 		return g.endIncomplete()
 	}
@@ -123,7 +131,7 @@
 		return false
 	}
 	g.sends++
-	g.recordCutShort(placed, sent)
+	g.handleCutShort(placed, sent)
 	return g.resumeOrFail(err)
 }
 
@@ -143,7 +151,7 @@
 // that, otherwise it ends the request.
 func (g *generateRequest) resumeOrFail(err error) bool {
 	g.mayHaveRun = true
-	if g.route.Repeatable() && g.mayRetry() {
+	if g.route.Repeatable() && g.crashes < maxCrashesPerRequest && g.mayRetry() {
 		if g.stream.started {
 			g.metrics.resumed.Inc(1)
 			g.log(events.StreamResumed, slog.String("after", g.stream.lastID), slog.Int("events", g.stream.events))
@@ -159,7 +167,7 @@
 
 // handleAnswer handles the answer of a model server. It returns true when the request
 // has ended.
-func (g *generateRequest) handleAnswer(placed engine.Placement, answer *upstream.Answer, info AnswerInfo, sent time.Time) bool {
+func (g *generateRequest) handleAnswer(placed placement, answer *upstream.Answer, info AnswerInfo, sent time.Time) bool {
 	switch {
 	case info.InputsLost:
 		g.logSendFailed(upstream.Server{ID: placed.Server}, answer.Status, nil)
@@ -200,11 +208,14 @@
 }
 
 // relay passes on the events of an answer. It returns true when the request has ended.
-func (g *generateRequest) relay(placed engine.Placement, answer *upstream.Answer, sent time.Time) bool {
+func (g *generateRequest) relay(placed placement, answer *upstream.Answer, sent time.Time) bool {
 	unfinished, err := g.relayEvents(&g.stream, answer, func() { g.recordFirstEvent(placed, time.Since(sent)) })
 	if err != nil {
 		return g.handleBrokenStream(placed, answer, unfinished, err, sent)
 	}
+	if g.stopAnswerStart() {
+		g.recordAnswerBegan(placed)
+	}
 	g.runTimes.observe(g.route.Name, time.Since(sent))
 	g.recordAnswered(answer, placed.Server, slog.Int("events", g.stream.events))
 	return true
@@ -212,9 +223,10 @@
 
 // recordFirstEvent records the arrival of the first event and frees the inputs, which
 // the model server has fetched by then.
-func (g *generateRequest) recordFirstEvent(placed engine.Placement, delay time.Duration) {
+func (g *generateRequest) recordFirstEvent(placed placement, delay time.Duration) {
 	now := time.Now()
-	g.firstEventDelay, g.firstEventAt = delay, now
+	g.firstEventDelay = delay
+	g.answerBegan(placed)
 	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Expected: placed.Expected, Delay: delay})
 	g.metrics.timeToFirstEvent.RecordDuration(now.Sub(g.arrived))
 	g.freeInputs()
@@ -222,14 +234,14 @@
 
 // handleBrokenStream handles a stream that broke off. Its last event, of which
 // unfinishedBytes were received, is dropped. It returns true when the request has ended.
-func (g *generateRequest) handleBrokenStream(placed engine.Placement, answer *upstream.Answer, unfinishedBytes int, err error, sent time.Time) bool {
+func (g *generateRequest) handleBrokenStream(placed placement, answer *upstream.Answer, unfinishedBytes int, err error, sent time.Time) bool {
 	if g.clientGone() || g.expired() {
 		return g.endIncomplete()
 	}
 	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Failed: true})
 	g.logStreamBroken(upstream.Server{ID: placed.Server}, answer, g.stream, unfinishedBytes, err)
-	if !g.answerSurvived() {
-		g.recordCutShort(placed, sent)
+	if g.stopAnswerStart() {
+		g.handleCutShort(placed, sent)
 	}
 	return g.resumeOrFail(err)
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -129,6 +129,14 @@
 	return fromTwirp(err, "report_placement", address)
 }
 
+// ReportCrash reports the end of a model server under a request.
+func (c *Client) ReportCrash(ctx context.Context, address string, request *peerpb.ReportCrashRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := c.peer(address).ReportCrash(ctx, request)
+	return fromTwirp(err, "report_crash", address)
+}
+
 // SharePlacements sends the cached prompt parts of model servers to an instance of
 // another region.
 func (c *Client) SharePlacements(ctx context.Context, address string, request *peerpb.SharePlacementsRequest) error {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -61,6 +61,7 @@
 type PlacementHandler interface {
 	PlacePrompt(request *peerpb.PlacePromptRequest) *peerpb.PlacePromptResponse
 	ReportPlacement(request *peerpb.ReportPlacementRequest)
+	ReportCrash(request *peerpb.ReportCrashRequest)
 	SharePlacements(request *peerpb.SharePlacementsRequest)
 }
 
@@ -121,7 +122,7 @@
 	s.stages = h
 }
 
-// HandlePlacements registers the handler of PlacePrompt, ReportPlacement and
+// HandlePlacements registers the handler of PlacePrompt, ReportPlacement, ReportCrash and
 // SharePlacements.
 func (s *Server) HandlePlacements(h PlacementHandler) {
 	s.mu.Lock()
@@ -338,6 +339,16 @@
 	return &peerpb.ReportPlacementResponse{}, nil
 }
 
+// ReportCrash implements peerpb.Peer.
+func (s *Server) ReportCrash(_ context.Context, request *peerpb.ReportCrashRequest) (*peerpb.ReportCrashResponse, error) {
+	handler := s.placementHandler()
+	if handler == nil {
+		return nil, toTwirp(ErrUnsupported)
+	}
+	handler.ReportCrash(request)
+	return &peerpb.ReportCrashResponse{}, nil
+}
+
 // SharePlacements implements peerpb.Peer.
 func (s *Server) SharePlacements(_ context.Context, request *peerpb.SharePlacementsRequest) (*peerpb.SharePlacementsResponse, error) {
 	handler := s.placementHandler()
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -20,6 +20,8 @@
 type Change struct {
 	// Configuration is true when another configuration came into force.
 	Configuration bool
+	// Quarantines is true when a quarantine was written or removed.
+	Quarantines bool
 	// Restored is true when the store was restored from a backup.
 	Restored bool
 	// Joined, Drained and Left are the IDs of the backend servers that were added or
@@ -31,7 +33,7 @@
 
 // Any reports whether the view changed.
 func (c Change) Any() bool {
-	return c.Configuration || c.Restored || len(c.Joined)+len(c.Drained)+len(c.Left) > 0
+	return c.Configuration || c.Quarantines || c.Restored || len(c.Joined)+len(c.Drained)+len(c.Left) > 0
 }
 
 // State is a copy of the store's entries, from which views are built. Its position never
@@ -172,14 +174,23 @@
 		return
 	}
 	s.entries[e.Key] = e
-	switch s.decoder.Kind(e.Key) {
+	switch s.kind(e.Key) {
 	case KeyConfiguration:
 		s.putConfiguration(c, e)
 	case KeyServer:
 		s.putServer(c, e)
+	case KeyQuarantine:
+		c.Quarantines = true
 	}
 }
 
+func (s *State) kind(key string) KeyKind {
+	if strings.HasPrefix(key, QuarantinePrefix) {
+		return KeyQuarantine
+	}
+	return s.decoder.Kind(key)
+}
+
 func (s *State) putConfiguration(c *Change, e store.Entry) {
 	configuration, err := s.decoder.Configuration(e.Value)
 	if err != nil {
@@ -254,7 +265,11 @@
 	if ok {
 		s.recordRemoval(removal{key, version})
 	}
-	if !ok || s.decoder.Kind(key) != KeyServer {
+	kind := s.kind(key)
+	if ok && kind == KeyQuarantine {
+		c.Quarantines = true
+	}
+	if !ok || kind != KeyServer {
 		return
 	}
 	server, err := s.decoder.Server(key, e.Value)
@@ -285,6 +300,12 @@
 // View returns the current view.
 func (s *State) View() *View {
 	v := &View{Version: s.viewVersion, Table: s.table, Servers: map[string][]Server{}, ByAddress: map[string]Server{}, byID: maps.Clone(s.servers)}
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, QuarantinePrefix) {
+			v.Quarantines = append(v.Quarantines, e)
+		}
+	}
+	slices.SortFunc(v.Quarantines, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
 	for _, server := range s.servers {
 		v.ByAddress[server.Address] = server
 		if !server.Draining {
@@ -323,7 +344,7 @@
 		}
 	}
 	for _, e := range s.entries {
-		if s.decoder.Kind(e.Key) != KeyOther && e.Version > c.Base {
+		if s.kind(e.Key) != KeyOther && e.Version > c.Base {
 			c.Changed = append(c.Changed, e)
 		}
 	}
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -69,7 +69,7 @@
 
 // Source reads the store.
 type Source interface {
-	// Snapshot returns all entries of configuration and servers, and the version from
+	// Snapshot returns all entries of configuration, servers and quarantines, and the version from
 	// which Watch continues. A stale one may be seconds old and is cheap.
 	Snapshot(ctx context.Context, stale bool) ([]store.Entry, store.Version, error)
 	// Watch waits for changes after a version, until shortly before the deadline of the
@@ -392,7 +392,7 @@
 		attrs = append(attrs, slog.Int64("configuration", next.Table.Version))
 	}
 	attrs = append(attrs, slog.Bool("new_configuration", change.Configuration),
-		slog.Bool("store_restored", change.Restored),
+		slog.Bool("store_restored", change.Restored), slog.Int("quarantines", len(next.Quarantines)),
 		serversAttr("joined", change.Joined), serversAttr("drained", change.Drained), serversAttr("left", change.Left))
 	events.ViewChanged.Log(context.Background(), s.logger, attrs...)
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -33,6 +33,8 @@
 	Table *route.Table
 	// Servers holds the servers that may get new requests, by service.
 	Servers map[string][]Server
+	// Quarantines holds the entries under QuarantinePrefix, sorted by key.
+	Quarantines []store.Entry
 	// ByAddress holds all registered servers by address, including draining ones.
 	ByAddress map[string]Server
 	byID      map[string]Server
@@ -55,11 +57,15 @@
 	KeyOther KeyKind = iota
 	KeyConfiguration
 	KeyServer
+	KeyQuarantine
 )
 
+// QuarantinePrefix is the prefix of the keys under which the gateways record quarantines.
+const QuarantinePrefix = "quarantines/"
+
 // Decoder decodes the entries of the store.
 type Decoder interface {
-	// Kind returns the kind of data under a key.
+	// Kind returns the kind of data under a key outside QuarantinePrefix.
 	Kind(key string) KeyKind
 	Configuration(value []byte) (route.Configuration, error)
 	// Server returns an error for an entry that is not the registration of a usable
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -94,6 +94,15 @@
 	return decision
 }
 
+// Withdraw ends the trial of a request that was not sent.
+func (t *Tracker) Withdraw(request string, parts []string) {
+	for _, part := range parts {
+		if s := t.suspects[part]; s != nil && s.trial == request {
+			s.trial = ""
+		}
+	}
+}
+
 // trialOf returns the suspect that a part is, nil when requests with it need no trial.
 func (t *Tracker) trialOf(now time.Time, part string) *suspect {
 	t.expireEvidence(now, part)
