Tell an ended server from a broken connection, and the cause from later requests

A request that was cut short is now followed by a question for the server's state. No answer means that the server may have ended: requests with its parts wait, and the crash counts once the server's entry is removed. Requests that were sent to the servers after their end broke off too and were counted.

--- a/internal/gateway/crashreports.go
+++ b/internal/gateway/crashreports.go
@@ -49,6 +49,21 @@
 	p.quarantines.recordCrash(service, crash)
 }
 
+// holdSuspects has requests with the parts of one wait, because its server may have ended.
+func (p *Placer) holdSuspects(ctx context.Context, service, request string, parts []string) {
+	p.quarantines.hold(service, request, parts)
+	address := p.cluster.Owner(placementKey(service))
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, crashReportTimeout)
+	defer cancel()
+	if err := p.peerClient.ReportCrash(ctx, address, &peerpb.ReportCrashRequest{Service: service, Parts: parts, UncertainRequest: request}); err != nil {
+		p.cluster.Avoid(address)
+		events.PlacerFailed.Log(ctx, p.logger, slog.String("id", request), slog.String("address", address), slog.Any("error", err))
+	}
+}
+
 // regionCrash records a crash in this region, and reports it to the other regions together
 // with the quarantines.
 func (p *Placer) regionCrash(service string, crash quarantine.Crash) {
@@ -75,6 +90,10 @@
 // ReportCrash implements peer.PlacementHandler. An instance that does not place the prompts
 // of the service forwards a report of another region once to the one of its region that does.
 func (p *Placer) ReportCrash(request *peerpb.ReportCrashRequest) {
+	if request.UncertainRequest != "" {
+		p.quarantines.hold(request.Service, request.UncertainRequest, request.Parts)
+		return
+	}
 	crash := decodeCrash(request)
 	if !request.Remote {
 		p.regionCrash(request.Service, crash)
@@ -98,14 +117,16 @@
 func encodeCrash(service string, crash quarantine.Crash) *peerpb.ReportCrashRequest {
 	return &peerpb.ReportCrashRequest{
 		Service: service, Server: crash.Server.ID, Incarnation: crash.Server.Incarnation, Parts: crash.Parts,
-		SentAgoMs: time.Since(crash.SentAt).Milliseconds(), Remote: crash.Remote,
+		SentAgoMs: time.Since(crash.SentAt).Milliseconds(), CutAgoMs: time.Since(crash.CutAt).Milliseconds(), Remote: crash.Remote,
 	}
 }
 
 func decodeCrash(request *peerpb.ReportCrashRequest) quarantine.Crash {
+	now := time.Now()
 	return quarantine.Crash{
 		Server: quarantine.ServerStart{ID: request.Server, Incarnation: request.Incarnation}, Parts: request.Parts,
-		SentAt: time.Now().Add(-time.Duration(request.SentAgoMs) * time.Millisecond), Remote: request.Remote,
+		SentAt: now.Add(-time.Duration(request.SentAgoMs) * time.Millisecond),
+		CutAt:  now.Add(-time.Duration(request.CutAgoMs) * time.Millisecond), Remote: request.Remote,
 	}
 }
 
--- a/internal/gateway/cutshort.go
+++ b/internal/gateway/cutshort.go
@@ -19,9 +19,9 @@
 	answerStartPeriod = 500 * time.Millisecond
 	// maxCrashesPerRequest is the number of servers that may end under one request.
 	maxCrashesPerRequest = 2
-	// removalWait is how long a server whose host does not answer is observed: one that has
-	// ended loses its entry in the store in that time.
-	removalWait     = 4 * time.Second
+	// removalWait is how long a server that does not answer is observed: one that has ended
+	// loses its entry in the store in that time.
+	removalWait     = quarantine.HoldTime
 	removalInterval = 250 * time.Millisecond
 )
 
@@ -64,27 +64,28 @@
 }
 
 // reportCrash reports a request that was cut short if its server has ended. It returns
-// whether it is known that the server has.
-func (g *generateRequest) reportCrash(server view.Server, sent time.Time) (ended bool) {
+// whether the server may have.
+func (g *generateRequest) reportCrash(server view.Server, sent time.Time) (mayHaveEnded bool) {
 	ctx := context.WithoutCancel(g.ctx)
-	listening := g.client.Listening(ctx, upstream.Server{ID: server.ID, Address: server.Address})
-	g.log(events.AttemptCutShort, slog.String("server", server.ID), slog.String("listening", listening.String()),
-		slog.Int64("sent_ms", time.Since(sent).Milliseconds()), slog.Any("prompt", engine.SharedParts(g.requestInfo.Prompt)))
 	crash := quarantine.Crash{
 		Server: quarantine.ServerStart{ID: server.ID, Incarnation: server.Incarnation},
-		Parts:  partIDs(g.requestInfo.Prompt), SentAt: sent,
+		Parts:  partIDs(g.requestInfo.Prompt), SentAt: sent, CutAt: time.Now(),
 	}
-	switch listening {
-	case upstream.Refuses:
+	alive := g.client.Probe(ctx, upstream.Server{ID: server.ID, Address: server.Address}, server.Incarnation)
+	g.log(events.AttemptCutShort, slog.String("server", server.ID), slog.String("server_process", alive.String()),
+		slog.Int64("sent_ms", time.Since(sent).Milliseconds()), slog.Any("prompt", engine.SharedParts(g.requestInfo.Prompt)))
+	switch alive {
+	case livenessEnded:
 		g.placer.ownCrash(ctx, g.service.Name, crash)
-	case upstream.Unreachable:
+	case livenessUnknown:
+		g.placer.holdSuspects(ctx, g.service.Name, g.requestInfo.ID, crash.Parts)
 		go g.reportWhenRemoved(ctx, server, crash)
 	}
-	return listening == upstream.Refuses
+	return alive != livenessRunning
 }
 
-// reportWhenRemoved reports a crash of a server whose host does not answer once the server's
-// entry is removed. A server that only this instance does not reach keeps it.
+// reportWhenRemoved reports a crash of a server that does not answer once the server's entry
+// is removed. A server that only this instance does not reach keeps it.
 func (g *generateRequest) reportWhenRemoved(ctx context.Context, server view.Server, crash quarantine.Crash) {
 	for deadline := time.Now().Add(removalWait); time.Now().Before(deadline); {
 		listed, ok := g.views.Current().ByID(server.ID)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -100,6 +100,15 @@
 	return &upstream.Request{Method: http.MethodPost, Target: "/free", Host: s.Address, Header: http.Header{}, Body: body}, err
 }
 
+func (fakeProtocol) StateCall(s upstream.Server) *upstream.Request {
+	return &upstream.Request{Method: http.MethodGet, Target: "/state", Host: s.Address, Header: http.Header{}}
+}
+
+func (fakeProtocol) StateIncarnation(body []byte) int64 {
+	incarnation, _ := strconv.ParseInt(string(body), 10, 64)
+	return incarnation
+}
+
 func (fakeProtocol) CacheCall(s upstream.Server) *upstream.Request {
 	return &upstream.Request{Method: http.MethodGet, Target: "/cache", Host: s.Address, Header: http.Header{}}
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -105,6 +105,12 @@
 	StageOutcomes(status int, header http.Header, body []byte, n int) ([]stagework.Outcome, error)
 	// FreeCall returns the request that frees results on the server that holds them.
 	FreeCall(server upstream.Server, results []string) (*upstream.Request, error)
+	// StateCall returns the request for the state of a model server. A process with another
+	// ID answers it with status 421.
+	StateCall(upstream.Server) *upstream.Request
+	// StateIncarnation reads the incarnation of the server in the answer to a StateCall, 0
+	// when it does not say.
+	StateIncarnation(body []byte) int64
 	// CacheCall returns the request that lists the cached prompt parts of a model server.
 	CacheCall(upstream.Server) *upstream.Request
 	// CachedParts reads the answer to a CacheCall.
--- a/internal/gateway/quarantines.go
+++ b/internal/gateway/quarantines.go
@@ -96,6 +96,13 @@
 	q.tracker(service).Withdraw(request, partIDs(prompt))
 }
 
+// hold has requests with the parts of one wait, because its server may have ended.
+func (q *Quarantines) hold(service, request string, parts []string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.tracker(service).Hold(time.Now(), request, parts)
+}
+
 // recordAnswered records parts of prompts whose answers went on beyond their start.
 func (q *Quarantines) recordAnswered(service string, parts []string) {
 	q.mu.Lock()
--- a/internal/gateway/serverclient.go
+++ b/internal/gateway/serverclient.go
@@ -7,11 +7,13 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 )
 
@@ -88,7 +90,46 @@
 	return max(longRetryAfter, shortest)
 }
 
-// Listening tells whether a server still accepts connections.
-func (c *ServerClient) Listening(ctx context.Context, server upstream.Server) upstream.Listening {
-	return c.upstream.Listening(ctx, server)
+// probeTimeout bounds the call of Probe.
+const probeTimeout = 250 * time.Millisecond
+
+// liveness is what is known of the process of a server.
+type liveness int
+
+const (
+	// livenessUnknown means that nothing answers at the server's address. The server may
+	// have ended, or only the path to it.
+	livenessUnknown liveness = iota
+	livenessRunning
+	livenessEnded
+)
+
+func (l liveness) String() string { return [...]string{"unknown", "running", "ended"}[l] }
+
+// maxStateBytes bounds the answer to the call of Probe.
+const maxStateBytes = 1 << 20
+
+// Probe asks a server for its state to learn whether the process with an incarnation still
+// runs. A host that refuses connections, and a process with another ID or incarnation, show
+// that it has ended.
+func (c *ServerClient) Probe(ctx context.Context, server upstream.Server, incarnation int64) liveness {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	answer, err := c.Send(ctx, server, c.protocol.StateCall(server))
+	if err == nil {
+		defer answer.Close()
+		body, _ := httpbody.Read(answer.Body, maxStateBytes) // without a body, the ID counts alone
+		current := c.protocol.StateIncarnation(body)
+		if answer.Status == http.StatusMisdirectedRequest || current != 0 && current != incarnation {
+			return livenessEnded
+		}
+		return livenessRunning
+	}
+	if errors.Is(err, errServerHeld) {
+		return livenessRunning
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) || c.upstream.Listening(ctx, server) == upstream.Refuses {
+		return livenessEnded
+	}
+	return livenessUnknown
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -22,6 +22,8 @@
 	// part, unless the second request was sent after the first crash. Servers that crash
 	// together, with the rack or the failure domain that they are in, count once.
 	crashSeparation = 250 * time.Millisecond
+	// clockTolerance is by how much the times of two instances may differ.
+	clockTolerance = 20 * time.Millisecond
 	// evidenceLifetime is how long a crash counts.
 	evidenceLifetime = 10 * time.Minute
 	// Lifetime is how long a quarantine lasts. After it, one request is tried again.
@@ -30,6 +32,9 @@
 	probationLifetime = time.Hour
 	// trialTimeout is how long a trial whose outcome is not reported blocks the next one.
 	trialTimeout = 3 * time.Second
+	// HoldTime is how long requests with a part wait when it is not known whether a server
+	// has ended under it.
+	HoldTime = 4 * time.Second
 	// warmUp is how long a tracker that has just begun to receive the reports of other
 	// instances takes parts for established that it has not seen an answer under.
 	warmUp = 10 * time.Second
@@ -49,8 +54,8 @@
 	Server ServerStart
 	// Parts are the IDs of all parts of the request's prompt.
 	Parts []string
-	// SentAt is when the request was sent to the server.
-	SentAt time.Time
+	// SentAt is when the request was sent to the server, and CutAt when it broke off.
+	SentAt, CutAt time.Time
 	// Remote is true for a crash that was reported from another region. It makes its parts
 	// suspects but does not convict them, because the answers that clear them are reported
 	// within that region.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -18,13 +18,16 @@
 	warmUntil time.Time
 	// explained holds the ends of servers that are attributed to a quarantined part.
 	explained map[ServerStart]time.Time
+	// cutAt holds when the first request at a server broke off. Requests that were sent
+	// later did not end the server.
+	cutAt map[ServerStart]time.Time
 }
 
 // NewTracker returns a tracker without suspects.
 func NewTracker() *Tracker {
 	return &Tracker{
 		suspects: map[string]*suspect{}, quarantines: map[string]*Record{}, probation: map[string]time.Time{},
-		explained: map[ServerStart]time.Time{},
+		explained: map[ServerStart]time.Time{}, cutAt: map[ServerStart]time.Time{},
 	}
 }
 
@@ -43,6 +46,8 @@
 type attributed struct {
 	server ServerStart
 	at     time.Time
+	// sentAt is when the first request with the part was sent to the server.
+	sentAt time.Time
 	// parts are those that all requests with the suspect part had at the server.
 	parts []string
 }
@@ -94,6 +99,26 @@
 	return decision
 }
 
+// Hold has requests with the parts of one wait for HoldTime, because its server may have
+// ended. Parts with recent answers are not held.
+func (t *Tracker) Hold(now time.Time, request string, parts []string) {
+	for _, part := range parts {
+		s := t.suspects[part]
+		if s == nil && !t.established(now, part) {
+			s = t.addSuspect(part, &suspect{})
+		}
+		if s != nil && s.needsTrial() {
+			s.trial, s.trialEnds = request, now.Add(HoldTime)
+		}
+	}
+}
+
+// established reports whether there were answers under a part lately, or whether that is not
+// known yet.
+func (t *Tracker) established(now time.Time, part string) bool {
+	return t.answered.contains(now, part) || now.Before(t.warmUntil)
+}
+
 // Withdraw ends the trial of a request that was not sent.
 func (t *Tracker) Withdraw(request string, parts []string) {
 	for _, part := range parts {
@@ -155,7 +180,7 @@
 // begins, nil when none does.
 func (t *Tracker) Crashed(now time.Time, crash Crash) *Record {
 	t.expire(now)
-	if t.explain(now, crash) {
+	if t.sentTooLate(crash) || t.explain(now, crash) {
 		return nil
 	}
 	for _, part := range crash.Parts {
@@ -167,6 +192,32 @@
 	return t.convict(now, crash)
 }
 
+// sentTooLate reports whether a request was sent to a server that had already ended. When the
+// server turns out to have ended earlier than known, the requests that are too late by that
+// no longer count.
+func (t *Tracker) sentTooLate(crash Crash) bool {
+	ended, known := t.cutAt[crash.Server]
+	if known && !crash.CutAt.Before(ended) {
+		return crash.SentAt.After(ended.Add(clockTolerance))
+	}
+	t.cutAt[crash.Server] = crash.CutAt
+	latest := crash.CutAt.Add(clockTolerance)
+	t.removeCrashes(func(c attributed) bool { return c.server == crash.Server && c.sentAt.After(latest) })
+	return false
+}
+
+// removeCrashes removes crashes that do not count against any part, and the suspects that
+// have no others.
+func (t *Tracker) removeCrashes(remove func(attributed) bool) {
+	for part, s := range t.suspects {
+		before := len(s.crashes)
+		s.crashes = slices.DeleteFunc(s.crashes, remove)
+		if before > 0 && len(s.crashes) == 0 {
+			delete(t.suspects, part)
+		}
+	}
+}
+
 // explain reports whether the end of a server is attributed to a quarantine. That is so for
 // requests with all of its parts, which were sent before it began. A request with some of
 // them narrows it: the cause must be one of these.
@@ -192,21 +243,23 @@
 func (t *Tracker) accuse(now time.Time, part string, crash Crash) {
 	s := t.suspects[part]
 	if s == nil {
-		established := t.answered.contains(now, part) || now.Before(t.warmUntil)
-		s = t.addSuspect(part, &suspect{established: established})
+		s = t.addSuspect(part, &suspect{established: t.established(now, part)})
 	}
 	s.trial = ""
 	if n := len(s.crashes); n > 0 {
 		last := &s.crashes[n-1]
 		if last.server == crash.Server {
 			last.parts = intersection(last.parts, crash.Parts)
+			if crash.SentAt.Before(last.sentAt) {
+				last.sentAt = crash.SentAt
+			}
 			return
 		}
 		if now.Sub(last.at) < crashSeparation && crash.SentAt.Before(last.at) {
 			return
 		}
 	}
-	s.crashes = append(s.crashes, attributed{server: crash.Server, at: now, parts: slices.Clone(crash.Parts)})
+	s.crashes = append(s.crashes, attributed{server: crash.Server, at: now, sentAt: crash.SentAt, parts: slices.Clone(crash.Parts)})
 }
 
 // convict quarantines what the crashes of a part have in common when there are enough.
@@ -248,12 +301,7 @@
 // no other part.
 func (t *Tracker) acquitBystanders(now time.Time, server ServerStart) {
 	t.explained[server] = now
-	for part, s := range t.suspects {
-		s.crashes = slices.DeleteFunc(s.crashes, func(c attributed) bool { return c.server == server })
-		if len(s.crashes) == 0 {
-			delete(t.suspects, part)
-		}
-	}
+	t.removeCrashes(func(c attributed) bool { return c.server == server })
 }
 
 // addSuspect adds a suspect. When there are too many, the one with the fewest crashes is
@@ -315,5 +363,6 @@
 		}
 	}
 	maps.DeleteFunc(t.probation, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(t.cutAt, func(_ ServerStart, at time.Time) bool { return now.Sub(at) >= evidenceLifetime })
 	maps.DeleteFunc(t.explained, func(_ ServerStart, at time.Time) bool { return now.Sub(at) >= evidenceLifetime })
 }
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -29,7 +29,7 @@
 }
 
 func (r *run) crashAt(server string, parts ...string) *Record {
-	return r.tracker.Crashed(r.now, Crash{Server: ServerStart{ID: server}, Parts: parts, SentAt: r.now.Add(-100 * time.Millisecond)})
+	return r.tracker.Crashed(r.now, Crash{Server: ServerStart{ID: server}, Parts: parts, SentAt: r.now.Add(-100 * time.Millisecond), CutAt: r.now})
 }
 
 func (r *run) answer(parts ...string) {
@@ -180,6 +180,45 @@
 	r.c.Assert(r.verdict("q3", "bad", "3"), qt.Equals, OnTrial, qt.Commentf("a trial without outcome"))
 }
 
+// Guards against requests that go on to a server each while it is not known whether the first
+// one has ended its server, and against sound ones that wait with them.
+func TestPartsAreHeldWhileAnEndIsUncertain(t *testing.T) {
+	r := newRun(t)
+	r.answer("route", "sound")
+	r.tracker.Hold(r.now, "q1", []string{"route", "bad", "1"})
+	r.c.Assert(r.verdict("q2", "route", "bad", "2"), qt.Equals, Waiting)
+	r.c.Assert(r.verdict("q3", "route", "3"), qt.Equals, Admitted)
+	r.now = r.now.Add(HoldTime)
+	r.c.Assert(r.verdict("q2", "route", "bad", "2"), qt.Equals, OnTrial)
+	r.crash("route", "bad", "2")
+	r.c.Assert(r.verdict("q4", "route", "bad", "4"), qt.Equals, OnTrial)
+}
+
+// Guards against sound parts that are quarantined because requests with them are sent to
+// servers that have already ended, which a proxy in front of them hides, in whatever order
+// these requests are reported.
+func TestRequestsSentAfterTheEndDoNotCount(t *testing.T) {
+	for _, lateFirst := range []bool{false, true} {
+		r := newRun(t)
+		for i := range 5 {
+			server := ServerStart{ID: fmt.Sprint("s", i)}
+			r.now = r.now.Add(time.Second)
+			ended := r.now.Add(-500 * time.Millisecond)
+			first := Crash{Server: server, Parts: []string{"route", fmt.Sprint("victim", i)}, SentAt: ended.Add(-time.Second), CutAt: ended}
+			late := Crash{Server: server, Parts: []string{"late", fmt.Sprint(i)}, SentAt: ended.Add(300 * time.Millisecond), CutAt: ended.Add(301 * time.Millisecond)}
+			reports := []Crash{first, late}
+			if lateFirst {
+				reports = []Crash{late, first}
+			}
+			for _, report := range reports {
+				r.c.Assert(r.tracker.Crashed(r.now, report), qt.IsNil)
+			}
+			r.tracker.Answered(r.now, []string{"route"})
+		}
+		r.c.Assert(r.verdict("q", "late", "own"), qt.Equals, Admitted)
+	}
+}
+
 // Guards against an established part whose requests all wait after a crash that they did not
 // cause, also at an instance that has just begun to receive the reports of others.
 func TestEstablishedPartsNeedNoTrial(t *testing.T) {
@@ -222,7 +261,7 @@
 	r := newRun(t)
 	for i := range 5 {
 		r.now = r.now.Add(time.Second)
-		crash := Crash{Server: ServerStart{ID: fmt.Sprint("far", i)}, Parts: []string{"caller", "bad", fmt.Sprint(i)}, SentAt: r.now, Remote: true}
+		crash := Crash{Server: ServerStart{ID: fmt.Sprint("far", i)}, Parts: []string{"caller", "bad", fmt.Sprint(i)}, SentAt: r.now, CutAt: r.now, Remote: true}
 		r.c.Assert(r.tracker.Crashed(r.now, crash), qt.IsNil)
 	}
 	r.c.Assert(r.verdict("q", "caller", "bad", "own"), qt.Equals, OnTrial)
