--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -42,6 +42,7 @@
 		{"publish", "put operators' files in force", publishHelp, &publishCommand{streams: s}},
 		{"status", "show the state of an instance", statusHelp, &statusCommand{streams: s}},
 		{"audit", "show the changes of the configuration", auditHelp, &auditCommand{streams: s}},
+		{"quarantine", "list or lift quarantines of prompt parts", quarantineHelp, &quarantineCommand{streams: s}},
 		{"standin", "run stand-ins of the platform on loopback", standinHelp, &standinCommand{streams: s}},
 		{"demo", "serve requests of two example deployments", demoHelp, &demoCommand{streams: s}},
 		{"experiment", "measure a design decision against baselines", experimentHelp, &experimentCommand{streams: s}},
--- a/internal/gateway/cutshort.go
+++ b/internal/gateway/cutshort.go
@@ -47,17 +47,14 @@
 }
 
 // handleCutShort handles a send that broke off before the answer had begun. When the server
-// has ended, the request may have caused it. A request that may be sent again waits until
-// this is reported, so that the next placement takes it into account.
+// has ended, the request may have caused it. It is reported before the request is sent again
+// or answered, so that the next placement takes it into account, also that of a client's
+// retry.
 func (g *generateRequest) handleCutShort(placed placement, sent time.Time) {
 	listed, ok := g.views.Current().ByID(placed.Server)
 	if !ok || listed.Draining || len(g.requestInfo.Prompt) == 0 {
 		return
 	}
-	if !g.route.Repeatable() {
-		go g.reportCrash(listed, sent)
-		return
-	}
 	if g.reportCrash(listed, sent) {
 		g.crashes++
 	}
--- /dev/null
+++ b/internal/gateway/quarantineadmin.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
+)
+
+// ErrNoQuarantine reports an ID that no recorded quarantine has.
+var ErrNoQuarantine = errors.New("no such quarantine")
+
+// QuarantineEntry is a recorded quarantine for operators.
+type QuarantineEntry struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	// Parts are the IDs of the prompt parts that a request must all have to be refused.
+	Parts   []string  `json:"parts"`
+	Until   time.Time `json:"until"`
+	Crashes int       `json:"crashes"`
+	Lifted  bool      `json:"lifted"`
+	// Author and Reason say who lifted the quarantine, and why; empty for an instance.
+	Author string `json:"author,omitempty"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// ListQuarantines returns the recorded quarantines, as they were up to seconds ago.
+func ListQuarantines(ctx context.Context, st RegistrationStore) (list []QuarantineEntry, err error) {
+	entries, err := st.ListStale(ctx, view.QuarantinePrefix)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		r, err := decodeQuarantine(e)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", e.Key, err)
+		}
+		list = append(list, QuarantineEntry{ID: r.ID, Service: r.Service, Parts: r.Parts, Until: r.Until, Crashes: r.Crashes, Lifted: r.Lifted, Author: r.Author, Reason: r.Reason})
+	}
+	return list, nil
+}
+
+// LiftQuarantine ends a quarantine before its time. The instances learn of it with their next
+// view.
+func LiftQuarantine(ctx context.Context, st RegistrationStore, id, author, reason string) error {
+	entries, err := st.ListStale(ctx, view.QuarantinePrefix)
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		if e.Key != view.QuarantinePrefix+id {
+			continue
+		}
+		r, err := decodeQuarantine(e)
+		if err != nil {
+			return err
+		}
+		r.Lifted = true
+		value, err := encodeQuarantine(r.Service, r.Record, author, reason)
+		if err != nil {
+			return err
+		}
+		return overwrite(ctx, st, e, value)
+	}
+	return fmt.Errorf("%w: %q", ErrNoQuarantine, id)
+}
+
+// overwrite writes a value over an entry, or over a newer version of it.
+func overwrite(ctx context.Context, st RegistrationStore, e store.Entry, value []byte) error {
+	_, err := st.CompareAndSwap(ctx, e.Key, e.Version, value, e.Lease)
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) && conflict.Current != 0 {
+		_, err = st.CompareAndSwap(ctx, e.Key, conflict.Current, value, e.Lease)
+	}
+	return err
+}
--- a/internal/view/state_test.go
+++ b/internal/view/state_test.go
@@ -46,6 +46,22 @@
 	return store.Entry{Key: key, Value: []byte(value), Version: version}
 }
 
+// Guards against a quarantine that is unknown to the instances that pull the view from others,
+// and one that stays in the view after its end.
+func TestQuarantinesReachPeers(t *testing.T) {
+	c := qt.New(t)
+	s, peer := NewState(fakeDecoder{}), NewState(fakeDecoder{})
+	change := s.Apply(epoch, watchResult(1, entry("config", "1", 1), entry(QuarantinePrefix+"q", "v", 1), entry("other", "v", 1)))
+	c.Assert(change.Quarantines, qt.IsTrue)
+	peer.Merge(epoch, s.ChangesAfter(0))
+	c.Assert(peer.View().Quarantines, qt.DeepEquals, []store.Entry{entry(QuarantinePrefix+"q", "v", 1)})
+	removal := watchResult(2)
+	removal.Deleted = []string{QuarantinePrefix + "q"}
+	c.Assert(s.Apply(epoch, removal).Quarantines, qt.IsTrue)
+	peer.Merge(epoch, s.ChangesAfter(1))
+	c.Assert(peer.View().Quarantines, qt.HasLen, 0)
+}
+
 // Guards against a server that said that it leaves and is used again because its entry in
 // the store still says that it is ready, and against one that is not used after it has
 // started again under the same ID.
