quarantine: count waves of crashes, and let a culprit shield its bystanders

- Up to 14 servers ended under one part at 8 requests a second.
Crashes under requests that were sent before the latest crash never counted, and with trials in two regions one always was.
Crashes now count in waves that begin with the first request sent after the wave's first crash; three crashes in two waves convict.
- A caller's part was quarantined before the culprit.
A part with fewer crashes than another one of the prompt is no longer convicted.
- A trial ended with the crash of another request, so that two ran at a time.
- After the loss of an owner, up to 13: for 10 s the new one took all parts for established.
It now only requires a second wave before a trial, for 3 s.
- A cascade of ends within a second could have convicted a route.
Established parts now take at least 1.5 s without an answer.

The aim of three ends is missed: at 8 a second several requests are on their way when the first one ends its server.

--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -58,6 +58,7 @@
 	"stages":       stages,
 	"admission":    admission,
 	"owners":       owners,
+	"crashing":     crashing,
 }
 
 // Run measures all policies of an experiment in turn and repeats this. Within one
--- a/internal/gateway/crashreports.go
+++ b/internal/gateway/crashreports.go
@@ -58,7 +58,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, crashReportTimeout)
 	defer cancel()
-	if err := p.peerClient.ReportCrash(ctx, address, &peerpb.ReportCrashRequest{Service: service, Parts: parts, UncertainRequest: request}); err != nil {
+	if err := p.peerClient.ReportCrash(ctx, address, &peerpb.ReportCrashRequest{Service: service, Parts: parts, RequestId: request, Uncertain: true}); err != nil {
 		p.cluster.Avoid(address)
 		events.PlacerFailed.Log(ctx, p.logger, slog.String("id", request), slog.String("address", address), slog.Any("error", err))
 	}
@@ -90,8 +90,8 @@
 // ReportCrash implements peer.PlacementHandler. An instance that does not place the prompts
 // of the service forwards a report of another region once to the one of its region that does.
 func (p *Placer) ReportCrash(request *peerpb.ReportCrashRequest) {
-	if request.UncertainRequest != "" {
-		p.quarantines.hold(request.Service, request.UncertainRequest, request.Parts)
+	if request.Uncertain {
+		p.quarantines.hold(request.Service, request.RequestId, request.Parts)
 		return
 	}
 	crash := decodeCrash(request)
@@ -116,7 +116,7 @@
 
 func encodeCrash(service string, crash quarantine.Crash) *peerpb.ReportCrashRequest {
 	return &peerpb.ReportCrashRequest{
-		Service: service, Server: crash.Server.ID, Incarnation: crash.Server.Incarnation, Parts: crash.Parts,
+		Service: service, Server: crash.Server.ID, Incarnation: crash.Server.Incarnation, RequestId: crash.Request, Parts: crash.Parts,
 		SentAgoMs: time.Since(crash.SentAt).Milliseconds(), CutAgoMs: time.Since(crash.CutAt).Milliseconds(), Remote: crash.Remote,
 	}
 }
@@ -124,7 +124,7 @@
 func decodeCrash(request *peerpb.ReportCrashRequest) quarantine.Crash {
 	now := time.Now()
 	return quarantine.Crash{
-		Server: quarantine.ServerStart{ID: request.Server, Incarnation: request.Incarnation}, Parts: request.Parts,
+		Server: quarantine.ServerStart{ID: request.Server, Incarnation: request.Incarnation}, Request: request.RequestId, Parts: request.Parts,
 		SentAt: now.Add(-time.Duration(request.SentAgoMs) * time.Millisecond),
 		CutAt:  now.Add(-time.Duration(request.CutAgoMs) * time.Millisecond), Remote: request.Remote,
 	}
--- a/internal/gateway/cutshort.go
+++ b/internal/gateway/cutshort.go
@@ -65,8 +65,8 @@
 func (g *generateRequest) reportCrash(server view.Server, sent time.Time) (mayHaveEnded bool) {
 	ctx := context.WithoutCancel(g.ctx)
 	crash := quarantine.Crash{
-		Server: quarantine.ServerStart{ID: server.ID, Incarnation: server.Incarnation},
-		Parts:  partIDs(g.requestInfo.Prompt), SentAt: sent, CutAt: time.Now(),
+		Server:  quarantine.ServerStart{ID: server.ID, Incarnation: server.Incarnation},
+		Request: g.requestInfo.ID, Parts: partIDs(g.requestInfo.Prompt), SentAt: sent, CutAt: time.Now(),
 	}
 	alive := g.client.Probe(ctx, upstream.Server{ID: server.ID, Address: server.Address}, server.Incarnation)
 	g.log(events.AttemptCutShort, slog.String("server", server.ID), slog.String("server_process", alive.String()),
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -4,8 +4,8 @@
 // A crash is attributed to the parts of the requests whose answers had not begun when the
 // server ended. A part becomes a suspect with its first crash and is cleared by the next
 // answer under it that goes on beyond its start. Requests with a suspect run one at a time,
-// as a trial. After convictionCrashes crashes without an answer in between, the parts that
-// all crashes have in common are quarantined, and requests with all of them are refused.
+// as a trial. After convictionCrashes crashes in convictionWaves without an answer in between,
+// the parts that all crashes have in common are quarantined, and requests with all of them are refused.
 //
 // The package does no I/O and reads no clock.
 package quarantine
@@ -16,12 +16,17 @@
 )
 
 const (
-	// convictionCrashes is the number of crashes after which a part is quarantined.
+	// convictionCrashes is the number of crashes after which a part is quarantined, and
+	// convictionWaves the number of waves in which they must have come. Servers that crash
+	// together, with the rack or the failure domain that they are in, are one wave.
 	convictionCrashes = 3
-	// crashSeparation is the least time between two crashes that both count against a
-	// part, unless the second request was sent after the first crash. Servers that crash
-	// together, with the rack or the failure domain that they are in, count once.
-	crashSeparation = 250 * time.Millisecond
+	convictionWaves   = 2
+	// waveSeparation is how long after its first crash a wave ends. It ends sooner with the
+	// crash of a request that was sent after that.
+	waveSeparation = 250 * time.Millisecond
+	// minEstablishedTime is the least time from the first crash of an established part to
+	// its quarantine. The answers to other requests with it arrive within that time.
+	minEstablishedTime = 1500 * time.Millisecond
 	// clockTolerance is by how much the times of two instances may differ.
 	clockTolerance = 20 * time.Millisecond
 	// evidenceLifetime is how long a crash counts.
@@ -36,8 +41,9 @@
 	// has ended under it.
 	HoldTime = 4 * time.Second
 	// warmUp is how long a tracker that has just begun to receive the reports of other
-	// instances takes parts for established that it has not seen an answer under.
-	warmUp = 10 * time.Second
+	// instances requires a second wave before requests with a part need a trial, whether it
+	// has seen answers under the part or not.
+	warmUp = 3 * time.Second
 	// maxSuspects and maxQuarantines bound the parts and quarantines of one service.
 	maxSuspects    = 2048
 	maxQuarantines = 256
@@ -52,6 +58,8 @@
 // Crash is the end of a server under a request whose answer had not begun.
 type Crash struct {
 	Server ServerStart
+	// Request is the ID of the request.
+	Request string
 	// Parts are the IDs of all parts of the request's prompt.
 	Parts []string
 	// SentAt is when the request was sent to the server, and CutAt when it broke off.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -33,10 +33,12 @@
 
 // suspect is a part under which servers ended, since the last answer under it.
 type suspect struct {
-	// crashes are in the order of their reports. Each is of another server.
+	// crashes are in the order of their reports, each of another server.
 	crashes []attributed
 	// established is true when there were answers under the part shortly before.
 	established bool
+	// mild is true when requests with the part need no trial after the first wave.
+	mild bool
 	// trial is the ID of the request that is on trial, until trialEnds.
 	trial     string
 	trialEnds time.Time
@@ -50,11 +52,21 @@
 	sentAt time.Time
 	// parts are those that all requests with the suspect part had at the server.
 	parts []string
+	// wave counts, from 1, the waves of crashes up to this one.
+	wave int
+}
+
+// waves returns the number of waves in which servers ended under the part.
+func (s *suspect) waves() int {
+	if len(s.crashes) == 0 {
+		return 0
+	}
+	return s.crashes[len(s.crashes)-1].wave
 }
 
 // needsTrial reports whether requests with the part run one at a time. A part that answers
 // were given under shortly before its first crash is more likely that of a bystander.
-func (s *suspect) needsTrial() bool { return len(s.crashes) > 1 || !s.established }
+func (s *suspect) needsTrial() bool { return s.waves() > 1 || !s.mild }
 
 // BeginWarmUp records that the tracker receives the reports of other instances from now on.
 func (t *Tracker) BeginWarmUp(now time.Time) { t.warmUntil = now.Add(warmUp) }
@@ -90,7 +102,7 @@
 			return Decision{Verdict: Waiting}
 		}
 		decision.Verdict = OnTrial
-		decision.Isolate = decision.Isolate || len(s.crashes) > 1
+		decision.Isolate = decision.Isolate || s.waves() > 1
 		trials = append(trials, s)
 	}
 	for _, s := range trials {
@@ -104,8 +116,8 @@
 func (t *Tracker) Hold(now time.Time, request string, parts []string) {
 	for _, part := range parts {
 		s := t.suspects[part]
-		if s == nil && !t.established(now, part) {
-			s = t.addSuspect(part, &suspect{})
+		if s == nil {
+			s = t.newSuspect(now, part)
 		}
 		if s != nil && s.needsTrial() {
 			s.trial, s.trialEnds = request, now.Add(HoldTime)
@@ -113,21 +125,28 @@
 	}
 }
 
-// established reports whether there were answers under a part lately, or whether that is not
-// known yet.
-func (t *Tracker) established(now time.Time, part string) bool {
-	return t.answered.contains(now, part) || now.Before(t.warmUntil)
+// newSuspect adds a part that is suspected for the first time.
+func (t *Tracker) newSuspect(now time.Time, part string) *suspect {
+	established := t.answered.contains(now, part)
+	return t.addSuspect(part, &suspect{established: established, mild: established || now.Before(t.warmUntil)})
 }
 
 // Withdraw ends the trial of a request that was not sent.
 func (t *Tracker) Withdraw(request string, parts []string) {
 	for _, part := range parts {
-		if s := t.suspects[part]; s != nil && s.trial == request {
-			s.trial = ""
+		if s := t.suspects[part]; s != nil {
+			s.endTrial(request)
 		}
 	}
 }
 
+// endTrial ends the trial of a request.
+func (s *suspect) endTrial(request string) {
+	if s.trial == request {
+		s.trial = ""
+	}
+}
+
 // trialOf returns the suspect that a part is, nil when requests with it need no trial.
 func (t *Tracker) trialOf(now time.Time, part string) *suspect {
 	t.expireEvidence(now, part)
@@ -232,7 +251,7 @@
 	}
 	for _, part := range crash.Parts {
 		if s := t.suspects[part]; s != nil {
-			s.trial = ""
+			s.endTrial(crash.Request)
 		}
 	}
 	_, explained := t.explained[crash.Server]
@@ -243,34 +262,45 @@
 func (t *Tracker) accuse(now time.Time, part string, crash Crash) {
 	s := t.suspects[part]
 	if s == nil {
-		s = t.addSuspect(part, &suspect{established: t.established(now, part)})
-	}
-	s.trial = ""
-	if n := len(s.crashes); n > 0 {
-		last := &s.crashes[n-1]
-		if last.server == crash.Server {
-			last.parts = intersection(last.parts, crash.Parts)
-			if crash.SentAt.Before(last.sentAt) {
-				last.sentAt = crash.SentAt
+		s = t.newSuspect(now, part)
+	}
+	s.endTrial(crash.Request)
+	for i := range s.crashes {
+		if known := &s.crashes[i]; known.server == crash.Server {
+			known.parts = intersection(known.parts, crash.Parts)
+			if crash.SentAt.Before(known.sentAt) {
+				known.sentAt = crash.SentAt
 			}
 			return
 		}
-		if now.Sub(last.at) < crashSeparation && crash.SentAt.Before(last.at) {
-			return
+	}
+	s.crashes = append(s.crashes, attributed{server: crash.Server, at: now, sentAt: crash.SentAt, parts: slices.Clone(crash.Parts), wave: s.nextWave(now, crash)})
+}
+
+// nextWave returns the wave of a crash that is reported now.
+func (s *suspect) nextWave(now time.Time, crash Crash) int {
+	last := s.waves()
+	for _, c := range s.crashes {
+		if c.wave == last && now.Sub(c.at) < waveSeparation && !crash.SentAt.After(c.at) {
+			return last
+		}
+		if c.wave == last {
+			break
 		}
 	}
-	s.crashes = append(s.crashes, attributed{server: crash.Server, at: now, sentAt: crash.SentAt, parts: slices.Clone(crash.Parts)})
+	return last + 1
 }
 
 // convict quarantines what the crashes of a part have in common when there are enough.
 func (t *Tracker) convict(now time.Time, crash Crash) *Record {
 	var worst *suspect
 	for _, part := range crash.Parts {
-		if s := t.suspects[part]; t.convictable(now, part) && (worst == nil || len(s.crashes) > len(worst.crashes)) {
+		if s := t.suspects[part]; s != nil && (worst == nil || len(s.crashes) > len(worst.crashes)) {
 			worst = s
 		}
 	}
-	if worst == nil || len(t.quarantines) >= maxQuarantines {
+	// A part with fewer crashes than another one of the prompt is likely a bystander.
+	if worst == nil || len(worst.crashes) == 0 || len(t.quarantines) >= maxQuarantines {
 		return nil
 	}
 	crashes := slices.Clone(worst.crashes)
@@ -282,6 +312,9 @@
 		// A part that was cleared meanwhile has fewer crashes.
 		return !t.convictable(now, part) || len(t.suspects[part].crashes) < len(crashes)
 	})
+	if len(common) == 0 {
+		return nil
+	}
 	slices.Sort(common)
 	q := &Record{ID: recordID(common, now), Parts: common, Until: now.Add(Lifetime), Crashes: len(crashes)}
 	t.quarantines[q.ID] = q
@@ -294,7 +327,15 @@
 // convictable reports whether there are enough crashes to quarantine a part.
 func (t *Tracker) convictable(now time.Time, part string) bool {
 	s := t.suspects[part]
-	return s != nil && len(s.crashes) > 0 && (len(s.crashes) >= convictionCrashes || now.Before(t.probation[part]))
+	switch {
+	case s == nil || len(s.crashes) == 0:
+		return false
+	case now.Before(t.probation[part]):
+		return true
+	case s.established && now.Sub(s.crashes[0].at) < minEstablishedTime:
+		return false
+	}
+	return len(s.crashes) >= convictionCrashes && s.waves() >= convictionWaves
 }
 
 // acquitBystanders attributes the end of a server to a quarantine, so that it counts against
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -29,7 +29,7 @@
 }
 
 func (r *run) crashAt(server string, parts ...string) *Record {
-	return r.tracker.Crashed(r.now, Crash{Server: ServerStart{ID: server}, Parts: parts, SentAt: r.now.Add(-100 * time.Millisecond), CutAt: r.now})
+	return r.tracker.Crashed(r.now, Crash{Server: ServerStart{ID: server}, Request: parts[len(parts)-1], Parts: parts, SentAt: r.now.Add(-100 * time.Millisecond), CutAt: r.now})
 }
 
 func (r *run) answer(parts ...string) {
@@ -62,14 +62,23 @@
 }
 
 // Guards against sound parts that are quarantined because many servers end at once, with a
-// failure domain or a rack.
-func TestServersThatEndTogetherCountOnce(t *testing.T) {
+// failure domain or a rack, and against a culprit whose requests end several servers at once
+// and go on to others.
+func TestServersThatEndTogetherAreOneWave(t *testing.T) {
 	r := newRun(t)
 	for i := range 20 {
 		r.now = r.now.Add(time.Millisecond)
 		r.c.Assert(r.crashAt(fmt.Sprint("s", i), "route", "caller", fmt.Sprint(i)), qt.IsNil)
 	}
 	r.c.Assert(r.tracker.Records(r.now), qt.HasLen, 0)
+	r.answer("route", "caller", "sound")
+
+	r = newRun(t)
+	for i := range 2 {
+		r.c.Assert(r.crashAt(fmt.Sprint("s", i), "bad", fmt.Sprint(i)), qt.IsNil)
+	}
+	r.now = r.now.Add(time.Second)
+	r.c.Assert(r.crashAt("s2", "bad", "2"), qt.IsNotNil)
 }
 
 // Guards against a part that is quarantined for servers that end by themselves now and then.
@@ -90,6 +99,36 @@
 	}
 }
 
+// Guards against servers that go on to end because each request was sent before the latest end
+// of another, and against a bystander that is quarantined before the culprit.
+func TestOverlappingTrialsConvictTheCulprit(t *testing.T) {
+	r := newRun(t)
+	var began *Record
+	ended := 0
+	for i := 0; began == nil && i < 10; i++ {
+		r.now = r.now.Add(150 * time.Millisecond)
+		server := ServerStart{ID: fmt.Sprint("s", i)}
+		began = r.tracker.Crashed(r.now, Crash{Server: server, Parts: []string{"bad", fmt.Sprint("caller", i%2), fmt.Sprint(i)}, SentAt: r.now.Add(-200 * time.Millisecond), CutAt: r.now})
+		ended++
+	}
+	r.c.Assert(began, qt.IsNotNil)
+	r.c.Assert(began.Parts, qt.DeepEquals, []string{"bad"})
+	r.c.Assert(ended, qt.Equals, 3)
+}
+
+// Guards against a route that is quarantined because servers end one after the other within
+// a second, before the answers of others arrive.
+func TestCascadesQuarantineNoEstablishedPart(t *testing.T) {
+	r := newRun(t)
+	r.answer("route", "sound")
+	for i := range 10 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.c.Assert(r.crashAt(fmt.Sprint("s", i), "route", fmt.Sprint(i)), qt.IsNil)
+	}
+	r.answer("route", "sound")
+	r.c.Assert(r.verdict("q", "route", "own"), qt.Equals, Admitted)
+}
+
 // Guards against bystanders, which were at the same servers as the cause, that are taken for
 // suspects once the cause is known.
 func TestBystandersAreAcquitted(t *testing.T) {
@@ -169,12 +208,14 @@
 func TestSuspectsAreTriedOneAtATime(t *testing.T) {
 	r := newRun(t)
 	r.crash("bad", "0")
-	first := r.tracker.Admit(r.now, "q1", []string{"bad", "1"})
+	first := r.tracker.Admit(r.now, "q1", []string{"bad", "q1"})
 	r.c.Assert(first, qt.Equals, Decision{Verdict: OnTrial})
-	r.c.Assert(r.verdict("q1", "bad", "1"), qt.Equals, OnTrial, qt.Commentf("a request that is placed again keeps its trial"))
-	r.c.Assert(r.verdict("q2", "bad", "2"), qt.Equals, Waiting)
-	r.crash("bad", "1")
-	second := r.tracker.Admit(r.now, "q2", []string{"bad", "2"})
+	r.c.Assert(r.verdict("q1", "bad", "q1"), qt.Equals, OnTrial, qt.Commentf("a request that is placed again keeps its trial"))
+	r.c.Assert(r.verdict("q2", "bad", "q2"), qt.Equals, Waiting)
+	r.crashAt("s1", "bad", "earlier")
+	r.c.Assert(r.verdict("q2", "bad", "q2"), qt.Equals, Waiting, qt.Commentf("a crash of a request that was sent before"))
+	r.crash("bad", "q1")
+	second := r.tracker.Admit(r.now, "q2", []string{"bad", "q2"})
 	r.c.Assert(second, qt.Equals, Decision{Verdict: OnTrial, Isolate: true})
 	r.now = r.now.Add(trialTimeout)
 	r.c.Assert(r.verdict("q3", "bad", "3"), qt.Equals, OnTrial, qt.Commentf("a trial without outcome"))
@@ -190,7 +231,7 @@
 	r.c.Assert(r.verdict("q3", "route", "3"), qt.Equals, Admitted)
 	r.now = r.now.Add(HoldTime)
 	r.c.Assert(r.verdict("q2", "route", "bad", "2"), qt.Equals, OnTrial)
-	r.crash("route", "bad", "2")
+	r.crash("route", "bad", "q2")
 	r.c.Assert(r.verdict("q4", "route", "bad", "4"), qt.Equals, OnTrial)
 }
 
