stagework: pieces during whose call a server ended run in calls of their own

With four jobs in a call all four were refused after three servers had ended (TestPiecesThatEndServersRunAlone on the code before: refused 1, 2, 3 and 4). A call that breaks off is now followed by the same question as a request to a model server; if the server has ended, the jobs of the call get calls of their own, and a job is refused after the second end. After: two servers end, one job is refused.

--- a/internal/gateway/serverclient.go
+++ b/internal/gateway/serverclient.go
@@ -110,7 +110,7 @@
 const maxStateBytes = 1 << 20
 
 // Probe asks a server for its state to learn whether the process with an incarnation still
-// runs. A host that refuses connections, and a process with another ID or incarnation, show
+// runs, 0 for one that is not known. A host that refuses connections, and a process with another ID or incarnation, show
 // that it has ended.
 func (c *ServerClient) Probe(ctx context.Context, server upstream.Server, incarnation int64) liveness {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -120,7 +120,7 @@
 		defer answer.Close()
 		body, _ := httpbody.Read(answer.Body, maxStateBytes) // without a body, the ID counts alone
 		current := c.protocol.StateIncarnation(body)
-		if answer.Status == http.StatusMisdirectedRequest || current != 0 && current != incarnation {
+		if answer.Status == http.StatusMisdirectedRequest || current != 0 && incarnation != 0 && current != incarnation {
 			return livenessEnded
 		}
 		return livenessRunning
--- a/internal/gateway/stagecalls.go
+++ b/internal/gateway/stagecalls.go
@@ -8,6 +8,7 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
 
@@ -68,12 +69,12 @@
 		return stagework.SameOutcome(stagework.Refused, len(pieces)), err
 	}
 	if err != nil {
-		return stagework.SameOutcome(stagework.Failed, len(pieces)), err
+		return stagework.SameOutcome(s.statusOfFailure(server, err), len(pieces)), err
 	}
 	defer answer.Close()
 	body, err := httpbody.Read(answer.Body, maxStageAnswerBytes)
 	if err != nil {
-		return stagework.SameOutcome(stagework.Failed, len(pieces)), err
+		return stagework.SameOutcome(s.statusOfFailure(server, err), len(pieces)), err
 	}
 	outcomes, err := s.protocol.StageOutcomes(answer.Status, answer.Header, body, len(pieces))
 	if err != nil {
@@ -82,6 +83,18 @@
 	return outcomes, nil
 }
 
+// statusOfFailure returns the status of the pieces of a call that failed: whether the server
+// ended during the call. A call that was not sent or timed out says nothing about that.
+func (s *StageScheduler) statusOfFailure(server upstream.Server, err error) stagework.Status {
+	if errors.Is(err, upstream.ErrNotSent) || errors.Is(err, context.DeadlineExceeded) {
+		return stagework.Failed
+	}
+	if s.client.Probe(context.Background(), server, 0) == livenessEnded {
+		return stagework.ServerEnded
+	}
+	return stagework.Failed
+}
+
 // worstOutcome returns the name of the worst status among the outcomes of a call.
 func worstOutcome(outcomes []stagework.Outcome) string {
 	worst := stagework.Produced
--- a/stagework/call.go
+++ b/stagework/call.go
@@ -153,10 +153,14 @@
 }
 
 // formCall forms a call to a server from the pieces of the first job and then those of
-// other jobs in their order. It returns nil when no piece fits.
+// other jobs in their order. A job during whose call a server ended gets calls of its own,
+// because its pieces may be the cause. formCall returns nil when no piece fits.
 func (q *Queue) formCall(s *server, first *job, now time.Time) *call {
 	c := &call{started: now}
 	q.addPieces(c, s, first, now)
+	if first.crashes > 0 {
+		return q.startUnlessEmpty(c, s, now)
+	}
 	// Jobs that fit whole come before parts of others: a job ends with the last of
 	// its calls, and its first results occupy memory until then.
 	for _, wholeJobs := range []bool{true, false} {
@@ -164,7 +168,7 @@
 			if len(c.Items) >= q.profile.Batch {
 				break
 			}
-			if j == first || len(j.waiting) == 0 || wholeJobs && len(j.waiting) > min(q.profile.Batch-len(c.Items), q.roomFor(s, j, now)) {
+			if j == first || j.crashes > 0 || len(j.waiting) == 0 || wholeJobs && len(j.waiting) > min(q.profile.Batch-len(c.Items), q.roomFor(s, j, now)) {
 				continue
 			}
 			if s.FailureDomain == j.FailureDomain || q.mayLeaveDomain(j, now) {
@@ -172,6 +176,10 @@
 			}
 		}
 	}
+	return q.startUnlessEmpty(c, s, now)
+}
+
+func (q *Queue) startUnlessEmpty(c *call, s *server, now time.Time) *call {
 	if len(c.Items) == 0 {
 		return nil
 	}
--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -9,6 +9,9 @@
 	// maxFailuresPerPiece is the number of failed attempts for each piece of a job
 	// beyond which the job is refused.
 	maxFailuresPerPiece = 2
+	// maxCrashesPerJob is the number of servers that may end during calls with pieces of a
+	// job. After the first one, its pieces share no call with those of other jobs.
+	maxCrashesPerJob = 2
 	// refusedPause is how long a server that refused a call gets no other one.
 	refusedPause = 40 * time.Millisecond
 	// noRoomPause is how long a server that had no memory for a result counts as full.
@@ -74,6 +77,10 @@
 	// failed attempts to produce one of the pieces.
 	unfinished int
 	failures   int
+	// crashes is the number of servers that ended during calls with pieces of the job,
+	// and lastCrash the last of these calls.
+	crashes   int
+	lastCrash CallID
 	// inputsFreed is true once the inputs may have been freed, so that no piece can be
 	// retried.
 	inputsFreed bool
@@ -342,12 +349,14 @@
 		return
 	case Failed:
 		j.failures++
+	case ServerEnded:
+		j.recordCrash(c.ID)
 	}
 	if j.inputsFreed {
 		q.refuse(effects, j, RefusedInputGone)
 		return
 	}
-	if j.failures > maxFailuresPerPiece*len(j.Pieces) {
+	if j.crashes >= maxCrashesPerJob || j.failures > maxFailuresPerPiece*len(j.Pieces) {
 		q.refuse(effects, j, RefusedFailed)
 		return
 	}
@@ -356,6 +365,14 @@
 	}
 }
 
+// recordCrash counts the end of a server during a call once.
+func (j *job) recordCrash(call CallID) {
+	if j.lastCrash != call {
+		j.crashes++
+		j.lastCrash = call
+	}
+}
+
 func (q *Queue) recordResult(effects *Effects, j *job, index int, result string) {
 	j.results[index] = result
 	j.unfinished--
--- a/stagework/queue_test.go
+++ b/stagework/queue_test.go
@@ -232,6 +232,45 @@
 	c.Assert(e.Done, qt.DeepEquals, []EndedJob{{Job: 1, Refusal: RefusedFailed}})
 }
 
+// Guards against a piece that ends one stage server after the other, and against the jobs that
+// shared a call with it, which are refused or end with it again.
+func TestPiecesThatEndServersRunAlone(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue("a", "a", "a", "a")
+	const culprit = JobID(2)
+	for id := JobID(1); id <= 4; id++ {
+		offer(c, q, newJob(id, 2))
+	}
+	ended, refused, served := 0, []JobID{}, []JobID{}
+	for now := epoch; now.Before(epoch.Add(3 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		for {
+			call, ok := q.Next(now)
+			if !ok {
+				break
+			}
+			outcomes := producedOutcomes(call)
+			for _, item := range call.Items {
+				if item.Job == culprit {
+					outcomes = sameOutcomes(call, ServerEnded)
+				}
+			}
+			if outcomes[0].Status == ServerEnded {
+				ended++
+			}
+			for _, done := range q.Finished(now, call.ID, outcomes).Done {
+				if done.Refusal != "" {
+					refused = append(refused, done.Job)
+				} else {
+					served = append(served, done.Job)
+				}
+			}
+		}
+	}
+	c.Assert(ended, qt.Equals, maxCrashesPerJob)
+	c.Assert(refused, qt.DeepEquals, []JobID{culprit})
+	c.Assert(served, qt.HasLen, 3)
+}
+
 // Guards against results of cancelled jobs that stay in the memory of servers.
 func TestResultsOfCancelledJobsAreOrphans(t *testing.T) {
 	c := qt.New(t)
--- a/stagework/server.go
+++ b/stagework/server.go
@@ -59,7 +59,7 @@
 	case counts[Refused] > 0:
 		s.pausedUntil = now.Add(refusedPause)
 		return
-	case counts[Failed] == len(outcomes):
+	case counts[Failed]+counts[ServerEnded] == len(outcomes):
 		// Errors of some pieces only don't count as a failure of the server.
 		s.failures++
 		pause := min(maxFailurePause, failurePause<<min(s.failures-1, 8))
--- a/stagework/stagework.go
+++ b/stagework/stagework.go
@@ -118,6 +118,9 @@
 	Failed
 	// Refused means that the server did not accept the call.
 	Refused
+	// ServerEnded means that the server ended during the call, perhaps because of one of
+	// its pieces.
+	ServerEnded
 )
 
 // Outcome is the outcome of one item of a call.
@@ -170,5 +173,5 @@
 
 // String returns the name of the status as it appears in logs.
 func (s Status) String() string {
-	return [...]string{"produced", "late", "input_gone", "no_room", "failed", "refused"}[s]
+	return [...]string{"produced", "late", "input_gone", "no_room", "failed", "refused", "server_ended"}[s]
 }
