job: accepted work is not given up after a few runs with bad answers

Cause: a run that ended without effect counted like one that crashed its instance, five in all, and a run has hardly a retry when the shared retry budget is used up, as it is while one answer in ten is bad.

A request is given up when two servers have ended under it (before: four tries, and five runs of a job). An invalid job ends with its first run; it had five before.

--- a/internal/entry/execute.go
+++ b/internal/entry/execute.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/tcpprobe"
 	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
 )
 
@@ -26,6 +27,8 @@
 	Metrics *RequestMetrics
 	Logger  *slog.Logger
 	Now     func() time.Time
+	// ServerEnded reports whether a server's process has ended.
+	ServerEnded func(context.Context, backend.Server) bool
 }
 
 // NewExecutor returns an executor with default stage and retry budgets, without
@@ -40,6 +43,9 @@
 		Metrics: discardMetrics(),
 		Logger:  slog.New(slog.DiscardHandler),
 		Now:     now,
+		ServerEnded: func(ctx context.Context, server backend.Server) bool {
+			return tcpprobe.Refused(ctx, server.Address)
+		},
 	}
 }
 
@@ -66,6 +72,9 @@
 	Answer json.RawMessage
 	// Problem is the error answer for the caller; nil when the outcome is completed.
 	Problem *Problem
+	// ServersEnded is true when backend servers ended under the request until it was given
+	// up for that.
+	ServersEnded bool
 }
 
 // execution is the state of one running request.
@@ -78,6 +87,8 @@
 	// maybeRan counts the attempts that may have run, and onceMaybeRan those of
 	// non-idempotent stages (pipeline.Stage.Once) among them.
 	maybeRan, onceMaybeRan atomic.Int32
+	// endedServers counts the servers that ended under the request.
+	endedServers atomic.Int32
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -108,7 +119,9 @@
 	x.stopParentCancel = context.AfterFunc(parent, cancel)
 	defer x.stopParentCancel()
 	if err := x.runStages(ctx, order); err != nil {
-		return failedResult(x.problem(ctx, err))
+		result := failedResult(x.problem(ctx, err))
+		result.ServersEnded = x.endedServers.Load() >= maxEndedServers
+		return result
 	}
 	return Result{Outcome: OutcomeCompleted, Answer: x.results[request.Pipeline.Stages[x.last].Name]}
 }
--- a/internal/entry/execute_test.go
+++ b/internal/entry/execute_test.go
@@ -98,6 +98,26 @@
 	}
 }
 
+// Guards against a request that ends one backend server after the other, and against one that
+// is given up because servers break off its connections.
+func TestRequestsThatEndServersAreGivenUp(t *testing.T) {
+	c := qt.New(t)
+	for _, ended := range []bool{true, false} {
+		caller := &fakeCaller{answer: func(context.Context, string, backend.StageRequest) (backend.StageStream, error) {
+			return nil, backend.ErrMayHaveRun
+		}}
+		executor := newTestExecutor(caller, 9)
+		executor.ServerEnded = func(context.Context, backend.Server) bool { return ended }
+		result := executor.Execute(c.Context(), newPipelineRequest(stages("a")), ExecutionOptions{})
+		c.Check(result.ServersEnded, qt.Equals, ended)
+		if ended {
+			c.Check(caller.servers(), qt.DeepEquals, []string{"s1", "s2"})
+		} else {
+			c.Check(caller.servers(), qt.HasLen, 3)
+		}
+	}
+}
+
 // Guards against a hedged call whose slower attempt is waited for, delivered or
 // left running until the end of the request, whichever of the two is faster.
 func TestHedgeFirstAnswerWins(t *testing.T) {
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -219,7 +219,10 @@
 	request.Deadline = j.Now().Add(request.Kind.MaxWait())
 	result := j.runWithAdmission(ctx, request, progress)
 	if result.Problem != nil {
-		return jobs.Result{Outcome: string(result.Outcome), Detail: result.Problem.Error()}
+		return jobs.Result{
+			Outcome: string(result.Outcome), Detail: result.Problem.Error(),
+			Permanent: result.Problem.Type == ProblemInvalid, Harmful: result.ServersEnded,
+		}
 	}
 	return jobs.Result{Outcome: string(result.Outcome), Answer: result.Answer}
 }
--- a/internal/entry/stagecall.go
+++ b/internal/entry/stagecall.go
@@ -19,6 +19,10 @@
 // drain at once. They end because no server is called in two tries.
 const maxTries = 4
 
+// maxEndedServers is the number of backend servers that may end under one request. The
+// request may be the cause.
+const maxEndedServers = 2
+
 // Errors of a call that was not sent.
 var (
 	errNoServer           = fmt.Errorf("%w: no backend server is available", backend.ErrNotSent)
@@ -39,6 +43,8 @@
 	emitted bool
 	// excluded lists the IDs of the servers that were tried.
 	excluded []string
+	// lastServer is the server of the last try.
+	lastServer backend.Server
 }
 
 // run tries servers until one answers or no further try is allowed.
@@ -56,7 +62,8 @@
 		if !errors.Is(err, backend.ErrDraining) {
 			tries++
 		}
-		if tries == maxTries || !c.mayRetry(ctx, err) {
+		c.countEnded(ctx, err)
+		if tries == maxTries || c.endedServers.Load() >= maxEndedServers || !c.mayRetry(ctx, err) {
 			return nil, err
 		}
 		lastErr = err
@@ -66,6 +73,16 @@
 	}
 }
 
+// countEnded counts the server of the last try if it has ended under the request.
+func (c *stageCall) countEnded(ctx context.Context, err error) {
+	if !errors.Is(err, backend.ErrMayHaveRun) && !errors.Is(err, backend.ErrBrokenStream) {
+		return
+	}
+	if c.ServerEnded(ctx, c.lastServer) {
+		c.endedServers.Add(1)
+	}
+}
+
 // mayRetry reports whether another server may be tried after err. If it may, the
 // retry is taken from the retry budget, except after the refusal of a draining server,
 // because such a refusal costs the server no load.
@@ -107,7 +124,8 @@
 func (c *stageCall) pick(query Query) (PickedServer, bool) {
 	picked, ok := c.Picker.Pick(query)
 	if ok {
-		c.excluded = append(c.excluded, picked.Server().ID)
+		c.lastServer = picked.Server()
+		c.excluded = append(c.excluded, c.lastServer.ID)
 	}
 	return picked, ok
 }
--- a/internal/gateway/serverclient.go
+++ b/internal/gateway/serverclient.go
@@ -14,6 +14,7 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/tcpprobe"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 )
 
@@ -128,7 +129,7 @@
 	if errors.Is(err, errServerHeld) {
 		return livenessRunning
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) || c.upstream.Listening(ctx, server) == upstream.Refuses {
+	if errors.Is(err, syscall.ECONNREFUSED) || tcpprobe.Refused(ctx, server.Address) {
 		return livenessEnded
 	}
 	return livenessUnknown
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -69,6 +69,9 @@
 	Outcome string
 	Detail  string
 	Answer  []byte
+	// Permanent is true for a failure that another run would repeat, Harmful for a run
+	// during which backend servers ended.
+	Permanent, Harmful bool
 }
 
 // Progress gives a run the results of earlier runs and records its progress.
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -202,7 +202,7 @@
 		_ = j.step(r.ctx, r, job.LeaseLost{})
 		return
 	}
-	_ = j.step(r.ctx, r, job.RunEnded{Outcome: result.Outcome, Detail: result.Detail, Answer: answer})
+	_ = j.step(r.ctx, r, job.RunEnded{Outcome: result.Outcome, Detail: result.Detail, Answer: answer, Permanent: result.Permanent, Harmful: result.Harmful})
 }
 
 // loadRun reads the body and the stage results of a job from the store.
--- a/job/machine.go
+++ b/job/machine.go
@@ -46,6 +46,9 @@
 	Outcome string
 	Detail  string
 	Answer  Value
+	// Permanent is true for a failure that another run would repeat, Harmful for a run
+	// during which backend servers ended.
+	Permanent, Harmful bool
 }
 
 // HandOver releases the job so that another instance can take it over.
@@ -168,7 +171,7 @@
 	switch {
 	case next.NonIdempotentSent:
 		finishJob(next, now, RunEnded{Outcome: OutcomeUnknown, Detail: "the holder stopped after a non-idempotent call was sent"})
-	case next.Runs >= MaxRuns:
+	case next.Runs-next.EndedRuns >= MaxRuns:
 		finishJob(next, now, RunEnded{Outcome: OutcomeFailed, Detail: "the job was started too often without an end"})
 	default:
 		next.Runs++
@@ -178,11 +181,22 @@
 // runEnded finishes the job, or starts another run after one that had no effect.
 func (m *Machine) runEnded(next *Record, now time.Time, in RunEnded) {
 	noEffect := in.Outcome == OutcomeFailed || in.Outcome == OutcomeNotRun
-	if noEffect && !next.NonIdempotentSent && next.Runs < MaxRuns {
-		next.Runs++
+	if !noEffect || next.NonIdempotentSent || in.Permanent || !mayRunAgain(next, now, in.Harmful) {
+		finishJob(next, now, in)
 		return
 	}
-	finishJob(next, now, in)
+	next.Runs++
+	if !in.Harmful {
+		next.EndedRuns++
+	}
+}
+
+// mayRunAgain reports whether a job may be run again after one that ended without effect.
+func mayRunAgain(r *Record, now time.Time, harmful bool) bool {
+	if harmful && r.Runs-r.EndedRuns >= MaxRuns {
+		return false
+	}
+	return now.Sub(time.UnixMilli(r.CreatedMS)) < MaxRetryPeriod
 }
 
 func finishJob(next *Record, now time.Time, in RunEnded) {
@@ -193,8 +207,12 @@
 	next.Answer = in.Answer
 }
 
+// maxRetryDelay bounds the delay before a run that follows one without effect.
+const maxRetryDelay = time.Minute
+
 // retryDelay returns the delay before a run that follows one without effect: 1 s
-// before the second run, doubled for each further run.
+// before the second run, doubled for each further run up to maxRetryDelay.
 func retryDelay(runs int) time.Duration {
-	return time.Second << max(runs-2, 0)
+	const maxDoublings = 6
+	return min(maxRetryDelay, time.Second<<min(max(runs-2, 0), maxDoublings))
 }
--- a/job/record.go
+++ b/job/record.go
@@ -35,9 +35,16 @@
 // PieceBytes is the size of the pieces into which a value is split.
 const PieceBytes = 512 << 10
 
-// MaxRuns bounds how often a job is started. Without it, a job that crashes its
-// instance would be taken over by, and crash, one instance after the other.
-const MaxRuns = 5
+const (
+	// MaxRuns bounds how often a job is started without an end that does no harm. Without
+	// it, a job that crashes its instance, or the backend servers, would be taken over by,
+	// and crash, one after the other.
+	MaxRuns = 5
+	// MaxRetryPeriod is how long after its acceptance a job is run again after runs that
+	// ended without effect, for example because of servers that fail. Accepted work may
+	// wait but is not given up before.
+	MaxRetryPeriod = 24 * time.Hour
+)
 
 // State is the state of a job.
 type State string
@@ -87,6 +94,8 @@
 	// Runs counts how often the job was started. Runs that a handover ended are not
 	// counted.
 	Runs int `json:"runs"`
+	// EndedRuns is how many of these runs ended without effect and without harm.
+	EndedRuns int `json:"ended_runs,omitempty"`
 	// Stages are the finished stages.
 	Stages []Value `json:"stages,omitempty"`
 	// NonIdempotentSent is set before the first non-idempotent call is sent.
