--- a/internal/gateway/quarantineadmin.go
+++ b/internal/gateway/quarantineadmin.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
@@ -15,16 +15,8 @@
 
 // QuarantineEntry is a recorded quarantine for operators.
 type QuarantineEntry struct {
-	ID      string `json:"id"`
-	Service string `json:"service"`
-	// Parts are the IDs of the prompt parts that a request must all have to be refused.
-	Parts   []string  `json:"parts"`
-	Until   time.Time `json:"until"`
-	Crashes int       `json:"crashes"`
-	Lifted  bool      `json:"lifted"`
-	// Author and Reason say who lifted the quarantine, and why; empty for an instance.
-	Author string `json:"author,omitempty"`
-	Reason string `json:"reason,omitempty"`
+	ID string `json:"id"`
+	StoredQuarantine
 }
 
 // ListQuarantines returns the recorded quarantines, as they were up to seconds ago.
@@ -38,7 +30,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", e.Key, err)
 		}
-		list = append(list, QuarantineEntry{ID: r.ID, Service: r.Service, Parts: r.Parts, Until: r.Until, Crashes: r.Crashes, Lifted: r.Lifted, Author: r.Author, Reason: r.Reason})
+		list = append(list, QuarantineEntry{ID: r.ID, StoredQuarantine: storedQuarantine(r.Service, r.Record, r.Author, r.Reason)})
 	}
 	return list, nil
 }
@@ -59,7 +51,7 @@
 			return err
 		}
 		r.Lifted = true
-		value, err := encodeQuarantine(r.Service, r.Record, author, reason)
+		value, err := json.Marshal(storedQuarantine(r.Service, r.Record, author, reason))
 		if err != nil {
 			return err
 		}
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -23,9 +23,9 @@
 	maxRecordedParts = 64
 )
 
-// storedQuarantine is the JSON value under view.QuarantinePrefix and the quarantine's ID. The
+// StoredQuarantine is the JSON value under view.QuarantinePrefix and the quarantine's ID. The
 // lease of the entry ends with the quarantine.
-type storedQuarantine struct {
+type StoredQuarantine struct {
 	Service string `json:"service"`
 	// Parts are the IDs of the prompt parts that a request must all have to be refused.
 	Parts   []string  `json:"parts"`
@@ -48,7 +48,7 @@
 var errIncompleteQuarantine = errors.New("service, parts or end are missing, or there are too many parts")
 
 func decodeQuarantine(e store.Entry) (r recordedQuarantine, err error) {
-	var s storedQuarantine
+	var s StoredQuarantine
 	if err := json.Unmarshal(e.Value, &s); err != nil {
 		return r, fmt.Errorf("quarantine: %w", err)
 	}
@@ -61,8 +61,8 @@
 	return r, nil
 }
 
-func encodeQuarantine(service string, r quarantine.Record, author, reason string) ([]byte, error) {
-	return json.Marshal(storedQuarantine{Service: service, Parts: r.Parts, Until: r.Until.UTC().Round(time.Millisecond), Crashes: r.Crashes, Lifted: r.Lifted, Author: author, Reason: reason})
+func storedQuarantine(service string, r quarantine.Record, author, reason string) StoredQuarantine {
+	return StoredQuarantine{Service: service, Parts: r.Parts, Until: r.Until.UTC().Round(time.Millisecond), Crashes: r.Crashes, Lifted: r.Lifted, Author: author, Reason: reason}
 }
 
 // Record writes the quarantines of a service that the store lacks or has otherwise. The
@@ -98,7 +98,7 @@
 	q.mu.Lock()
 	known := q.recorded[r.ID]
 	q.mu.Unlock()
-	value, err := encodeQuarantine(service, r, known.Author, known.Reason)
+	value, err := json.Marshal(storedQuarantine(service, r, known.Author, known.Reason))
 	if err != nil {
 		return err
 	}
