quarantine: bound the parts of a prompt, forget suspects at a takeover, plain names

A prompt may have thousands of parts in its header, each of kilobytes; the first 64 count and long IDs are replaced by digests. A new owner had suspects of its own requests from before, which answers at other instances may have cleared; it drops them. Names say what functions do (addCrash, beginQuarantine, attributeToQuarantine) in place of a trial in court.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -75,14 +75,6 @@
 	Tokens int
 }
 
-// SharedParts returns the IDs of the parts of a prompt that other requests may have too.
-func SharedParts(prompt []Part) (ids []string) {
-	for _, part := range prompt[:max(0, len(prompt)-1)] {
-		ids = append(ids, part.ID)
-	}
-	return ids
-}
-
 // cachedPart is a part that a server is expected to have in its cache.
 type cachedPart struct {
 	tokens   int
--- a/internal/gateway/cutshort.go
+++ b/internal/gateway/cutshort.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/coltsfootdrift/coltsfootdrift/engine"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
@@ -32,7 +31,7 @@
 
 // recordAnswerBegan clears the parts of the prompt.
 func (g *generateRequest) recordAnswerBegan(placed placement) {
-	parts := engine.SharedParts(g.requestInfo.Prompt)
+	parts := sharedPartIDs(g.requestInfo.Prompt)
 	if placed.onTrial {
 		parts = partIDs(g.requestInfo.Prompt)
 	}
@@ -70,7 +69,7 @@
 	}
 	alive := g.client.Probe(ctx, upstream.Server{ID: server.ID, Address: server.Address}, server.Incarnation)
 	g.log(events.AttemptCutShort, slog.String("server", server.ID), slog.String("server_process", alive.String()),
-		slog.Int64("sent_ms", time.Since(sent).Milliseconds()), slog.Any("prompt", engine.SharedParts(g.requestInfo.Prompt)))
+		slog.Int64("sent_ms", time.Since(sent).Milliseconds()), slog.Any("prompt", sharedPartIDs(g.requestInfo.Prompt)))
 	switch alive {
 	case livenessEnded:
 		g.placer.ownCrash(ctx, g.service.Name, crash)
--- a/internal/gateway/quarantines.go
+++ b/internal/gateway/quarantines.go
@@ -4,9 +4,11 @@
 	"context"
 	"log/slog"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/coltsfootdrift/coltsfootdrift/engine"
@@ -211,11 +213,23 @@
 	}
 }
 
-// partIDs returns the IDs of all parts of a prompt.
+// maxPartIDBytes is the length from which the ID of a part is replaced by a digest.
+const maxPartIDBytes = 64
+
+// partIDs returns the IDs of the parts of a prompt as quarantines have them: those of the
+// first quarantine.MaxParts, and digests of long ones.
 func partIDs(prompt []engine.Part) []string {
-	ids := make([]string, len(prompt))
-	for i, part := range prompt {
-		ids[i] = part.ID
+	ids := make([]string, min(len(prompt), quarantine.MaxParts))
+	for i := range ids {
+		ids[i] = prompt[i].ID
+		if len(ids[i]) > maxPartIDBytes {
+			ids[i] = "xxhash64:" + strconv.FormatUint(xxhash.Sum64String(ids[i]), 16)
+		}
 	}
 	return ids
 }
+
+// sharedPartIDs returns the IDs of the parts of a prompt that other requests may have too.
+func sharedPartIDs(prompt []engine.Part) []string {
+	return partIDs(prompt[:max(0, len(prompt)-1)])
+}
--- a/internal/gateway/quarantines_test.go
+++ b/internal/gateway/quarantines_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -155,6 +156,22 @@
 	c.Assert(quarantine.Verdict(response.Verdict), qt.Equals, quarantine.Quarantined)
 }
 
+// Guards against a prompt of thousands of parts, or with parts of kilobytes, that costs
+// memory and time with each request.
+func TestPartsOfAPromptAreBounded(t *testing.T) {
+	c := qt.New(t)
+	var prompt []engine.Part
+	for i := range 1000 {
+		prompt = append(prompt, engine.Part{ID: fmt.Sprint(i, strings.Repeat("x", 1000))})
+	}
+	ids := partIDs(prompt)
+	c.Assert(ids, qt.HasLen, quarantine.MaxParts)
+	c.Assert(ids[0], qt.Not(qt.Equals), ids[1])
+	for _, id := range ids {
+		c.Assert(len(id) <= maxPartIDBytes, qt.IsTrue)
+	}
+}
+
 // Guards against answered parts that are sent with each call, and against a queue of them that
 // grows without bound while there are no calls.
 func TestAnsweredPartsAreReportedOnce(t *testing.T) {
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -19,8 +19,6 @@
 	// quarantineRewriteDelay is how long a written quarantine has to come back in the view
 	// before it is written again.
 	quarantineRewriteDelay = 3 * time.Second
-	// maxRecordedParts bounds the parts of a recorded quarantine.
-	maxRecordedParts = 64
 )
 
 // StoredQuarantine is the JSON value under view.QuarantinePrefix and the quarantine's ID. The
@@ -52,7 +50,7 @@
 	if err := json.Unmarshal(e.Value, &s); err != nil {
 		return r, fmt.Errorf("quarantine: %w", err)
 	}
-	if s.Service == "" || len(s.Parts) == 0 || len(s.Parts) > maxRecordedParts || s.Until.IsZero() {
+	if s.Service == "" || len(s.Parts) == 0 || len(s.Parts) > quarantine.MaxParts || s.Until.IsZero() {
 		return r, fmt.Errorf("quarantine: %w", errIncompleteQuarantine)
 	}
 	r.Record = quarantine.Record{ID: strings.TrimPrefix(e.Key, view.QuarantinePrefix), Parts: s.Parts, Until: s.Until, Crashes: s.Crashes, Lifted: s.Lifted}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -77,7 +77,7 @@
 	g.log(events.AttemptSent, slog.String("server", placed.Server), slog.String("route", g.route.Name), slog.Int("try", len(g.tried)),
 		slog.Int64("left_ms", g.remaining().Milliseconds()), slog.Int("inputs", len(g.inputs)), slog.Int64("expected_ms", placed.Expected.Milliseconds()),
 		slog.String("copy_from", placed.CopyFrom), slog.Bool("on_trial", placed.onTrial), slog.Int64("crossing_bytes", crossDomainBytes(inputs, placed.FailureDomain)),
-		slog.Any("prompt", engine.SharedParts(g.requestInfo.Prompt)), slog.Int64("view", g.viewVersion()))
+		slog.Any("prompt", sharedPartIDs(g.requestInfo.Prompt)), slog.Int64("view", g.viewVersion()))
 	source, _ := g.servers.Server(placed.CopyFrom)
 	request := g.outgoingRequest(server, SendInfo{Urgency: &urgency, Inputs: g.inputs, LastEventID: g.stream.lastID, CopyFrom: source.Address})
 	stop := g.freeInputsWhenFetched()
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -4,8 +4,8 @@
 // A crash is attributed to the parts of the requests whose answers had not begun when the
 // server ended. A part becomes a suspect with its first crash and is cleared by the next
 // answer under it that goes on beyond its start. Requests with a suspect run one at a time,
-// as a trial. After convictionCrashes crashes in convictionWaves without an answer in between,
-// the parts that all crashes have in common are quarantined, and requests with all of them are refused.
+// as a trial. After minCrashes crashes in minWaves waves without an answer in between, the
+// parts that all crashes have in common are quarantined: requests with all of them are refused.
 //
 // The package does no I/O and reads no clock.
 package quarantine
@@ -16,11 +16,11 @@
 )
 
 const (
-	// convictionCrashes is the number of crashes after which a part is quarantined, and
-	// convictionWaves the number of waves in which they must have come. Servers that crash
+	// minCrashes is the number of crashes after which a part is quarantined, and minWaves
+	// the number of waves in which they must have come. Servers that crash
 	// together, with the rack or the failure domain that they are in, are one wave.
-	convictionCrashes = 3
-	convictionWaves   = 2
+	minCrashes = 3
+	minWaves   = 2
 	// waveSeparation is how long after its first crash a wave ends. It ends sooner with the
 	// crash of a request that was sent after that.
 	waveSeparation = 250 * time.Millisecond
@@ -33,8 +33,8 @@
 	evidenceLifetime = 10 * time.Minute
 	// Lifetime is how long a quarantine lasts. After it, one request is tried again.
 	Lifetime = 10 * time.Minute
-	// probationLifetime is how long one more crash quarantines a part again.
-	probationLifetime = time.Hour
+	// retrialPeriod is how long one more crash quarantines a part again.
+	retrialPeriod = time.Hour
 	// trialTimeout is how long a trial whose outcome is not reported blocks the next one.
 	trialTimeout = 3 * time.Second
 	// HoldTime is how long requests with a part wait when it is not known whether a server
@@ -44,6 +44,8 @@
 	// instances requires a second wave before requests with a part need a trial, whether it
 	// has seen answers under the part or not.
 	warmUp = 3 * time.Second
+	// MaxParts bounds the parts of a quarantine.
+	MaxParts = 64
 	// maxSuspects and maxQuarantines bound the parts and quarantines of one service.
 	maxSuspects    = 2048
 	maxQuarantines = 256
@@ -65,7 +67,7 @@
 	// SentAt is when the request was sent to the server, and CutAt when it broke off.
 	SentAt, CutAt time.Time
 	// Remote is true for a crash that was reported from another region. It makes its parts
-	// suspects but does not convict them, because the answers that clear them are reported
+	// suspects but begins no quarantine, because the answers that clear them are reported
 	// within that region.
 	Remote bool
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -11,10 +11,10 @@
 type Tracker struct {
 	suspects    map[string]*suspect
 	quarantines map[string]*Record
-	// probation holds, by part, until when one crash quarantines it again.
-	probation map[string]time.Time
-	answered  recentSet
-	// warmUntil is the end of the period in which unknown parts count as established.
+	// retrialUntil holds, by part, until when one crash quarantines it again.
+	retrialUntil map[string]time.Time
+	answered     recentSet
+	// warmUntil is the end of the period in which no part is tried after a first wave.
 	warmUntil time.Time
 	// explained holds the ends of servers that are attributed to a quarantined part.
 	explained map[ServerStart]time.Time
@@ -26,7 +26,7 @@
 // NewTracker returns a tracker without suspects.
 func NewTracker() *Tracker {
 	return &Tracker{
-		suspects: map[string]*suspect{}, quarantines: map[string]*Record{}, probation: map[string]time.Time{},
+		suspects: map[string]*suspect{}, quarantines: map[string]*Record{}, retrialUntil: map[string]time.Time{},
 		explained: map[ServerStart]time.Time{}, cutAt: map[ServerStart]time.Time{},
 	}
 }
@@ -34,18 +34,18 @@
 // suspect is a part under which servers ended, since the last answer under it.
 type suspect struct {
 	// crashes are in the order of their reports, each of another server.
-	crashes []attributed
+	crashes []suspectCrash
 	// established is true when there were answers under the part shortly before.
 	established bool
-	// mild is true when requests with the part need no trial after the first wave.
-	mild bool
+	// skipsFirstTrial is true when requests with the part need no trial after the first wave.
+	skipsFirstTrial bool
 	// trial is the ID of the request that is on trial, until trialEnds.
 	trial     string
 	trialEnds time.Time
 }
 
-// attributed is a crash that counts against a part.
-type attributed struct {
+// suspectCrash is a crash that counts against a part.
+type suspectCrash struct {
 	server ServerStart
 	at     time.Time
 	// sentAt is when the first request with the part was sent to the server.
@@ -65,11 +65,15 @@
 }
 
 // needsTrial reports whether requests with the part run one at a time. A part that answers
-// were given under shortly before its first crash is more likely that of a bystander.
-func (s *suspect) needsTrial() bool { return s.waves() > 1 || !s.mild }
+// were given under shortly before its first crash is less likely to be the cause.
+func (s *suspect) needsTrial() bool { return s.waves() > 1 || !s.skipsFirstTrial }
 
 // BeginWarmUp records that the tracker receives the reports of other instances from now on.
-func (t *Tracker) BeginWarmUp(now time.Time) { t.warmUntil = now.Add(warmUp) }
+// It drops the suspects of before, which answers at other instances may have cleared.
+func (t *Tracker) BeginWarmUp(now time.Time) {
+	t.warmUntil = now.Add(warmUp)
+	clear(t.suspects)
+}
 
 // Check returns whether a request with a prompt is refused. Its verdict is Admitted or
 // Quarantined.
@@ -119,7 +123,7 @@
 		if s == nil {
 			s = t.newSuspect(now, part)
 		}
-		if s != nil && s.needsTrial() {
+		if s.needsTrial() {
 			s.trial, s.trialEnds = request, now.Add(HoldTime)
 		}
 	}
@@ -128,7 +132,7 @@
 // newSuspect adds a part that is suspected for the first time.
 func (t *Tracker) newSuspect(now time.Time, part string) *suspect {
 	established := t.answered.contains(now, part)
-	return t.addSuspect(part, &suspect{established: established, mild: established || now.Before(t.warmUntil)})
+	return t.addSuspect(part, &suspect{established: established, skipsFirstTrial: established || now.Before(t.warmUntil)})
 }
 
 // Withdraw ends the trial of a request that was not sent.
@@ -154,7 +158,7 @@
 	if s != nil && s.needsTrial() {
 		return s
 	}
-	if !now.Before(t.probation[part]) && !t.partlyQuarantined(now, part) {
+	if !now.Before(t.retrialUntil[part]) && !t.partlyQuarantined(now, part) {
 		return nil
 	}
 	if s == nil {
@@ -181,7 +185,7 @@
 	for _, part := range parts {
 		t.answered.add(now, part)
 		delete(t.suspects, part)
-		delete(t.probation, part)
+		delete(t.retrialUntil, part)
 	}
 	for _, q := range t.quarantines {
 		if !q.activeAt(now) {
@@ -203,12 +207,12 @@
 		return nil
 	}
 	for _, part := range crash.Parts {
-		t.accuse(now, part, crash)
+		t.addCrash(now, part, crash)
 	}
 	if crash.Remote {
 		return nil
 	}
-	return t.convict(now, crash)
+	return t.beginQuarantine(now, crash)
 }
 
 // sentTooLate reports whether a request was sent to a server that had already ended. When the
@@ -221,13 +225,13 @@
 	}
 	t.cutAt[crash.Server] = crash.CutAt
 	latest := crash.CutAt.Add(clockTolerance)
-	t.removeCrashes(func(c attributed) bool { return c.server == crash.Server && c.sentAt.After(latest) })
+	t.removeCrashes(func(c suspectCrash) bool { return c.server == crash.Server && c.sentAt.After(latest) })
 	return false
 }
 
 // removeCrashes removes crashes that do not count against any part, and the suspects that
 // have no others.
-func (t *Tracker) removeCrashes(remove func(attributed) bool) {
+func (t *Tracker) removeCrashes(remove func(suspectCrash) bool) {
 	for part, s := range t.suspects {
 		before := len(s.crashes)
 		s.crashes = slices.DeleteFunc(s.crashes, remove)
@@ -247,7 +251,7 @@
 			continue
 		}
 		q.Parts = common
-		t.acquitBystanders(now, crash.Server)
+		t.attributeToQuarantine(now, crash.Server)
 	}
 	for _, part := range crash.Parts {
 		if s := t.suspects[part]; s != nil {
@@ -258,8 +262,8 @@
 	return explained
 }
 
-// accuse counts a crash against a part.
-func (t *Tracker) accuse(now time.Time, part string, crash Crash) {
+// addCrash counts a crash against a part.
+func (t *Tracker) addCrash(now time.Time, part string, crash Crash) {
 	s := t.suspects[part]
 	if s == nil {
 		s = t.newSuspect(now, part)
@@ -274,7 +278,7 @@
 			return
 		}
 	}
-	s.crashes = append(s.crashes, attributed{server: crash.Server, at: now, sentAt: crash.SentAt, parts: slices.Clone(crash.Parts), wave: s.nextWave(now, crash)})
+	s.crashes = append(s.crashes, suspectCrash{server: crash.Server, at: now, sentAt: crash.SentAt, parts: slices.Clone(crash.Parts), wave: s.nextWave(now, crash)})
 }
 
 // nextWave returns the wave of a crash that is reported now.
@@ -291,15 +295,15 @@
 	return last + 1
 }
 
-// convict quarantines what the crashes of a part have in common when there are enough.
-func (t *Tracker) convict(now time.Time, crash Crash) *Record {
+// beginQuarantine quarantines what the crashes of a part have in common when there are enough.
+func (t *Tracker) beginQuarantine(now time.Time, crash Crash) *Record {
 	var worst *suspect
 	for _, part := range crash.Parts {
 		if s := t.suspects[part]; s != nil && (worst == nil || len(s.crashes) > len(worst.crashes)) {
 			worst = s
 		}
 	}
-	// A part with fewer crashes than another one of the prompt is likely a bystander.
+	// A part with fewer crashes than another one of the prompt is unlikely to be the cause.
 	if worst == nil || len(worst.crashes) == 0 || len(t.quarantines) >= maxQuarantines {
 		return nil
 	}
@@ -310,39 +314,40 @@
 	}
 	common = slices.DeleteFunc(common, func(part string) bool {
 		// A part that was cleared meanwhile has fewer crashes.
-		return !t.convictable(now, part) || len(t.suspects[part].crashes) < len(crashes)
+		return !t.hasEnoughCrashes(now, part) || len(t.suspects[part].crashes) < len(crashes)
 	})
 	if len(common) == 0 {
 		return nil
 	}
 	slices.Sort(common)
+	common = common[:min(len(common), MaxParts)]
 	q := &Record{ID: recordID(common, now), Parts: common, Until: now.Add(Lifetime), Crashes: len(crashes)}
 	t.quarantines[q.ID] = q
 	for _, c := range crashes {
-		t.acquitBystanders(now, c.server)
+		t.attributeToQuarantine(now, c.server)
 	}
 	return q.clone()
 }
 
-// convictable reports whether there are enough crashes to quarantine a part.
-func (t *Tracker) convictable(now time.Time, part string) bool {
+// hasEnoughCrashes reports whether there are enough crashes to quarantine a part.
+func (t *Tracker) hasEnoughCrashes(now time.Time, part string) bool {
 	s := t.suspects[part]
 	switch {
 	case s == nil || len(s.crashes) == 0:
 		return false
-	case now.Before(t.probation[part]):
+	case now.Before(t.retrialUntil[part]):
 		return true
 	case s.established && now.Sub(s.crashes[0].at) < minEstablishedTime:
 		return false
 	}
-	return len(s.crashes) >= convictionCrashes && s.waves() >= convictionWaves
+	return len(s.crashes) >= minCrashes && s.waves() >= minWaves
 }
 
-// acquitBystanders attributes the end of a server to a quarantine, so that it counts against
+// attributeToQuarantine attributes the end of a server to a quarantine, so that it counts against
 // no other part.
-func (t *Tracker) acquitBystanders(now time.Time, server ServerStart) {
+func (t *Tracker) attributeToQuarantine(now time.Time, server ServerStart) {
 	t.explained[server] = now
-	t.removeCrashes(func(c attributed) bool { return c.server == server })
+	t.removeCrashes(func(c suspectCrash) bool { return c.server == server })
 }
 
 // addSuspect adds a suspect. When there are too many, the one with the fewest crashes is
@@ -379,14 +384,14 @@
 	if s == nil || len(s.crashes) == 0 {
 		return
 	}
-	s.crashes = slices.DeleteFunc(s.crashes, func(c attributed) bool { return now.Sub(c.at) >= evidenceLifetime })
+	s.crashes = slices.DeleteFunc(s.crashes, func(c suspectCrash) bool { return now.Sub(c.at) >= evidenceLifetime })
 	if len(s.crashes) == 0 {
 		delete(t.suspects, part)
 	}
 }
 
-// expire drops what no longer counts. The parts of quarantines that have ended are on
-// probation.
+// expire drops what no longer counts. The parts of quarantines that have ended
+// run as trials for retrialPeriod.
 func (t *Tracker) expire(now time.Time) {
 	for part := range t.suspects {
 		t.expireEvidence(now, part)
@@ -400,10 +405,10 @@
 			continue
 		}
 		for _, part := range q.Parts {
-			t.probation[part] = q.Until.Add(probationLifetime)
+			t.retrialUntil[part] = q.Until.Add(retrialPeriod)
 		}
 	}
-	maps.DeleteFunc(t.probation, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(t.retrialUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
 	maps.DeleteFunc(t.cutAt, func(_ ServerStart, at time.Time) bool { return now.Sub(at) >= evidenceLifetime })
 	maps.DeleteFunc(t.explained, func(_ ServerStart, at time.Time) bool { return now.Sub(at) >= evidenceLifetime })
 }
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -62,7 +62,7 @@
 }
 
 // Guards against sound parts that are quarantined because many servers end at once, with a
-// failure domain or a rack, and against a culprit whose requests end several servers at once
+// failure domain or a rack, and against a cause whose requests end several servers at once
 // and go on to others.
 func TestServersThatEndTogetherAreOneWave(t *testing.T) {
 	r := newRun(t)
@@ -100,8 +100,8 @@
 }
 
 // Guards against servers that go on to end because each request was sent before the latest end
-// of another, and against a bystander that is quarantined before the culprit.
-func TestOverlappingTrialsConvictTheCulprit(t *testing.T) {
+// of another, and against an unrelated part that is quarantined before the cause.
+func TestOverlappingTrialsFindTheCause(t *testing.T) {
 	r := newRun(t)
 	var began *Record
 	ended := 0
@@ -129,9 +129,8 @@
 	r.c.Assert(r.verdict("q", "route", "own"), qt.Equals, Admitted)
 }
 
-// Guards against bystanders, which were at the same servers as the cause, that are taken for
-// suspects once the cause is known.
-func TestBystandersAreAcquitted(t *testing.T) {
+// Guards against parts that were at the same servers as the cause and are still suspects once the cause is known.
+func TestUnrelatedPartsAreClearedWithTheCause(t *testing.T) {
 	r := newRun(t)
 	for i := range 2 {
 		r.crash("bad", fmt.Sprint(i))
@@ -158,9 +157,9 @@
 	r.c.Assert(r.verdict("q", "rare", "own"), qt.Equals, Admitted)
 }
 
-// Guards against a second culprit that hides behind the first, and one that is never found
+// Guards against a second cause that hides behind the first, and one that is never found
 // because others crash servers as well.
-func TestTwoCulpritsAreBothQuarantined(t *testing.T) {
+func TestTwoCausesAreBothQuarantined(t *testing.T) {
 	r := newRun(t)
 	crashes := map[string]int{}
 	for i := range 20 {
@@ -175,7 +174,7 @@
 }
 
 // Guards against a sound part that stays refused because it was always in the prompts of the
-// culprit before: a request with it alone is tried, and its answer clears it.
+// cause before: a request with it alone is tried, and its answer clears it.
 func TestAnswersNarrowAQuarantine(t *testing.T) {
 	r := newRun(t)
 	for i := range 3 {
@@ -191,7 +190,7 @@
 	r.c.Assert(r.verdict("q4", "route", "bad", "own"), qt.Equals, Quarantined)
 }
 
-// Guards against a culprit that goes on to crash servers in prompts without the parts that it
+// Guards against a cause that goes on to crash servers in prompts without the parts that it
 // had in common with the first ones.
 func TestCrashesNarrowAQuarantine(t *testing.T) {
 	r := newRun(t)
@@ -269,6 +268,11 @@
 	r.c.Assert(r.verdict("q", "route", "other"), qt.Equals, Admitted)
 
 	r = newRun(t)
+	for i := range 5 {
+		r.now = r.now.Add(time.Second)
+		crash := Crash{Server: ServerStart{ID: fmt.Sprint("t", i)}, Parts: []string{"route", fmt.Sprint(i)}, SentAt: r.now, CutAt: r.now, Remote: true}
+		r.c.Assert(r.tracker.Crashed(r.now, crash), qt.IsNil)
+	}
 	r.tracker.BeginWarmUp(r.now)
 	r.crash("route", "own")
 	r.c.Assert(r.verdict("q", "route", "other"), qt.Equals, Admitted)
@@ -318,10 +322,10 @@
 		r.crash("bad", fmt.Sprint(i))
 	}
 	for i := range maxQuarantines + 10 {
-		for range convictionCrashes {
+		for range minCrashes {
 			r.crash(fmt.Sprint("flood", i))
 		}
-		r.now = r.now.Add(-convictionCrashes * time.Second)
+		r.now = r.now.Add(-minCrashes * time.Second)
 	}
 	r.c.Assert(r.verdict("q", "bad", "own"), qt.Equals, Quarantined)
 	r.c.Assert(r.tracker.quarantines, qt.HasLen, maxQuarantines)
--- a/stagework/queue_test.go
+++ b/stagework/queue_test.go
@@ -237,7 +237,7 @@
 func TestPiecesThatEndServersRunAlone(t *testing.T) {
 	c := qt.New(t)
 	q := newQueue("a", "a", "a", "a")
-	const culprit = JobID(2)
+	const cause = JobID(2)
 	for id := JobID(1); id <= 4; id++ {
 		offer(c, q, newJob(id, 2))
 	}
@@ -250,7 +250,7 @@
 			}
 			outcomes := producedOutcomes(call)
 			for _, item := range call.Items {
-				if item.Job == culprit {
+				if item.Job == cause {
 					outcomes = sameOutcomes(call, ServerEnded)
 				}
 			}
@@ -267,7 +267,7 @@
 		}
 	}
 	c.Assert(ended, qt.Equals, maxCrashesPerJob)
-	c.Assert(refused, qt.DeepEquals, []JobID{culprit})
+	c.Assert(refused, qt.DeepEquals, []JobID{cause})
 	c.Assert(served, qt.HasLen, 3)
 }
 
