--- a/internal/gateway/eventreader.go
+++ b/internal/gateway/eventreader.go
@@ -37,7 +37,7 @@
 func (r *eventReader) next() (streamEvent, error) {
 	var e streamEvent
 	for {
-		line, err := r.reader.ReadBytes('\n')
+		line, err := r.readLine(maxEventBytes - len(e.data))
 		e.data = append(e.data, line...)
 		if errors.Is(err, io.EOF) && (e.begun || len(line) > 0) {
 			err = io.ErrUnexpectedEOF
@@ -45,9 +45,6 @@
 		if err != nil {
 			return e, err
 		}
-		if len(e.data) > maxEventBytes {
-			return e, errEventTooLarge
-		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
 			return e, nil
@@ -61,5 +58,20 @@
 	}
 }
 
+// readLine returns the next line with its end, or errEventTooLarge once it has more than
+// limit bytes.
+func (r *eventReader) readLine(limit int) (line []byte, err error) {
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		line = append(line, part...)
+		switch {
+		case len(line) > limit:
+			return line, errEventTooLarge
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return line, err
+		}
+	}
+}
+
 // buffered reports whether more data of the stream has already arrived.
 func (r *eventReader) buffered() bool { return r.reader.Buffered() > 0 }
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -61,6 +61,26 @@
 	c.Assert(line+string(rest), qt.Equals, eventText(1, 2))
 }
 
+// endless yields the same byte without end.
+type endless struct{ read int }
+
+func (e *endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	e.read += len(p)
+	return len(p), nil
+}
+
+// Guards against a stream with a line that never ends, which fills the memory.
+func TestEndlessLinesOfStreamsAreCutOff(t *testing.T) {
+	c := qt.New(t)
+	source := &endless{}
+	_, err := newEventReader(io.LimitReader(source, 64*maxEventBytes)).next()
+	c.Assert(err, qt.ErrorIs, errEventTooLarge)
+	c.Assert(source.read <= 2*maxEventBytes, qt.IsTrue, qt.Commentf("%d bytes were read", source.read))
+}
+
 // Guards against a stream that broke off but looks complete to the client, and against
 // a stream that is resumed on another server although its route does not allow that.
 func TestNonResumableStreamsAreNotResumed(t *testing.T) {
