quarantine: a part is the cause only if other requests are answered

Cause: while the three model servers were away, by crashing parts and other faults, no answer could clear the parts that all prompts have; each crash had them in common, and after three they were taken for the cause. Established parts were protected for 1.5 s only, and an instance that had just taken over knows none.

A part now differs from others only if these are answered while it is not: an established part counts as unanswered once three answers under it were due by its share of the requests, any other part once something else was answered, or when it is in at most half of the requests. TestOutagesQuarantineNothing failed before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -27,6 +27,14 @@
 	// minEstablishedTime is the least time from the first crash of an established part to
 	// its quarantine. The answers to other requests with it arrive within that time.
 	minEstablishedTime = 1500 * time.Millisecond
+	// answersPerPart is how many answers under an established part are expected before it
+	// counts as one without answers: so many answers to other requests must have been given
+	// since its first crash, divided by its share of the requests.
+	answersPerPart = 3
+	// maxUnansweredShare is the largest share of the requests that a part may have which is
+	// quarantined although no other request was answered either. Above it, the service
+	// rather than the part is at fault, or nearly all requests would be refused.
+	maxUnansweredShare = 0.5
 	// clockTolerance is by how much the times of two instances may differ.
 	clockTolerance = 20 * time.Millisecond
 	// evidenceLifetime is how long a crash counts.
--- a/quarantine/recent.go
+++ b/quarantine/recent.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// recentPeriod is how long an element stays in a recentSet at least, unless the set is
@@ -42,3 +45,35 @@
 	_, ok := r.previous[element]
 	return ok
 }
+
+// maxRecentRequests is the number of requests that recentRequests holds.
+const maxRecentRequests = 256
+
+// recentRequests holds the parts of the last requests.
+type recentRequests struct {
+	parts [][]string
+	next  int
+}
+
+func (r *recentRequests) add(parts []string) {
+	if len(r.parts) < maxRecentRequests {
+		r.parts = append(r.parts, parts)
+		return
+	}
+	r.parts[r.next] = parts
+	r.next = (r.next + 1) % maxRecentRequests
+}
+
+// share returns the share of the requests that have a part, 1 without requests.
+func (r *recentRequests) share(part string) float64 {
+	if len(r.parts) == 0 {
+		return 1
+	}
+	n := 0
+	for _, parts := range r.parts {
+		if slices.Contains(parts, part) {
+			n++
+		}
+	}
+	return float64(n) / float64(len(r.parts))
+}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -14,6 +14,9 @@
 	// retrialUntil holds, by part, until when one crash quarantines it again.
 	retrialUntil map[string]time.Time
 	answered     recentSet
+	// answers counts the reports of answered parts.
+	answers  int
+	requests recentRequests
 	// warmUntil is the end of the period in which no part is tried after a first wave.
 	warmUntil time.Time
 	// explained holds the ends of servers that are attributed to a quarantined part.
@@ -35,6 +38,9 @@
 type suspect struct {
 	// crashes are in the order of their reports, each of another server.
 	crashes []suspectCrash
+	// answersBefore is Tracker.answers at the first crash. An answer under the part clears
+	// it, so that all later ones are answers to other requests.
+	answersBefore int
 	// established is true when there were answers under the part shortly before.
 	established bool
 	// skipsFirstTrial is true when requests with the part need no trial after the first wave.
@@ -112,6 +118,7 @@
 	for _, s := range trials {
 		s.trial, s.trialEnds = request, now.Add(trialTimeout)
 	}
+	t.requests.add(parts)
 	return decision
 }
 
@@ -182,6 +189,9 @@
 // which clears them. Quarantines are narrowed to their other parts, and one without other
 // parts is lifted.
 func (t *Tracker) Answered(now time.Time, parts []string) {
+	if len(parts) > 0 {
+		t.answers++
+	}
 	for _, part := range parts {
 		t.answered.add(now, part)
 		delete(t.suspects, part)
@@ -278,6 +288,9 @@
 			return
 		}
 	}
+	if len(s.crashes) == 0 {
+		s.answersBefore = t.answers
+	}
 	s.crashes = append(s.crashes, suspectCrash{server: crash.Server, at: now, sentAt: crash.SentAt, parts: slices.Clone(crash.Parts), wave: s.nextWave(now, crash)})
 }
 
@@ -340,7 +353,19 @@
 	case s.established && now.Sub(s.crashes[0].at) < minEstablishedTime:
 		return false
 	}
-	return len(s.crashes) >= minCrashes && s.waves() >= minWaves
+	return len(s.crashes) >= minCrashes && s.waves() >= minWaves && t.differsFromOthers(s, part)
+}
+
+// differsFromOthers reports whether requests without a part are answered while those with it
+// are not. When the service answers nothing, its parts have crashes in common that none of
+// them caused.
+func (t *Tracker) differsFromOthers(s *suspect, part string) bool {
+	others := t.answers - s.answersBefore
+	share := t.requests.share(part)
+	if s.established {
+		return float64(others)*share >= answersPerPart
+	}
+	return others > 0 || share <= maxUnansweredShare
 }
 
 // attributeToQuarantine attributes the end of a server to a quarantine, so that it counts against
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -16,7 +16,17 @@
 	servers int
 }
 
+// newRun returns a run with requests before it that have other parts.
 func newRun(t *testing.T) *run {
+	r := newIdleRun(t)
+	for i := range 50 {
+		r.verdict("", "other", fmt.Sprint("before", i))
+	}
+	return r
+}
+
+// newIdleRun returns a run without requests before it.
+func newIdleRun(t *testing.T) *run {
 	return &run{c: qt.New(t), tracker: NewTracker(), now: time.Unix(1_000_000, 0)}
 }
 
@@ -259,6 +269,21 @@
 	}
 }
 
+// Guards against the parts of a whole service that are quarantined while it answers nothing,
+// also at an instance that does not know them yet.
+func TestOutagesQuarantineNothing(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		r := newIdleRun(t)
+		if known {
+			r.answer("route", "caller")
+		}
+		for i := range 20 {
+			r.verdict(fmt.Sprint("q", i), "route", "caller", fmt.Sprint(i))
+			r.c.Assert(r.crash("route", "caller", fmt.Sprint(i)), qt.IsNil, qt.Commentf("known %v", known))
+		}
+	}
+}
+
 // Guards against an established part whose requests all wait after a crash that they did not
 // cause, also at an instance that has just begun to receive the reports of others.
 func TestEstablishedPartsNeedNoTrial(t *testing.T) {
