--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
 )
@@ -83,11 +84,14 @@
 // FreePortsBetween returns a function that returns a different port from first to
 // last-1 with each call. Each port was free for TCP and UDP when it was checked. Ports
 // are chosen at random, so that processes that search at the same time rarely choose
-// the same one.
+// the same one. The function is safe for concurrent use.
 func FreePortsBetween(first, last int) func() (int, error) {
 	const attempts = 1000
+	var mu sync.Mutex
 	taken := map[int]bool{}
 	return func() (int, error) {
+		mu.Lock()
+		defer mu.Unlock()
 		for range attempts {
 			port := first + rand.IntN(last-first)
 			if !taken[port] && portIsFree(net.JoinHostPort(Host, strconv.Itoa(port))) {
