--- a/internal/gateway/quarantines_test.go
+++ b/internal/gateway/quarantines_test.go
@@ -26,8 +26,11 @@
 	return prompt
 }
 
-// crashThree reports three crashes under the part "bad".
+// crashThree reports three crashes under the part "bad", after requests without it.
 func crashThree(q *Quarantines) {
+	for i := range 10 {
+		q.admit("", "x", promptOf("other", fmt.Sprint(i)))
+	}
 	for i := range 3 {
 		sent := time.Now().Add(time.Duration(i) * time.Second)
 		q.recordCrash("x", quarantine.Crash{Server: quarantine.ServerStart{ID: fmt.Sprint(i)}, Parts: []string{"bad", fmt.Sprint(i)}, SentAt: sent, CutAt: sent.Add(time.Second)})
