--- a/engine/engine.go
+++ b/engine/engine.go
@@ -183,21 +183,17 @@
 	var bestWork workload
 	for _, c := range candidates {
 		work := s.workloadFor(c, q.Prompt, copySource)
-		cost := s.cost(c, now, q, work, key)
-		if q.Isolate {
-			cost = max(0, c.busyUntil.Sub(now))
-		}
-		if best == nil || cost < bestCost {
+		if cost := s.cost(c, now, q, work, key); best == nil || cost < bestCost {
 			best, bestCost, bestWork = c, cost, work
 		}
 	}
-	if q.Isolate && !q.AskOnly {
-		best.isolatedUntil = now.Add(isolationPeriod)
-	}
 	placed := Placement{Server: best.ID, Expected: s.expected(best, now, bestWork), FailureDomain: best.FailureDomain}
 	if q.AskOnly {
 		return placed, true
 	}
+	if q.Isolate {
+		best.isolatedUntil = now.Add(isolationPeriod)
+	}
 	if bestWork.copied > 0 {
 		placed.CopyFrom, copySource.server.lastCopiedFromAt = copySource.server.ID, now
 	}
@@ -259,9 +255,13 @@
 	return duration
 }
 
-// cost returns the expected time to the first event at a server plus all penalties. The
-// server with the lowest cost is chosen.
+// cost returns the expected time to the first event at a server plus all penalties, for an
+// isolated prompt only the time that the server is busy. The server with the lowest cost is
+// chosen.
 func (s *Scheduler) cost(c *serverState, now time.Time, q Query, work workload, key uint64) time.Duration {
+	if q.Isolate {
+		return max(0, c.busyUntil.Sub(now))
+	}
 	cost := s.expected(c, now, work) + time.Duration(work.sharedPrefill)*sharedPrefillPenaltyPerToken + time.Duration(work.copied)*copyPenaltyPerToken
 	const megabyte = 1e6
 	for domain, bytes := range q.InputBytes {
--- a/internal/entry/execute_test.go
+++ b/internal/entry/execute_test.go
@@ -99,7 +99,7 @@
 }
 
 // Guards against a request that ends one backend server after the other, and against one that
-// is given up because servers break off its connections.
+// fails because servers reset its connections.
 func TestRequestsThatEndServersAreGivenUp(t *testing.T) {
 	c := qt.New(t)
 	for _, ended := range []bool{true, false} {
--- a/internal/experiment/crashing.go
+++ b/internal/experiment/crashing.go
@@ -67,15 +67,17 @@
 	{badPerSecond: 0, badParts: 1, killsPerSecond: 0.3, group: 6},
 }
 
+var crashPolicies = []string{PolicyColtsfootdrift, policyInstanceAlone, policyThreeStrikes, policyNoneQuarantine}
+
 // crashing compares who counts the ends of servers under requests, and what follows.
 var crashing = scenario{
-	policies: []string{PolicyColtsfootdrift, policyInstanceAlone, policyThreeStrikes, policyNoneQuarantine},
+	policies: crashPolicies,
 	figures:  []string{"ended per part", "ended most", "sent late most", "sound begun", "sound begun least", "sound refused"},
 	goals: []Goal{
 		{Figure: "ended per part", Bound: 3}, {Figure: "sent late most", Bound: 3}, {Figure: "sound begun least", AtLeast: true, Bound: 0.5},
 	},
 	trial: func(policy string, seed uint64) (map[string]float64, error) {
-		if !slices.Contains([]string{PolicyColtsfootdrift, policyInstanceAlone, policyThreeStrikes, policyNoneQuarantine}, policy) {
+		if !slices.Contains(crashPolicies, policy) {
 			return nil, fmt.Errorf("policy %q does not exist", policy)
 		}
 		var sum crashFigures
@@ -133,7 +135,6 @@
 	region, home int
 	bad          string
 	sentAt       time.Time
-	arrivedAt    time.Time
 	polls        int
 }
 
@@ -205,11 +206,7 @@
 }
 
 func (s *crashSim) arrive(perSecond float64, from, until time.Duration, create func() *crashRequest) {
-	s.repeat(perSecond, from, until, func() {
-		r := create()
-		r.arrivedAt = s.now
-		s.place(r)
-	})
+	s.repeat(perSecond, from, until, func() { s.place(create()) })
 }
 
 func (s *crashSim) newRequest(parts ...string) *crashRequest {
--- a/internal/gateway/crashreports.go
+++ b/internal/gateway/crashreports.go
@@ -38,14 +38,7 @@
 		p.regionCrash(service, crash)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, crashReportTimeout)
-	defer cancel()
-	err := p.peerClient.ReportCrash(ctx, address, encodeCrash(service, crash))
-	if err != nil {
-		p.cluster.Avoid(address)
-		events.PlacerFailed.Log(ctx, p.logger, slog.String("address", address), slog.Any("error", err))
-	}
-	crash.Remote = err == nil
+	crash.Remote = p.reportToPlacer(ctx, address, encodeCrash(service, crash))
 	p.quarantines.recordCrash(service, crash)
 }
 
@@ -56,12 +49,20 @@
 	if address == "" {
 		return
 	}
+	p.reportToPlacer(ctx, address, &peerpb.ReportCrashRequest{Service: service, Parts: parts, RequestId: request, Uncertain: true})
+}
+
+// reportToPlacer reports a crash to the instance that places the prompts, and returns whether
+// it was received.
+func (p *Placer) reportToPlacer(ctx context.Context, address string, request *peerpb.ReportCrashRequest) bool {
 	ctx, cancel := context.WithTimeout(ctx, crashReportTimeout)
 	defer cancel()
-	if err := p.peerClient.ReportCrash(ctx, address, &peerpb.ReportCrashRequest{Service: service, Parts: parts, RequestId: request, Uncertain: true}); err != nil {
+	err := p.peerClient.ReportCrash(ctx, address, request)
+	if err != nil {
 		p.cluster.Avoid(address)
-		events.PlacerFailed.Log(ctx, p.logger, slog.String("id", request), slog.String("address", address), slog.Any("error", err))
+		events.PlacerFailed.Log(ctx, p.logger, slog.String("id", request.RequestId), slog.String("address", address), slog.Any("error", err))
 	}
+	return err == nil
 }
 
 // regionCrash records a crash in this region, and reports it to the other regions together
--- a/internal/gateway/quarantines.go
+++ b/internal/gateway/quarantines.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -200,7 +199,7 @@
 // logChanges logs which recorded quarantines are new, narrowed, lifted or gone.
 func (q *Quarantines) logChanges(known, recorded map[string]recordedQuarantine) {
 	for id, r := range recorded {
-		if old, ok := known[id]; ok && slices.Equal(old.Parts, r.Parts) && old.Lifted == r.Lifted {
+		if old, ok := known[id]; ok && old.Equal(r.Record) {
 			continue
 		}
 		events.QuarantineChanged.Log(context.Background(), q.logger, slog.String("service", r.Service), slog.String("quarantine", id),
--- a/internal/gateway/quarantines_test.go
+++ b/internal/gateway/quarantines_test.go
@@ -137,8 +137,8 @@
 	c.Assert(q.recorded, qt.HasLen, 0)
 }
 
-// Guards against another region that goes on to send requests with a quarantined part until
-// the store has told it, and against crashes there of which this region learns nothing.
+// Guards against another region that sends requests with a quarantined part until it has read
+// the store, and against crashes there that are not reported to this region.
 func TestCrashesAndQuarantinesReachOtherRegions(t *testing.T) {
 	c := qt.New(t)
 	f := newEngineFixture(c, false)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -101,16 +101,19 @@
 	c.Assert(seen.all(), qt.HasLen, 1)
 }
 
+// abortInThirdEvent sends two events and closes the connection inside the next one.
+func abortInThirdEvent(rw http.ResponseWriter, r *http.Request) {
+	_, _ = io.WriteString(rw, eventText(1, 2)+"id: 3")
+	_ = http.NewResponseController(rw).Flush()
+	abortConnection(rw, r)
+}
+
 // Guards against whole events that are lost because the next one breaks off before they
 // are sent on.
 func TestEventsBeforeABreakReachTheClient(t *testing.T) {
 	c := qt.New(t)
 	f := newEngineFixture(c, false)
-	f.addServer("x", func(rw http.ResponseWriter, r *http.Request) {
-		_, _ = io.WriteString(rw, eventText(1, 2)+"id: 3")
-		_ = http.NewResponseController(rw).Flush()
-		abortConnection(rw, r)
-	})
+	f.addServer("x", abortInThirdEvent)
 	f.start()
 	_, body, err := f.do("POST", "/p/", "")
 	c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
@@ -176,11 +179,7 @@
 func TestAbortsDoNotWaitForClientsThatDoNotRead(t *testing.T) {
 	c := qt.New(t)
 	f := newEngineFixture(c, false)
-	f.addServer("x", func(rw http.ResponseWriter, r *http.Request) {
-		_, _ = io.WriteString(rw, eventText(1, 2)+"id: 3")
-		_ = http.NewResponseController(rw).Flush()
-		abortConnection(rw, r)
-	})
+	f.addServer("x", abortInThirdEvent)
 	f.start()
 	f.assertAborts(&stalledWriter{ResponseRecorder: httptest.NewRecorder()})
 }
--- a/internal/tcpprobe/tcpprobe.go
+++ b/internal/tcpprobe/tcpprobe.go
@@ -1,4 +1,4 @@
-// Package tcpprobe tells a process that has ended from a connection that broke off.
+// Package tcpprobe distinguishes a process that has exited from a connection that was reset.
 package tcpprobe
 
 import (
--- a/job/machine_test.go
+++ b/job/machine_test.go
@@ -138,8 +138,8 @@
 	return m.Record()
 }
 
-// Guards against accepted work that is given up because servers gave bad answers in a few
-// runs, and against work that is given up although its period has not passed.
+// Guards against accepted work that ends as failed because servers gave bad answers in a few
+// runs, although the period in which it is retried has not passed.
 func TestAcceptedWorkIsNotGivenUp(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	if r := endRuns(now, 200, RunEnded{Outcome: OutcomeFailed}); r.State != StateAccepted || r.Runs != 201 {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -93,8 +93,8 @@
 	Lifted bool
 }
 
-// equal reports whether two records say the same.
-func (r Record) equal(other Record) bool {
+// Equal reports whether two records say the same.
+func (r Record) Equal(other Record) bool {
 	return r.ID == other.ID && slices.Equal(r.Parts, other.Parts) && r.Lifted == other.Lifted
 }
 
--- a/quarantine/records.go
+++ b/quarantine/records.go
@@ -66,7 +66,7 @@
 	}
 	return slices.DeleteFunc(t.Records(now), func(r Record) bool {
 		known, ok := byID[r.ID]
-		return ok && known.equal(r) || !ok && r.Lifted
+		return ok && known.Equal(r) || !ok && r.Lifted
 	})
 }
 
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -189,9 +189,10 @@
 // which clears them. Quarantines are narrowed to their other parts, and one without other
 // parts is lifted.
 func (t *Tracker) Answered(now time.Time, parts []string) {
-	if len(parts) > 0 {
-		t.answers++
+	if len(parts) == 0 {
+		return
 	}
+	t.answers++
 	for _, part := range parts {
 		t.answered.add(now, part)
 		delete(t.suspects, part)
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,6 +43,16 @@
 	return r.tracker.Crashed(r.now, Crash{Server: ServerStart{ID: server}, Request: parts[len(parts)-1], Parts: parts, SentAt: r.now.Add(-100 * time.Millisecond), CutAt: r.now})
 }
 
+// remoteCrashes reports that five servers ended in another region under requests with parts,
+// which begins no quarantine here.
+func (r *run) remoteCrashes(parts ...string) {
+	for i := range 5 {
+		r.now = r.now.Add(time.Second)
+		crash := Crash{Server: ServerStart{ID: fmt.Sprint("far", i)}, Parts: append(slices.Clone(parts), fmt.Sprint(i)), SentAt: r.now, CutAt: r.now, Remote: true}
+		r.c.Assert(r.tracker.Crashed(r.now, crash), qt.IsNil)
+	}
+}
+
 func (r *run) answer(parts ...string) {
 	r.now = r.now.Add(100 * time.Millisecond)
 	r.tracker.Answered(r.now, parts)
@@ -293,11 +304,7 @@
 	r.c.Assert(r.verdict("q", "route", "other"), qt.Equals, Admitted)
 
 	r = newRun(t)
-	for i := range 5 {
-		r.now = r.now.Add(time.Second)
-		crash := Crash{Server: ServerStart{ID: fmt.Sprint("t", i)}, Parts: []string{"route", fmt.Sprint(i)}, SentAt: r.now, CutAt: r.now, Remote: true}
-		r.c.Assert(r.tracker.Crashed(r.now, crash), qt.IsNil)
-	}
+	r.remoteCrashes("route")
 	r.tracker.BeginWarmUp(r.now)
 	r.crash("route", "own")
 	r.c.Assert(r.verdict("q", "route", "other"), qt.Equals, Admitted)
@@ -326,14 +333,10 @@
 }
 
 // Guards against a region that quarantines parts because of crashes elsewhere although it has
-// not seen the answers that clear them there, and against one that learns nothing from them.
+// not seen the answers that clear them there, and against one that ignores these crashes.
 func TestCrashesOfOtherRegionsMakeSuspects(t *testing.T) {
 	r := newRun(t)
-	for i := range 5 {
-		r.now = r.now.Add(time.Second)
-		crash := Crash{Server: ServerStart{ID: fmt.Sprint("far", i)}, Parts: []string{"caller", "bad", fmt.Sprint(i)}, SentAt: r.now, CutAt: r.now, Remote: true}
-		r.c.Assert(r.tracker.Crashed(r.now, crash), qt.IsNil)
-	}
+	r.remoteCrashes("caller", "bad")
 	r.c.Assert(r.verdict("q", "caller", "bad", "own"), qt.Equals, OnTrial)
 	r.answer("caller", "sound")
 	r.c.Assert(r.crash("caller", "bad", "own").Parts, qt.DeepEquals, []string{"bad"})
