gateway: log and count the limits that servers name in their answers

Nothing in logs or metrics said whether an answer named a limit, and what an instance did then. The header is read now (a decimal number; the lowest of several; anything else is malformed and changes nothing), 7226 follows each change, and requests_to_limited_servers counts what is sent. No decision uses it yet, so that the fault is still there.

Tests: TestLimitsOfAnswersAreRead; gateway, events and platform's parser pass.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -46,5 +46,6 @@
 	QuarantineChanged     = define(7223, slog.LevelWarn, "recorded quarantine is new, narrowed or lifted")
 	QuarantineEnded       = define(7224, slog.LevelInfo, "recorded quarantine has ended")
 	QuarantineNotRecorded = define(7225, slog.LevelWarn, "quarantine could not be recorded in the store")
+	LimitNamed            = define(7226, slog.LevelInfo, "backend server named or ended a limit of the requests that it takes")
 	AttemptCutShort       = define(7221, slog.LevelInfo, "request broke off before or at the start of its answer")
 )
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -11,6 +11,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/engine"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
+	"github.com/coltsfootdrift/coltsfootdrift/ratelimit"
 	"github.com/coltsfootdrift/coltsfootdrift/routing"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
@@ -66,6 +67,9 @@
 	// RetryAfter is the pause for which the server asks this instance when it refuses a
 	// request; 0 without one.
 	RetryAfter time.Duration
+	// Limit is what the answer says of the number of requests that the server takes from
+	// all instances together.
+	Limit ratelimit.Statement
 	// Load is the server's own load report, nil without one.
 	Load *routing.LoadReport
 }
--- a/internal/gateway/serverclient.go
+++ b/internal/gateway/serverclient.go
@@ -33,6 +33,7 @@
 	protocol Protocol
 	logger   *slog.Logger
 	holds    *serverHolds
+	limits   *limitLog
 	// onLeaving is called with the ID of a server whose answer says that it leaves.
 	onLeaving func(server string)
 
@@ -43,7 +44,7 @@
 // which may be called several times for one server.
 func NewServerClient(upstreamClient *upstream.Client, protocol Protocol, onLeaving func(server string), logger *slog.Logger, scope tally.Scope) *ServerClient {
 	return &ServerClient{
-		upstream: upstreamClient, protocol: protocol, logger: logger, holds: newServerHolds(), onLeaving: onLeaving,
+		upstream: upstreamClient, protocol: protocol, logger: logger, holds: newServerHolds(), limits: newLimitLog(logger, scope), onLeaving: onLeaving,
 		leaving: scope.Counter("leaving_answers"), held: scope.Counter("server_pauses"),
 	}
 }
@@ -54,11 +55,13 @@
 	if c.holds.remaining(server.ID, time.Now()) > 0 {
 		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, errServerHeld)
 	}
+	c.limits.countSent(server.ID)
 	answer, err := c.upstream.Send(ctx, server, request)
 	if err != nil {
 		return nil, err
 	}
 	info := c.protocol.ReadAnswer(answer.Status, answer.Header)
+	c.limits.observe(ctx, server.ID, info.Limit)
 	if info.Leaving {
 		c.leaving.Inc(1)
 		c.onLeaving(server.ID)
--- /dev/null
+++ b/ratelimit/ratelimit.go
@@ -0,0 +1,35 @@
+// Package ratelimit keeps the limits that backend servers name for the requests of all
+// instances together: which limits are in force, and which request may be sent under them.
+//
+// The package does no I/O and reads no clock.
+package ratelimit
+
+// Rate is a number of requests per second.
+type Rate float64
+
+const (
+	// MinRate is the lowest rate that is kept. A server that named a lower one, or 0, still
+	// gets a request now and then, whose answer tells whether the limit is still in force.
+	MinRate Rate = 0.05
+	// MaxRate is the highest rate that is kept.
+	MaxRate Rate = 1e6
+)
+
+// Statement is what one answer of a server says of its limit.
+type Statement struct {
+	Kind StatementKind
+	// Rate is the named limit; 0 unless Kind is Named.
+	Rate Rate
+}
+
+// StatementKind tells whether an answer names a limit.
+type StatementKind uint8
+
+// Kinds of statements.
+const (
+	// Absent is an answer without a limit.
+	Absent StatementKind = iota
+	Named
+	// Malformed is an answer whose limit can't be read. It neither sets nor ends one.
+	Malformed
+)
