Requests to servers with a limit need a permit of one instance

Cause: no instance read the limit, and nothing in the design could keep one that is stated for the whole system: each instance sees only its own requests.

Now package ratelimit holds the limits (a table that all instances share by gossip, with a sequence for each change, and token buckets), membership carries them with heartbeats and at once when they change, and gateway.Permits asks for a permit before each request of any kind to such a server: requests of clients, stage calls, frees, state and cache calls. One instance of the server's region gives them out, the one that already schedules the stage calls or places the prompts of the service. It begins with an empty bucket and half the rate for 6 s, because others may still ask the one before it; it uses the share of its region's instances that it takes for alive, so that the sides of a partition add up to the limit; a region cut off from the server's uses half of it at most. Without a permit a request goes to another server, or is refused at once with the time of its turn. Stage queues hold calls until a permit is there, count the limit in their estimates, and frees wait for one. A limit that ends is doubled each second for 6 s.

Tests of the core show the sum at a change of the owner with and without overlap and in a partition.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -47,5 +47,6 @@
 	QuarantineEnded       = define(7224, slog.LevelInfo, "recorded quarantine has ended")
 	QuarantineNotRecorded = define(7225, slog.LevelWarn, "quarantine could not be recorded in the store")
 	LimitNamed            = define(7226, slog.LevelInfo, "backend server named or ended a limit of the requests that it takes")
+	PermitOwnerFailed     = define(7227, slog.LevelWarn, "instance that gives out the permits of a limited backend server did not answer")
 	AttemptCutShort       = define(7221, slog.LevelInfo, "request broke off before or at the start of its answer")
 )
--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -182,6 +182,26 @@
 	return addresses
 }
 
+// RegionContact returns the address of a random instance of another region, or an empty
+// string when none is known.
+func (c *Cluster) RegionContact(region string) (address string) {
+	c.node.View(func(s *membership.State) {
+		for _, summary := range s.Summaries(time.Now()) {
+			if n := len(summary.Contacts); n > 0 && summary.FailureDomain == region {
+				address = summary.Contacts[rand.IntN(n)].Address
+			}
+		}
+	})
+	return address
+}
+
+// LiveShare returns the share of the region's instances, those that were lost included, that
+// this one takes for alive.
+func (c *Cluster) LiveShare() (share float64) {
+	c.node.View(func(s *membership.State) { share = s.LiveShare() })
+	return share
+}
+
 // InstanceCount returns the number of live instances, at least 1.
 func (c *Cluster) InstanceCount() int {
 	n := 1
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -45,6 +45,9 @@
 	readHeaderTimeout = 5 * time.Second
 	// closeIdleInterval is how often idle connections to backend servers are closed.
 	closeIdleInterval = time.Second
+	// limitExpiryInterval is how often limits of servers that are no longer in use are
+	// dropped.
+	limitExpiryInterval = time.Second
 	// settingsPollInterval is how often the settings file is checked, as it may change
 	// without a SIGHUP.
 	settingsPollInterval = 2 * time.Second
@@ -67,6 +70,7 @@
 	Scheduler  *StageScheduler
 	Placer     *Placer
 	Quarantine *Quarantines
+	Permits    *Permits
 	Gateway    *Gateway
 	Frontend   *Frontend
 	Drain      *Drain
@@ -99,8 +103,11 @@
 				}
 				return views
 			},
-			func(upstreamClient *upstream.Client, views *view.Sync, c *Cluster, m *metrics.Metrics) *ServerClient {
-				return NewServerClient(upstreamClient, adapter.Protocol, markLeaving(views, c, logger), logger, m.Scope)
+			func(c *Cluster, client *peer.Client, views *view.Sync, m *metrics.Metrics) *Permits {
+				return NewPermits(s, c, client, views, logger, m.Scope)
+			},
+			func(upstreamClient *upstream.Client, permits *Permits, views *view.Sync, c *Cluster, m *metrics.Metrics) *ServerClient {
+				return NewServerClient(upstreamClient, adapter.Protocol, permits, markLeaving(views, c, logger), logger, m.Scope)
 			},
 			func(client *ServerClient, views *view.Sync) *ResultFreer {
 				return NewResultFreer(adapter.Protocol, client, serverByAddress(views), logger)
@@ -195,6 +202,7 @@
 	d.PeerServer.HandleViews(d.Views)
 	d.PeerServer.HandleStages(d.Scheduler)
 	d.PeerServer.HandlePlacements(d.Placer)
+	d.PeerServer.HandlePermits(d.Permits)
 	if err := d.listen(ctx); err != nil {
 		return err
 	}
@@ -202,6 +210,7 @@
 	go d.Views.Run(ctx)
 	go d.Cluster.Register(ctx)
 	go clock.Every(ctx, restoreInterval, func() { d.Placer.Restore(ctx) })
+	go clock.Every(ctx, limitExpiryInterval, d.Permits.Expire)
 	go clock.Every(ctx, closeIdleInterval, func() { d.Upstream.CloseIdle(time.Now(), d.Servers.InUse) })
 	events.GatewayStarted.Log(ctx, d.Logger, slog.String("instance", d.Settings.Instance), slog.String("region", d.Settings.Region),
 		slog.String("failure_domain", d.Settings.FailureDomain), slog.String("address", d.Settings.ClientAddress))
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -207,7 +207,8 @@
 	cluster.started = cluster.started.Add(-firstReadDelay) // no other instance starts
 	views := view.NewSync(fakeSource{entries}, cluster, protocol, discardLogger(), tally.NoopScope)
 	servers := NewServers(s, cluster)
-	client := NewServerClient(upstream.NewClient(tally.NoopScope), protocol, markLeaving(views, cluster, discardLogger()), discardLogger(), tally.NoopScope)
+	permits := NewPermits(s, cluster, peerClient, views, discardLogger(), tally.NoopScope)
+	client := NewServerClient(upstream.NewClient(tally.NoopScope), protocol, permits, markLeaving(views, cluster, discardLogger()), discardLogger(), tally.NoopScope)
 	freer := NewResultFreer(protocol, client, serverByAddress(views), discardLogger())
 	f.scheduler = NewStageScheduler(protocol, client, servers, freer, discardLogger(), tally.NoopScope)
 	f.drain = NewDrain(s.Grace())
--- /dev/null
+++ b/internal/gateway/permits.go
@@ -0,0 +1,383 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
+	"github.com/coltsfootdrift/coltsfootdrift/membership"
+	"github.com/coltsfootdrift/coltsfootdrift/ratelimit"
+)
+
+const (
+	// permitTimeout bounds the call that asks for a permit.
+	permitTimeout = 150 * time.Millisecond
+	// maxPermitOwners is how many instances are asked for one permit when they don't answer.
+	maxPermitOwners = 2
+	// unreachableWait is how long a server with a limit gets no requests from this instance
+	// after nobody could be asked for a permit.
+	unreachableWait = 500 * time.Millisecond
+	// cutOffShare is the share of a limit that the other regions together may use when they
+	// reach no instance of the server's region.
+	cutOffShare = 0.5
+)
+
+// errServerLimited reports a request that was not sent because no permit was left under the
+// limit that the server has named.
+var errServerLimited = errors.New("limit of the server is used up")
+
+// Permits keeps the limits that servers name for the requests of all instances together. Each
+// request to such a server needs a permit. One instance gives them out, in the server's
+// region: the one that also schedules the calls to the servers of a stage service or places
+// the prompts of a service of model servers.
+type Permits struct {
+	settings   settings.Gateway
+	cluster    *Cluster
+	peerClient *peer.Client
+	views      *view.Sync
+	logger     *slog.Logger
+
+	granted, denied, unreachable, malformed tally.Counter
+	limited                                 tally.Gauge
+
+	mu    sync.Mutex
+	table *ratelimit.Table
+	// allocators hold the permits that this instance gives out, by service.
+	allocators map[string]*ratelimit.Allocator
+	// askAgain holds, by the ID of a server, when this instance may next ask for a permit.
+	askAgain map[string]time.Time
+}
+
+// NewPermits returns the permits of an instance that knows no limits.
+func NewPermits(s settings.Gateway, cluster *Cluster, peerClient *peer.Client, views *view.Sync, logger *slog.Logger, scope tally.Scope) *Permits {
+	p := &Permits{
+		settings: s, cluster: cluster, peerClient: peerClient, views: views, logger: logger,
+		granted: scope.Counter("limit_permits_granted"), denied: scope.Counter("limit_permits_denied"),
+		unreachable: scope.Counter("limit_permit_calls_failed"), malformed: scope.Counter("server_limits_malformed"),
+		limited: scope.Gauge("limited_servers"),
+		table:   ratelimit.NewTable(), allocators: map[string]*ratelimit.Allocator{}, askAgain: map[string]time.Time{},
+	}
+	cluster.node.Observe(func(output membership.Output) {
+		if received, ok := output.(membership.ServerLimitsReceived); ok {
+			p.receive(received)
+		}
+	})
+	return p
+}
+
+// Observe records what an answer of a server says of its limit. sentAt is when its request
+// was sent.
+func (p *Permits) Observe(ctx context.Context, server string, s ratelimit.Statement, sentAt time.Time) {
+	if s.Kind == ratelimit.Malformed {
+		p.malformed.Inc(1)
+	}
+	listed, _ := p.views.Current().ByID(server)
+	p.mu.Lock()
+	entry, changed := p.table.Observe(time.Now(), server, listed.Incarnation, s, sentAt)
+	p.mu.Unlock()
+	if changed {
+		p.logChange(ctx, entry)
+		p.publish([]membership.ServerLimit{{Entry: entry}}, true)
+	}
+}
+
+func (p *Permits) logChange(ctx context.Context, e ratelimit.Entry) {
+	events.LimitNamed.Log(ctx, p.logger, slog.String("server", e.Server), slog.Float64("per_second", float64(e.Rate)), slog.Bool("ended", e.Ended), slog.Uint64("sequence", e.Sequence))
+}
+
+// receive records limits that another instance knows. Those that are new and come from
+// another region are passed on to the instances of this one.
+func (p *Permits) receive(received membership.ServerLimitsReceived) {
+	changed := p.merge(received.Limits)
+	if len(changed) == 0 {
+		return
+	}
+	if received.Local {
+		changed = nil
+	}
+	p.publish(changed, false)
+}
+
+// merge records limits and returns those that are new.
+func (p *Permits) merge(limits []membership.ServerLimit) (changed []membership.ServerLimit) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range limits {
+		if p.table.Merge(now, l.Entry) {
+			changed = append(changed, l)
+			p.logChange(context.Background(), l.Entry)
+		}
+	}
+	return changed
+}
+
+// publish has heartbeats carry the limits that this instance knows, and announces those that
+// changed at once.
+func (p *Permits) publish(changed []membership.ServerLimit, everywhere bool) {
+	p.mu.Lock()
+	var all []membership.ServerLimit
+	for _, e := range p.table.Entries() {
+		all = append(all, membership.ServerLimit{Entry: e})
+	}
+	p.limited.Update(float64(len(p.table.Limited(time.Now()))))
+	p.mu.Unlock()
+	p.cluster.node.Do(func(s *membership.State) []membership.Output {
+		s.SetServerLimits(all)
+		return s.AnnounceServerLimits(changed, everywhere)
+	})
+}
+
+// Expire forgets limits of servers that left or restarted, and those that have ended.
+func (p *Permits) Expire() {
+	current := p.views.Current()
+	if current == nil {
+		return
+	}
+	p.mu.Lock()
+	p.table.Expire(time.Now(), func(id string) (int64, bool) {
+		server, listed := current.ByID(id)
+		return server.Incarnation, listed
+	})
+	known := func(id string) bool {
+		_, ok := p.table.Entry(id)
+		return ok
+	}
+	for _, allocator := range p.allocators {
+		allocator.Expire(known)
+	}
+	for id := range p.askAgain {
+		if !known(id) {
+			delete(p.askAgain, id)
+		}
+	}
+	p.mu.Unlock()
+	p.publish(nil, false)
+}
+
+// Acquire takes a permit for one request to a server, which must be sent at once. It returns
+// errServerLimited when there is none, and nil for a server without a limit.
+func (p *Permits) Acquire(ctx context.Context, server string) error {
+	listed, ok := p.views.Current().ByID(server)
+	if !ok || !p.Limited(server) {
+		return nil
+	}
+	if wait := p.waitToAsk(server); wait > 0 {
+		return fmt.Errorf("%w for %v", errServerLimited, wait)
+	}
+	wait, granted := p.ask(ctx, listed)
+	if granted {
+		p.granted.Inc(1)
+		return nil
+	}
+	p.denied.Inc(1)
+	if !p.allocates(listed) {
+		p.postponeAsking(server, wait)
+	}
+	return fmt.Errorf("%w for %v", errServerLimited, wait)
+}
+
+func (p *Permits) postponeAsking(server string, wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.askAgain[server] = time.Now().Add(wait)
+}
+
+// allocates reports whether this instance gives out the permits for a server.
+func (p *Permits) allocates(server view.Server) bool {
+	return p.inRegion(server) && p.cluster.Owner(p.ownerKey(server.Service)) == ""
+}
+
+// Limited reports whether requests to a server need permits.
+func (p *Permits) Limited(server string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, limited := p.table.Limit(time.Now(), server)
+	return limited
+}
+
+func (p *Permits) waitToAsk(server string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(0, time.Until(p.askAgain[server]))
+}
+
+// Wait returns how long this instance gets no permit for a server, as far as it knows; 0 when
+// it may ask for one.
+func (p *Permits) Wait(server string) time.Duration {
+	listed, ok := p.views.Current().ByID(server)
+	if !ok || !p.Limited(server) {
+		return 0
+	}
+	if p.allocates(listed) {
+		return p.allocatorWait(listed)
+	}
+	return p.waitToAsk(server)
+}
+
+// allocatorWait returns how long this instance has no permit to give out for a server.
+func (p *Permits) allocatorWait(server view.Server) time.Duration {
+	share := p.cluster.LiveShare()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	rate, limited := p.table.Limit(now, server.ID)
+	if !limited {
+		return 0
+	}
+	allocator := p.allocator(server.Service)
+	allocator.SetOwner(now, true)
+	return allocator.Wait(now, server.ID, rate, share)
+}
+
+// LimitedServers returns the IDs of the servers of a service that need permits.
+func (p *Permits) LimitedServers(service string) (ids []string) {
+	p.mu.Lock()
+	limited := p.table.Limited(time.Now())
+	p.mu.Unlock()
+	for _, id := range limited {
+		if server, ok := p.views.Current().ByID(id); ok && server.Service == service {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Unavailable returns the IDs of the servers of a service for which Wait is above 0.
+func (p *Permits) Unavailable(service string) []string {
+	return slices.DeleteFunc(p.LimitedServers(service), func(id string) bool { return p.Wait(id) == 0 })
+}
+
+// LimitOf returns the limit of a server in requests per second, and false without one.
+func (p *Permits) LimitOf(server string) (ratelimit.Rate, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Limit(time.Now(), server)
+}
+
+func (p *Permits) inRegion(server view.Server) bool {
+	return p.settings.Regions[server.FailureDomain] == p.settings.Region
+}
+
+// ownerKey returns the key whose owner gives out the permits for the servers of a service.
+func (p *Permits) ownerKey(service string) string {
+	current := p.views.Current()
+	if current.Table != nil {
+		if configured := current.Table.Service(service); configured != nil && configured.Engine != nil {
+			return placementKey(service)
+		}
+	}
+	return service
+}
+
+// allocator returns the allocator of a service. It is called with the lock held.
+func (p *Permits) allocator(service string) *ratelimit.Allocator {
+	a := p.allocators[service]
+	if a == nil {
+		a = ratelimit.NewAllocator()
+		p.allocators[service] = a
+	}
+	return a
+}
+
+// ask asks the instance that gives out the permits for a server. Without a permit it returns
+// the time after which to ask again.
+func (p *Permits) ask(ctx context.Context, server view.Server) (wait time.Duration, granted bool) {
+	request := &peerpb.AcquirePermitRequest{Service: server.Service, Limit: peer.EncodeServerLimit(p.entry(server.ID))}
+	if !p.inRegion(server) {
+		if contact := p.cluster.RegionContact(p.settings.Regions[server.FailureDomain]); contact != "" {
+			request.FromOtherRegion = true
+			return p.call(ctx, contact, request)
+		}
+		request.CutOff = true
+	}
+	for range maxPermitOwners {
+		address := p.cluster.Owner(p.ownerKey(server.Service))
+		if address == "" {
+			return p.grant(request)
+		}
+		wait, granted = p.call(ctx, address, request)
+		if granted || wait != unreachableWait {
+			return wait, granted
+		}
+		p.cluster.Avoid(address)
+	}
+	return unreachableWait, false
+}
+
+func (p *Permits) entry(server string) membership.ServerLimit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, _ := p.table.Entry(server)
+	return membership.ServerLimit{Entry: e}
+}
+
+// call asks the instance at an address. The wait is unreachableWait when it does not answer.
+func (p *Permits) call(ctx context.Context, address string, request *peerpb.AcquirePermitRequest) (wait time.Duration, granted bool) {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	response, err := p.peerClient.AcquirePermit(ctx, address, request)
+	if err != nil {
+		p.unreachable.Inc(1)
+		events.PermitOwnerFailed.Log(ctx, p.logger, slog.String("server", request.Limit.Server), slog.String("address", address), slog.Any("error", err))
+		return unreachableWait, false
+	}
+	return time.Duration(response.WaitMs) * time.Millisecond, response.Granted
+}
+
+// AcquirePermit implements peer.PermitHandler. An instance that does not give out the permits
+// of the service forwards a request of another region to the one that does.
+func (p *Permits) AcquirePermit(ctx context.Context, request *peerpb.AcquirePermitRequest) (*peerpb.AcquirePermitResponse, error) {
+	p.receive(membership.ServerLimitsReceived{Limits: []membership.ServerLimit{peer.DecodeServerLimit(request.Limit)}, Local: true})
+	address := p.cluster.Owner(p.ownerKey(request.Service))
+	if address == "" || !p.toForward(request) {
+		wait, granted := p.grant(request)
+		return &peerpb.AcquirePermitResponse{Granted: granted, WaitMs: wait.Milliseconds()}, nil
+	}
+	request.Forwarded = true
+	return p.peerClient.AcquirePermit(ctx, address, request)
+}
+
+// toForward reports whether a request comes directly from another region.
+func (p *Permits) toForward(request *peerpb.AcquirePermitRequest) bool {
+	return request.FromOtherRegion && !request.Forwarded
+}
+
+// grant takes a permit from this instance.
+func (p *Permits) grant(request *peerpb.AcquirePermitRequest) (wait time.Duration, granted bool) {
+	owner := p.cluster.Owner(p.ownerKey(request.Service)) == ""
+	share := p.cluster.LiveShare()
+	if request.CutOff {
+		share *= cutOffShare / float64(max(1, p.otherRegions()))
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	rate, limited := p.table.Limit(now, request.Limit.GetServer())
+	if !limited {
+		return 0, true
+	}
+	allocator := p.allocator(request.Service)
+	allocator.SetOwner(now, owner)
+	return allocator.Take(now, request.Limit.GetServer(), rate, share)
+}
+
+// otherRegions returns the number of regions beside the server's that may use its limit.
+func (p *Permits) otherRegions() int {
+	regions := map[string]bool{}
+	for _, region := range p.settings.Regions {
+		regions[region] = true
+	}
+	return len(regions) - 1
+}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,7 +84,7 @@
 	p.servers.WithEngineScheduler(service, func(s *engine.Scheduler) { ids = s.LocalServers() })
 	for _, id := range ids {
 		server, known := p.servers.Server(id)
-		if !known {
+		if !known || p.client.permits.Limited(id) {
 			continue
 		}
 		parts, err := p.readCache(ctx, server)
@@ -200,9 +201,15 @@
 		return placed, err
 	}
 	q.Isolate = decision.Isolate
+	withoutPermit := q
+	withoutPermit.Excluded = slices.Concat(q.Excluded, p.client.permits.Unavailable(service))
 	placed.onTrial = decision.Verdict == quarantine.OnTrial
 	ok := false
-	p.servers.WithEngineScheduler(service, func(s *engine.Scheduler) { placed.Placement, ok = s.Place(time.Now(), q) })
+	p.servers.WithEngineScheduler(service, func(s *engine.Scheduler) {
+		if placed.Placement, ok = s.Place(time.Now(), withoutPermit); !ok {
+			placed.Placement, ok = s.Place(time.Now(), q)
+		}
+	})
 	if !ok {
 		p.quarantines.withdraw(id, service, q.Prompt)
 		return placed, errNoServer
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -27,7 +27,7 @@
 // servePlain sends the request to a server of a plain service, and retries it on others
 // as far as the route allows.
 func (c *clientRequest) servePlain() {
-	var excluded []routing.ServerIndex
+	excluded := c.withheldIndexes()
 	for unsentTries := 0; ; {
 		send, ok := c.pickServer(excluded)
 		if !ok {
@@ -37,8 +37,9 @@
 		excluded = append(excluded, send.index)
 		answer, err := c.client.Send(c.ctx, send.server, c.outgoingRequest(send.server, SendInfo{}))
 		switch {
-		case errors.Is(err, errServerHeld):
-			c.finishSend(send, routing.Refused)
+		case withheld(err):
+			c.finishSend(send, routing.Abandoned)
+			c.logSendFailed(send.server, 0, err)
 			continue
 		case errors.Is(err, upstream.ErrNotSent) && !c.clientGone() && !c.expired():
 			c.finishSend(send, routing.Unreachable)
@@ -62,6 +63,22 @@
 	}
 }
 
+// withheldIndexes returns the servers of the request's service that get no requests now.
+func (c *clientRequest) withheldIndexes() (indexes []routing.ServerIndex) {
+	ids := c.client.withheldServers(c.service.Name)
+	if len(ids) == 0 {
+		return nil
+	}
+	c.servers.WithPool(c.service.Name, func(pool *routing.Pool, _ *rand.Rand) {
+		for _, id := range ids {
+			if index, known := pool.Index(id); known {
+				indexes = append(indexes, index)
+			}
+		}
+	})
+	return indexes
+}
+
 // pickServer chooses a server outside excluded and starts counting the call in its load.
 func (c *clientRequest) pickServer(excluded []routing.ServerIndex) (send plainSend, ok bool) {
 	now := time.Now()
@@ -82,7 +99,7 @@
 		return send, false
 	}
 	send.server = server
-	c.log(events.AttemptSent, slog.String("server", id), slog.String("route", c.route.Name), slog.Int("try", len(excluded)+1),
+	c.log(events.AttemptSent, slog.String("server", id), slog.String("route", c.route.Name), slog.Int("try", c.sends+1),
 		slog.Int64("left_ms", c.remaining().Milliseconds()), slog.Int64("view", c.viewVersion()))
 	return send, true
 }
--- a/internal/gateway/resultfreer.go
+++ b/internal/gateway/resultfreer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -17,6 +18,9 @@
 	// freeCallDelay is how long results of one producer are collected for one call.
 	freeCallDelay   = 4 * time.Millisecond
 	freeCallTimeout = 500 * time.Millisecond
+	// maxFreeDelay is how long results wait for a permit to free them at a server with a
+	// limit. Servers delete them about then.
+	maxFreeDelay = 4 * time.Second
 )
 
 // ResultFreer frees results at the servers that hold them. A result whose call fails
@@ -37,6 +41,8 @@
 	results []string
 	// onFreed are called once the producer has freed the results.
 	onFreed []func()
+	// since is when the first of the results was to be freed.
+	since time.Time
 }
 
 // NewResultFreer returns a ResultFreer that looks up servers by address with serverAt.
@@ -57,7 +63,7 @@
 	for producer, own := range byProducer {
 		pending := f.pending[producer]
 		if pending == nil {
-			pending = &pendingFree{}
+			pending = &pendingFree{since: time.Now()}
 			f.pending[producer] = pending
 			time.AfterFunc(freeCallDelay, func() { f.flush(producer) })
 		}
@@ -73,7 +79,12 @@
 	f.mu.Unlock()
 	// The results of a server that is no longer registered are gone with it.
 	if server, ok := f.serverAt(producer); ok {
-		if err := f.send(server, pending.results); err != nil {
+		err := f.send(server, pending.results)
+		if errors.Is(err, errServerLimited) && time.Since(pending.since) < maxFreeDelay {
+			f.postpone(producer, pending, f.client.wait(server.ID))
+			return
+		}
+		if err != nil {
 			events.FreeResultsFailed.Log(context.Background(), f.logger, slog.String("server", server.ID), slog.Int("results", len(pending.results)), slog.Any("error", err))
 			return
 		}
@@ -83,6 +94,21 @@
 	}
 }
 
+// postpone has results freed later, together with those that are to be freed by then.
+func (f *ResultFreer) postpone(producer string, postponed *pendingFree, wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	pending := f.pending[producer]
+	if pending == nil {
+		f.pending[producer] = postponed
+		time.AfterFunc(max(wait, freeCallDelay), func() { f.flush(producer) })
+		return
+	}
+	pending.results = append(postponed.results, pending.results...)
+	pending.onFreed = append(postponed.onFreed, pending.onFreed...)
+	pending.since = postponed.since
+}
+
 func (f *ResultFreer) send(server upstream.Server, results []string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), freeCallTimeout)
 	defer cancel()
--- a/internal/gateway/serverclient.go
+++ b/internal/gateway/serverclient.go
@@ -33,7 +33,7 @@
 	protocol Protocol
 	logger   *slog.Logger
 	holds    *serverHolds
-	limits   *limitLog
+	permits  *Permits
 	// onLeaving is called with the ID of a server whose answer says that it leaves.
 	onLeaving func(server string)
 
@@ -42,26 +42,32 @@
 
 // NewServerClient returns a client that passes the IDs of leaving servers to onLeaving,
 // which may be called several times for one server.
-func NewServerClient(upstreamClient *upstream.Client, protocol Protocol, onLeaving func(server string), logger *slog.Logger, scope tally.Scope) *ServerClient {
+func NewServerClient(upstreamClient *upstream.Client, protocol Protocol, permits *Permits, onLeaving func(server string), logger *slog.Logger, scope tally.Scope) *ServerClient {
 	return &ServerClient{
-		upstream: upstreamClient, protocol: protocol, logger: logger, holds: newServerHolds(), limits: newLimitLog(logger, scope), onLeaving: onLeaving,
+		upstream: upstreamClient, protocol: protocol, logger: logger, holds: newServerHolds(), permits: permits, onLeaving: onLeaving,
 		leaving: scope.Counter("leaving_answers"), held: scope.Counter("server_pauses"),
 	}
 }
 
-// Send sends a request like upstream.Client.Send. During a pause of the server its error
-// wraps upstream.ErrNotSent.
+// Send sends a request like upstream.Client.Send. Its error wraps upstream.ErrNotSent and
+// errServerHeld during a pause of the server, and errServerLimited when the server's limit is
+// used up.
 func (c *ServerClient) Send(ctx context.Context, server upstream.Server, request *upstream.Request) (*upstream.Answer, error) {
 	if c.holds.remaining(server.ID, time.Now()) > 0 {
 		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, errServerHeld)
 	}
-	c.limits.countSent(server.ID)
+	if err := c.permits.Acquire(ctx, server.ID); err != nil {
+		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
+	}
+	sentAt := time.Now()
 	answer, err := c.upstream.Send(ctx, server, request)
 	if err != nil {
 		return nil, err
 	}
 	info := c.protocol.ReadAnswer(answer.Status, answer.Header)
-	c.limits.observe(ctx, server.ID, info.Limit)
+	if answer.Status != http.StatusMisdirectedRequest {
+		c.permits.Observe(ctx, server.ID, info.Limit, sentAt)
+	}
 	if info.Leaving {
 		c.leaving.Inc(1)
 		c.onLeaving(server.ID)
@@ -78,20 +84,41 @@
 	c.holds.add(server, time.Now(), pause+time.Duration(holdJitter*rand.Float64()*float64(pause)))
 }
 
+// withheld reports whether an error of Send means that the server wants no request now.
+func withheld(err error) bool {
+	return errors.Is(err, errServerHeld) || errors.Is(err, errServerLimited)
+}
+
+// wait returns how long a server gets no requests of this instance, because of a pause or of
+// its limit.
+func (c *ServerClient) wait(server string) time.Duration {
+	return max(c.holds.remaining(server, time.Now()), c.permits.Wait(server))
+}
+
+// withheldServers returns the IDs of the servers of a service for which wait is above 0.
+func (c *ServerClient) withheldServers(service string) []string {
+	return append(c.holds.held(time.Now()), c.permits.Unavailable(service)...)
+}
+
 // retryAfter returns when to retry a request for which no server of its service was left:
-// when the first pause ends if all of them are in one, otherwise after the usual time.
+// when the first one takes requests again if none does now, otherwise after the usual time.
 func (c *clientRequest) retryAfter() time.Duration {
-	now, shortest := time.Now(), time.Duration(0)
+	return max(longRetryAfter, c.shortestWait())
+}
+
+// shortestWait returns the time until the first server of the request's service takes
+// requests, 0 when one does now or there is none.
+func (c *clientRequest) shortestWait() (shortest time.Duration) {
 	for _, server := range c.view.Servers[c.service.Name] {
-		pause := c.client.holds.remaining(server.ID, now)
-		if pause == 0 {
-			return longRetryAfter
+		wait := c.client.wait(server.ID)
+		if wait == 0 {
+			return 0
 		}
-		if shortest == 0 || pause < shortest {
-			shortest = pause
+		if shortest == 0 || wait < shortest {
+			shortest = wait
 		}
 	}
-	return max(longRetryAfter, shortest)
+	return shortest
 }
 
 // probeTimeout bounds the call of Probe.
--- a/internal/gateway/stagecalls.go
+++ b/internal/gateway/stagecalls.go
@@ -14,8 +14,10 @@
 
 // startCalls starts the calls of a queue that can be made now.
 func (s *StageScheduler) startCalls(q *serviceQueue) {
+	limited := s.limitedServers(q.service)
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.queue.SetLimits(time.Now(), limited)
 	for {
 		call, ok := q.queue.Next(time.Now())
 		if !ok {
@@ -26,6 +28,21 @@
 	}
 }
 
+// requestsPerCall is the number of requests to a server that a call takes: the call itself,
+// and one that frees its results.
+const requestsPerCall = 2
+
+// limitedServers returns the limits of the servers of a service that have one, by ID.
+func (s *StageScheduler) limitedServers(service string) map[string]stagework.CallLimit {
+	limits := map[string]stagework.CallLimit{}
+	for _, id := range s.client.permits.LimitedServers(service) {
+		if rate, limited := s.client.permits.LimitOf(id); limited {
+			limits[id] = stagework.CallLimit{PerSecond: float64(rate) / requestsPerCall, Wait: s.client.permits.Wait(id)}
+		}
+	}
+	return limits
+}
+
 // runCall makes one call and applies its outcomes to the queue.
 func (s *StageScheduler) runCall(q *serviceQueue, call stagework.Call, pieces []Piece) {
 	started := time.Now()
@@ -43,9 +60,10 @@
 	}
 	events.StageCallEnded.Log(context.Background(), s.logger, attrs...)
 	now := time.Now()
+	wait := s.client.wait(call.Server)
 	q.mu.Lock()
 	effects := q.queue.Finished(now, call.ID, outcomes)
-	q.queue.Pause(call.Server, now.Add(s.client.holds.remaining(call.Server, now)))
+	q.queue.Pause(call.Server, now.Add(wait))
 	q.mu.Unlock()
 	s.applyEffects(q, effects)
 	s.startCalls(q)
@@ -65,7 +83,7 @@
 		return stagework.SameOutcome(stagework.Failed, len(pieces)), err
 	}
 	answer, err := s.client.Send(ctx, server, request)
-	if errors.Is(err, errServerHeld) {
+	if withheld(err) {
 		return stagework.SameOutcome(stagework.Refused, len(pieces)), err
 	}
 	if err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,6 +52,9 @@
 	if g.refuseQuarantined() {
 		return true
 	}
+	if wait := g.shortestWait(); wait > 0 {
+		return g.giveUp("servers take no requests now", wait, nil)
+	}
 	if ready, ended := g.prepareInputs(); !ready {
 		return ended
 	}
@@ -59,9 +62,9 @@
 		return g.rerunStages("a producer of inputs has left")
 	}
 	inputs := g.inputsByDomain()
-	held := g.client.holds.held(time.Now())
+	unavailable := g.client.withheldServers(g.service.Name)
 	placed, err := g.placer.Place(g.ctx, g.requestInfo.ID, g.service.Name, engine.Query{
-		Prompt: g.requestInfo.Prompt, InputBytes: inputs, Excluded: append(held, g.tried...),
+		Prompt: g.requestInfo.Prompt, InputBytes: inputs, Excluded: append(unavailable, g.tried...),
 	})
 	if err != nil {
 		return g.handleNotPlaced(err)
@@ -122,8 +125,12 @@
 	if g.clientGone() || g.expired() {
 		return g.endIncomplete()
 	}
-	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Failed: true})
 	g.logSendFailed(upstream.Server{ID: placed.Server}, 0, err)
+	if withheld(err) {
+		g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Refused: true})
+		return false
+	}
+	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Failed: true})
 	if errors.Is(err, upstream.ErrNotSent) {
 		if g.unsentTries++; g.unsentTries >= maxUnsentTries {
 			return g.giveUp("servers are not reached", shortRetryAfter, err)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -147,6 +147,13 @@
 	return fromTwirp(err, "report_placement", address)
 }
 
+// AcquirePermit asks the instance that gives out the permits for a server. Its only time
+// limit is the context.
+func (c *Client) AcquirePermit(ctx context.Context, address string, request *peerpb.AcquirePermitRequest) (*peerpb.AcquirePermitResponse, error) {
+	response, err := c.peer(address).AcquirePermit(ctx, request)
+	return response, fromTwirp(err, "acquire_permit", address)
+}
+
 // ReportCrash reports the end of a model server under a request.
 func (c *Client) ReportCrash(ctx context.Context, address string, request *peerpb.ReportCrashRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -10,6 +10,7 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
+	"github.com/coltsfootdrift/coltsfootdrift/ratelimit"
 )
 
 // Encode encodes a message as a datagram.
@@ -32,6 +33,7 @@
 	heartbeat.Counts = mapSlice(m.InFlightCounts, func(c membership.InFlightCount) *peerpb.Count {
 		return &peerpb.Count{Server: c.Server, InFlight: int64(c.InFlight), Long: int64(c.Long)}
 	})
+	heartbeat.ServerLimits = mapSlice(m.ServerLimits, EncodeServerLimit)
 	heartbeat.Demand = mapSlice(m.Demand, encodeDemand)
 	heartbeat.Summaries = mapSlice(m.Summaries, encodeSummary)
 	data, err := proto.Marshal(heartbeat)
@@ -96,6 +98,7 @@
 	m.InFlightCounts = mapSlice(h.Counts, func(c *peerpb.Count) membership.InFlightCount {
 		return membership.InFlightCount{Server: c.GetServer(), InFlight: int(c.GetInFlight()), Long: int(c.GetLong())}
 	})
+	m.ServerLimits = mapSlice(h.ServerLimits, DecodeServerLimit)
 	m.Demand = mapSlice(h.Demand, decodeDemand)
 	m.Summaries = mapSlice(h.Summaries, decodeSummary)
 	return m, nil
@@ -131,4 +134,18 @@
 	return membership.Contact{ID: c.GetId(), Address: c.GetAddress()}
 }
 
+// EncodeServerLimit encodes the limit of a backend server.
+func EncodeServerLimit(l membership.ServerLimit) *peerpb.ServerLimit {
+	return &peerpb.ServerLimit{Server: l.Server, Incarnation: l.Incarnation, Sequence: l.Sequence, MilliPerSecond: l.MilliPerSecond(), Ended: l.Ended}
+}
+
+// DecodeServerLimit decodes the limit of a backend server.
+func DecodeServerLimit(l *peerpb.ServerLimit) membership.ServerLimit {
+	return membership.ServerLimit{Entry: ratelimit.Entry{Server: l.GetServer(), Incarnation: l.GetIncarnation(), Sequence: l.GetSequence(),
+		Rate: ratelimit.Rate(l.GetMilliPerSecond()) / milli, Ended: l.GetEnded()}}
+}
+
+// milli is the number of thousandths in one.
+const milli = 1000
+
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -60,6 +60,11 @@
 	SharePlacements(request *peerpb.SharePlacementsRequest)
 }
 
+// PermitHandler gives out permits to send requests to backend servers with a limit.
+type PermitHandler interface {
+	AcquirePermit(ctx context.Context, request *peerpb.AcquirePermitRequest) (*peerpb.AcquirePermitResponse, error)
+}
+
 // ViewHandler serves the entries that this instance has read from the store.
 type ViewHandler interface {
 	// ChangesAfter returns the changes after a version, or all entries when those
@@ -83,6 +88,7 @@
 	stages        StageHandler
 	views         ViewHandler
 	placements    PlacementHandler
+	permits       PermitHandler
 }
 
 // NewServer returns a server without handlers. It passes Leave calls to the node,
@@ -129,6 +135,13 @@
 	s.placements = h
 }
 
+// HandlePermits registers the handler of AcquirePermit.
+func (s *Server) HandlePermits(h PermitHandler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.permits = h
+}
+
 // HandleViews registers the handler of PullView.
 func (s *Server) HandleViews(h ViewHandler) {
 	s.mu.Lock()
@@ -293,6 +306,22 @@
 	return &peerpb.ReportPlacementResponse{}, nil
 }
 
+// AcquirePermit implements peerpb.Peer.
+func (s *Server) AcquirePermit(ctx context.Context, request *peerpb.AcquirePermitRequest) (*peerpb.AcquirePermitResponse, error) {
+	handler := s.permitHandler()
+	if handler == nil {
+		return nil, toTwirp(ErrUnsupported)
+	}
+	response, err := handler.AcquirePermit(ctx, request)
+	return response, toTwirp(err)
+}
+
+func (s *Server) permitHandler() PermitHandler {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.permits
+}
+
 // ReportCrash implements peerpb.Peer.
 func (s *Server) ReportCrash(_ context.Context, request *peerpb.ReportCrashRequest) (*peerpb.ReportCrashResponse, error) {
 	handler := s.placementHandler()
--- a/membership/build.go
+++ b/membership/build.go
@@ -48,6 +48,7 @@
 	s.fillSection(&message, lead, budget, maxLeadSectionBytes, now)
 	message.Records = append(message.Records, s.changedRecords(budget)...)
 	message.DrainMarkers = fill(budget, maxDrainMarkerBytes, s.unexpiredDrainMarkers(now), &s.cursors.drains)
+	message.ServerLimits = fill(budget, maxServerLimitBytes, s.serverLimits, &s.cursors.serverLimits)
 	for i := section(1); i < numSections; i++ {
 		s.fillSection(&message, (lead+i)%numSections, budget, budget.remaining, now)
 	}
@@ -76,6 +77,7 @@
 	message, budget := s.newMessage()
 	message.Summaries = fill(budget, budget.remaining, []DomainSummary{s.ownSummary()}, new(int))
 	message.DrainMarkers = fill(budget, maxDrainMarkerBytes, s.unexpiredDrainMarkers(now), &s.cursors.drains)
+	message.ServerLimits = fill(budget, maxServerLimitBytes, s.serverLimits, &s.cursors.serverLimits)
 	message.Summaries = append(message.Summaries, fill(budget, budget.remaining, s.summaries(now), &s.cursors.summaries)...)
 	return message
 }
--- a/membership/message.go
+++ b/membership/message.go
@@ -150,6 +150,7 @@
 	DrainMarkers   []DrainMarker
 	Stragglers     []Straggler
 	InFlightCounts []InFlightCount
+	ServerLimits   []ServerLimit
 	Demand         []Demand
 	Summaries      []DomainSummary
 }
@@ -186,6 +187,12 @@
 	}
 	// NewDrainMarker reports a drain marker that is new at this instance.
 	NewDrainMarker struct{ Marker DrainMarker }
+	// ServerLimitsReceived reports limits of backend servers that another instance knows.
+	// Local is true when it is of the own failure domain.
+	ServerLimitsReceived struct {
+		Limits []ServerLimit
+		Local  bool
+	}
 	// InFlightCountsReceived reports counts that another instance sent.
 	InFlightCountsReceived struct {
 		Instance string
@@ -199,4 +206,5 @@
 func (StoreContact) membershipOutput()           {}
 func (NewRevision) membershipOutput()            {}
 func (NewDrainMarker) membershipOutput()         {}
+func (ServerLimitsReceived) membershipOutput()   {}
 func (InFlightCountsReceived) membershipOutput() {}
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -22,6 +22,7 @@
 		s.mergeSummary(now, summary)
 	}
 	s.mergeMarkers(now, message, local)
+	s.receiveServerLimits(message, local)
 	if local && from.State != Left {
 		s.receiveProbe(now, message)
 		s.receiveSync(message)
--- a/membership/size.go
+++ b/membership/size.go
@@ -66,7 +66,7 @@
 // Bytes returns an upper bound of the encoded size in bytes.
 func (m Message) Bytes() int {
 	return m.From.bytes() + 3*numberBytes(1) + stringBytes(m.ProbeMember) + numberBytes(m.LiveMembers) + m.syncBytes() + listBytes(m.Records) +
-		listBytes(m.DrainMarkers) + listBytes(m.Stragglers) + listBytes(m.InFlightCounts) + listBytes(m.Demand) + listBytes(m.Summaries)
+		listBytes(m.DrainMarkers) + listBytes(m.Stragglers) + listBytes(m.InFlightCounts) + listBytes(m.ServerLimits) + listBytes(m.Demand) + listBytes(m.Summaries)
 }
 
 // syncBytes bounds the size of the request and the reply of a synchronisation.
--- a/membership/state.go
+++ b/membership/state.go
@@ -103,6 +103,7 @@
 	drains         map[string]drainEntry
 	stragglers     map[string]Straggler
 	inFlightCounts []InFlightCount
+	serverLimits   []ServerLimit
 	demand         []Demand
 	// demandUntilTick holds, by organisation, the tick until which it is reported.
 	demandUntilTick map[string]int
@@ -123,7 +124,7 @@
 // cursors are the positions from which the next heartbeat continues each list, and
 // the next section to lead.
 type cursors struct {
-	section, records, summaries, demand, inFlightCounts, stragglers, drains int
+	section, records, summaries, demand, inFlightCounts, stragglers, drains, serverLimits int
 }
 
 // Candidate is the address of a possible instance, from the platform's list, which
--- a/stagework/estimate.go
+++ b/stagework/estimate.go
@@ -30,13 +30,13 @@
 // waitBehind returns how long a call is expected to wait behind the given number of
 // pieces.
 func (q *Queue) waitBehind(now time.Time, pieces int) time.Duration {
-	servers := 0
+	capacity := 0.0
 	var soonest time.Duration = -1
 	for _, s := range q.servers {
 		if !s.inUse {
 			continue
 		}
-		servers++
+		capacity += q.callsPerSecond(s)
 		var untilFree time.Duration
 		if s.running >= q.profile.Slots {
 			untilFree = max(0, s.freeAt.Sub(now))
@@ -48,12 +48,11 @@
 			soonest = untilFree
 		}
 	}
-	if servers == 0 {
+	if capacity == 0 {
 		return 0
 	}
-	callDuration := q.profile.CallDuration(q.profile.Batch)
 	fullCalls := pieces / q.profile.Batch
-	return soonest + time.Duration(fullCalls)*callDuration/time.Duration(servers*q.profile.Slots)
+	return soonest + time.Duration(float64(fullCalls)/capacity*float64(time.Second))
 }
 
 // WaitingOfFirstJob returns the number of waiting pieces of the first job by rank that
--- a/stagework/server.go
+++ b/stagework/server.go
@@ -12,6 +12,8 @@
 	// freeAt is when the last call that began is expected to end.
 	freeAt      time.Time
 	pausedUntil time.Time
+	// callRate is the number of calls per second that the server takes, 0 without a limit.
+	callRate float64
 	// failures is the number of consecutive failed calls.
 	failures int
 	// meanSlowness is the moving average of the duration of calls relative to the
@@ -78,12 +80,38 @@
 	s.slownessAt = now
 }
 
+// CallLimit bounds the calls to a server.
+type CallLimit struct {
+	// PerSecond is the number of calls that the server takes.
+	PerSecond float64
+	// Wait is the time until it takes the next one.
+	Wait time.Duration
+}
+
+// SetLimits replaces the limits of servers, by ID.
+func (q *Queue) SetLimits(now time.Time, limits map[string]CallLimit) {
+	for id, s := range q.servers {
+		limit := limits[id]
+		s.callRate = limit.PerSecond
+		if limit.Wait > 0 {
+			q.Pause(id, now.Add(limit.Wait))
+		}
+	}
+}
+
+// callsPerSecond returns how many full calls a server can make.
+func (q *Queue) callsPerSecond(s *server) float64 {
+	capacity := float64(q.profile.Slots) / max(q.profile.CallDuration(q.profile.Batch), time.Millisecond).Seconds()
+	if s.callRate > 0 {
+		return min(capacity, s.callRate)
+	}
+	return capacity
+}
+
 // Pause keeps calls from a server until a time. It never shortens a pause.
 func (q *Queue) Pause(id string, until time.Time) {
-	for _, s := range q.servers {
-		if s.ID == id && until.After(s.pausedUntil) {
-			s.pausedUntil = until
-		}
+	if s := q.servers[id]; s != nil && until.After(s.pausedUntil) {
+		s.pausedUntil = until
 	}
 }
 
