gateway: a stopping instance takes only requests that can end, and answers the rest

It happened here: with a grace of 5 s and 24 clients on kept connections, 24 non-idempotent requests that a server takes 2.5 s for, sent 3.0 to 3.1 s after the signal, ran and had no answer, and 24 more where servers became slow (0.2 s to 2.5 s) at the signal. Cause: Drain.Admits looked at the time since the signal only, not at how long a request may take, and nothing answered what was still open at the exit.

Now a request is admitted if its deadline, or the longest recent duration of its route, ends 0.9 s before the grace does. Ruled out: readiness and the balancer, all these requests came on connections that were open or accepted.

--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
@@ -23,8 +24,11 @@
 	*Gateway
 	writer  http.ResponseWriter
 	request *http.Request
-	// ctx ends when the client disconnects and at the deadline.
-	ctx         context.Context
+	// ctx ends when the client disconnects, at the deadline, and near the end of a shutdown
+	// while answering is false.
+	ctx context.Context
+	// answering is set once the head of the answer is written to the client.
+	answering   atomic.Bool
 	arrived     time.Time
 	view        *view.View
 	requestInfo RequestInfo
@@ -74,7 +78,7 @@
 // mayRetry reports whether the number of sends, the time left and the retry budget
 // allow that the request is sent to another server.
 func (c *clientRequest) mayRetry() bool {
-	return c.sends < c.route.Attempts() && c.remaining() > minRetryTime && c.servers.AllowRetry(c.service.Name)
+	return c.ctx.Err() == nil && c.sends < c.route.Attempts() && c.remaining() > minRetryTime && c.servers.AllowRetry(c.service.Name)
 }
 
 // minRetryTime is the least time left for which a request is retried.
@@ -214,6 +218,7 @@
 
 // writeHead writes the head of a server's answer.
 func (c *clientRequest) writeHead(answer *upstream.Answer, length int64) {
+	c.answering.Store(true)
 	header := c.writer.Header()
 	for name, values := range forwardedHeader(answer.Header) {
 		header[name] = values
@@ -261,6 +266,7 @@
 	took := time.Since(c.arrived)
 	c.metrics.answered.Inc(1)
 	c.metrics.duration.RecordDuration(took)
+	c.durations.observe(time.Now(), c.route.Name, took)
 	c.log(events.AttemptEnded, append(attrs, slog.Int("status", answer.Status), slog.String("server", server), slog.String("route", c.route.Name),
 		slog.String("framing", string(answer.Framing)), slog.Int("sends", c.sends),
 		slog.Int64("first_event_ms", c.firstEventDelay.Milliseconds()), slog.Int64("left_ms", c.remaining().Milliseconds()))...)
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -12,12 +12,17 @@
 	// balancerDetectionTime is how long the load balancer takes to notice that readiness
 	// is withdrawn: two failed health checks, one second apart, and the network delay.
 	balancerDetectionTime = 3200 * time.Millisecond
-	// streamAdmitTime is how long after the signal new streams are still admitted. One
-	// that starts later may not end within the grace period.
+	// streamAdmitTime is how long after the signal new streams are still admitted.
 	streamAdmitTime = 2800 * time.Millisecond
 	// admitMargin is the last part of the grace period, in which no new request is
 	// admitted.
 	admitMargin = 1200 * time.Millisecond
+	// answerMargin is the last part of the grace period, at whose start the requests whose
+	// answer has not begun are answered by this instance.
+	answerMargin = 900 * time.Millisecond
+	// durationMargin is added to the longest recent duration of requests like the one to
+	// admit.
+	durationMargin = 200 * time.Millisecond
 	// waitingMargin is the last part of the grace period, in which requests that wait for
 	// their stages are refused, as a model server could no longer answer them in time.
 	waitingMargin = 2200 * time.Millisecond
@@ -39,13 +44,18 @@
 	// waitingCtx is cancelled when requests that wait for their stages must be refused.
 	waitingCtx    context.Context
 	cancelWaiting context.CancelFunc
+	// unansweredCtx is cancelled when requests whose answer has not begun must be answered.
+	unansweredCtx    context.Context
+	cancelUnanswered context.CancelFunc
 }
 
 // NewDrain returns the state of an instance that is not stopping. Grace is how long a
 // shutdown may take.
 func NewDrain(grace time.Duration) *Drain {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &Drain{grace: grace, waitingCtx: ctx, cancelWaiting: cancel}
+	d := &Drain{grace: grace}
+	d.waitingCtx, d.cancelWaiting = context.WithCancel(context.Background())
+	d.unansweredCtx, d.cancelUnanswered = context.WithCancel(context.Background())
+	return d
 }
 
 // Begin starts the shutdown. Further calls have no effect.
@@ -57,6 +67,7 @@
 	}
 	d.startedAt = now
 	time.AfterFunc(max(0, d.grace-waitingMargin-time.Since(now)), d.cancelWaiting)
+	time.AfterFunc(max(0, d.grace-answerMargin-time.Since(now)), d.cancelUnanswered)
 }
 
 // elapsed returns the time since the start of the shutdown, and false before it.
@@ -72,17 +83,22 @@
 	return draining
 }
 
-// Admits reports whether a new request, or a new stream, can finish before the process
-// exits.
-func (d *Drain) Admits(stream bool) bool {
+// Admits reports whether a new request, or a new stream, can end before the process exits.
+// timeout is the time until its deadline, and longest the longest time that requests like it
+// have lately taken, 0 when that is not known.
+func (d *Drain) Admits(stream bool, timeout, longest time.Duration) bool {
 	elapsed, draining := d.elapsed(time.Now())
 	if !draining {
 		return true
 	}
-	if stream {
-		return elapsed < streamAdmitTime
+	if elapsed >= d.grace-admitMargin || stream && elapsed >= streamAdmitTime {
+		return false
+	}
+	needed := timeout
+	if longest > 0 {
+		needed = min(timeout, longest+durationMargin)
 	}
-	return elapsed < d.grace-admitMargin
+	return elapsed+needed < d.grace-answerMargin
 }
 
 // done reports whether the process can exit, given the number of requests in flight.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,7 +30,9 @@
 	inFlight   atomic.Int64
 	bodyMemory *bodyMemory
 	// runTimes holds the mean duration of runs at model servers by route.
-	runTimes       *movingAverages
+	runTimes *movingAverages
+	// durations holds the longest recent durations of whole requests by route.
+	durations      *recentMaxima
 	fetchEstimates *fetchEstimates
 }
 
@@ -56,7 +58,7 @@
 
 // New returns a gateway that serves requests by the current view of views.
 func New(protocol Protocol, views *view.Sync, servers *Servers, client *ServerClient, stages *StageRunner, placer *Placer, drain *Drain, logger *slog.Logger, scope tally.Scope) *Gateway {
-	return &Gateway{protocol: protocol, views: views, servers: servers, client: client, stages: stages, placer: placer, drain: drain, logger: logger, metrics: newRequestMetrics(scope), runTimes: newMovingAverages(), fetchEstimates: newFetchEstimates(), bodyMemory: newBodyMemory()}
+	return &Gateway{protocol: protocol, views: views, servers: servers, client: client, stages: stages, placer: placer, drain: drain, logger: logger, metrics: newRequestMetrics(scope), runTimes: newMovingAverages(), durations: newRecentMaxima(), fetchEstimates: newFetchEstimates(), bodyMemory: newBodyMemory()}
 }
 
 // InFlight returns the number of requests in flight.
@@ -84,7 +86,13 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
-	if !g.drain.Admits(c.route.Kind == route.Stream) {
+	stop := context.AfterFunc(g.drain.unansweredCtx, func() {
+		if !c.answering.Load() {
+			cancel()
+		}
+	})
+	defer stop()
+	if !g.drain.Admits(c.route.Kind == route.Stream, c.remaining(), g.durations.longest(c.route.Name)) {
 		c.refuse("draining", shortRetryAfter)
 		return
 	}
