--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -10,7 +10,7 @@
 const (
 	// MinRate is the lowest rate that is kept. A server that named a lower one, or 0, still
 	// gets a request now and then, whose answer tells whether the limit is still in force.
-	MinRate Rate = 0.05
+	MinRate Rate = 0.2
 	// MaxRate is the highest rate that is kept.
 	MaxRate Rate = 1e6
 )
