gateway: the status page lists the limits of servers

Operators could see limits only in the logs. /v1/status on the metrics address of a gateway shows the limits that it knows, those in force and for how long it gets no permit; coltsfootdrift status prints it. The page itself moves from internal/entry to internal/statuspage, because both daemons serve it now. Tests of entry, cli and the gateway's start pass.

--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/statuspage"
 )
 
 func TestMain(m *testing.M) {
@@ -31,7 +31,7 @@
 			server := httptest.NewServer(standin.NewStore().Handler())
 			env.Defer(server.Close)
 			env.Setenv("STORE", server.Listener.Addr().String())
-			status := &entry.Status{}
+			status := &statuspage.Status{}
 			status.Add("configuration", func() any { return map[string]any{"revision": 7, "watching": true} })
 			status.Add("peers", func() any { return map[string]any{"members": []any{map[string]any{"id": "entry-1"}}} })
 			admin := httptest.NewServer(status)
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -10,12 +10,13 @@
 
 	"github.com/samber/oops"
 
-	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/statuspage"
 )
 
 const statusHelp = `Shows the state of one instance: configuration revision, peers, backend servers
-and limits. ADMIN is the admin address of the instance.`
+and limits. ADMIN is the admin address of an entry
+instance, or the metrics address of a gateway.`
 
 // maxStatusBytes limits the size of the response.
 const maxStatusBytes = 16 << 20
@@ -23,7 +24,7 @@
 // statusCommand shows the status of one instance.
 type statusCommand struct {
 	streams
-	Address string `long:"address" required:"true" value-name:"ADMIN" description:"admin address of an instance, IP address and port"`
+	Address string `long:"address" required:"true" value-name:"ADMIN" description:"admin address of an entry instance or metrics address of a gateway, IP address and port"`
 	JSON    bool   `long:"json" description:"print the status as JSON"`
 }
 
@@ -46,7 +47,7 @@
 func (c *statusCommand) read() (map[string]any, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Address+entry.PathStatus, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Address+statuspage.Path, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -14,6 +14,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/statuspage"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
 	"github.com/coltsfootdrift/coltsfootdrift/quota"
@@ -26,7 +27,7 @@
 // controlOptions provides configuration, membership and the status page.
 var controlOptions = fx.Options(
 	fx.Provide(
-		func() *Status { return &Status{} },
+		func() *statuspage.Status { return &statuspage.Status{} },
 		newStoreAccess,
 		newMembers,
 		newGossip,
@@ -83,7 +84,7 @@
 }
 
 // runLoader keeps the configuration up to date and serves it to peers.
-func runLoader(lc fx.Lifecycle, loader *configuration.Loader, members *Members, server *peer.Server, access *StoreAccess, status *Status) {
+func runLoader(lc fx.Lifecycle, loader *configuration.Loader, members *Members, server *peer.Server, access *StoreAccess, status *statuspage.Status) {
 	server.HandleConfiguration(loader)
 	status.Add("configuration", func() any {
 		return configurationStatus{loader.Revision(), loader.Current() != nil, loader.Watching()}
--- a/internal/entry/configuration_test.go
+++ b/internal/entry/configuration_test.go
@@ -19,6 +19,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/statuspage"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
 )
@@ -121,7 +122,7 @@
 }
 
 func readStatus(c *qt.C, entry settings.Entry) (status controlStatus) {
-	response, err := http.Get("http://" + entry.AdminAddress + PathStatus)
+	response, err := http.Get("http://" + entry.AdminAddress + statuspage.Path)
 	c.Assert(err, qt.IsNil)
 	defer response.Body.Close()
 	c.Assert(json.NewDecoder(response.Body).Decode(&status), qt.IsNil)
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/readiness"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/statuspage"
 )
 
 // listInterval is the time between two reads of the platform's instance list. The
@@ -157,12 +158,12 @@
 
 // serveAdmin serves health, readiness, metrics and the status. It starts first and
 // stops last, so that readiness can be read throughout the shutdown.
-func serveAdmin(lc fx.Lifecycle, entry settings.Entry, m *metrics.Metrics, ready *readiness.Readiness, status *Status, logger *slog.Logger) {
+func serveAdmin(lc fx.Lifecycle, entry settings.Entry, m *metrics.Metrics, ready *readiness.Readiness, status *statuspage.Status, logger *slog.Logger) {
 	router := http.NewServeMux()
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.Handle("/readyz", ready)
 	router.Handle("/metrics", m.Handler)
-	router.Handle(PathStatus, status)
+	router.Handle(statuspage.Path, status)
 	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -15,6 +15,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/statuspage"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
 )
 
@@ -150,7 +151,7 @@
 	Client     *peer.Client
 	ListPoller *InstanceListPoller
 	Steps      *StopSteps
-	Status     *Status
+	Status     *statuspage.Status
 	Logger     *slog.Logger
 }
 
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -13,6 +13,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/orders"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/statuspage"
 	"github.com/coltsfootdrift/coltsfootdrift/order"
 	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
 	"github.com/coltsfootdrift/coltsfootdrift/rendezvous"
@@ -30,7 +31,7 @@
 	Servers       *Servers
 	Configuration ConfigurationSource
 	Steps         *StopSteps
-	Status        *Status
+	Status        *statuspage.Status
 	Logger        *slog.Logger
 }
 
--- a/internal/entry/statussections.go
+++ b/internal/entry/statussections.go
@@ -7,6 +7,7 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/claims"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/jobs"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/statuspage"
 )
 
 // serverStatus describes one backend server in the status.
@@ -159,7 +160,7 @@
 
 // addStatusSections registers the sections "servers", "limits" and "state" of the
 // status.
-func addStatusSections(status *Status, servers *Servers, control *AdmissionControl, access *StoreAccess, c *claims.Claims, j *jobs.Jobs) {
+func addStatusSections(status *statuspage.Status, servers *Servers, control *AdmissionControl, access *StoreAccess, c *claims.Claims, j *jobs.Jobs) {
 	status.Add("servers", func() any { return servers.status() })
 	status.Add("limits", func() any {
 		return limitsStatus{control.status(), servers.linkStatus(), access.status()}
--- a/internal/entry/statussections_test.go
+++ b/internal/entry/statussections_test.go
@@ -12,6 +12,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/jobs"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/statuspage"
 )
 
 // Guards against sections of the status that a daemon does not register or that
@@ -33,7 +34,7 @@
 		State   stateStatus   `json:"state"`
 	}
 	for range 600 {
-		response, err := http.Get("http://" + entry.AdminAddress + PathStatus)
+		response, err := http.Get("http://" + entry.AdminAddress + statuspage.Path)
 		c.Assert(err, qt.IsNil)
 		c.Assert(json.NewDecoder(response.Body).Decode(&status), qt.IsNil)
 		response.Body.Close()
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/readiness"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/statuspage"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
@@ -234,11 +235,22 @@
 	})
 }
 
+// statusPage returns what operators see of this instance.
+func (d *daemon) statusPage() *statuspage.Status {
+	page := &statuspage.Status{}
+	page.Add("instance", func() any {
+		return map[string]any{"id": d.Settings.Instance, "region": d.Settings.Region, "failure_domain": d.Settings.FailureDomain, "draining": d.Drain.Draining()}
+	})
+	page.Add("server_limits", func() any { return d.Permits.Limits() })
+	return page
+}
+
 func (d *daemon) listen(ctx context.Context) error {
 	ready := mux.NewRouter()
 	ready.Handle("/readyz", d.Readiness)
 	metricsRouter := mux.NewRouter()
 	metricsRouter.Handle("/metrics", d.Metrics.Handler)
+	metricsRouter.Handle(statuspage.Path, d.statusPage())
 	for address, handler := range map[string]http.Handler{
 		d.Settings.ReadyAddress: ready, d.Settings.MetricsAddress: metricsRouter, d.Settings.PeerAddress: d.PeerServer.Handler(),
 	} {
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -259,6 +259,35 @@
 	return slices.DeleteFunc(p.LimitedServers(service), func(id string) bool { return p.Wait(id) == 0 })
 }
 
+// LimitStatus is the limit of one server for operators.
+type LimitStatus struct {
+	Server string `json:"server"`
+	// PerSecond is the limit that the server named last, and InForce the one that applies
+	// now, which rises for some seconds after the end of the limit.
+	PerSecond float64 `json:"per_second"`
+	InForce   float64 `json:"in_force"`
+	Ended     bool    `json:"ended"`
+	// WaitMS is the time in milliseconds for which this instance gets no permit.
+	WaitMS int64 `json:"wait_ms"`
+}
+
+// Limits returns the limits in force, sorted by server.
+func (p *Permits) Limits() []LimitStatus {
+	list := []LimitStatus{}
+	p.mu.Lock()
+	now := time.Now()
+	for _, e := range p.table.Entries() {
+		if rate, limited := p.table.Limit(now, e.Server); limited {
+			list = append(list, LimitStatus{Server: e.Server, PerSecond: float64(e.Rate), InForce: float64(rate), Ended: e.Ended})
+		}
+	}
+	p.mu.Unlock()
+	for i := range list {
+		list[i].WaitMS = p.Wait(list[i].Server).Milliseconds()
+	}
+	return list
+}
+
 // LimitOf returns the limit of a server in requests per second, and false without one.
 func (p *Permits) LimitOf(server string) (ratelimit.Rate, bool) {
 	p.mu.Lock()
--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -14,10 +14,10 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/statuspage"
 )
 
 const (
@@ -229,7 +229,7 @@
 // status returns the status of the instance, or the zero value when it does not
 // answer.
 func (i *instance) status() (s status) {
-	response, err := adminClient.Get("http://" + i.settings.AdminAddress + entry.PathStatus)
+	response, err := adminClient.Get("http://" + i.settings.AdminAddress + statuspage.Path)
 	if err != nil {
 		return s
 	}
--- a/internal/entry/status.go
+++ b/internal/statuspage/statuspage.go
@@ -1,4 +1,5 @@
-package entry
+// Package statuspage serves the state of an instance as JSON to operators.
+package statuspage
 
 import (
 	"encoding/json"
@@ -6,9 +7,9 @@
 	"sync"
 )
 
-// PathStatus is the path of the status on the admin address. The answer is a JSON
+// Path is the path of the status on the address for operators. The answer is a JSON
 // object with one member per section.
-const PathStatus = "/v1/status"
+const Path = "/v1/status"
 
 // Status serves the status of the instance. Each part of the daemon registers its
 // own section.
