--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -49,6 +49,8 @@
 	// limitExpiryInterval is how often limits of servers that are no longer in use are
 	// dropped.
 	limitExpiryInterval = time.Second
+	// budgetShareInterval is how often the retry budgets are divided anew.
+	budgetShareInterval = time.Second
 	// settingsPollInterval is how often the settings file is checked, as it may change
 	// without a SIGHUP.
 	settingsPollInterval = 2 * time.Second
@@ -212,6 +214,7 @@
 	go d.Cluster.Register(ctx)
 	go clock.Every(ctx, restoreInterval, func() { d.Placer.Restore(ctx) })
 	go clock.Every(ctx, limitExpiryInterval, d.Permits.Expire)
+	go clock.Every(ctx, budgetShareInterval, d.Servers.ShareBudgets)
 	go clock.Every(ctx, closeIdleInterval, func() { d.Upstream.CloseIdle(time.Now(), d.Servers.InUse) })
 	events.GatewayStarted.Log(ctx, d.Logger, slog.String("instance", d.Settings.Instance), slog.String("region", d.Settings.Region),
 		slog.String("failure_domain", d.Settings.FailureDomain), slog.String("address", d.Settings.ClientAddress))
--- a/internal/gateway/plain_test.go
+++ b/internal/gateway/plain_test.go
@@ -12,7 +12,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
+	"github.com/coltsfootdrift/coltsfootdrift/routing"
 )
 
 // Guards against a method, path, query, body or header that is changed by the gateway,
@@ -373,3 +375,20 @@
 	c.Assert(combinedPriority(second, &route.Route{Priority: 0}) < combinedPriority(second, &route.Route{Priority: 1}), qt.IsTrue)
 	c.Assert(combinedPriority(&route.Organisation{}, &route.Route{Priority: 2}), qt.Equals, 2)
 }
+
+// Guards against a common retry budget that each instance divides by the number of instances
+// that it knew first: after a start that is one.
+func TestRetryBudgetsAreSharedAmongTheInstancesThatLive(t *testing.T) {
+	c := qt.New(t)
+	instances := 1
+	s := &Servers{settings: settings.Gateway{RetrySlack: 100, RetryWindowSeconds: 10}, instanceCount: func() int { return instances }, budgets: map[string]*routing.RetryBudget{}}
+	now := time.Now()
+	budget := s.budget("x")
+	instances = 8
+	s.ShareBudgets()
+	retries := 0
+	for budget.Allow(now.Add(time.Hour)) {
+		retries++
+	}
+	c.Assert(retries, qt.Equals, 5)
+}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -172,17 +172,32 @@
 func (s *Servers) budget(service string) *routing.RetryBudget {
 	b := s.budgets[service]
 	if b == nil {
-		share := retrySlackShare * s.settings.RetrySlack / float64(s.instanceCount())
-		b = routing.NewRetryBudget(routing.RetryBudgetConfig{
-			Ratio:     retryRatioShare * s.settings.RetryRatio,
-			PerSecond: share / s.settings.RetryWindowSeconds,
-			Burst:     max(1, share),
-		}, time.Now())
+		b = routing.NewRetryBudget(s.budgetConfig(s.instanceCount()), time.Now())
 		s.budgets[service] = b
 	}
 	return b
 }
 
+// budgetConfig returns the share of one of several instances in the common retry budget.
+func (s *Servers) budgetConfig(instances int) routing.RetryBudgetConfig {
+	share := retrySlackShare * s.settings.RetrySlack / float64(instances)
+	return routing.RetryBudgetConfig{
+		Ratio:     retryRatioShare * s.settings.RetryRatio,
+		PerSecond: share / s.settings.RetryWindowSeconds,
+		Burst:     max(1, share),
+	}
+}
+
+// ShareBudgets divides the common retry budgets among the instances that live now.
+func (s *Servers) ShareBudgets() {
+	instances, now := s.instanceCount(), time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.budgets {
+		b.SetConfig(s.budgetConfig(instances), now)
+	}
+}
+
 // CountRequest counts a request for the retry budget of its service.
 func (s *Servers) CountRequest(service string) {
 	s.mu.Lock()
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -30,6 +30,14 @@
 	return &RetryBudget{config: config, last: now}
 }
 
+// SetConfig replaces the limits. The retries that are in the budget stay, up to the new
+// maximum.
+func (b *RetryBudget) SetConfig(config RetryBudgetConfig, now time.Time) {
+	b.refill(now)
+	b.config = config
+	b.add(0)
+}
+
 // CountRequest counts one request. It is called at the first attempt only.
 func (b *RetryBudget) CountRequest(now time.Time) {
 	b.refill(now)
