ratelimit: the end of a limit that an instance has forgotten is no news to it

Found by reading: an instance that had dropped the end of a limit after 60 s took it for news when another one sent it again, limited the server for 6 s more and kept it for 60 s, so that instances could hand it to each other for ever. TestTheEndOfAForgottenLimitIsNoNews failed before and passes now.

--- a/internal/experiment/limits.go
+++ b/internal/experiment/limits.go
@@ -248,12 +248,8 @@
 }
 
 func (s *limitSim) figures() limitFigures {
-	most, first, calm := 0, 0, 0
-	for i, at := range s.sent {
-		for at.Sub(s.sent[first]) > limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
+	calm := 0
+	for _, at := range s.sent {
 		if elapsed := at.Sub(s.start); elapsed >= calmFrom && elapsed < ownerLostAt {
 			calm++
 		}
@@ -263,7 +259,7 @@
 		asks = max(asks, o.asks)
 	}
 	return limitFigures{
-		mostOfAllowed: float64(most) / (limitFactor*float64(s.rate)*limitWindow.Seconds() + limitSlack),
+		mostOfAllowed: float64(ratelimit.MostWithin(s.sent, limitWindow)) / (limitFactor*float64(s.rate)*limitWindow.Seconds() + limitSlack),
 		used:          float64(calm) / (float64(s.rate) * (ownerLostAt - calmFrom).Seconds()),
 		asksPerSecond: float64(asks) / limitPeriod.Seconds(),
 	}
--- a/internal/peer/fleet_test.go
+++ b/internal/peer/fleet_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
+	"github.com/coltsfootdrift/coltsfootdrift/ratelimit"
 )
 
 // datagramHeaderBytes is the size of the IP and UDP headers.
@@ -45,6 +46,7 @@
 		state := membership.New(identity, rand.New(rand.NewPCG(f.random.Uint64(), f.random.Uint64())), f.now)
 		state.SetInFlightCounts(sampleCounts())
 		state.SetDemand(sampleDemand(i))
+		state.SetServerLimits(sampleLimits())
 		state.SetStragglers([]membership.Straggler{{Server: "backend-server-0007", Remaining: time.Hour}})
 		f.instances[identity.Address] = state
 		f.order = append(f.order, identity.Address)
@@ -65,6 +67,13 @@
 	return counts
 }
 
+func sampleLimits() (limits []membership.ServerLimit) {
+	for i := range 56 {
+		limits = append(limits, membership.ServerLimit{Entry: ratelimit.Entry{Server: fmt.Sprintf("backend-server-%04d", i), Incarnation: 1_700_000_000_000, Sequence: 9, Rate: 1000, Ended: true}})
+	}
+	return limits
+}
+
 func sampleDemand(instance int) []membership.Demand {
 	var demand []membership.Demand
 	for i := range membership.MaxDemand {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
+	"github.com/coltsfootdrift/coltsfootdrift/ratelimit"
 )
 
 // Guards against a field of a heartbeat that is lost in encoding, and against
@@ -31,6 +32,7 @@
 		DrainMarkers:   []membership.DrainMarker{{Server: "s", Incarnation: 6, Cleared: true, Remaining: time.Second}},
 		Stragglers:     []membership.Straggler{{Server: "s", Remaining: time.Second}},
 		InFlightCounts: []membership.InFlightCount{{Server: "s", InFlight: 7, Long: 2}},
+		ServerLimits:   []membership.ServerLimit{{Entry: ratelimit.Entry{Server: "s", Incarnation: 6, Sequence: 7, Rate: 1.25, Ended: true}}},
 		Demand:         []membership.Demand{{Organisation: "o", MilliPerSecond: 8}},
 		Summaries: []membership.DomainSummary{{FailureDomain: "e", Members: 9, Load: 10, Revision: 11, Age: time.Second,
 			Contacts: []membership.Contact{{ID: "b", Address: "10.0.0.2:1"}}, Demand: []membership.Demand{{Organisation: "o", MilliPerSecond: 8}}}}}
--- a/ratelimit/allocator_test.go
+++ b/ratelimit/allocator_test.go
@@ -16,18 +16,6 @@
 // allowedIn returns how many requests the users allow in a window.
 func allowedIn(rate Rate) int { return int(1.5*float64(rate)*window.Seconds()) + 5 }
 
-// most returns the largest number of times within a window.
-func most(times []time.Time) (n int) {
-	first := 0
-	for i, at := range times {
-		for at.Sub(times[first]) > window {
-			first++
-		}
-		n = max(n, i-first+1)
-	}
-	return n
-}
-
 // Guards against a sum above the limit when the instance that gives out permits changes: it
 // stops, is lost while some still ask it, or goes on beside its successor for a while.
 func TestPermitsKeepTheLimitWhenTheirOwnerChanges(t *testing.T) {
@@ -47,7 +35,7 @@
 					granted = append(granted, now)
 				}
 			}
-			c.Check(most(granted) <= allowedIn(rate), qt.IsTrue, qt.Commentf("%d in a window at %v a second, overlap %v", most(granted), rate, overlap))
+			c.Check(MostWithin(granted, window) <= allowedIn(rate), qt.IsTrue, qt.Commentf("%d in a window at %v a second, overlap %v", MostWithin(granted, window), rate, overlap))
 			c.Check(float64(len(granted)) >= 0.8*float64(rate)*60-3, qt.IsTrue, qt.Commentf("%d permits at %v a second", len(granted), rate))
 		}
 	}
@@ -71,8 +59,8 @@
 			}
 		}
 	}
-	c.Check(most(granted) <= allowedIn(20), qt.IsTrue)
-	c.Check(most(granted) <= 20*4+4, qt.IsTrue, qt.Commentf("%d in a window", most(granted)))
+	c.Check(MostWithin(granted, window) <= allowedIn(20), qt.IsTrue)
+	c.Check(MostWithin(granted, window) <= 20*4+4, qt.IsTrue, qt.Commentf("%d in a window", MostWithin(granted, window)))
 }
 
 // Guards against instances that all come back for a permit at the same time.
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -4,6 +4,8 @@
 // The package does no I/O and reads no clock.
 package ratelimit
 
+import "time"
+
 // Rate is a number of requests per second.
 type Rate float64
 
@@ -33,3 +35,15 @@
 	// Malformed is an answer whose limit can't be read. It neither sets nor ends one.
 	Malformed
 )
+
+// MostWithin returns the largest number of times, which are in order, in any span of a length.
+func MostWithin(times []time.Time, span time.Duration) (most int) {
+	first := 0
+	for i, at := range times {
+		for at.Sub(times[first]) > span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -119,7 +119,8 @@
 	if !(e.Rate >= MinRate && e.Rate <= MaxRate) {
 		return false
 	}
-	if known := t.limits[e.Server]; known != nil && !e.supersedes(known.Entry) {
+	known := t.limits[e.Server]
+	if known == nil && e.Ended || known != nil && !e.supersedes(known.Entry) {
 		return false
 	}
 	_, accepted := t.adopt(now, e, true)
--- a/ratelimit/table_test.go
+++ b/ratelimit/table_test.go
@@ -100,3 +100,17 @@
 	table.Expire(start, func(id string) (int64, bool) { return map[string]int64{"restarted": 2, "stays": 1}[id], id != "left" })
 	c.Assert(table.Limited(start), qt.DeepEquals, []string{"stays"})
 }
+
+// Guards against the end of a limit that instances hand each other for ever: one that has
+// forgotten the limit takes the end of it for news, keeps it and passes it on.
+func TestTheEndOfAForgottenLimitIsNoNews(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable()
+	ended := Entry{Server: "s", Incarnation: 1, Sequence: 2, Rate: 1, Ended: true}
+	table.Merge(start, Entry{Server: "s", Incarnation: 1, Sequence: 1, Rate: 1})
+	c.Assert(table.Merge(start, ended), qt.IsTrue)
+	later := start.Add(endedRetention)
+	table.Expire(later, func(string) (int64, bool) { return 1, true })
+	c.Assert(table.Merge(later, ended), qt.IsFalse)
+	checkLimit(c, table, later, 0)
+}
