gateway: permits and the limits of servers in two files, one line a minute for malformed limits

From the read as a newcomer: the reply to a request for a permit is a type instead of a wait with a special value, a client that leaves while its instance asks does not make the owner avoided, and what an instance knows of limits (serverlimits.go) stands apart from who may send (permits.go). 7228 tells of a server whose limit can't be read, once a minute.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -48,5 +48,6 @@
 	QuarantineNotRecorded = define(7225, slog.LevelWarn, "quarantine could not be recorded in the store")
 	LimitNamed            = define(7226, slog.LevelInfo, "backend server named or ended a limit of the requests that it takes")
 	PermitOwnerFailed     = define(7227, slog.LevelWarn, "instance that gives out the permits of a limited backend server did not answer")
+	LimitMalformed        = define(7228, slog.LevelWarn, "backend server names a limit that is no decimal number")
 	AttemptCutShort       = define(7221, slog.LevelInfo, "request broke off before or at the start of its answer")
 )
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -57,6 +57,8 @@
 	allocators map[string]*ratelimit.Allocator
 	// askAgain holds, by the ID of a server, when this instance may next ask for a permit.
 	askAgain map[string]time.Time
+	// malformedLogged holds, by the ID of a server, when a malformed limit was last logged.
+	malformedLogged map[string]time.Time
 }
 
 // NewPermits returns the permits of an instance that knows no limits.
@@ -66,7 +68,7 @@
 		granted: scope.Counter("limit_permits_granted"), denied: scope.Counter("limit_permits_denied"),
 		unreachable: scope.Counter("limit_permit_calls_failed"), malformed: scope.Counter("server_limits_malformed"),
 		limited: scope.Gauge("limited_servers"),
-		table:   ratelimit.NewTable(), allocators: map[string]*ratelimit.Allocator{}, askAgain: map[string]time.Time{},
+		table:   ratelimit.NewTable(), allocators: map[string]*ratelimit.Allocator{}, askAgain: map[string]time.Time{}, malformedLogged: map[string]time.Time{},
 	}
 	cluster.node.Observe(func(output membership.Output) {
 		if received, ok := output.(membership.ServerLimitsReceived); ok {
@@ -76,96 +78,6 @@
 	return p
 }
 
-// Observe records what an answer of a server says of its limit. sentAt is when its request
-// was sent.
-func (p *Permits) Observe(ctx context.Context, server string, s ratelimit.Statement, sentAt time.Time) {
-	if s.Kind == ratelimit.Malformed {
-		p.malformed.Inc(1)
-	}
-	listed, _ := p.views.Current().ByID(server)
-	p.mu.Lock()
-	entry, changed := p.table.Observe(time.Now(), server, listed.Incarnation, s, sentAt)
-	p.mu.Unlock()
-	if changed {
-		p.logChange(ctx, entry)
-		p.publish([]membership.ServerLimit{{Entry: entry}}, true)
-	}
-}
-
-func (p *Permits) logChange(ctx context.Context, e ratelimit.Entry) {
-	events.LimitNamed.Log(ctx, p.logger, slog.String("server", e.Server), slog.Float64("per_second", float64(e.Rate)), slog.Bool("ended", e.Ended), slog.Uint64("sequence", e.Sequence))
-}
-
-// receive records limits that another instance knows. Those that are new and come from
-// another region are passed on to the instances of this one.
-func (p *Permits) receive(received membership.ServerLimitsReceived) {
-	changed := p.merge(received.Limits)
-	if len(changed) == 0 {
-		return
-	}
-	if received.Local {
-		changed = nil
-	}
-	p.publish(changed, false)
-}
-
-// merge records limits and returns those that are new.
-func (p *Permits) merge(limits []membership.ServerLimit) (changed []membership.ServerLimit) {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, l := range limits {
-		if p.table.Merge(now, l.Entry) {
-			changed = append(changed, l)
-			p.logChange(context.Background(), l.Entry)
-		}
-	}
-	return changed
-}
-
-// publish has heartbeats carry the limits that this instance knows, and announces those that
-// changed at once.
-func (p *Permits) publish(changed []membership.ServerLimit, everywhere bool) {
-	p.mu.Lock()
-	var all []membership.ServerLimit
-	for _, e := range p.table.Entries() {
-		all = append(all, membership.ServerLimit{Entry: e})
-	}
-	p.limited.Update(float64(len(p.table.Limited(time.Now()))))
-	p.mu.Unlock()
-	p.cluster.node.Do(func(s *membership.State) []membership.Output {
-		s.SetServerLimits(all)
-		return s.AnnounceServerLimits(changed, everywhere)
-	})
-}
-
-// Expire forgets limits of servers that left or restarted, and those that have ended.
-func (p *Permits) Expire() {
-	current := p.views.Current()
-	if current == nil {
-		return
-	}
-	p.mu.Lock()
-	p.table.Expire(time.Now(), func(id string) (int64, bool) {
-		server, listed := current.ByID(id)
-		return server.Incarnation, listed
-	})
-	known := func(id string) bool {
-		_, ok := p.table.Entry(id)
-		return ok
-	}
-	for _, allocator := range p.allocators {
-		allocator.Expire(known)
-	}
-	for id := range p.askAgain {
-		if !known(id) {
-			delete(p.askAgain, id)
-		}
-	}
-	p.mu.Unlock()
-	p.publish(nil, false)
-}
-
 // Acquire takes a permit for one request to a server, which must be sent at once. It returns
 // errServerLimited when there is none, and nil for a server without a limit.
 func (p *Permits) Acquire(ctx context.Context, server string) error {
@@ -176,16 +88,16 @@
 	if wait := p.waitToAsk(server); wait > 0 {
 		return fmt.Errorf("%w for %v", errServerLimited, wait)
 	}
-	wait, granted := p.ask(ctx, listed)
-	if granted {
+	reply := p.ask(ctx, listed)
+	if reply.granted {
 		p.granted.Inc(1)
 		return nil
 	}
 	p.denied.Inc(1)
 	if !p.allocates(listed) {
-		p.postponeAsking(server, wait)
+		p.postponeAsking(server, reply.wait)
 	}
-	return fmt.Errorf("%w for %v", errServerLimited, wait)
+	return fmt.Errorf("%w for %v", errServerLimited, reply.wait)
 }
 
 func (p *Permits) postponeAsking(server string, wait time.Duration) {
@@ -201,9 +113,7 @@
 
 // Limited reports whether requests to a server need permits.
 func (p *Permits) Limited(server string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_, limited := p.table.Limit(time.Now(), server)
+	_, limited := p.LimitOf(server)
 	return limited
 }
 
@@ -259,42 +169,6 @@
 	return slices.DeleteFunc(p.LimitedServers(service), func(id string) bool { return p.Wait(id) == 0 })
 }
 
-// LimitStatus is the limit of one server for operators.
-type LimitStatus struct {
-	Server string `json:"server"`
-	// PerSecond is the limit that the server named last, and InForce the one that applies
-	// now, which rises for some seconds after the end of the limit.
-	PerSecond float64 `json:"per_second"`
-	InForce   float64 `json:"in_force"`
-	Ended     bool    `json:"ended"`
-	// WaitMS is the time in milliseconds for which this instance gets no permit.
-	WaitMS int64 `json:"wait_ms"`
-}
-
-// Limits returns the limits in force, sorted by server.
-func (p *Permits) Limits() []LimitStatus {
-	list := []LimitStatus{}
-	p.mu.Lock()
-	now := time.Now()
-	for _, e := range p.table.Entries() {
-		if rate, limited := p.table.Limit(now, e.Server); limited {
-			list = append(list, LimitStatus{Server: e.Server, PerSecond: float64(e.Rate), InForce: float64(rate), Ended: e.Ended})
-		}
-	}
-	p.mu.Unlock()
-	for i := range list {
-		list[i].WaitMS = p.Wait(list[i].Server).Milliseconds()
-	}
-	return list
-}
-
-// LimitOf returns the limit of a server in requests per second, and false without one.
-func (p *Permits) LimitOf(server string) (ratelimit.Rate, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.table.Limit(time.Now(), server)
-}
-
 func (p *Permits) inRegion(server view.Server) bool {
 	return p.settings.Regions[server.FailureDomain] == p.settings.Region
 }
@@ -320,14 +194,21 @@
 	return a
 }
 
-// ask asks the instance that gives out the permits for a server. Without a permit it returns
-// the time after which to ask again.
-func (p *Permits) ask(ctx context.Context, server view.Server) (wait time.Duration, granted bool) {
+// permitReply is the answer to a request for a permit.
+type permitReply struct {
+	granted bool
+	// wait is the time after which to ask again; 0 when a permit was granted.
+	wait time.Duration
+}
+
+// ask asks the instance that gives out the permits for a server.
+func (p *Permits) ask(ctx context.Context, server view.Server) permitReply {
 	request := &peerpb.AcquirePermitRequest{Service: server.Service, Limit: peer.EncodeServerLimit(p.entry(server.ID))}
 	if !p.inRegion(server) {
 		if contact := p.cluster.RegionContact(p.settings.Regions[server.FailureDomain]); contact != "" {
 			request.FromOtherRegion = true
-			return p.call(ctx, contact, request)
+			reply, _ := p.call(ctx, contact, request) // without an answer, the reply says when to ask again
+			return reply
 		}
 		request.CutOff = true
 	}
@@ -336,13 +217,13 @@
 		if address == "" {
 			return p.grant(request)
 		}
-		wait, granted = p.call(ctx, address, request)
-		if granted || wait != unreachableWait {
-			return wait, granted
+		reply, err := p.call(ctx, address, request)
+		if err == nil || ctx.Err() != nil {
+			return reply
 		}
 		p.cluster.Avoid(address)
 	}
-	return unreachableWait, false
+	return permitReply{wait: unreachableWait}
 }
 
 func (p *Permits) entry(server string) membership.ServerLimit {
@@ -352,17 +233,19 @@
 	return membership.ServerLimit{Entry: e}
 }
 
-// call asks the instance at an address. The wait is unreachableWait when it does not answer.
-func (p *Permits) call(ctx context.Context, address string, request *peerpb.AcquirePermitRequest) (wait time.Duration, granted bool) {
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+// call asks the instance at an address.
+func (p *Permits) call(ctx context.Context, address string, request *peerpb.AcquirePermitRequest) (permitReply, error) {
+	bounded, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	response, err := p.peerClient.AcquirePermit(ctx, address, request)
-	if err != nil {
+	response, err := p.peerClient.AcquirePermit(bounded, address, request)
+	if err == nil {
+		return permitReply{granted: response.Granted, wait: time.Duration(response.WaitMs) * time.Millisecond}, nil
+	}
+	if ctx.Err() == nil {
 		p.unreachable.Inc(1)
 		events.PermitOwnerFailed.Log(ctx, p.logger, slog.String("server", request.Limit.Server), slog.String("address", address), slog.Any("error", err))
-		return unreachableWait, false
 	}
-	return time.Duration(response.WaitMs) * time.Millisecond, response.Granted
+	return permitReply{wait: unreachableWait}, err
 }
 
 // AcquirePermit implements peer.PermitHandler. An instance that does not give out the permits
@@ -371,8 +254,8 @@
 	p.receive(membership.ServerLimitsReceived{Limits: []membership.ServerLimit{peer.DecodeServerLimit(request.Limit)}, Local: true})
 	address := p.cluster.Owner(p.ownerKey(request.Service))
 	if address == "" || !p.toForward(request) {
-		wait, granted := p.grant(request)
-		return &peerpb.AcquirePermitResponse{Granted: granted, WaitMs: wait.Milliseconds()}, nil
+		reply := p.grant(request)
+		return &peerpb.AcquirePermitResponse{Granted: reply.granted, WaitMs: reply.wait.Milliseconds()}, nil
 	}
 	request.Forwarded = true
 	return p.peerClient.AcquirePermit(ctx, address, request)
@@ -384,7 +267,7 @@
 }
 
 // grant takes a permit from this instance.
-func (p *Permits) grant(request *peerpb.AcquirePermitRequest) (wait time.Duration, granted bool) {
+func (p *Permits) grant(request *peerpb.AcquirePermitRequest) permitReply {
 	owner := p.cluster.Owner(p.ownerKey(request.Service)) == ""
 	share := p.cluster.LiveShare()
 	if request.CutOff {
@@ -395,11 +278,12 @@
 	now := time.Now()
 	rate, limited := p.table.Limit(now, request.Limit.GetServer())
 	if !limited {
-		return 0, true
+		return permitReply{granted: true}
 	}
 	allocator := p.allocator(request.Service)
 	allocator.SetOwner(now, owner)
-	return allocator.Take(now, request.Limit.GetServer(), rate, share)
+	wait, granted := allocator.Take(now, request.Limit.GetServer(), rate, share)
+	return permitReply{granted: granted, wait: wait}
 }
 
 // otherRegions returns the number of regions beside the server's that may use its limit.
