placer: prompts are refused before their stages when all model servers are at their limit

The instance that places the prompts knows which servers have no permit left, but answered with one of them, so that the request ran its stages, was placed at each server in turn and refused in the end. Now it answers with the time until the first server takes a request, and a request whose service has servers with limits asks before its stages run.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -28,6 +28,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
+	"github.com/coltsfootdrift/coltsfootdrift/ratelimit"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
@@ -83,7 +84,11 @@
 
 func (fakeProtocol) ReadAnswer(_ int, h http.Header) AnswerInfo {
 	pause, _ := time.ParseDuration(h.Get("Pause"))
-	return AnswerInfo{NotRun: h.Get("Not-Run") != "", Unverified: h.Get("Unsigned") != "", InputsLost: h.Get("Not-Run") == "inputs", Leaving: h.Get("Leaving") != "", RetryAfter: pause}
+	var limit ratelimit.Statement
+	if perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		limit = ratelimit.Statement{Kind: ratelimit.Named, Rate: ratelimit.Rate(perSecond)}
+	}
+	return AnswerInfo{Limit: limit, NotRun: h.Get("Not-Run") != "", Unverified: h.Get("Unsigned") != "", InputsLost: h.Get("Not-Run") == "inputs", Leaving: h.Get("Leaving") != "", RetryAfter: pause}
 }
 
 func (fakeProtocol) StageCall(s upstream.Server, pieces []Piece) (*upstream.Request, error) {
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -136,6 +136,18 @@
 	return p.waitToAsk(server)
 }
 
+// shortestWait returns the time until this instance may ask for a permit for the first of some
+// servers.
+func (p *Permits) shortestWait(servers []string) time.Duration {
+	shortest := time.Duration(0)
+	for i, id := range servers {
+		if wait := p.Wait(id); i == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
 // allocatorWait returns how long this instance has no permit to give out for a server.
 func (p *Permits) allocatorWait(server view.Server) time.Duration {
 	share := p.cluster.LiveShare()
--- /dev/null
+++ b/internal/gateway/permits_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
+	"github.com/coltsfootdrift/coltsfootdrift/route"
+)
+
+// Guards against requests that wait, or whose stages run, while all model servers are known to
+// take no more requests, and against other instances that are not told so.
+func TestRequestsAreRefusedBeforeTheirStagesWhenAllServersAreAtTheirLimit(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(c, false, route.Stage{Service: "stage"})
+	var calls, runs atomic.Int64
+	var stage string
+	stage = f.addServer("stage", func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/run" {
+			calls.Add(1)
+			_, _ = io.WriteString(rw, `[{"Status":0,"Result":"`+stage+`/1"}]`)
+		}
+	})
+	f.addServer("x", func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("Limit", "0.5")
+		if r.URL.Path != "/cache" {
+			runs.Add(1)
+			sendEvents(rw, 1, 1)
+		}
+	})
+	f.start()
+	response, _, err := f.do("POST", "/p/", "", "Counts", "1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	response, body, err := f.do("POST", "/p/", "", "Counts", "1", "Id", "a2")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", body))
+	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	c.Assert(err, qt.IsNil)
+	c.Assert(seconds > 1 && seconds <= 5, qt.IsTrue, qt.Commentf("%v", seconds))
+	c.Assert(calls.Load(), qt.Equals, int64(1))
+	c.Assert(runs.Load(), qt.Equals, int64(1))
+	placed := f.gateway.placer.PlacePrompt(&peerpb.PlacePromptRequest{Service: "x", RequestId: "a3", AskOnly: true})
+	c.Assert(placed.Server, qt.Equals, "")
+	c.Assert(placed.RemainingMs > 1000, qt.IsTrue)
+}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -144,8 +144,18 @@
 	return fmt.Sprintf("prompt is in quarantine %s for %s", e.Quarantine, e.Remaining)
 }
 
+// LimitedError reports that no model server is left because of limits that they have named.
+type LimitedError struct {
+	// Wait is the time until one of them takes a request.
+	Wait time.Duration
+}
+
+func (e *LimitedError) Error() string {
+	return fmt.Sprintf("limits of the model servers are used up for %s", e.Wait)
+}
+
 // Place chooses the model server for a prompt of the request with an ID. Its errors are
-// errNoServer, errTrialRunning and QuarantinedError.
+// errNoServer, errTrialRunning, QuarantinedError and LimitedError.
 func (p *Placer) Place(ctx context.Context, id, service string, q engine.Query) (placement, error) {
 	address := p.cluster.Owner(placementKey(service))
 	if address == "" {
@@ -157,9 +167,13 @@
 	defer cancel()
 	response, err := p.peerClient.PlacePrompt(bounded, address, request)
 	if err == nil {
-		if err := verdictError(quarantine.Verdict(response.Verdict), response.Quarantine, time.Duration(response.RemainingMs)*time.Millisecond); err != nil {
+		remaining := time.Duration(response.RemainingMs) * time.Millisecond
+		if err := verdictError(quarantine.Verdict(response.Verdict), response.Quarantine, remaining); err != nil {
 			return placement{}, err
 		}
+		if response.Server == "" && remaining > 0 {
+			return placement{}, &LimitedError{Wait: remaining}
+		}
 	}
 	if err == nil && response.Server != "" && p.servers.InUse(response.Server) {
 		return placement{
@@ -201,17 +215,16 @@
 		return placed, err
 	}
 	q.Isolate = decision.Isolate
-	withoutPermit := q
-	withoutPermit.Excluded = slices.Concat(q.Excluded, p.client.permits.Unavailable(service))
+	withoutPermit := p.client.permits.Unavailable(service)
+	q.Excluded = slices.Concat(q.Excluded, withoutPermit)
 	placed.onTrial = decision.Verdict == quarantine.OnTrial
 	ok := false
-	p.servers.WithEngineScheduler(service, func(s *engine.Scheduler) {
-		if placed.Placement, ok = s.Place(time.Now(), withoutPermit); !ok {
-			placed.Placement, ok = s.Place(time.Now(), q)
-		}
-	})
+	p.servers.WithEngineScheduler(service, func(s *engine.Scheduler) { placed.Placement, ok = s.Place(time.Now(), q) })
 	if !ok {
 		p.quarantines.withdraw(id, service, q.Prompt)
+		if len(withoutPermit) > 0 {
+			return placed, &LimitedError{Wait: p.client.permits.shortestWait(withoutPermit)}
+		}
 		return placed, errNoServer
 	}
 	return placed, nil
@@ -235,7 +248,10 @@
 	placed, err := p.placeForRegion(request.RequestId, request.Service, q)
 	response := &peerpb.PlacePromptResponse{Server: placed.Server, ExpectedUs: placed.Expected.Microseconds(), FailureDomain: placed.FailureDomain, CopyFrom: placed.CopyFrom}
 	var quarantined *QuarantinedError
+	var limited *LimitedError
 	switch {
+	case errors.As(err, &limited):
+		response.RemainingMs = max(1, limited.Wait.Milliseconds())
 	case errors.As(err, &quarantined):
 		response.Verdict = int32(quarantine.Quarantined)
 		response.Quarantine, response.RemainingMs = quarantined.Quarantine, quarantined.Remaining.Milliseconds()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,8 +52,8 @@
 	if g.refuseQuarantined() {
 		return true
 	}
-	if wait := g.shortestWait(); wait > 0 {
-		return g.giveUp("servers take no requests now", wait, nil)
+	if g.inputs == nil && g.refuseLimited() {
+		return true
 	}
 	if ready, ended := g.prepareInputs(); !ready {
 		return ended
@@ -98,6 +98,20 @@
 	return g.handleAnswer(placed, answer, info, sent)
 }
 
+// refuseLimited ends a request before its stages run if its model servers are known to take no
+// requests now. It asks the instance that places the prompts when some of them have a limit.
+func (g *generateRequest) refuseLimited() bool {
+	if wait := g.shortestWait(); wait > 0 {
+		return g.giveUp("servers take no requests now", wait, nil)
+	}
+	if len(g.client.permits.LimitedServers(g.service.Name)) == 0 {
+		return false
+	}
+	_, err := g.placer.Place(g.ctx, g.requestInfo.ID, g.service.Name, engine.Query{Prompt: g.requestInfo.Prompt, Excluded: g.tried, AskOnly: true})
+	var limited *LimitedError
+	return errors.As(err, &limited) && g.handleNotPlaced(err)
+}
+
 // Urgencies at a model server: 0 is served first, and 5 is the default for other
 // callers.
 const (
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -46,7 +46,10 @@
 // ended.
 func (g *generateRequest) handleNotPlaced(err error) bool {
 	var quarantined *QuarantinedError
+	var limited *LimitedError
 	switch {
+	case errors.As(err, &limited):
+		return g.giveUp("servers take no requests now", max(limited.Wait, g.shortestWait()), err)
 	case errors.As(err, &quarantined):
 		return g.endQuarantined(quarantined)
 	case errors.Is(err, errTrialRunning):
