gateway: an instance without a configuration gives out no permits

Found in the last read of the change: the handler of a request for a permit read the configuration of a view that an instance which starts does not have yet, and panicked; the server of calls between instances recovers that, but the caller got a closed connection. Now the call is answered as not served yet, and the next instance is asked. TestStartingInstancesGiveOutNoPermits panicked before and passes.

--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -187,8 +187,7 @@
 
 // ownerKey returns the key whose owner gives out the permits for the servers of a service.
 func (p *Permits) ownerKey(service string) string {
-	current := p.views.Current()
-	if current.Table != nil {
+	if current := p.views.Current(); current != nil && current.Table != nil {
 		if configured := current.Table.Service(service); configured != nil && configured.Engine != nil {
 			return placementKey(service)
 		}
@@ -261,8 +260,12 @@
 }
 
 // AcquirePermit implements peer.PermitHandler. An instance that does not give out the permits
-// of the service forwards a request of another region to the one that does.
+// of the service forwards a request of another region to the one that does. One without a
+// configuration does not know which that is, and returns peer.ErrUnsupported.
 func (p *Permits) AcquirePermit(ctx context.Context, request *peerpb.AcquirePermitRequest) (*peerpb.AcquirePermitResponse, error) {
+	if current := p.views.Current(); current == nil || current.Table == nil {
+		return nil, peer.ErrUnsupported
+	}
 	p.receive(membership.ServerLimitsReceived{Limits: []membership.ServerLimit{peer.DecodeServerLimit(request.Limit)}, Local: true})
 	address := p.cluster.Owner(p.ownerKey(request.Service))
 	if address == "" || !p.toForward(request) {
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
 )
@@ -49,3 +50,13 @@
 	c.Assert(placed.Server, qt.Equals, "")
 	c.Assert(placed.RemainingMs > 1000, qt.IsTrue)
 }
+
+// Guards against an instance that has no configuration yet and panics, or gives out permits as
+// the owner of a service that it does not know, when another one asks it for a permit.
+func TestStartingInstancesGiveOutNoPermits(t *testing.T) {
+	c := qt.New(t)
+	f := &fixture{c: c}
+	f.start()
+	_, err := f.gateway.client.permits.AcquirePermit(t.Context(), &peerpb.AcquirePermitRequest{Service: "x", Limit: &peerpb.ServerLimit{Server: "s", MilliPerSecond: 1000}})
+	c.Assert(err, qt.ErrorIs, peer.ErrUnsupported)
+}
