gateway: one function for the contacts of other regions; plainer comments

Found in a last read of the change: RegionContact repeated the loop of RegionContacts for one region. RegionContacts now returns the addresses by region and serves both. Comments that were figurative say the same in the usual terms. Behaviour is unchanged.

--- a/internal/experiment/limits.go
+++ b/internal/experiment/limits.go
@@ -28,7 +28,7 @@
 	ownerLostAt   = 40 * time.Second
 	ownerCutFrom  = 60 * time.Second
 	ownerCutUntil = 80 * time.Second
-	// calmFrom is the time from which the use of the limit is measured, until ownerLostAt.
+	// calmFrom and ownerLostAt bound the period for which the used share is reported.
 	calmFrom = 10 * time.Second
 	// lossDetection is how long it takes until an instance counts another one as lost.
 	lossDetection       = 5 * time.Second
--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -170,31 +170,19 @@
 	return c.knownInstances > 0 && c.knownInstances <= maxOwnReads
 }
 
-// RegionContacts returns the address of one random instance of each other region.
-func (c *Cluster) RegionContacts() (addresses []string) {
+// RegionContacts returns the address of one random instance of each other region, by region.
+func (c *Cluster) RegionContacts() map[string]string {
+	addresses := map[string]string{}
 	c.node.View(func(s *membership.State) {
 		for _, summary := range s.Summaries(time.Now()) {
 			if n := len(summary.Contacts); n > 0 {
-				addresses = append(addresses, summary.Contacts[rand.IntN(n)].Address)
+				addresses[summary.FailureDomain] = summary.Contacts[rand.IntN(n)].Address
 			}
 		}
 	})
 	return addresses
 }
 
-// RegionContact returns the address of a random instance of another region, or an empty
-// string when none is known.
-func (c *Cluster) RegionContact(region string) (address string) {
-	c.node.View(func(s *membership.State) {
-		for _, summary := range s.Summaries(time.Now()) {
-			if n := len(summary.Contacts); n > 0 && summary.FailureDomain == region {
-				address = summary.Contacts[rand.IntN(n)].Address
-			}
-		}
-	})
-	return address
-}
-
 // LiveShare returns the share of the region's instances, those that were lost included, that
 // this one takes for alive.
 func (c *Cluster) LiveShare() (share float64) {
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -216,7 +216,7 @@
 func (p *Permits) ask(ctx context.Context, server view.Server) permitReply {
 	request := &peerpb.AcquirePermitRequest{Service: server.Service, Limit: peer.EncodeServerLimit(p.entry(server.ID))}
 	if !p.inRegion(server) {
-		if contact := p.cluster.RegionContact(p.settings.Regions[server.FailureDomain]); contact != "" {
+		if contact := p.cluster.RegionContacts()[p.settings.Regions[server.FailureDomain]]; contact != "" {
 			request.FromOtherRegion = true
 			reply, _ := p.call(ctx, contact, request) // without an answer, the reply says when to ask again
 			return reply
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -15,7 +15,7 @@
 )
 
 // Guards against requests that wait, or whose stages run, while all model servers are known to
-// take no more requests, and against other instances that are not told so.
+// take no more requests, and against a placement response that does not report it.
 func TestRequestsAreRefusedBeforeTheirStagesWhenAllServersAreAtTheirLimit(t *testing.T) {
 	c := qt.New(t)
 	f := newEngineFixture(c, false, route.Stage{Service: "stage"})
--- a/internal/gateway/serverclient.go
+++ b/internal/gateway/serverclient.go
@@ -84,7 +84,7 @@
 	c.holds.add(server, time.Now(), pause+time.Duration(holdJitter*rand.Float64()*float64(pause)))
 }
 
-// withheld reports whether an error of Send means that the server wants no request now.
+// withheld reports whether an error of Send means that the server is paused or at its limit.
 func withheld(err error) bool {
 	return errors.Is(err, errServerHeld) || errors.Is(err, errServerLimited)
 }
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -12,8 +12,8 @@
 	// may always be. Without it, permits of low rates expire before somebody asks.
 	burstTime = 250 * time.Millisecond
 	minBurst  = 2
-	// maxQueueTime bounds the time after which an instance that got no permit is told to ask
-	// again, beyond the time to the next permit.
+	// maxQueueTime bounds the wait of an instance without a permit, beyond the time to the next
+	// permit.
 	maxQueueTime = 5 * time.Second
 )
 
@@ -33,7 +33,7 @@
 type bucket struct {
 	tokens float64
 	filled time.Time
-	// nextTurn is when the last instance that got no permit was told to ask again.
+	// nextTurn is the end of the wait of the last instance without a permit.
 	nextTurn time.Time
 }
 
--- a/ratelimit/allocator_test.go
+++ b/ratelimit/allocator_test.go
@@ -17,7 +17,7 @@
 func allowedIn(rate Rate) int { return int(1.5*float64(rate)*window.Seconds()) + 5 }
 
 // Guards against a sum above the limit when the instance that gives out permits changes: it
-// stops, is lost while some still ask it, or goes on beside its successor for a while.
+// stops, is lost while some still ask it, or overlaps with its successor.
 func TestPermitsKeepTheLimitWhenTheirOwnerChanges(t *testing.T) {
 	c := qt.New(t)
 	for _, rate := range []Rate{0.3, 1, 1.2, 20, 100} {
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -11,7 +11,7 @@
 
 const (
 	// MinRate is the lowest rate that is kept. A server that named a lower one, or 0, still
-	// gets a request now and then, whose answer tells whether the limit is still in force.
+	// gets a request at this rate, whose answer shows whether the limit is still in force.
 	MinRate Rate = 0.2
 	// MaxRate is the highest rate that is kept.
 	MaxRate Rate = 1e6
