--- a/review/_standins/gateways.go
+++ b/review/_standins/gateways.go
@@ -4,11 +4,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -24,21 +26,34 @@
 	exited                chan struct{}
 }
 
-// freePorts returns n loopback addresses with free ports, for TCP and UDP.
+// Ports of the gateways. They are outside the range from which the system takes the ports of
+// outgoing connections, because one of those could take a port before a gateway listens on it.
+const (
+	firstPort = 10_001
+	lastPort  = 32_000
+)
+
+// freePorts returns n loopback addresses with ports that are free for TCP and UDP.
 func freePorts(n int) (addresses []string, err error) {
-	var listeners []net.Listener
-	defer func() {
-		for _, l := range listeners {
-			l.Close()
+	for try := 0; len(addresses) < n; try++ {
+		if try > 100*n {
+			return nil, errors.New("no free ports")
+		}
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		if slices.Contains(addresses, address) {
+			continue
 		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		tcp, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
+		}
+		tcp.Close()
+		udp, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
 		}
-		listeners = append(listeners, l)
-		addresses = append(addresses, l.Addr().String())
+		udp.Close()
+		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
--- a/review/_standins/leftserver.go
+++ b/review/_standins/leftserver.go
@@ -15,11 +15,12 @@
 
 // Times of each round of leftServer.
 const (
-	rounds       = 5
-	resetTime    = time.Second             // the reader's calls to the store are reset
-	leaveDelay   = 1800 * time.Millisecond // from the end of that to the removal of an entry
-	lingerTime   = 8 * time.Second         // the replica goes on serving, "at times many seconds"
-	nextJoinTime = 1 * time.Second         // from its exit to the start of another replica
+	rounds     = 5
+	resetTime  = time.Second             // the reader's calls to the store are reset
+	joinDelay  = 1300 * time.Millisecond // from the end of that to the start of another replica
+	leaveDelay = 600 * time.Millisecond  // from that to the removal of the entry of an old one
+	lingerTime = 8 * time.Second         // the replica goes on serving, "at times many seconds"
+	pauseTime  = time.Second             // from its exit to the next round
 )
 
 const (
@@ -43,9 +44,10 @@
 }
 
 // leftServer: the calls of one machine to the store, the reader of its region, are reset for a
-// second. A replica that never reports draining leaves 1.8 s later: its entry is removed, it
-// serves on for 8 s and exits. DRAIN: no request may reach it later than 2.5 s after the
-// removal. Requests go only to the other gateways, which are not disrupted at all.
+// second. Soon after that a replica is replaced (release): another one starts, and the old one,
+// which never reports draining, leaves. Its entry is removed, it serves on for 8 s and exits.
+// DRAIN: no request may reach it later than 2.5 s after the removal. Only requests of the
+// gateways that were not disturbed count.
 func leftServer(s *scene) error {
 	st := newStore()
 	st.put("op/config", ordersConfiguration(7))
@@ -105,8 +107,15 @@
 		r.path.setResets(false)
 		troubleEnded := time.Now()
 		s.record.add("store   serves %s again", r.name)
+		time.Sleep(joinDelay)
+		p, err := join()
+		if err != nil {
+			return err
+		}
+		defer p.exit()
 		time.Sleep(leaveDelay)
 		leaving := replicas[0]
+		replicas = append(replicas[1:], p)
 		removed := st.remove(leaving.key())
 		s.record.say("round %d: the entry of %s is removed %d ms after the end of the resets", round, leaving.id, removed.Sub(troubleEnded).Milliseconds())
 		time.Sleep(lingerTime)
@@ -124,13 +133,7 @@
 		}
 		late += count
 		s.record.say("round %d: %d requests of undisturbed gateways reached it too late", round, count)
-		time.Sleep(nextJoinTime)
-		p, err := join()
-		if err != nil {
-			return err
-		}
-		defer p.exit()
-		replicas = append(replicas[1:], p)
+		time.Sleep(pauseTime)
 		if count > 0 && round >= 2 {
 			break
 		}
--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -26,7 +26,8 @@
 }
 
 var cases = map[string]func(*scene) error{
-	"left-server": leftServer,
+	"left-server":      leftServer,
+	"unreadable-entry": unreadableEntry,
 }
 
 func main() {
