--- a/review/_standins/client.go
+++ b/review/_standins/client.go
@@ -37,6 +37,19 @@
 
 // send sends one request on a new connection.
 func (c *clients) send(g *gateway, method, host, path, key, body string, deadline time.Duration) answer {
+	return c.sendWith(g, method, host, path, key, body, deadline, nil)
+}
+
+// sendDraft sends a request with two stages of two and eight pieces.
+func (c *clients) sendDraft(g *gateway, number int) answer {
+	headers := map[string]string{
+		"Model": "m", "Token-Usage": "1210,80", "Pieces": "2,8", "Piece-Key": newID(),
+		"Prompt-Prefix": "5c1e07a2:800," + newID() + ":" + strconv.Itoa(400+number),
+	}
+	return c.sendWith(g, "POST", draftHost, draftPath+"1", ordersKey, "draft", draftTimeout, headers)
+}
+
+func (c *clients) sendWith(g *gateway, method, host, path, key, body string, deadline time.Duration, headers map[string]string) answer {
 	a := answer{id: newID(), sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
@@ -49,6 +62,9 @@
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	request.Header.Set("Credential", key)
 	request.Header.Set("Via-Gateway", g.name)
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	defer transport.CloseIdleConnections()
 	response, err := transport.RoundTrip(request)
--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -26,6 +26,7 @@
 }
 
 var cases = map[string]func(*scene) error{
+	"reused-address":   reusedAddress,
 	"left-server":      leftServer,
 	"unreadable-entry": unreadableEntry,
 }
--- a/review/_standins/replica.go
+++ b/review/_standins/replica.go
@@ -92,7 +92,7 @@
 	// The client of the stand-ins names in a header of its own the gateway that it calls.
 	p.runs = append(p.runs, run{id, r.Header.Get("Via-Gateway"), time.Now()})
 	p.mu.Unlock()
-	p.record.add("run     %s at %s from %s", id, p.id, r.Header.Get("Via-Gateway"))
+	p.record.add("run     %s at %s from %s: %s %s", id, p.id, r.Header.Get("Via-Gateway"), r.Method, r.URL.Path)
 	time.Sleep(p.work)
 	p.mu.Lock()
 	p.ended++
