Review case 4: with an empty list of tenants, requests with unknown keys run (ROUTE)

Case: a version whose list of tenants is empty takes away the only key. The gateways then require no key at all.

--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -27,6 +27,7 @@
 
 var cases = map[string]func(*scene) error{
 	"reused-address":   reusedAddress,
+	"last-tenant":      lastTenant,
 	"left-server":      leftServer,
 	"unreadable-entry": unreadableEntry,
 }
