--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # standard library only.
 set -e
 cd "$(dirname "$0")/_standins"
-go build -trimpath -o ../../target/reviewstandins .
+go build -trimpath -buildvcs=false -o ../../target/reviewstandins .
