--- a/engine/copy.go
+++ b/engine/copy.go
@@ -65,10 +65,10 @@
 	return parts
 }
 
-// RecordCached records parts that a server caches because another instance placed a
-// prompt there.
-func (s *Scheduler) RecordCached(now time.Time, server string, parts []Part) {
-	if c := s.byID[server]; c != nil {
+// RecordCached records parts that an incarnation of a server caches because another
+// instance placed a prompt there.
+func (s *Scheduler) RecordCached(now time.Time, server string, incarnation int64, parts []Part) {
+	if c := s.incarnationOf(server, incarnation); c != nil {
 		c.cacheParts(now, parts)
 	}
 }
--- a/engine/copy_test.go
+++ b/engine/copy_test.go
@@ -53,8 +53,8 @@
 func TestPartsCachedInOtherRegionsAreCopied(t *testing.T) {
 	c := qt.New(t)
 	s := newCopyingScheduler()
-	s.RecordCached(start, "4", []Part{{"system", 2000}, {"x", 4000}})
-	s.RecordCached(start, "gone", []Part{{"system", 2000}})
+	s.RecordCached(start, "4", 0, []Part{{"system", 2000}, {"x", 4000}})
+	s.RecordCached(start, "gone", 0, []Part{{"system", 2000}})
 	placed, _ := s.Place(start, Query{Prompt: prompt("x", "1")})
 	c.Assert(placed.CopyFrom, qt.Equals, "4")
 	c.Assert(placed.NewParts, qt.DeepEquals, []Part{{"system", 2000}, {"x", 4000}})
@@ -69,16 +69,16 @@
 func TestUnprofitableCopiesAreNotMade(t *testing.T) {
 	c := qt.New(t)
 	slow := newScheduler()
-	slow.RecordCached(start, "4", []Part{{"system", 2000}, {"x", 4000}})
+	slow.RecordCached(start, "4", 0, []Part{{"system", 2000}, {"x", 4000}})
 	placed, _ := slow.Place(start, Query{Prompt: prompt("x", "1")})
 	c.Assert(placed.CopyFrom, qt.Equals, "")
 	failing := newCopyingScheduler()
-	failing.RecordCached(start, "4", []Part{{"system", 2000}, {"x", 4000}})
+	failing.RecordCached(start, "4", 0, []Part{{"system", 2000}, {"x", 4000}})
 	failing.Report(start, Report{Server: "4", Failed: true})
 	placed, _ = failing.Place(start, Query{Prompt: prompt("x", "1")})
 	c.Assert(placed.CopyFrom, qt.Equals, "")
 	small := newCopyingScheduler()
-	small.RecordCached(start, "4", []Part{{"s", minCopyTokens - 1}})
+	small.RecordCached(start, "4", 0, []Part{{"s", minCopyTokens - 1}})
 	placed, _ = small.Place(start, Query{Prompt: []Part{{"s", minCopyTokens - 1}, {"own", 10}}})
 	c.Assert(placed.CopyFrom, qt.Equals, "")
 }
@@ -88,11 +88,11 @@
 	c := qt.New(t)
 	s := newCopyingScheduler()
 	for _, id := range []string{"1", "2"} {
-		s.RecordCached(start, id, []Part{{"system", 2000}, {"x", 4000}})
+		s.RecordCached(start, id, 0, []Part{{"system", 2000}, {"x", 4000}})
 	}
 	sources := map[string]int{}
 	for i := range 4 {
-		s.ReplaceCached("3", nil)
+		s.ReplaceCached("3", 0, nil)
 		placed, _ := s.Place(start.Add(time.Duration(i)*time.Second), Query{Prompt: prompt("x", fmt.Sprint(i)), Excluded: []string{"1", "2"}})
 		sources[placed.CopyFrom]++
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -153,15 +153,17 @@
 
 // Placement is the server that was chosen for a prompt.
 type Placement struct {
-	// Server is the server's ID.
-	Server string
+	// Server is the server's ID, and Incarnation that of its start.
+	Server      string
+	Incarnation int64
 	// Expected is the expected time to the first event.
 	Expected time.Duration
 	// FailureDomain is the failure domain of the server.
 	FailureDomain string
 	// CopyFrom is the ID of the server from which the chosen one copies cached parts
-	// of the prompt; empty when it copies none.
-	CopyFrom string
+	// of the prompt; empty when it copies none. CopyFromIncarnation is that of its start.
+	CopyFrom            string
+	CopyFromIncarnation int64
 	// NewParts holds the shared parts that the server was not expected to cache.
 	NewParts []Part
 }
@@ -187,7 +189,7 @@
 			best, bestCost, bestWork = c, cost, work
 		}
 	}
-	placed := Placement{Server: best.ID, Expected: s.expected(best, now, bestWork), FailureDomain: best.FailureDomain}
+	placed := Placement{Server: best.ID, Incarnation: best.Incarnation, Expected: s.expected(best, now, bestWork), FailureDomain: best.FailureDomain}
 	if q.AskOnly {
 		return placed, true
 	}
@@ -195,7 +197,8 @@
 		best.isolatedUntil = now.Add(isolationPeriod)
 	}
 	if bestWork.copied > 0 {
-		placed.CopyFrom, copySource.server.lastCopiedFromAt = copySource.server.ID, now
+		placed.CopyFrom, placed.CopyFromIncarnation = copySource.server.ID, copySource.server.Incarnation
+		copySource.server.lastCopiedFromAt = now
 	}
 	placed.NewParts = best.missingSharedParts(q.Prompt)
 	s.recordPlacement(best, now, q.Prompt, bestWork)
@@ -330,9 +333,9 @@
 }
 
 // ReplaceCached replaces the recorded cache contents of a server by the parts that the
-// server itself reported.
-func (s *Scheduler) ReplaceCached(server string, parts []Part) {
-	c := s.byID[server]
+// server itself reported. A report of another incarnation is ignored.
+func (s *Scheduler) ReplaceCached(server string, incarnation int64, parts []Part) {
+	c := s.incarnationOf(server, incarnation)
 	if c == nil {
 		return
 	}
@@ -345,6 +348,15 @@
 	c.cachedParts = cached
 }
 
+// incarnationOf returns the state of one incarnation of a server, nil when another one or none
+// is known.
+func (s *Scheduler) incarnationOf(server string, incarnation int64) *serverState {
+	if c := s.byID[server]; c != nil && c.Incarnation == incarnation {
+		return c
+	}
+	return nil
+}
+
 // LocalServers returns the IDs of the servers of the scheduler's region.
 func (s *Scheduler) LocalServers() (ids []string) {
 	for _, c := range s.servers {
@@ -398,8 +410,9 @@
 
 // Report is the outcome of a placement.
 type Report struct {
-	// Server is the server's ID.
-	Server string
+	// Server is the server's ID, and Incarnation that of its start.
+	Server      string
+	Incarnation int64
 	// Expected is Placement.Expected.
 	Expected time.Duration
 	// Delay is the time from the send of the request to the first event.
@@ -409,9 +422,10 @@
 	Failed, Refused bool
 }
 
-// Report updates the estimates for a server with the outcome of a placement.
+// Report updates the estimates for a server with the outcome of a placement. A report on
+// another incarnation is ignored.
 func (s *Scheduler) Report(now time.Time, r Report) {
-	c := s.byID[r.Server]
+	c := s.incarnationOf(r.Server, r.Incarnation)
 	if c == nil {
 		return
 	}
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -152,9 +152,9 @@
 	c := qt.New(t)
 	for _, server := range []string{"1", "2", "3"} {
 		s := newScheduler()
-		s.ReplaceCached(server, []Part{{"system", 2000}, {"x", 4000}})
+		s.ReplaceCached(server, 0, []Part{{"system", 2000}, {"x", 4000}})
 		c.Assert(place(c, s, start, Query{Prompt: prompt("x", "1")}), qt.Equals, server)
-		s.ReplaceCached(server, nil)
+		s.ReplaceCached(server, 0, nil)
 		uncached, _ := s.byID[server].uncachedTokens(prompt("x", "2"))
 		c.Assert(uncached, qt.Equals, 7000)
 	}
--- /dev/null
+++ b/engine/restart_test.go
@@ -0,0 +1,35 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against what was said of a server before its restart being taken for its new
+// incarnation, when it arrives before or after the news of the restart: cached parts, which
+// would be copied from an empty cache, and failures, which would pause it.
+func TestReportsOnEarlierIncarnationsAreIgnored(t *testing.T) {
+	c := qt.New(t)
+	before, after := []Server{{ID: "a", Region: "r", Incarnation: 1}}, []Server{{ID: "a", Region: "r", Incarnation: 2}}
+	parts := []Part{{"system", 2000}, {"x", 4000}}
+	for _, reportedFirst := range []bool{true, false} {
+		s := NewScheduler("r")
+		s.SetServers(before)
+		restart := func() { s.SetServers(after) }
+		if !reportedFirst {
+			restart()
+		}
+		s.RecordCached(start, "a", 1, parts)
+		s.ReplaceCached("a", 1, parts)
+		s.Report(start, Report{Server: "a", Incarnation: 1, Failed: true})
+		restart()
+		state := s.byID["a"]
+		c.Check(state.cachedParts, qt.HasLen, 0)
+		c.Check(state.pausedUntil.After(start), qt.IsFalse)
+		placed, ok := s.Place(start.Add(time.Millisecond), Query{Prompt: parts})
+		c.Check(ok, qt.IsTrue)
+		c.Check(placed.Incarnation, qt.Equals, int64(2))
+	}
+}
--- a/internal/experiment/stagesim.go
+++ b/internal/experiment/stagesim.go
@@ -176,7 +176,7 @@
 	s.busy[call.Server] = false
 	outcomes := make([]stagework.Outcome, len(call.Items))
 	for i, item := range call.Items {
-		outcomes[i].Result = fmt.Sprintf("%s/%d-%d", call.Server, item.Job, item.Piece)
+		outcomes[i].Handle = fmt.Sprintf("%s/%d-%d", call.Server, item.Job, item.Piece)
 	}
 	s.figures.producedResults += len(outcomes)
 	s.applyEffects(q, q.Finished(now, call.ID, outcomes), now)
--- a/internal/gateway/cutshort.go
+++ b/internal/gateway/cutshort.go
@@ -67,7 +67,7 @@
 		Server:  quarantine.ServerStart{ID: server.ID, Incarnation: server.Incarnation},
 		Request: g.requestInfo.ID, Parts: partIDs(g.requestInfo.Prompt), SentAt: sent, CutAt: time.Now(),
 	}
-	alive := g.client.Probe(ctx, upstream.Server{ID: server.ID, Address: server.Address}, server.Incarnation)
+	alive := g.client.Probe(ctx, upstream.Server{ID: server.ID, Incarnation: server.Incarnation, Address: server.Address})
 	g.log(events.AttemptCutShort, slog.String("server", server.ID), slog.String("server_process", alive.String()),
 		slog.Int64("sent_ms", time.Since(sent).Milliseconds()), slog.Any("prompt", sharedPartIDs(g.requestInfo.Prompt)))
 	switch alive {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
+	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
 
 // Store is a client of the platform's store.
@@ -70,6 +71,7 @@
 	Views      *view.Sync
 	Servers    *Servers
 	Upstream   *upstream.Client
+	Client     *ServerClient
 	Scheduler  *StageScheduler
 	Placer     *Placer
 	Quarantine *Quarantines
@@ -113,7 +115,7 @@
 				return NewServerClient(upstreamClient, adapter.Protocol, permits, markLeaving(views, c, logger), logger, m.Scope)
 			},
 			func(client *ServerClient, views *view.Sync) *ResultFreer {
-				return NewResultFreer(adapter.Protocol, client, serverByAddress(views), logger)
+				return NewResultFreer(adapter.Protocol, client, registeredProducer(views), logger)
 			},
 			func(client *ServerClient, servers *Servers, freer *ResultFreer, m *metrics.Metrics) *StageScheduler {
 				return NewStageScheduler(adapter.Protocol, client, servers, freer, logger, m.Scope)
@@ -140,10 +142,11 @@
 
 // markLeaving returns a function that stops the use of a server that leaves, here and
 // at the other instances.
-func markLeaving(views *view.Sync, c *Cluster, logger *slog.Logger) func(server string) {
-	return func(id string) {
+func markLeaving(views *view.Sync, c *Cluster, logger *slog.Logger) func(upstream.Server) {
+	return func(answered upstream.Server) {
+		id := answered.ID
 		server, listed := views.Current().ByID(id)
-		if !listed || server.Draining {
+		if !listed || server.Draining || server.Incarnation != answered.Incarnation {
 			return
 		}
 		events.ServerLeaving.Log(context.Background(), logger, slog.String("server", id), slog.Int64("incarnation", server.Incarnation))
@@ -152,14 +155,11 @@
 	}
 }
 
-func serverByAddress(views *view.Sync) func(string) (upstream.Server, bool) {
-	return func(address string) (upstream.Server, bool) {
-		v := views.Current()
-		if v == nil {
-			return upstream.Server{}, false
-		}
-		s, ok := v.ByAddress[address]
-		return upstream.Server{ID: s.ID, Address: s.Address}, ok
+// registeredProducer returns a function that looks up the server that a producer is.
+func registeredProducer(views *view.Sync) func(stagework.Producer) (upstream.Server, bool) {
+	return func(p stagework.Producer) (upstream.Server, bool) {
+		s, ok := producerOf(views.Current(), p)
+		return upstream.Server{ID: s.ID, Address: s.Address, Incarnation: s.Incarnation}, ok
 	}
 }
 
@@ -195,6 +195,7 @@
 	d.Views.Observe(d.Cluster.ObserveView)
 	d.Views.Observe(d.Servers.Update)
 	d.Views.Observe(d.Quarantine.ObserveView)
+	d.Views.Observe(d.Client.ObserveView)
 	d.Views.Observe(d.Scheduler.Update)
 	d.Views.Observe(d.Frontend.Update)
 	ObserveVersions(d.Node, d.Views)
--- a/internal/gateway/fetchestimates.go
+++ b/internal/gateway/fetchestimates.go
@@ -32,7 +32,7 @@
 // timeUntilFetched estimates how long after the send of a request a model server of a
 // service has fetched the results that the request needs. They are kept that long. Results
 // lists them by the stage service that produced them; bytes is their total size.
-func (f *fetchEstimates) timeUntilFetched(service string, table *route.Table, results map[string][]string, bytes int64) (longest time.Duration) {
+func (f *fetchEstimates) timeUntilFetched(service string, table *route.Table, results map[string][]stagework.Result, bytes int64) (longest time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for producer := range results {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -122,11 +122,6 @@
 	return parts, json.Unmarshal(body, &parts)
 }
 
-func (fakeProtocol) Producer(result string) string {
-	address, _, _ := strings.Cut(result, "/")
-	return address
-}
-
 // fakeSource is a view.Source whose entries never change.
 type fakeSource struct{ entries []store.Entry }
 
@@ -214,7 +209,7 @@
 	servers := NewServers(s, cluster)
 	permits := NewPermits(s, cluster, peerClient, views, discardLogger(), tally.NoopScope)
 	client := NewServerClient(upstream.NewClient(tally.NoopScope), protocol, permits, markLeaving(views, cluster, discardLogger()), discardLogger(), tally.NoopScope)
-	freer := NewResultFreer(protocol, client, serverByAddress(views), discardLogger())
+	freer := NewResultFreer(protocol, client, registeredProducer(views), discardLogger())
 	f.scheduler = NewStageScheduler(protocol, client, servers, freer, discardLogger(), tally.NoopScope)
 	f.drain = NewDrain(s.Grace())
 	quarantines := NewQuarantines(discardLogger(), tally.NoopScope)
--- a/internal/gateway/inputs.go
+++ b/internal/gateway/inputs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/engine"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
@@ -77,9 +78,9 @@
 	return bytes
 }
 
-// allInputs yields the handle of each produced input with the stage that produced it.
-func (g *generateRequest) allInputs() iter.Seq2[string, *route.Stage] {
-	return func(yield func(string, *route.Stage) bool) {
+// allInputs yields each produced input with the stage that produced it.
+func (g *generateRequest) allInputs() iter.Seq2[stagework.Result, *route.Stage] {
+	return func(yield func(stagework.Result, *route.Stage) bool) {
 		next := 0
 		for _, i := range g.graph.Final {
 			for range g.graph.Counts[i] {
@@ -94,8 +95,19 @@
 
 // domainOf returns the failure domain of the server that holds a result, or an empty
 // string when that server is no longer registered.
-func (g *generateRequest) domainOf(result string) string {
-	return g.views.Current().ByAddress[g.protocol.Producer(result)].FailureDomain
+func (g *generateRequest) domainOf(result stagework.Result) string {
+	server, _ := producerOf(g.views.Current(), result.Producer)
+	return server.FailureDomain
+}
+
+// producerOf returns the registration of the process that holds a result, also of a draining
+// one, and false when it is no longer registered.
+func producerOf(v *view.View, p stagework.Producer) (view.Server, bool) {
+	server, listed := v.ByID(p.Server)
+	if !listed || server.Incarnation != p.Incarnation {
+		return view.Server{}, false
+	}
+	return server, true
 }
 
 // crossDomainBytes returns the size of the inputs that are in other failure domains
@@ -177,7 +189,7 @@
 func (g *generateRequest) producersLive() bool {
 	current := g.views.Current()
 	for _, result := range g.inputs {
-		if _, ok := current.ByAddress[g.protocol.Producer(result)]; !ok {
+		if _, ok := producerOf(current, result.Producer); !ok {
 			return false
 		}
 	}
@@ -203,10 +215,10 @@
 	g.inputs = nil
 }
 
-// inputsByService returns the handles of the inputs by the stage service that produced
-// them, as result memory is counted per service.
-func (g *generateRequest) inputsByService() map[string][]string {
-	results := map[string][]string{}
+// inputsByService returns the inputs by the stage service that produced them, as result
+// memory is counted per service.
+func (g *generateRequest) inputsByService() map[string][]stagework.Result {
+	results := map[string][]stagework.Result{}
 	for input, stage := range g.allInputs() {
 		results[stage.Service] = append(results[stage.Service], input)
 	}
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -24,7 +24,7 @@
 	stage = f.addServer("stage", func(rw http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/run" {
 			calls.Add(1)
-			_, _ = io.WriteString(rw, `[{"Status":0,"Result":"`+stage+`/1"}]`)
+			_, _ = io.WriteString(rw, `[{"Status":0,"Handle":"`+stage+`/1"}]`)
 		}
 	})
 	f.addServer("x", func(rw http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/placementsharing.go
+++ b/internal/gateway/placementsharing.go
@@ -33,7 +33,7 @@
 	if len(pending) == 0 {
 		time.AfterFunc(shareBatchDelay, func() { p.sendShares(service) })
 	}
-	p.pendingShares[service] = append(pending, &peerpb.SharedPlacement{Server: placed.Server, Parts: encodeParts(placed.NewParts)})
+	p.pendingShares[service] = append(pending, &peerpb.SharedPlacement{Server: placed.Server, Incarnation: placed.Incarnation, Parts: encodeParts(placed.NewParts)})
 }
 
 func (p *Placer) sendShares(service string) {
@@ -66,7 +66,7 @@
 	now := time.Now()
 	p.servers.WithEngineScheduler(request.Service, func(s *engine.Scheduler) {
 		for _, placed := range request.Placements {
-			s.RecordCached(now, placed.Server, decodeParts(placed.Parts))
+			s.RecordCached(now, placed.Server, placed.Incarnation, decodeParts(placed.Parts))
 		}
 	})
 }
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -92,7 +92,7 @@
 			events.CacheUnknown.Log(ctx, p.logger, slog.String("server", id), slog.Any("error", err))
 			continue
 		}
-		p.servers.WithEngineScheduler(service, func(s *engine.Scheduler) { s.ReplaceCached(id, parts) })
+		p.servers.WithEngineScheduler(service, func(s *engine.Scheduler) { s.ReplaceCached(id, server.Incarnation, parts) })
 	}
 	events.PlacerChanged.Log(ctx, p.logger, slog.String("service", service), slog.Int("servers", len(ids)))
 }
@@ -177,8 +177,11 @@
 	}
 	if err == nil && response.Server != "" && p.servers.InUse(response.Server) {
 		return placement{
-			Placement: engine.Placement{Server: response.Server, Expected: time.Duration(response.ExpectedUs) * time.Microsecond, FailureDomain: response.FailureDomain, CopyFrom: response.CopyFrom},
-			onTrial:   quarantine.Verdict(response.Verdict) == quarantine.OnTrial,
+			Placement: engine.Placement{
+				Server: response.Server, Incarnation: response.Incarnation, Expected: time.Duration(response.ExpectedUs) * time.Microsecond,
+				FailureDomain: response.FailureDomain, CopyFrom: response.CopyFrom, CopyFromIncarnation: response.CopyFromIncarnation,
+			},
+			onTrial: quarantine.Verdict(response.Verdict) == quarantine.OnTrial,
 		}, nil
 	}
 	if err != nil && ctx.Err() == nil {
@@ -246,7 +249,10 @@
 	q := engine.Query{InputBytes: request.InputBytes, Excluded: request.Excluded, AskOnly: request.AskOnly}
 	q.Prompt = decodeParts(request.Prompt)
 	placed, err := p.placeForRegion(request.RequestId, request.Service, q)
-	response := &peerpb.PlacePromptResponse{Server: placed.Server, ExpectedUs: placed.Expected.Microseconds(), FailureDomain: placed.FailureDomain, CopyFrom: placed.CopyFrom}
+	response := &peerpb.PlacePromptResponse{
+		Server: placed.Server, Incarnation: placed.Incarnation, ExpectedUs: placed.Expected.Microseconds(),
+		FailureDomain: placed.FailureDomain, CopyFrom: placed.CopyFrom, CopyFromIncarnation: placed.CopyFromIncarnation,
+	}
 	var quarantined *QuarantinedError
 	var limited *LimitedError
 	switch {
@@ -271,7 +277,7 @@
 		return
 	}
 	request := &peerpb.ReportPlacementRequest{
-		Service: service, Server: r.Server, ExpectedUs: r.Expected.Microseconds(), DelayUs: r.Delay.Microseconds(),
+		Service: service, Server: r.Server, Incarnation: r.Incarnation, ExpectedUs: r.Expected.Microseconds(), DelayUs: r.Delay.Microseconds(),
 		Failed: r.Failed, Refused: r.Refused,
 	}
 	p.sendReport(address, request)
@@ -291,7 +297,7 @@
 func (p *Placer) ReportPlacement(request *peerpb.ReportPlacementRequest) {
 	p.quarantines.recordAnswered(request.Service, request.Answered)
 	r := engine.Report{
-		Server: request.Server, Failed: request.Failed, Refused: request.Refused,
+		Server: request.Server, Incarnation: request.Incarnation, Failed: request.Failed, Refused: request.Refused,
 		Expected: time.Duration(request.ExpectedUs) * time.Microsecond, Delay: time.Duration(request.DelayUs) * time.Microsecond,
 	}
 	p.servers.WithEngineScheduler(request.Service, func(s *engine.Scheduler) { s.Report(time.Now(), r) })
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -119,6 +119,4 @@
 	CacheCall(upstream.Server) *upstream.Request
 	// CachedParts reads the answer to a CacheCall.
 	CachedParts(body []byte) ([]engine.Part, error)
-	// Producer returns the address of the server that holds a result.
-	Producer(result string) string
 }
--- a/internal/gateway/resultfreer.go
+++ b/internal/gateway/resultfreer.go
@@ -12,6 +12,7 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
+	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
 
 const (
@@ -28,35 +29,35 @@
 type ResultFreer struct {
 	protocol Protocol
 	client   *ServerClient
-	serverAt func(address string) (upstream.Server, bool)
+	serverOf func(stagework.Producer) (upstream.Server, bool)
 	logger   *slog.Logger
 
 	mu sync.Mutex
-	// pending holds what the next calls free, by the address of the producer.
-	pending map[string]*pendingFree
+	// pending holds what the next calls free.
+	pending map[stagework.Producer]*pendingFree
 }
 
 // pendingFree holds the results that the next call to one producer frees.
 type pendingFree struct {
-	results []string
+	results []stagework.Result
 	// onFreed are called once the producer has freed the results.
 	onFreed []func()
 	// since is when the first of the results was to be freed.
 	since time.Time
 }
 
-// NewResultFreer returns a ResultFreer that looks up servers by address with serverAt.
-func NewResultFreer(protocol Protocol, client *ServerClient, serverAt func(address string) (upstream.Server, bool), logger *slog.Logger) *ResultFreer {
-	return &ResultFreer{protocol: protocol, client: client, serverAt: serverAt, logger: logger, pending: map[string]*pendingFree{}}
+// NewResultFreer returns a ResultFreer. serverOf returns the server that a producer is, and
+// false when it is no longer registered.
+func NewResultFreer(protocol Protocol, client *ServerClient, serverOf func(stagework.Producer) (upstream.Server, bool), logger *slog.Logger) *ResultFreer {
+	return &ResultFreer{protocol: protocol, client: client, serverOf: serverOf, logger: logger, pending: map[stagework.Producer]*pendingFree{}}
 }
 
 // Free frees results after freeCallDelay. onFreed is called once for each producer with
 // the results that it has freed.
-func (f *ResultFreer) Free(results []string, onFreed func(freed []string)) {
-	byProducer := map[string][]string{}
+func (f *ResultFreer) Free(results []stagework.Result, onFreed func(freed []stagework.Result)) {
+	byProducer := map[stagework.Producer][]stagework.Result{}
 	for _, result := range results {
-		producer := f.protocol.Producer(result)
-		byProducer[producer] = append(byProducer[producer], result)
+		byProducer[result.Producer] = append(byProducer[result.Producer], result)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -72,16 +73,16 @@
 	}
 }
 
-func (f *ResultFreer) flush(producer string) {
+func (f *ResultFreer) flush(producer stagework.Producer) {
 	f.mu.Lock()
 	pending := f.pending[producer]
 	delete(f.pending, producer)
 	f.mu.Unlock()
 	// The results of a server that is no longer registered are gone with it.
-	if server, ok := f.serverAt(producer); ok {
+	if server, ok := f.serverOf(producer); ok {
 		err := f.send(server, pending.results)
 		if errors.Is(err, errServerLimited) && time.Since(pending.since) < maxFreeDelay {
-			f.postpone(producer, pending, f.client.wait(server.ID))
+			f.postpone(producer, pending, f.client.wait(server.ID, server.Incarnation))
 			return
 		}
 		if err != nil {
@@ -95,7 +96,7 @@
 }
 
 // postpone has results freed later, together with those that are to be freed by then.
-func (f *ResultFreer) postpone(producer string, postponed *pendingFree, wait time.Duration) {
+func (f *ResultFreer) postpone(producer stagework.Producer, postponed *pendingFree, wait time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	pending := f.pending[producer]
@@ -109,10 +110,10 @@
 	pending.since = postponed.since
 }
 
-func (f *ResultFreer) send(server upstream.Server, results []string) error {
+func (f *ResultFreer) send(server upstream.Server, results []stagework.Result) error {
 	ctx, cancel := context.WithTimeout(context.Background(), freeCallTimeout)
 	defer cancel()
-	request, err := f.protocol.FreeCall(server, results)
+	request, err := f.protocol.FreeCall(server, stagework.Handles(results))
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/serverclient.go
+++ b/internal/gateway/serverclient.go
@@ -16,6 +16,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/tcpprobe"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 )
 
 // errServerHeld reports a request that was not sent because the server asked for a pause.
@@ -34,15 +35,15 @@
 	logger   *slog.Logger
 	holds    *serverHolds
 	permits  *Permits
-	// onLeaving is called with the ID of a server whose answer says that it leaves.
-	onLeaving func(server string)
+	// onLeaving is called with a server whose answer says that it leaves.
+	onLeaving func(upstream.Server)
 
 	leaving, held tally.Counter
 }
 
-// NewServerClient returns a client that passes the IDs of leaving servers to onLeaving,
-// which may be called several times for one server.
-func NewServerClient(upstreamClient *upstream.Client, protocol Protocol, permits *Permits, onLeaving func(server string), logger *slog.Logger, scope tally.Scope) *ServerClient {
+// NewServerClient returns a client that passes leaving servers to onLeaving, which may be
+// called several times for one server.
+func NewServerClient(upstreamClient *upstream.Client, protocol Protocol, permits *Permits, onLeaving func(upstream.Server), logger *slog.Logger, scope tally.Scope) *ServerClient {
 	return &ServerClient{
 		upstream: upstreamClient, protocol: protocol, logger: logger, holds: newServerHolds(), permits: permits, onLeaving: onLeaving,
 		leaving: scope.Counter("leaving_answers"), held: scope.Counter("server_pauses"),
@@ -53,7 +54,7 @@
 // errServerHeld during a pause of the server, and errServerLimited when the server's limit is
 // used up.
 func (c *ServerClient) Send(ctx context.Context, server upstream.Server, request *upstream.Request) (*upstream.Answer, error) {
-	if c.holds.remaining(server.ID, time.Now()) > 0 {
+	if c.holds.remaining(server.ID, server.Incarnation, time.Now()) > 0 {
 		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, errServerHeld)
 	}
 	if err := c.permits.Acquire(ctx, server.ID); err != nil {
@@ -66,21 +67,21 @@
 	}
 	info := c.protocol.ReadAnswer(answer.Status, answer.Header)
 	if answer.Status != http.StatusMisdirectedRequest {
-		c.permits.Observe(ctx, server.ID, info.Limit, sentAt)
+		c.permits.Observe(ctx, server, info.Limit, sentAt)
 	}
 	if info.Leaving {
 		c.leaving.Inc(1)
-		c.onLeaving(server.ID)
+		c.onLeaving(server)
 	}
 	if answer.Status == http.StatusServiceUnavailable && info.RetryAfter > 0 {
-		c.hold(ctx, server.ID, info.RetryAfter)
+		c.hold(ctx, server, info.RetryAfter)
 	}
 	return answer, nil
 }
 
-func (c *ServerClient) hold(ctx context.Context, server string, pause time.Duration) {
+func (c *ServerClient) hold(ctx context.Context, server upstream.Server, pause time.Duration) {
 	c.held.Inc(1)
-	events.ServerPaused.Log(ctx, c.logger, slog.String("server", server), slog.Int64("pause_ms", pause.Milliseconds()))
+	events.ServerPaused.Log(ctx, c.logger, slog.String("server", server.ID), slog.Int64("pause_ms", pause.Milliseconds()))
 	c.holds.add(server, time.Now(), pause+time.Duration(holdJitter*rand.Float64()*float64(pause)))
 }
 
@@ -89,10 +90,18 @@
 	return errors.Is(err, errServerHeld) || errors.Is(err, errServerLimited)
 }
 
-// wait returns how long a server gets no requests of this instance, because of a pause or of
-// its limit.
-func (c *ServerClient) wait(server string) time.Duration {
-	return max(c.holds.remaining(server, time.Now()), c.permits.Wait(server))
+// ObserveView ends the pauses of servers that have restarted.
+func (c *ServerClient) ObserveView(v *view.View) {
+	c.holds.dropRestarted(func(id string) (int64, bool) {
+		server, listed := v.ByID(id)
+		return server.Incarnation, listed
+	})
+}
+
+// wait returns how long an incarnation of a server gets no requests of this instance, because
+// of a pause or of its limit.
+func (c *ServerClient) wait(server string, incarnation int64) time.Duration {
+	return max(c.holds.remaining(server, incarnation, time.Now()), c.permits.Wait(server))
 }
 
 // withheldServers returns the IDs of the servers of a service for which wait is above 0.
@@ -110,7 +119,7 @@
 // requests, 0 when one does now or there is none.
 func (c *clientRequest) shortestWait() (shortest time.Duration) {
 	for _, server := range c.view.Servers[c.service.Name] {
-		wait := c.client.wait(server.ID)
+		wait := c.client.wait(server.ID, server.Incarnation)
 		if wait == 0 {
 			return 0
 		}
@@ -140,10 +149,9 @@
 // maxStateBytes bounds the answer to the call of Probe.
 const maxStateBytes = 1 << 20
 
-// Probe asks a server for its state to learn whether the process with an incarnation still
-// runs, 0 for one that is not known. A host that refuses connections, and a process with another ID or incarnation, show
-// that it has ended.
-func (c *ServerClient) Probe(ctx context.Context, server upstream.Server, incarnation int64) liveness {
+// Probe asks a server for its state to learn whether its process still runs. A host that
+// refuses connections, and a process with another ID or incarnation, show that it has ended.
+func (c *ServerClient) Probe(ctx context.Context, server upstream.Server) liveness {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	answer, err := c.Send(ctx, server, c.protocol.StateCall(server))
@@ -151,7 +159,7 @@
 		defer answer.Close()
 		body, _ := httpbody.Read(answer.Body, maxStateBytes) // without a body, the ID counts alone
 		current := c.protocol.StateIncarnation(body)
-		if answer.Status == http.StatusMisdirectedRequest || current != 0 && incarnation != 0 && current != incarnation {
+		if answer.Status == http.StatusMisdirectedRequest || current != 0 && server.Incarnation != 0 && current != server.Incarnation {
 			return livenessEnded
 		}
 		return livenessRunning
--- a/internal/gateway/serverclient_test.go
+++ b/internal/gateway/serverclient_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
@@ -148,17 +149,39 @@
 func TestServerHolds(t *testing.T) {
 	c := qt.New(t)
 	h, now := newServerHolds(), time.Unix(1000, 0)
-	h.add("a", now, 10*time.Second)
-	h.add("a", now, time.Second)
-	c.Assert(h.remaining("a", now.Add(9*time.Second)), qt.Equals, time.Second)
-	h.add("b", now, 1e6*time.Hour)
-	c.Assert(h.remaining("b", now), qt.Equals, maxHold)
+	a, b := upstream.Server{ID: "a", Incarnation: 1}, upstream.Server{ID: "b"}
+	h.add(a, now, 10*time.Second)
+	h.add(a, now, time.Second)
+	c.Assert(h.remaining("a", 1, now.Add(9*time.Second)), qt.Equals, time.Second)
+	h.add(b, now, 1e6*time.Hour)
+	c.Assert(h.remaining("b", 0, now), qt.Equals, maxHold)
 	c.Assert(h.held(now), qt.HasLen, 2)
 	c.Assert(h.held(now.Add(11*time.Second)), qt.DeepEquals, []string{"b"})
 	for i := range 2 * maxHeldServers {
-		h.add(strconv.Itoa(i), now, time.Minute)
+		h.add(upstream.Server{ID: strconv.Itoa(i)}, now, time.Minute)
 	}
-	c.Assert(len(h.until) <= maxHeldServers, qt.IsTrue)
+	c.Assert(len(h.byID) <= maxHeldServers, qt.IsTrue)
+}
+
+// Guards against a server that stays unused after a restart because of the pause that it
+// asked for before, whether the answer that asked for it comes before or after the news of
+// the restart.
+func TestPausesEndWithTheirIncarnation(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	first, second := upstream.Server{ID: "a", Incarnation: 1}, upstream.Server{ID: "a", Incarnation: 2}
+	restarted := func(string) (int64, bool) { return 2, true }
+
+	h := newServerHolds()
+	h.add(first, now, time.Minute)
+	h.dropRestarted(restarted)
+	c.Assert(h.held(now), qt.HasLen, 0)
+	c.Assert(h.remaining("a", 2, now), qt.Equals, time.Duration(0))
+
+	h = newServerHolds()
+	h.add(second, now, time.Second)
+	h.add(first, now, time.Minute)
+	c.Assert(h.remaining("a", 2, now), qt.Equals, time.Second)
 }
 
 // answerPieces answers a call of a stage server with one result for each piece.
@@ -167,7 +190,7 @@
 	_ = json.NewDecoder(r.Body).Decode(&pieces)
 	outcomes := make([]stagework.Outcome, len(pieces))
 	for i, piece := range pieces {
-		outcomes[i].Result = fmt.Sprintf("%s/%s-%d", r.Host, piece.RequestID, resultNumber.Add(1))
+		outcomes[i].Handle = fmt.Sprintf("%s/%s-%d", r.Host, piece.RequestID, resultNumber.Add(1))
 	}
 	_ = json.NewEncoder(rw).Encode(outcomes)
 }
--- a/internal/gateway/serverlimits.go
+++ b/internal/gateway/serverlimits.go
@@ -7,19 +7,19 @@
 	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
 	"github.com/coltsfootdrift/coltsfootdrift/ratelimit"
 )
 
 // Observe records what an answer of a server says of its limit. sentAt is when its request
 // was sent.
-func (p *Permits) Observe(ctx context.Context, server string, s ratelimit.Statement, sentAt time.Time) {
+func (p *Permits) Observe(ctx context.Context, server upstream.Server, s ratelimit.Statement, sentAt time.Time) {
 	if s.Kind == ratelimit.Malformed {
-		p.recordMalformed(ctx, server)
+		p.recordMalformed(ctx, server.ID)
 	}
-	listed, _ := p.views.Current().ByID(server)
 	p.mu.Lock()
-	entry, changed := p.table.Observe(time.Now(), server, listed.Incarnation, s, sentAt)
+	entry, changed := p.table.Observe(time.Now(), server.ID, server.Incarnation, s, sentAt)
 	p.mu.Unlock()
 	if changed {
 		p.logChange(ctx, entry)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -61,7 +61,7 @@
 	for i := range v.Table.Services {
 		service := &v.Table.Services[i]
 		for _, server := range v.Servers[service.Name] {
-			s.servers[server.ID] = upstream.Server{ID: server.ID, Address: server.Address, MaxConnections: connectionLimit(service, instances)}
+			s.servers[server.ID] = upstream.Server{ID: server.ID, Incarnation: server.Incarnation, Address: server.Address, MaxConnections: connectionLimit(service, instances)}
 		}
 		switch {
 		case service.StageProfile != nil:
--- a/internal/gateway/stagecalls.go
+++ b/internal/gateway/stagecalls.go
@@ -60,7 +60,7 @@
 	}
 	events.StageCallEnded.Log(context.Background(), s.logger, attrs...)
 	now := time.Now()
-	wait := s.client.wait(call.Server)
+	wait := s.client.wait(call.Server, call.Incarnation)
 	q.mu.Lock()
 	effects := q.queue.Finished(now, call.ID, outcomes)
 	q.queue.Pause(call.Server, now.Add(wait))
@@ -75,7 +75,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
 	defer cancel()
 	server, ok := s.servers.Server(call.Server)
-	if !ok {
+	if !ok || server.Incarnation != call.Incarnation {
 		return stagework.SameOutcome(stagework.Refused, len(pieces)), nil
 	}
 	request, err := s.protocol.StageCall(server, pieces)
@@ -107,7 +107,7 @@
 	if errors.Is(err, upstream.ErrNotSent) || errors.Is(err, context.DeadlineExceeded) {
 		return stagework.Failed
 	}
-	if s.client.Probe(context.Background(), server, 0) == livenessEnded {
+	if s.client.Probe(context.Background(), server) == livenessEnded {
 		return stagework.ServerEnded
 	}
 	return stagework.Failed
--- a/internal/gateway/stagerequest.go
+++ b/internal/gateway/stagerequest.go
@@ -24,7 +24,7 @@
 
 // requestStage has stage i run by the instance that owns its service, or by the next
 // one in the order of owners when that does not answer.
-func (r *stageRun) requestStage(ctx context.Context, i int, inputs []string) ([]string, error) {
+func (r *stageRun) requestStage(ctx context.Context, i int, inputs []stagework.Result) ([]stagework.Result, error) {
 	stage := r.Route.Stages[i]
 	owners := r.cluster.Owners(stage.Service)
 	owners = owners[:min(maxOwners, len(owners))]
@@ -64,19 +64,19 @@
 		if len(response.Results) != r.Graph.Counts[i] {
 			return nil, fmt.Errorf("stage %d has %d results for %d pieces", i, len(response.Results), r.Graph.Counts[i])
 		}
-		return response.Results, nil
+		return decodeResults(response.Results), nil
 	}
 	return nil, errors.Join(&RefusedError{Stage: i, Reason: stagework.RefusedFailed}, lastErr)
 }
 
 // newRunStageRequest returns the request that has stage i run.
-func (r *stageRun) newRunStageRequest(i int, inputs []string) *peerpb.RunStageRequest {
+func (r *stageRun) newRunStageRequest(i int, inputs []stagework.Result) *peerpb.RunStageRequest {
 	stage := r.Route.Stages[i]
 	r.mu.Lock()
 	tail, started := r.schedule.Tail(i), r.schedule.AnyEnded()
 	r.mu.Unlock()
 	request := &peerpb.RunStageRequest{
-		Service: stage.Service, RequestId: r.RequestID, Stage: int32(i), Key: r.PieceKey, Inputs: inputs,
+		Service: stage.Service, RequestId: r.RequestID, Stage: int32(i), Key: r.PieceKey, Inputs: stagework.Handles(inputs),
 		ResultBytes: stage.ResultBytes, Priority: int32(r.Priority),
 		DueMs:      time.Until(r.Due.Add(-tail)).Milliseconds(),
 		DeadlineMs: min(time.Until(r.Deadline.Add(-tail)), r.inputLifetime(i)).Milliseconds(),
@@ -89,7 +89,7 @@
 		// without them its pieces can't be retried.
 		request.TellFetched = request.TellFetched || r.resultMemoryShort(producer.Service)
 	}
-	request.FailureDomain = r.preferredDomain(request)
+	request.FailureDomain = r.preferredDomain(request, inputs)
 	for piece := range r.Graph.Counts[i] {
 		request.Pieces = append(request.Pieces, int32(piece))
 	}
@@ -99,15 +99,15 @@
 // preferredDomain returns the failure domain in which a stage should run: the one that
 // holds most of its inputs, as each piece fetches all of them, or the one where its
 // results are used when those are larger.
-func (r *stageRun) preferredDomain(request *peerpb.RunStageRequest) string {
+func (r *stageRun) preferredDomain(request *peerpb.RunStageRequest, inputs []stagework.Result) string {
 	if request.InputBytes <= request.ResultBytes {
 		return r.FailureDomain
 	}
-	inputs := map[string]int{}
+	held := map[string]int{}
 	preferred := r.FailureDomain
-	for _, input := range request.Inputs {
+	for _, input := range inputs {
 		domain := r.DomainOf(input)
-		if inputs[domain]++; inputs[domain] > inputs[preferred] {
+		if held[domain]++; held[domain] > held[preferred] {
 			preferred = domain
 		}
 	}
--- a/internal/gateway/stagerun.go
+++ b/internal/gateway/stagerun.go
@@ -25,7 +25,7 @@
 	// FailureDomain is where the final results are used.
 	FailureDomain string
 	// DomainOf returns the failure domain in which a result is held.
-	DomainOf func(result string) string
+	DomainOf func(result stagework.Result) string
 }
 
 // stageRun is the state of the stages of one request.
@@ -34,7 +34,7 @@
 	StagePlan
 	ended   []chan struct{}
 	mu      sync.Mutex
-	results [][]string
+	results [][]stagework.Result
 	// consumers counts for each stage the stages that still need its results.
 	consumers []int
 	// inputsFreed is true for the stages that no longer need their inputs.
@@ -44,12 +44,12 @@
 	changed chan struct{}
 }
 
-// Run runs all stages of a plan and returns the handles of the final results. After an
+// Run runs all stages of a plan and returns the final results. After an
 // error it has freed all results.
-func (s *StageRunner) Run(ctx context.Context, plan StagePlan) ([]string, error) {
+func (s *StageRunner) Run(ctx context.Context, plan StagePlan) ([]stagework.Result, error) {
 	n := len(plan.Route.Stages)
 	r := &stageRun{
-		StageRunner: s, StagePlan: plan, ended: make([]chan struct{}, n), results: make([][]string, n), consumers: make([]int, n), inputsFreed: make([]bool, n),
+		StageRunner: s, StagePlan: plan, ended: make([]chan struct{}, n), results: make([][]stagework.Result, n), consumers: make([]int, n), inputsFreed: make([]bool, n),
 		schedule: stagework.NewStageSchedule(plan.Graph.After, plan.Graph.Counts), changed: make(chan struct{}),
 	}
 	for i := range n {
@@ -70,7 +70,7 @@
 		}
 		return nil, err
 	}
-	var final []string
+	var final []stagework.Result
 	for _, i := range plan.Graph.Final {
 		final = append(final, r.results[i]...)
 	}
@@ -79,7 +79,7 @@
 
 // runStage waits for the inputs of stage i and runs it.
 func (r *stageRun) runStage(ctx context.Context, i int) error {
-	var inputs []string
+	var inputs []stagework.Result
 	for _, j := range r.Graph.After[i] {
 		select {
 		case <-r.ended[j]:
--- a/internal/gateway/stagerunner.go
+++ b/internal/gateway/stagerunner.go
@@ -48,7 +48,7 @@
 
 	mu sync.Mutex
 	// pendingFrees holds the results that the next call to the owner frees, by service.
-	pendingFrees map[string][]string
+	pendingFrees map[string][]stagework.Result
 	// queueStates holds the last reported state of the queue of each service.
 	queueStates map[string]queueState
 }
@@ -65,7 +65,7 @@
 // NewStageRunner returns a StageRunner that uses the local scheduler and, through
 // peerClient, those of peers.
 func NewStageRunner(cluster *Cluster, peerClient *peer.Client, local *StageScheduler, logger *slog.Logger) *StageRunner {
-	return &StageRunner{cluster: cluster, peerClient: peerClient, scheduler: local, logger: logger, stageTimes: newMovingAverages(), pendingFrees: map[string][]string{}, queueStates: map[string]queueState{}}
+	return &StageRunner{cluster: cluster, peerClient: peerClient, scheduler: local, logger: logger, stageTimes: newMovingAverages(), pendingFrees: map[string][]stagework.Result{}, queueStates: map[string]queueState{}}
 }
 
 // TypicalTime returns the mean duration of a stage of a service, or the duration by the
@@ -105,7 +105,7 @@
 }
 
 // Free frees results of a service after peerFreeDelay.
-func (s *StageRunner) Free(service string, results []string) {
+func (s *StageRunner) Free(service string, results []stagework.Result) {
 	if len(results) == 0 {
 		return
 	}
@@ -119,7 +119,7 @@
 
 // FreeAll frees results, listed by the service that produced them, after
 // peerFreeDelay.
-func (s *StageRunner) FreeAll(results map[string][]string) {
+func (s *StageRunner) FreeAll(results map[string][]stagework.Result) {
 	for service, produced := range results {
 		s.Free(service, produced)
 	}
@@ -129,7 +129,7 @@
 // frees them and accounts for result memory. When that fails, this instance frees them.
 func (s *StageRunner) flushFrees(service string) {
 	s.mu.Lock()
-	request := &peerpb.FreeResultsRequest{Service: service, Results: s.pendingFrees[service]}
+	request := &peerpb.FreeResultsRequest{Service: service, Results: encodeResults(s.pendingFrees[service])}
 	delete(s.pendingFrees, service)
 	s.mu.Unlock()
 	address := s.cluster.Owner(service)
--- a/internal/gateway/stages_test.go
+++ b/internal/gateway/stages_test.go
@@ -37,7 +37,7 @@
 		for i, p := range pieces {
 			produced++
 			calls.add(fmt.Sprintf("%s %d.%d %s%d", p.RequestID, p.Stage, p.Number, p.Key, len(p.Inputs)))
-			outcomes[i].Result = fmt.Sprintf("%s/%d", address, produced)
+			outcomes[i].Handle = fmt.Sprintf("%s/%d", address, produced)
 		}
 		_ = json.NewEncoder(rw).Encode(outcomes)
 	})
@@ -118,7 +118,7 @@
 		if r.URL.Path == "/run" {
 			eventually(c, func() bool { return len(freed.all()) == 4 })
 		}
-		_ = json.NewEncoder(rw).Encode([]stagework.Outcome{{Result: r.Host + "/1"}})
+		_ = json.NewEncoder(rw).Encode([]stagework.Outcome{{Handle: r.Host + "/1"}})
 	})
 	f.addServer("x", func(rw http.ResponseWriter, _ *http.Request) { sendEvents(rw, 1, 1) })
 	f.start()
@@ -148,7 +148,7 @@
 			<-release
 			return
 		}
-		_ = json.NewEncoder(rw).Encode([]stagework.Outcome{{Result: fmt.Sprintf("%s/%d", r.Host, runs.add(""))}})
+		_ = json.NewEncoder(rw).Encode([]stagework.Outcome{{Handle: fmt.Sprintf("%s/%d", r.Host, runs.add(""))}})
 	})
 	f.start()
 	run := &peerpb.RunStageRequest{Service: "stage", RequestId: "a", Pieces: []int32{0}, ResultBytes: 1, DueMs: 5000, DeadlineMs: 5000}
@@ -168,18 +168,19 @@
 	c := qt.New(t)
 	f := newEngineFixture(c, false)
 	var frees recorder
-	address := f.addServer("stage", func(rw http.ResponseWriter, _ *http.Request) {
+	f.addServer("stage", func(rw http.ResponseWriter, _ *http.Request) {
 		if frees.add("") == 1 {
 			rw.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
 	f.start()
 	var freed recorder
-	record := func(results []string) { freed.add(results[0]) }
-	f.scheduler.freer.Free([]string{address + "/refused"}, record)
+	record := func(results []stagework.Result) { freed.add(results[0].Handle) }
+	producer := stagework.Producer{Server: "s0"}
+	f.scheduler.freer.Free([]stagework.Result{{Handle: "refused", Producer: producer}}, record)
 	eventually(c, func() bool { return len(frees.all()) == 1 })
-	f.scheduler.freer.Free([]string{address + "/freed"}, record)
-	eventually(c, func() bool { return slices.Contains(freed.all(), address+"/freed") })
+	f.scheduler.freer.Free([]stagework.Result{{Handle: "freed", Producer: producer}}, record)
+	eventually(c, func() bool { return slices.Contains(freed.all(), "freed") })
 	c.Assert(freed.all(), qt.HasLen, 1)
 }
 
@@ -248,7 +249,7 @@
 	release := make(chan struct{})
 	f.addServer("stage", func(rw http.ResponseWriter, _ *http.Request) {
 		<-release
-		_ = json.NewEncoder(rw).Encode([]stagework.Outcome{{Result: "m/1"}})
+		_ = json.NewEncoder(rw).Encode([]stagework.Outcome{{Handle: "m/1"}})
 	})
 	f.start()
 	run := &peerpb.RunStageRequest{Service: "stage", RequestId: "a", Pieces: []int32{0}, DueMs: 5000, DeadlineMs: 5000}
@@ -259,7 +260,8 @@
 	await := &peerpb.AwaitStageRequest{Service: "stage", Job: response.Pending}
 	response, err = f.scheduler.AwaitStage(c.Context(), await)
 	c.Assert(err, qt.IsNil)
-	c.Assert(response.Results, qt.DeepEquals, []string{"m/1"})
+	c.Assert(response.Results, qt.HasLen, 1)
+	c.Assert(response.Results[0].Handle, qt.Equals, "m/1")
 	_, err = f.scheduler.AwaitStage(c.Context(), await)
 	c.Assert(errors.Is(err, errUnknownJob), qt.IsTrue)
 }
@@ -284,7 +286,7 @@
 	f.addServer("stage", func(rw http.ResponseWriter, _ *http.Request) {
 		begun <- struct{}{}
 		<-release
-		_ = json.NewEncoder(rw).Encode([]stagework.Outcome{{Result: "m/1"}})
+		_ = json.NewEncoder(rw).Encode([]stagework.Outcome{{Handle: "m/1"}})
 	})
 	f.start()
 	run := func(id string, forced bool) (*peerpb.RunStageResponse, error) {
@@ -349,12 +351,13 @@
 func TestStagesRunInTheDomainWithMostBytes(t *testing.T) {
 	c := qt.New(t)
 	domains := map[string]string{"1": "a", "2": "b", "3": "b", "4": ""}
-	r := &stageRun{StagePlan: StagePlan{FailureDomain: "c", DomainOf: func(result string) string { return domains[result] }}}
-	request := &peerpb.RunStageRequest{Inputs: []string{"1", "2", "3"}, InputBytes: 300, ResultBytes: 100}
-	c.Assert(r.preferredDomain(request), qt.Equals, "b")
+	r := &stageRun{StagePlan: StagePlan{FailureDomain: "c", DomainOf: func(result stagework.Result) string { return domains[result.Handle] }}}
+	inputs := []stagework.Result{{Handle: "1"}, {Handle: "2"}, {Handle: "3"}}
+	request := &peerpb.RunStageRequest{InputBytes: 300, ResultBytes: 100}
+	c.Assert(r.preferredDomain(request, inputs), qt.Equals, "b")
 	request.ResultBytes = 300
-	c.Assert(r.preferredDomain(request), qt.Equals, "c")
-	c.Assert(r.preferredDomain(&peerpb.RunStageRequest{ResultBytes: 1}), qt.Equals, "c")
+	c.Assert(r.preferredDomain(request, inputs), qt.Equals, "c")
+	c.Assert(r.preferredDomain(&peerpb.RunStageRequest{ResultBytes: 1}, nil), qt.Equals, "c")
 }
 
 // Guards against a stage that waits until its inputs are gone, which wastes a call and
--- a/internal/gateway/stagescheduler.go
+++ b/internal/gateway/stagescheduler.go
@@ -80,7 +80,7 @@
 func (s *StageScheduler) regionServers(listed []view.Server) []stagework.Server {
 	var local, all []stagework.Server
 	for _, server := range listed {
-		converted := stagework.Server{ID: server.ID, FailureDomain: server.FailureDomain}
+		converted := stagework.Server{ID: server.ID, FailureDomain: server.FailureDomain, Incarnation: server.Incarnation}
 		all = append(all, converted)
 		if s.servers.InRegion(server.FailureDomain) {
 			local = append(local, converted)
@@ -177,7 +177,7 @@
 	}
 	select {
 	case done := <-job.done:
-		return q.addQueueState(&peerpb.RunStageResponse{Results: done.Results, Refusal: string(done.Refusal)}), nil
+		return q.addQueueState(&peerpb.RunStageResponse{Results: encodeResults(done.Results), Refusal: string(done.Refusal)}), nil
 	case <-fetched:
 		job.fetchReported = true
 		return s.keepPending(q, id, job, &peerpb.RunStageResponse{InputsFetched: true}), nil
@@ -217,16 +217,16 @@
 
 // FreeResults implements peer.StageHandler.
 func (s *StageScheduler) FreeResults(request *peerpb.FreeResultsRequest) {
-	s.freeResults(s.queueOf(request.Service, false), request.Results)
+	s.freeResults(s.queueOf(request.Service, false), decodeResults(request.Results))
 }
 
 // freeResults frees results. Their memory counts as used until their producer has freed
 // them, because a call that is sent earlier would find no memory.
-func (s *StageScheduler) freeResults(q *serviceQueue, results []string) {
+func (s *StageScheduler) freeResults(q *serviceQueue, results []stagework.Result) {
 	if len(results) == 0 {
 		return
 	}
-	s.freer.Free(results, func(freed []string) {
+	s.freer.Free(results, func(freed []stagework.Result) {
 		if q == nil {
 			return
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
+	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
 
 // generateRequest is the state of a client request that a model server runs.
@@ -18,9 +19,9 @@
 	graph route.Graph
 	// inputDomain is the failure domain in which the inputs should be produced.
 	inputDomain string
-	// inputs are the handles of the final results of the stages, nil before the stages
+	// inputs are the final results of the stages, nil before the stages
 	// have run and after the results were freed.
-	inputs []string
+	inputs []stagework.Result
 	// tried holds the IDs of the model servers that must not be chosen again.
 	tried       []string
 	unsentTries int
@@ -81,8 +82,7 @@
 		slog.Int64("left_ms", g.remaining().Milliseconds()), slog.Int("inputs", len(g.inputs)), slog.Int64("expected_ms", placed.Expected.Milliseconds()),
 		slog.String("copy_from", placed.CopyFrom), slog.Bool("on_trial", placed.onTrial), slog.Int64("crossing_bytes", crossDomainBytes(inputs, placed.FailureDomain)),
 		slog.Any("prompt", sharedPartIDs(g.requestInfo.Prompt)), slog.Int64("view", g.viewVersion()))
-	source, _ := g.servers.Server(placed.CopyFrom)
-	request := g.outgoingRequest(server, SendInfo{Urgency: &urgency, Inputs: g.inputs, LastEventID: g.stream.lastID, CopyFrom: source.Address})
+	request := g.outgoingRequest(server, SendInfo{Urgency: &urgency, Inputs: stagework.Handles(g.inputs), LastEventID: g.stream.lastID, CopyFrom: g.copySource(placed)})
 	stop := g.freeInputsWhenFetched()
 	answer, err := g.client.Send(g.ctx, server, request)
 	freed := stop()
@@ -98,6 +98,22 @@
 	return g.handleAnswer(placed, answer, info, sent)
 }
 
+// copySource returns the address of the server from which the chosen one copies cached parts
+// of the prompt, empty when there is none or it has restarted since.
+func (g *generateRequest) copySource(placed placement) string {
+	source, known := g.servers.Server(placed.CopyFrom)
+	if !known || source.Incarnation != placed.CopyFromIncarnation {
+		return ""
+	}
+	return source.Address
+}
+
+// report records the outcome of a placement.
+func (g *generateRequest) report(placed placement, r engine.Report) {
+	r.Server, r.Incarnation = placed.Server, placed.Incarnation
+	g.placer.Report(g.service.Name, r)
+}
+
 // refuseLimited ends a request before its stages run if its model servers are known to take no
 // requests now. It asks the instance that places the prompts when some of them have a limit.
 func (g *generateRequest) refuseLimited() bool {
@@ -141,10 +157,10 @@
 	}
 	g.logSendFailed(upstream.Server{ID: placed.Server}, 0, err)
 	if withheld(err) {
-		g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Refused: true})
+		g.report(placed, engine.Report{Refused: true})
 		return false
 	}
-	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Failed: true})
+	g.report(placed, engine.Report{Failed: true})
 	if errors.Is(err, upstream.ErrNotSent) {
 		if g.unsentTries++; g.unsentTries >= maxUnsentTries {
 			return g.giveUp("servers are not reached", shortRetryAfter, err)
@@ -197,7 +213,7 @@
 		g.tried = g.tried[:len(g.tried)-1]
 		return g.rerunStages("inputs were lost")
 	case info.NotRun:
-		g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Refused: true})
+		g.report(placed, engine.Report{Refused: true})
 		g.logSendFailed(upstream.Server{ID: placed.Server}, answer.Status, nil)
 		if g.mayRetry() {
 			return false
@@ -210,7 +226,7 @@
 	if answer.Status == http.StatusOK {
 		return g.relay(placed, answer, sent)
 	}
-	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Failed: true})
+	g.report(placed, engine.Report{Failed: true})
 	g.logSendFailed(upstream.Server{ID: placed.Server}, answer.Status, nil)
 	if g.route.Repeatable() && g.mayRetry() {
 		return false
@@ -248,7 +264,7 @@
 	now := time.Now()
 	g.firstEventDelay = delay
 	g.answerBegan(placed)
-	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Expected: placed.Expected, Delay: delay})
+	g.report(placed, engine.Report{Expected: placed.Expected, Delay: delay})
 	g.metrics.timeToFirstEvent.RecordDuration(now.Sub(g.arrived))
 	g.freeInputs()
 }
@@ -259,7 +275,7 @@
 	if g.clientGone() || g.expired() {
 		return g.endIncomplete()
 	}
-	g.placer.Report(g.service.Name, engine.Report{Server: placed.Server, Failed: true})
+	g.report(placed, engine.Report{Failed: true})
 	g.logStreamBroken(upstream.Server{ID: placed.Server}, answer, g.stream, unfinishedBytes, err)
 	if g.stopAnswerStart() {
 		g.handleCutShort(placed, sent)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -15,10 +15,12 @@
 // conn is one connection to a backend server.
 type conn struct {
 	serverID string
-	address  string
-	netConn  net.Conn
-	reader   *bufio.Reader
-	limit    *limitedReader
+	// incarnation and address are those of the server at the time of the dial.
+	incarnation int64
+	address     string
+	netConn     net.Conn
+	reader      *bufio.Reader
+	limit       *limitedReader
 	// reused is true when an earlier request was sent on the connection.
 	reused bool
 	// expires is the time from which the idle connection must not be used.
@@ -30,7 +32,7 @@
 
 func newConn(netConn net.Conn, server Server) *conn {
 	limit := &limitedReader{reader: netConn}
-	return &conn{serverID: server.ID, address: server.Address, netConn: netConn, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
+	return &conn{serverID: server.ID, incarnation: server.Incarnation, address: server.Address, netConn: netConn, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
 // errHeadTooLong reports an answer whose head has no end within maxHeadBytes.
@@ -54,6 +56,11 @@
 	return n, err
 }
 
+// leadsTo reports whether the connection is to the process that a server is now.
+func (cn *conn) leadsTo(server Server) bool {
+	return cn.address == server.Address && cn.incarnation == server.Incarnation
+}
+
 // usable reports whether an idle connection has not expired, and the server has neither
 // closed it nor sent anything on it.
 func (cn *conn) usable(now time.Time) bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -64,7 +64,7 @@
 		if idle == nil {
 			break
 		}
-		if idle.usable(time.Now()) && idle.address == server.Address {
+		if idle.usable(time.Now()) && idle.leadsTo(server) {
 			idle.reused = true
 			return idle, nil
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -23,6 +23,8 @@
 // Server is the backend server that a request is sent to.
 type Server struct {
 	ID string
+	// Incarnation differs between the starts of a server under the same ID.
+	Incarnation int64
 	// Address is an IP address and a port.
 	Address string
 	// MaxConnections bounds the connections of this instance to the server; 0 means that
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -299,7 +299,7 @@
 
 // View returns the current view.
 func (s *State) View() *View {
-	v := &View{Version: s.viewVersion, Table: s.table, Servers: map[string][]Server{}, ByAddress: map[string]Server{}, byID: maps.Clone(s.servers)}
+	v := &View{Version: s.viewVersion, Table: s.table, Servers: map[string][]Server{}, byID: maps.Clone(s.servers)}
 	for key, e := range s.entries {
 		if strings.HasPrefix(key, QuarantinePrefix) {
 			v.Quarantines = append(v.Quarantines, e)
@@ -307,9 +307,6 @@
 	}
 	slices.SortFunc(v.Quarantines, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
 	for _, server := range s.servers {
-		if other, taken := v.ByAddress[server.Address]; !taken || newerAtAddress(server, other) {
-			v.ByAddress[server.Address] = server
-		}
 		if !server.Draining {
 			v.Servers[server.Service] = append(v.Servers[server.Service], server)
 		}
@@ -320,15 +317,6 @@
 	return v
 }
 
-// newerAtAddress reports which of two servers with one address, of which another writer may
-// have listed one, is taken for the one that has it: the one that started last.
-func newerAtAddress(a, b Server) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation > b.Incarnation
-	}
-	return a.ID < b.ID
-}
-
 // recordRemoval keeps a removal for ChangesAfter.
 func (s *State) recordRemoval(r removal) {
 	if len(s.removals) >= maxRemovals {
--- a/internal/view/state_test.go
+++ b/internal/view/state_test.go
@@ -69,7 +69,8 @@
 	c := qt.New(t)
 	s := NewState(fakeDecoder{})
 	s.Apply(epoch, watchResult(1, entry("config", "1", 1), entry("server/a", "x", 1)))
-	incarnation := s.View().ByAddress["x"].Incarnation
+	server, _ := s.View().ByID("a")
+	incarnation := server.Incarnation
 	c.Assert(s.MarkLeaving("a", incarnation+1).Any(), qt.IsFalse)
 	c.Assert(s.MarkLeaving("a", incarnation).Drained, qt.DeepEquals, []string{"a"})
 	c.Assert(s.MarkLeaving("a", incarnation).Any(), qt.IsFalse)
@@ -234,16 +235,3 @@
 	c.Assert(s.View().Servers["x"], qt.HasLen, 1)
 	c.Assert(s.View().Table, qt.IsNil)
 }
-
-// Guards against instances that take different servers, or one after the other, for the one at
-// an address that two entries have.
-func TestServersAtOneAddressAreChosenAlike(t *testing.T) {
-	c := qt.New(t)
-	for range 20 {
-		s := NewState(fakeDecoder{})
-		s.servers = map[string]Server{
-			"a": {ID: "a", Address: "x", Incarnation: 1}, "b": {ID: "b", Address: "x", Incarnation: 2}, "c": {ID: "c", Address: "x", Incarnation: 2},
-		}
-		c.Assert(s.View().ByAddress["x"].ID, qt.Equals, "b")
-	}
-}
--- a/internal/view/sync_test.go
+++ b/internal/view/sync_test.go
@@ -151,7 +151,8 @@
 		return state.Apply(now, store.WatchResult{Version: 2, Deleted: []string{"server/a"}})
 	}, false)
 	c.Assert(<-peers.announced, qt.Equals, store.Version(1))
-	c.Assert(s.Current().ByAddress, qt.HasLen, 0)
+	_, listed := s.Current().ByID("a")
+	c.Assert(listed, qt.IsFalse)
 }
 
 // Guards against an instance that starts during a store outage and never gets a
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -35,9 +35,8 @@
 	Servers map[string][]Server
 	// Quarantines holds the entries under QuarantinePrefix, sorted by key.
 	Quarantines []store.Entry
-	// ByAddress holds all registered servers by address, including draining ones.
-	ByAddress map[string]Server
-	byID      map[string]Server
+	// byID holds all registered servers, including draining ones.
+	byID map[string]Server
 }
 
 // ByID returns a registered server, also a draining one.
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -74,14 +74,18 @@
 func NewTable() *Table { return &Table{limits: map[string]*limit{}} }
 
 // Observe records what an answer of a server says of its limit. sentAt is when its request
-// was sent. It returns the new entry and true when the limit changes.
+// was sent. It returns the new entry and true when the limit changes. An answer of an earlier
+// incarnation is ignored.
 func (t *Table) Observe(now time.Time, server string, incarnation int64, s Statement, sentAt time.Time) (Entry, bool) {
 	known := t.limits[server]
 	next := Entry{Server: server, Incarnation: incarnation, Rate: min(max(s.Rate, MinRate), MaxRate)}
 	if known == nil || known.Incarnation < incarnation {
 		return t.adopt(now, next, s.Kind == Named)
 	}
-	next.Incarnation, next.Sequence = known.Incarnation, known.Sequence+1
+	if known.Incarnation > incarnation {
+		return known.Entry, false
+	}
+	next.Sequence = known.Sequence + 1
 	switch s.Kind {
 	case Named:
 		if known.Ended || next.Rate < known.Rate {
--- a/ratelimit/table_test.go
+++ b/ratelimit/table_test.go
@@ -114,3 +114,19 @@
 	c.Assert(table.Merge(later, ended), qt.IsFalse)
 	checkLimit(c, table, later, 0)
 }
+
+// Guards against an answer of a process that has ended, which comes after its server has
+// restarted and ends or changes the limit that the new process named.
+func TestAnswersOfEarlierIncarnationsAreIgnored(t *testing.T) {
+	c := qt.New(t)
+	for _, late := range []Statement{{}, {Kind: Named, Rate: 1}} {
+		table := NewTable()
+		table.Observe(at(10), "s", 1, Statement{Kind: Named, Rate: 9}, at(9))
+		table.Observe(at(11), "s", 2, Statement{Kind: Named, Rate: 5}, at(10.5))
+		_, changed := table.Observe(at(14), "s", 1, late, at(13))
+		c.Check(changed, qt.IsFalse)
+		rate, limited := table.Limit(at(14), "s")
+		c.Check(limited, qt.IsTrue)
+		c.Check(rate, qt.Equals, Rate(5))
+	}
+}
--- a/stagework/call.go
+++ b/stagework/call.go
@@ -189,7 +189,7 @@
 // startCall completes a call and counts it as running.
 func (q *Queue) startCall(c *call, s *server, now time.Time) *call {
 	q.lastCallID++
-	c.ID, c.Server = q.lastCallID, s.ID
+	c.ID, c.Server, c.Incarnation, c.server = q.lastCallID, s.ID, s.Incarnation, s
 	c.Waiting, _ = q.Load()
 	c.RoomLeft = q.roomLeft(s, now)
 	c.expected = time.Duration(float64(q.profile.CallDuration(len(c.Items))) * max(1, s.slowness(now)))
--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -71,8 +71,8 @@
 	workDelay int64
 	// waiting holds the indexes in Pieces that wait for a call.
 	waiting []int
-	// results holds the result handles in the order of Pieces, empty until produced.
-	results []string
+	// results holds the results in the order of Pieces, without a handle until produced.
+	results []Result
 	// unfinished is the number of pieces without a result, failures the number of
 	// failed attempts to produce one of the pieces.
 	unfinished int
@@ -90,6 +90,7 @@
 
 type call struct {
 	Call
+	server *server
 	// indexes holds for each item its index in the job's Pieces.
 	indexes  []int
 	started  time.Time
@@ -115,7 +116,7 @@
 	jobsByRank []*job
 	calls      map[CallID]*call
 	servers    map[string]*server
-	results    map[string]heldResult
+	results    map[Result]heldResult
 	lastCallID CallID
 	// roomShortAt is when memory for results last limited a call.
 	roomShortAt time.Time
@@ -127,7 +128,7 @@
 func NewQueue(profile ServerProfile) *Queue {
 	return &Queue{
 		profile: withMinimums(profile), jobs: map[JobID]*job{}, calls: map[CallID]*call{},
-		servers: map[string]*server{}, results: map[string]heldResult{},
+		servers: map[string]*server{}, results: map[Result]heldResult{},
 	}
 }
 
@@ -141,13 +142,17 @@
 func (q *Queue) SetProfile(profile ServerProfile) { q.profile = withMinimums(profile) }
 
 // SetServers replaces the servers that get calls. Running calls to other servers
-// continue.
+// continue. Nothing is kept of a server that has restarted.
 func (q *Queue) SetServers(servers []Server) {
 	for _, s := range q.servers {
 		s.inUse = false
 	}
 	for _, config := range servers {
 		s := q.servers[config.ID]
+		if s != nil && s.Incarnation != config.Incarnation {
+			q.dropResultsOf(s)
+			s = nil
+		}
 		if s == nil {
 			s = &server{Server: config, meanSlowness: 1}
 			q.servers[config.ID] = s
@@ -161,6 +166,15 @@
 	}
 }
 
+// dropResultsOf forgets the results of a server that has ended.
+func (q *Queue) dropResultsOf(s *server) {
+	for result, held := range q.results {
+		if held.server == s {
+			delete(q.results, result)
+		}
+	}
+}
+
 // Servers returns the number of servers that get calls.
 func (q *Queue) Servers() (n int) {
 	for _, s := range q.servers {
@@ -195,7 +209,7 @@
 			return RefusedLate, false
 		}
 	}
-	j := &job{Job: offered, workDelay: q.workDelay(offered), results: make([]string, len(offered.Pieces)), unfinished: len(offered.Pieces)}
+	j := &job{Job: offered, workDelay: q.workDelay(offered), results: make([]Result, len(offered.Pieces)), unfinished: len(offered.Pieces)}
 	for index := range offered.Pieces {
 		j.waiting = append(j.waiting, index)
 	}
@@ -227,11 +241,11 @@
 }
 
 // remove removes a job and returns the results that it already has.
-func (q *Queue) remove(j *job) (orphans []string) {
+func (q *Queue) remove(j *job) (orphans []Result) {
 	delete(q.jobs, j.ID)
 	q.jobsByRank = slices.DeleteFunc(q.jobsByRank, func(o *job) bool { return o == j })
 	for _, result := range j.results {
-		if result != "" {
+		if result.Handle != "" {
 			orphans = append(orphans, result)
 		}
 	}
@@ -282,11 +296,9 @@
 // server as slow, so that other servers get them.
 func (q *Queue) retryElsewhere(c *call, now time.Time) {
 	c.overdue = true
-	if s := q.servers[c.Server]; s != nil {
-		s.meanSlowness, s.slownessAt = max(s.meanSlowness, overdueFactor*slowFactor), now
-	}
+	c.server.meanSlowness, c.server.slownessAt = max(c.server.meanSlowness, overdueFactor*slowFactor), now
 	for i, item := range c.Items {
-		if j := q.jobs[item.Job]; j != nil && j.results[c.indexes[i]] == "" && !j.inputsFreed {
+		if j := q.jobs[item.Job]; j != nil && j.results[c.indexes[i]].Handle == "" && !j.inputsFreed {
 			j.waiting = append(j.waiting, c.indexes[i])
 		}
 	}
@@ -300,10 +312,10 @@
 		return Effects{}
 	}
 	delete(q.calls, id)
-	s := q.servers[c.Server]
+	s := c.server
 	s.running--
 	s.resultBytes -= c.resultBytes
-	if s.repeatsResults(outcomes) {
+	if s.repeatsResults(outcomes) || q.restarted(s) {
 		outcomes = SameOutcome(Failed, len(outcomes))
 	}
 	var e Effects
@@ -311,12 +323,19 @@
 		q.applyOutcome(&e, c, s, i, outcome, now)
 	}
 	q.recordCall(s, c, now, outcomes)
-	if !s.inUse && s.running == 0 {
+	if !s.inUse && s.running == 0 && q.servers[s.ID] == s {
 		delete(q.servers, s.ID)
 	}
 	return e
 }
 
+// restarted reports whether another incarnation of a server has taken its place, with which
+// its results are lost.
+func (q *Queue) restarted(s *server) bool {
+	current := q.servers[s.ID]
+	return current != nil && current != s
+}
+
 // applyOutcome applies the outcome of item i of a call.
 func (q *Queue) applyOutcome(effects *Effects, c *call, s *server, i int, outcome Outcome, now time.Time) {
 	item, index := c.Items[i], c.indexes[i]
@@ -326,15 +345,16 @@
 		if j != nil {
 			bytes = j.ResultBytes
 		}
-		q.holdResult(s, outcome.Result, bytes, now)
-		if j == nil || j.results[index] != "" {
-			effects.Orphans = append(effects.Orphans, outcome.Result)
+		result := Result{Handle: outcome.Handle, Producer: Producer{Server: s.ID, Incarnation: s.Incarnation}}
+		q.holdResult(s, result, bytes, now)
+		if j == nil || j.results[index].Handle != "" {
+			effects.Orphans = append(effects.Orphans, result)
 			return
 		}
-		q.recordResult(effects, j, index, outcome.Result)
+		q.recordResult(effects, j, index, result)
 		return
 	}
-	if j == nil || j.results[index] != "" {
+	if j == nil || j.results[index].Handle != "" {
 		return
 	}
 	switch outcome.Status {
@@ -373,7 +393,7 @@
 	}
 }
 
-func (q *Queue) recordResult(effects *Effects, j *job, index int, result string) {
+func (q *Queue) recordResult(effects *Effects, j *job, index int, result Result) {
 	j.results[index] = result
 	j.unfinished--
 	j.waiting = slices.DeleteFunc(j.waiting, func(p int) bool { return p == index })
--- a/stagework/queue_test.go
+++ b/stagework/queue_test.go
@@ -35,11 +35,16 @@
 func producedOutcomes(call Call) []Outcome {
 	outcomes := make([]Outcome, len(call.Items))
 	for i, item := range call.Items {
-		outcomes[i].Result = fmt.Sprintf("%s/%d-%d", call.Server, item.Job, item.Piece)
+		outcomes[i].Handle = fmt.Sprintf("%s/%d-%d", call.Server, item.Job, item.Piece)
 	}
 	return outcomes
 }
 
+// resultOf returns a result that the first incarnation of a server holds.
+func resultOf(server, handle string) Result {
+	return Result{Handle: handle, Producer: Producer{Server: server}}
+}
+
 func sameOutcomes(call Call, status Status) []Outcome {
 	outcomes := make([]Outcome, len(call.Items))
 	for i := range outcomes {
@@ -68,7 +73,7 @@
 	c.Assert(ok, qt.IsFalse, qt.Commentf("the only slot is in use"))
 	e := q.Finished(epoch.Add(360*time.Millisecond), call.ID, producedOutcomes(call))
 	c.Assert(len(e.Done), qt.Equals, 2)
-	c.Assert(e.Done[0].Results, qt.DeepEquals, []string{"s0/1-0", "s0/1-1", "s0/1-2"})
+	c.Assert(Handles(e.Done[0].Results), qt.DeepEquals, []string{"s0/1-0", "s0/1-1", "s0/1-2"})
 	rest, ok := q.Next(epoch.Add(360 * time.Millisecond))
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(rest.Items, qt.DeepEquals, []Item{{Job: 3, Piece: 2}})
@@ -87,7 +92,7 @@
 	q.Finished(now, first.ID, producedOutcomes(first))
 	_, ok := q.Next(now)
 	c.Assert(ok, qt.IsFalse, qt.Commentf("the results of the first call occupy the memory"))
-	q.Freed([]string{"s0/1-0", "s0/1-1"})
+	q.Freed([]Result{resultOf("s0", "s0/1-0"), resultOf("s0", "s0/1-1")})
 	second, ok := q.Next(now)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(len(second.Items), qt.Equals, 2)
@@ -326,7 +331,7 @@
 	q.Finished(epoch, call.ID, outcomes)
 	_, ok := q.Next(epoch)
 	c.Assert(ok, qt.IsFalse)
-	q.Freed([]string{outcomes[0].Result})
+	q.Freed([]Result{resultOf("s0", outcomes[0].Handle)})
 	retry, ok := q.Next(epoch)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(retry.Items, qt.HasLen, 1)
--- a/stagework/server.go
+++ b/stagework/server.go
@@ -39,13 +39,13 @@
 func (s *server) repeatsResults(outcomes []Outcome) bool {
 	results := map[string]bool{}
 	for _, o := range outcomes {
-		if o.Result == "" {
+		if o.Handle == "" {
 			continue
 		}
-		if s.lastResults[o.Result] || results[o.Result] {
+		if s.lastResults[o.Handle] || results[o.Handle] {
 			return true
 		}
-		results[o.Result] = true
+		results[o.Handle] = true
 	}
 	s.lastResults = results
 	return false
@@ -132,13 +132,13 @@
 
 // holdResult counts the memory of a result as occupied until the result is freed or
 // expires.
-func (q *Queue) holdResult(s *server, result string, bytes int64, now time.Time) {
+func (q *Queue) holdResult(s *server, result Result, bytes int64, now time.Time) {
 	s.resultBytes += bytes
 	q.results[result] = heldResult{s, bytes, now.Add(q.profile.ResultLife)}
 }
 
 // Freed records that servers have freed results.
-func (q *Queue) Freed(results []string) {
+func (q *Queue) Freed(results []Result) {
 	for _, result := range results {
 		if h, ok := q.results[result]; ok {
 			h.server.resultBytes -= h.bytes
--- a/stagework/stagework.go
+++ b/stagework/stagework.go
@@ -44,6 +44,32 @@
 type Server struct {
 	ID            string
 	FailureDomain string
+	// Incarnation differs between the starts of a server under the same ID. A restart
+	// loses its results and calls.
+	Incarnation int64
+}
+
+// Producer is the process that holds a result: one start of a server. An address does not
+// identify it, because another server may have it later.
+type Producer struct {
+	Server      string
+	Incarnation int64
+}
+
+// Result is a result in the memory of its producer.
+type Result struct {
+	// Handle is the name by which servers fetch and free the result; empty for no result.
+	Handle   string
+	Producer Producer
+}
+
+// Handles returns the handles of results.
+func Handles(results []Result) []string {
+	handles := make([]string, len(results))
+	for i, r := range results {
+		handles[i] = r.Handle
+	}
+	return handles
 }
 
 // JobID identifies a job within a Queue.
@@ -83,7 +109,9 @@
 type Call struct {
 	ID     CallID
 	Server string
-	Items  []Item
+	// Incarnation is that of the server at the time of Queue.Next.
+	Incarnation int64
+	Items       []Item
 	// CrossDomain is the number of pieces whose results are used in another failure
 	// domain than the server's.
 	CrossDomain int
@@ -126,8 +154,8 @@
 // Outcome is the outcome of one item of a call.
 type Outcome struct {
 	Status Status
-	// Result is the handle of a produced piece.
-	Result string
+	// Handle is that of the result of a produced piece.
+	Handle string
 }
 
 // SameOutcome returns n outcomes with the same status.
@@ -157,9 +185,8 @@
 // EndedJob is a job that has left the queue, with its results or a refusal.
 type EndedJob struct {
 	Job JobID
-	// Results are the result handles in the order of Job.Pieces. They are set only
-	// when Refusal is empty.
-	Results []string
+	// Results are in the order of Job.Pieces. They are set only when Refusal is empty.
+	Results []Result
 	Refusal Refusal
 }
 
@@ -167,8 +194,8 @@
 type Effects struct {
 	// Done lists the ended jobs whose requesters have to be informed.
 	Done []EndedJob
-	// Orphans are handles of results that no job needs. The caller has to free them.
-	Orphans []string
+	// Orphans are results that no job needs. The caller has to free them.
+	Orphans []Result
 }
 
 // String returns the name of the status as it appears in logs.
