view: peers learn of servers that are dropped after a grace period (DRAIN)

Cause: within 3 s of a failed call to the store, a removal gave the server 2 s more and counted as no change. At the end of that time the reader dropped the server, but its view kept its version, so that the announcement named nothing new and no peer pulled.

Change: the end of a grace period gives the view the version of the state's position, which is at or above that of the removal. The grace ends 2 s after the first successful call, not 2 s after the removal.

--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -64,8 +64,11 @@
 	// removed, the last maxLeaving of them in departedOrder.
 	departed      map[string]int64
 	departedOrder []string
-	// outageUntil is until when removals count as caused by a store outage.
+	// outageUntil is until when the store counts as unreachable, zero once a call has
+	// succeeded. Servers whose entries were removed meanwhile may register again until
+	// settledAt.
 	outageUntil time.Time
+	settledAt   time.Time
 }
 
 // removal is the removal of a key. It was removed after the previous position of the
@@ -87,7 +90,25 @@
 func (s *State) Position() store.Version { return s.position }
 
 // RecordOutage records that a store call failed at a time.
-func (s *State) RecordOutage(now time.Time) { s.outageUntil = now.Add(outageRemovalWindow) }
+func (s *State) RecordOutage(now time.Time) { s.outageUntil = now.Add(outageWindow) }
+
+// RecordReturn records that the first store call after an outage succeeded.
+func (s *State) RecordReturn(now time.Time) {
+	s.outageUntil = time.Time{}
+	s.settledAt = now.Add(reregisterGracePeriod)
+}
+
+// graceEnd returns until when a server may register again whose entry was removed at a time,
+// which is that time when no outage explains the removal.
+func (s *State) graceEnd(now time.Time) time.Time {
+	switch {
+	case now.Before(s.outageUntil):
+		return now.Add(reregisterGracePeriod)
+	case now.Before(s.settledAt):
+		return s.settledAt
+	}
+	return now
+}
 
 // Replace replaces the state by all entries at a version. A version that is not newer
 // than the current position is ignored.
@@ -141,7 +162,7 @@
 		return
 	}
 	c.Restored = true
-	s.RecordOutage(now)
+	s.settledAt = now.Add(reregisterGracePeriod)
 	for id, server := range s.servers {
 		if server.Draining {
 			s.leaving[id] = server.Incarnation
@@ -156,7 +177,8 @@
 	}
 }
 
-// Tick removes the servers whose grace period has ended.
+// Tick removes the servers whose grace period has ended. The view then has a new version, so
+// that peers which have not seen the removals pull them.
 func (s *State) Tick(now time.Time) (c Change) {
 	for id, until := range s.graceUntil {
 		if !now.Before(until) {
@@ -166,6 +188,9 @@
 			c.Left = append(c.Left, id)
 		}
 	}
+	if c.Any() {
+		s.viewVersion = s.position
+	}
 	return c
 }
 
@@ -276,8 +301,8 @@
 	if err != nil {
 		return
 	}
-	if now.Before(s.outageUntil) && !s.servers[server.ID].Draining {
-		s.graceUntil[server.ID] = now.Add(reregisterGracePeriod)
+	if end := s.graceEnd(now); end.After(now) && !s.servers[server.ID].Draining {
+		s.graceUntil[server.ID] = end
 		return
 	}
 	delete(s.servers, server.ID)
--- a/internal/view/state_test.go
+++ b/internal/view/state_test.go
@@ -226,6 +226,36 @@
 	c.Assert(s.View().Servers["x"], qt.HasLen, 1)
 }
 
+// Guards against a server that peers use until the next change of the view, because the
+// instance that read its removal from the store kept it for a while after a failed call and
+// announced nothing when it dropped it.
+func TestRemovalsAfterAGracePeriodReachPeers(t *testing.T) {
+	c := qt.New(t)
+	reader, follower := NewState(fakeDecoder{}), NewState(fakeDecoder{})
+	for _, s := range []*State{reader, follower} {
+		s.Replace(epoch, []store.Entry{entry("server/a", "x", 1)}, 1)
+	}
+	reader.RecordOutage(epoch)
+	reader.RecordReturn(epoch.Add(100 * time.Millisecond))
+	removedAt := epoch.Add(time.Second)
+	c.Assert(reader.Apply(removedAt, store.WatchResult{Deleted: []string{"server/a"}, Version: 2}).Any(), qt.IsFalse)
+	c.Assert(reader.Tick(epoch.Add(100*time.Millisecond+reregisterGracePeriod)).Left, qt.DeepEquals, []string{"a"})
+	c.Assert(reader.View().Version > follower.Position(), qt.IsTrue, qt.Commentf("peers pull what is newer than their position"))
+	c.Assert(follower.Merge(removedAt, reader.ChangesAfter(follower.Position())).Left, qt.DeepEquals, []string{"a"})
+}
+
+// Guards against a server that stays in use for seconds after it left, because a call to the
+// store failed some time before.
+func TestRemovalsLongAfterAnOutageApplyAtOnce(t *testing.T) {
+	c := qt.New(t)
+	s := NewState(fakeDecoder{})
+	s.Replace(epoch, []store.Entry{entry("server/a", "x", 1)}, 1)
+	s.RecordOutage(epoch)
+	s.RecordReturn(epoch.Add(100 * time.Millisecond))
+	change := s.Apply(epoch.Add(100*time.Millisecond+reregisterGracePeriod), store.WatchResult{Deleted: []string{"server/a"}, Version: 2})
+	c.Assert(change.Left, qt.DeepEquals, []string{"a"})
+}
+
 // Guards against an undecodable entry that keeps the others from being applied.
 func TestUndecodableEntriesAreSkipped(t *testing.T) {
 	c := qt.New(t)
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -295,6 +295,7 @@
 func (s *Sync) markReachable() {
 	if !s.reachable {
 		s.reachable = true
+		s.state.RecordReturn(time.Now())
 		events.StoreReachable.Log(context.Background(), s.logger, slog.Int64("version", int64(s.state.Position())))
 	}
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -72,10 +72,10 @@
 	Server(key string, value []byte) (Server, error)
 }
 
-// reregisterGracePeriod is how long a server stays in use after its entry was removed
-// around a store outage: a running server registers again within that time.
+// reregisterGracePeriod is how long after the store's return a server stays in use whose
+// entry was removed around the outage: a running server registers again within that time.
 const reregisterGracePeriod = 2 * time.Second
 
-// outageRemovalWindow is how long after a failed store call the removal of a server's
-// entry counts as caused by the outage.
-const outageRemovalWindow = 3 * time.Second
+// outageWindow is how long after a failed store call the store counts as unreachable while no
+// call succeeds. A removal that a peer reports meanwhile may be caused by the outage.
+const outageWindow = 3 * time.Second
