--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -46,6 +46,9 @@
 	entries  map[string]store.Entry
 	table    *route.Table
 	servers  map[string]Server
+	// idByKey holds the ID of the server that the last entry of a key which could be decoded
+	// named.
+	idByKey map[string]string
 	// graceUntil holds, by server ID, the end of the grace period of the servers whose
 	// entries were removed around a store outage.
 	graceUntil map[string]time.Time
@@ -83,7 +86,7 @@
 
 // NewState returns an empty state.
 func NewState(decoder Decoder) *State {
-	return &State{decoder: decoder, entries: map[string]store.Entry{}, servers: map[string]Server{}, graceUntil: map[string]time.Time{}, leaving: map[string]int64{}, departed: map[string]int64{}}
+	return &State{decoder: decoder, entries: map[string]store.Entry{}, servers: map[string]Server{}, idByKey: map[string]string{}, graceUntil: map[string]time.Time{}, leaving: map[string]int64{}, departed: map[string]int64{}}
 }
 
 // Position returns the store's version up to which all changes are applied.
@@ -235,6 +238,7 @@
 		c.Rejected = append(c.Rejected, RejectedEntry{e.Key, err})
 		return
 	}
+	s.idByKey[e.Key] = server.ID
 	delete(s.graceUntil, server.ID)
 	if incarnation, ok := s.leaving[server.ID]; ok && incarnation == server.Incarnation {
 		server.Draining = true
@@ -285,29 +289,34 @@
 }
 
 func (s *State) remove(c *Change, now time.Time, key string, version store.Version) {
-	e, ok := s.entries[key]
-	delete(s.entries, key)
-	if ok {
-		s.recordRemoval(removal{key, version})
+	if _, ok := s.entries[key]; !ok {
+		return
 	}
-	kind := s.kind(key)
-	if ok && kind == KeyQuarantine {
+	delete(s.entries, key)
+	s.recordRemoval(removal{key, version})
+	if s.kind(key) == KeyQuarantine {
 		c.Quarantines = true
 	}
-	if !ok || kind != KeyServer {
-		return
+	if id, named := s.idByKey[key]; named {
+		delete(s.idByKey, key)
+		s.removeServer(c, now, id)
 	}
-	server, err := s.decoder.Server(key, e.Value)
-	if err != nil {
+}
+
+// removeServer removes a server whose entry was removed, whatever the last writer of that
+// entry left there.
+func (s *State) removeServer(c *Change, now time.Time, id string) {
+	server, listed := s.servers[id]
+	if !listed {
 		return
 	}
-	if end := s.graceEnd(now); end.After(now) && !s.servers[server.ID].Draining {
-		s.graceUntil[server.ID] = end
+	if end := s.graceEnd(now); end.After(now) && !server.Draining {
+		s.graceUntil[id] = end
 		return
 	}
-	delete(s.servers, server.ID)
+	delete(s.servers, id)
 	s.recordDeparture(server)
-	c.Left = append(c.Left, server.ID)
+	c.Left = append(c.Left, id)
 }
 
 // recordDeparture remembers a server whose entry was removed.
--- a/internal/view/state_test.go
+++ b/internal/view/state_test.go
@@ -256,6 +256,30 @@
 	c.Assert(change.Left, qt.DeepEquals, []string{"a"})
 }
 
+// Guards against a server that stays in use for good because its entry was overwritten by
+// one that can't be decoded before it was removed, at the instance that reads the store and
+// at one that pulls from it.
+func TestServersWithUndecodableEntriesAreRemoved(t *testing.T) {
+	c := qt.New(t)
+	for _, replaced := range []bool{true, false} {
+		reader, follower := NewState(fakeDecoder{}), NewState(fakeDecoder{})
+		for _, s := range []*State{reader, follower} {
+			s.Replace(epoch, []store.Entry{entry("server/a", "x", 1)}, 1)
+		}
+		change := reader.Apply(epoch, watchResult(2, entry("server/a", "", 2)))
+		c.Assert(change.Rejected, qt.HasLen, 1)
+		c.Assert(reader.View().Servers["x"], qt.HasLen, 1)
+		if replaced {
+			change = reader.Replace(epoch, nil, 3)
+		} else {
+			change = reader.Apply(epoch, store.WatchResult{Deleted: []string{"server/a"}, Version: 3})
+		}
+		c.Assert(change.Left, qt.DeepEquals, []string{"a"})
+		c.Assert(reader.View().Version, qt.Equals, store.Version(3))
+		c.Assert(follower.Merge(epoch, reader.ChangesAfter(1)).Left, qt.DeepEquals, []string{"a"})
+	}
+}
+
 // Guards against an undecodable entry that keeps the others from being applied.
 func TestUndecodableEntriesAreSkipped(t *testing.T) {
 	c := qt.New(t)
