An empty list of organisations allows no key (ROUTE)

Cause: a missing list and an empty one were decoded to the same value, and a configuration without organisations required no keys.

Change: a configuration requires keys when its list is present, also when it is empty or null; only a missing list means that none is needed. A list of another type is rejected as before. An empty key in the list is ignored, because a request without a key would match it.

Before: the new test failed. The test of a decoded configuration names the new field.

--- a/route/route.go
+++ b/route/route.go
@@ -30,7 +30,10 @@
 	Routes        []Route
 	Services      []Service
 	Organisations []Organisation
-	Limits        Limits
+	// RequireKeys is true when requests to routes that are not public need the key of an
+	// organisation even if there is none.
+	RequireKeys bool
+	Limits      Limits
 }
 
 // Route configures the requests to a host whose path begins with a prefix.
--- a/route/table.go
+++ b/route/table.go
@@ -36,7 +36,9 @@
 	}
 	for i := range c.Organisations {
 		for _, key := range c.Organisations[i].Keys {
-			t.organisationByKey[key] = &c.Organisations[i]
+			if key != "" { // a request without a key has an empty one
+				t.organisationByKey[key] = &c.Organisations[i]
+			}
 		}
 	}
 	return t
@@ -68,7 +70,7 @@
 
 // KeysRequired reports whether requests to routes that are not public need an API key.
 func (t *Table) KeysRequired() bool {
-	return len(t.Organisations) > 0
+	return t.RequireKeys || len(t.Organisations) > 0
 }
 
 // ChooseService returns the service for a request of the route, chosen by weight. draw
