view: observers end with the newest view

Cause: observers were called outside every lock, so that the calls of two concurrent changes (a watch, a pull, a notice of leaving) could overtake each other. The pools, the queues and the listener were then left with an older view than the one that requests read, until the next change.

Change: one call of the observers at a time, with the view that is current when it begins. Ruled out: a deadlock with the lock of membership, whose observers are called after that lock is released.

Before: the new test ended with version 1.

--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -144,6 +144,11 @@
 	metrics    syncMetrics
 	current    atomic.Pointer[View]
 
+	// publishing serialises the calls of observers, of which the last one is then made with
+	// the newest view. published is the view of that call. It is locked before mu.
+	publishing sync.Mutex
+	published  *View
+
 	mu        sync.Mutex
 	state     *State
 	observers []func(*View)
@@ -212,8 +217,8 @@
 // Current returns the view, nil until there is one.
 func (s *Sync) Current() *View { return s.current.Load() }
 
-// Observe adds a function that is called with each new view. It must be called before
-// Run.
+// Observe adds a function that is called with each new view, in order and one call at a
+// time; a view that is replaced meanwhile is skipped. It must be called before Run.
 func (s *Sync) Observe(observer func(*View)) { s.observers = append(s.observers, observer) }
 
 // ChangesAfter implements peer.ViewHandler.
@@ -270,9 +275,7 @@
 	s.mu.Unlock()
 	s.metrics.recordView(next)
 	s.logChange(change, next, fromStore)
-	for _, observer := range s.observers {
-		observer(next)
-	}
+	s.publish()
 	s.peers.Announce(next.Version, fromStore)
 	if fromStore && !change.Restored {
 		s.announceLeaving(change, next)
@@ -280,6 +283,20 @@
 	return change
 }
 
+// publish calls the observers with the current view unless another call has done so.
+func (s *Sync) publish() {
+	s.publishing.Lock()
+	defer s.publishing.Unlock()
+	next := s.current.Load()
+	if next == s.published {
+		return
+	}
+	s.published = next
+	for _, observer := range s.observers {
+		observer(next)
+	}
+}
+
 // announceLeaving announces the servers of which the store says since a change that they
 // leave.
 func (s *Sync) announceLeaving(change Change, next *View) {
--- a/internal/view/sync_test.go
+++ b/internal/view/sync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync"
@@ -298,3 +299,41 @@
 	c.Assert(serversAttr("joined", ids).Value.Any(), qt.Equals, any(int64(maxLoggedServers+1)))
 	c.Assert(serversAttr("joined", ids[1:]).Value.Any(), qt.DeepEquals, any(ids[1:]))
 }
+
+// Guards against an observer that is left with an older view, because the calls of two
+// concurrent changes overtake each other.
+func TestObserversEndWithTheNewestView(t *testing.T) {
+	c := qt.New(t)
+	s := NewSync(&fakeSource{}, &fakePeers{announced: make(chan store.Version, 2)}, fakeDecoder{}, slog.New(slog.DiscardHandler), tally.NoopScope)
+	held, entered := make(chan struct{}), make(chan struct{})
+	s.Observe(func(v *View) {
+		if v.Version == 1 {
+			close(entered)
+			<-held
+		}
+	})
+	var mu sync.Mutex
+	var last store.Version
+	s.Observe(func(v *View) {
+		mu.Lock()
+		defer mu.Unlock()
+		last = v.Version
+	})
+	var updates sync.WaitGroup
+	update := func(version store.Version) {
+		key := fmt.Sprint("server/", version)
+		s.update(func(state *State, now time.Time) Change {
+			return state.Apply(now, watchResult(version, entry(key, "x", version)))
+		}, false)
+	}
+	updates.Go(func() { update(1) })
+	<-entered
+	updates.Go(func() { update(2) })
+	for s.Current().Version < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond) // the second change reaches the observers, if it may
+	close(held)
+	updates.Wait()
+	c.Assert(last, qt.Equals, store.Version(2))
+}
