view: a removal during a full read of the store reaches peers

Cause: a full read has the version of its first page. What it found to be missing was recorded as removed at that version, although it may have been removed later, while the pages were read. A peer whose own version lies between the two never got the removal: the tombstone that the next watch returned was for an entry that the reader did not have, and was dropped. The peer used the server until its next full read.

Change: removals that a full read found are recorded again with the version of the next update, and a tombstone is recorded also when the entry was not known. Both announce the new version. A peer may get a removal twice, which changes nothing.

Before: both new tests failed (with a watch, and with a second full read after lost history). After: they pass.

--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -29,11 +29,13 @@
 	Joined, Drained, Left []string
 	// Rejected entries do not change the view.
 	Rejected []RejectedEntry
+	// Removals is true when peers have to learn of a removal that changes nothing here.
+	Removals bool
 }
 
 // Any reports whether the view changed.
 func (c Change) Any() bool {
-	return c.Configuration || c.Quarantines || c.Restored || len(c.Joined)+len(c.Drained)+len(c.Left) > 0
+	return c.Configuration || c.Quarantines || c.Restored || c.Removals || len(c.Joined)+len(c.Drained)+len(c.Left) > 0
 }
 
 // State is a copy of the store's entries, from which views are built. Its position never
@@ -56,6 +58,9 @@
 	// removalsSince.
 	removals      []removal
 	removalsSince store.Version
+	// undated holds the keys that the last full read lacked. They were removed before its
+	// end, which may be after its version.
+	undated []string
 	// viewVersion is the store's version at the newest change of the view.
 	viewVersion store.Version
 	// leaving holds, by server ID, the incarnation of the servers that said themselves
@@ -123,6 +128,7 @@
 		s.removalsSince = version
 	}
 	s.beginUpdate(&c, now, version)
+	s.dateRemovals(&c, version)
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.Key] = true
@@ -131,12 +137,25 @@
 	for key := range s.entries {
 		if !present[key] {
 			s.remove(&c, now, key, version)
+			s.undated = append(s.undated, key)
 		}
 	}
 	s.advance(c, version)
 	return c
 }
 
+// dateRemovals records the removals that the last full read found at the next version, too:
+// peers with a version between that read's and the removal's would never learn of them.
+func (s *State) dateRemovals(c *Change, version store.Version) {
+	for _, key := range s.undated {
+		if _, present := s.entries[key]; !present {
+			s.recordRemoval(removal{key, version})
+			c.Removals = true
+		}
+	}
+	s.undated = nil
+}
+
 // Apply applies the changes that a watch returned, unless their version is not newer
 // than the current position.
 func (s *State) Apply(now time.Time, result store.WatchResult) (c Change) {
@@ -144,6 +163,7 @@
 		return c
 	}
 	s.beginUpdate(&c, now, result.Version)
+	s.dateRemovals(&c, result.Version)
 	for _, key := range result.Deleted {
 		s.remove(&c, now, key, result.Version)
 	}
@@ -290,6 +310,10 @@
 
 func (s *State) remove(c *Change, now time.Time, key string, version store.Version) {
 	if _, ok := s.entries[key]; !ok {
+		if s.kind(key) != KeyOther {
+			s.recordRemoval(removal{key, version}) // a peer may have the entry
+			c.Removals = true
+		}
 		return
 	}
 	delete(s.entries, key)
--- a/internal/view/state_test.go
+++ b/internal/view/state_test.go
@@ -280,6 +280,39 @@
 	}
 }
 
+// Guards against a server that a peer uses for good although it has left: the instance that
+// the peer pulls from read all entries while the server's was removed, at a version between
+// that of the read and the removal.
+func TestRemovalsDuringAFullReadReachPeers(t *testing.T) {
+	c := qt.New(t)
+	for _, known := range []bool{true, false} {
+		reader, follower := NewState(fakeDecoder{}), NewState(fakeDecoder{})
+		follower.Replace(epoch, []store.Entry{entry("server/a", "x", 1), entry("config", "1", 1)}, 12)
+		if known {
+			reader.Replace(epoch, []store.Entry{entry("server/a", "x", 1)}, 9)
+		}
+		// The read begins at version 10, and the entry is removed at 13.
+		reader.Replace(epoch, []store.Entry{entry("config", "1", 1)}, 10)
+		change := reader.Apply(epoch, store.WatchResult{Deleted: []string{"server/a"}, Version: 14})
+		c.Assert(change.Any(), qt.IsTrue, qt.Commentf("the version is announced to peers"))
+		c.Assert(reader.View().Version, qt.Equals, store.Version(14))
+		c.Assert(follower.Merge(epoch, reader.ChangesAfter(12)).Left, qt.DeepEquals, []string{"a"})
+	}
+}
+
+// Guards against the same when the watch after the full read has lost its history, so that a
+// second full read follows.
+func TestRemovalsBetweenFullReadsReachPeers(t *testing.T) {
+	c := qt.New(t)
+	reader, follower := NewState(fakeDecoder{}), NewState(fakeDecoder{})
+	entries := []store.Entry{entry("server/a", "x", 1), entry("config", "1", 1)}
+	follower.Replace(epoch, entries, 12)
+	reader.Replace(epoch, entries, 9)
+	reader.Replace(epoch, entries[1:], 10)
+	reader.Replace(epoch, entries[1:], 15)
+	c.Assert(follower.Merge(epoch, reader.ChangesAfter(12)).Left, qt.DeepEquals, []string{"a"})
+}
+
 // Guards against an undecodable entry that keeps the others from being applied.
 func TestUndecodableEntriesAreSkipped(t *testing.T) {
 	c := qt.New(t)
