--- a/route/route.go
+++ b/route/route.go
@@ -63,6 +63,8 @@
 	Resumable bool
 	// Stages are the stages that must run before the request is sent to its service.
 	Stages []Stage
+	// AllowedRegions are the regions in which its requests may be served; empty for all.
+	AllowedRegions []string
 }
 
 // Weight is the weight of a service in the traffic split of a route.
@@ -112,6 +114,8 @@
 	Priority int
 	// HasPriority is true when Priority is set.
 	HasPriority bool
+	// AllowedRegions are the regions in which its requests may be served; empty for all.
+	AllowedRegions []string
 }
 
 // Limits are limits on the size and time of requests.
