routing, engine: servers outside the allowed regions are not picked

Cause: both fell back to the servers of other regions whatever the request (HOME), and engine copied cached prompt parts from any region.

Change: a query names the allowed regions. Servers elsewhere are neither candidates nor sources of copies.

--- a/engine/copy.go
+++ b/engine/copy.go
@@ -22,13 +22,13 @@
 
 // bestSource returns the server that caches most of a prompt. Ties go to servers of the
 // scheduler's own region, then to the server that was a source least recently. Paused
-// servers are no sources.
-func (s *Scheduler) bestSource(now time.Time, prompt []Part) (best source) {
+// servers and those outside the allowed regions are no sources.
+func (s *Scheduler) bestSource(now time.Time, q Query) (best source) {
 	for _, c := range s.servers {
-		if now.Before(c.pausedUntil) {
+		if now.Before(c.pausedUntil) || !q.Regions.Contains(c.Region) {
 			continue
 		}
-		uncached, _ := c.uncachedTokens(prompt)
+		uncached, _ := c.uncachedTokens(q.Prompt)
 		if best.server == nil || uncached < best.uncached || uncached == best.uncached && s.preferredAsSource(c, best.server) {
 			best = source{c, uncached}
 		}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/coltsfootdrift/coltsfootdrift/regions"
 )
 
 const (
@@ -149,6 +151,8 @@
 	// AskOnly is true when the placement is only an estimate, which is made before the
 	// stages run. The prompt is then not counted at the server.
 	AskOnly bool
+	// Regions are the regions whose servers may run the prompt or be the source of a copy.
+	Regions regions.Set
 }
 
 // Placement is the server that was chosen for a prompt.
@@ -179,7 +183,7 @@
 		return Placement{}, false
 	}
 	key := affinityKey(q.Prompt)
-	copySource := s.bestSource(now, q.Prompt)
+	copySource := s.bestSource(now, q)
 	var best *serverState
 	var bestCost time.Duration
 	var bestWork workload
@@ -211,7 +215,7 @@
 	var available, paused []*serverState
 	for _, c := range s.servers {
 		switch {
-		case local && c.Region != s.region, slices.Contains(q.Excluded, c.ID):
+		case local && c.Region != s.region, !q.Regions.Contains(c.Region), slices.Contains(q.Excluded, c.ID):
 		case now.Before(c.pausedUntil), now.Before(c.isolatedUntil):
 			paused = append(paused, c)
 		default:
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -84,7 +84,7 @@
 )
 
 func (s *server) eligible(i ServerIndex, q *Query, mode eligibilityMode) bool {
-	if s.draining || slices.Contains(q.Excluded, i) {
+	if s.draining || slices.Contains(q.Excluded, i) || !q.Regions.Contains(s.Region) {
 		return false
 	}
 	if mode == strict && s.level >= levelProbeOnly {
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -202,6 +202,9 @@
 // ID returns the ID of a server.
 func (p *Pool) ID(i ServerIndex) string { return p.servers[i].ID }
 
+// Region returns the region of a server.
+func (p *Pool) Region(i ServerIndex) string { return p.servers[i].Region }
+
 // Local reports whether a server is in the instance's region.
 func (p *Pool) Local(i ServerIndex) bool { return p.servers[i].tier < tierRemote }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
+	"github.com/coltsfootdrift/coltsfootdrift/regions"
 )
 
 // ServerIndex identifies a server within a Pool. It stays valid while the server is
@@ -51,6 +52,8 @@
 	Remaining time.Duration
 	// Excluded lists servers that were already tried.
 	Excluded []ServerIndex
+	// Regions are the regions whose servers may be picked.
+	Regions regions.Set
 }
 
 // Outcome is how a call ended.
