--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -49,5 +49,8 @@
 	LimitNamed            = define(7226, slog.LevelInfo, "backend server named or ended a limit of the requests that it takes")
 	PermitOwnerFailed     = define(7227, slog.LevelWarn, "instance that gives out the permits of a limited backend server did not answer")
 	LimitMalformed        = define(7228, slog.LevelWarn, "backend server names a limit that is no decimal number")
+	NoAllowedRegion       = define(7230, slog.LevelWarn, "no allowed region serves the request")
+	RegionsBound          = define(7231, slog.LevelInfo, "regions in which routes and organisations may be served have changed")
+	RegionOwnerFailed     = define(7232, slog.LevelWarn, "instance of another region did not say or do what its region's owner should")
 	AttemptCutShort       = define(7221, slog.LevelInfo, "request broke off before or at the start of its answer")
 )
--- /dev/null
+++ b/internal/gateway/allowedregions.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
+	"github.com/coltsfootdrift/coltsfootdrift/regions"
+	"github.com/coltsfootdrift/coltsfootdrift/route"
+)
+
+const (
+	// regionRetryAfter is the time after which to retry a request that no allowed region can
+	// serve: about as long as it takes to learn of new servers.
+	regionRetryAfter = time.Second
+	// unreachedRegionPause is how long requests are not sent to a region after the servers or
+	// instances there could not be reached.
+	unreachedRegionPause = 500 * time.Millisecond
+)
+
+// Reasons in the answers to requests that no allowed region serves.
+const (
+	reasonNoAllowedServer    = "no server in an allowed region"
+	reasonAllowedUnreachable = "no server in an allowed region is reached"
+)
+
+// bindingRegions returns the regions in which requests of a route with a key may be served.
+// Where both the route and the organisation of the key have a list, both bind.
+func bindingRegions(table *route.Table, r *route.Route, key string) regions.Set {
+	set := regions.Listed(r.AllowedRegions)
+	if o := table.Organisation(key); o != nil {
+		set = set.Intersect(regions.Listed(o.AllowedRegions))
+	}
+	return set
+}
+
+// allowedRegions returns the regions to which the request may be sent now: those of the
+// configuration that it began with that the newest one allows, too. It is called before
+// each send.
+func (c *clientRequest) allowedRegions() regions.Set {
+	set := bindingRegions(c.view.Table, c.route, c.requestInfo.Key)
+	newest := c.views.Current()
+	if newest == nil || newest.Table == nil || newest.Table == c.view.Table {
+		return set
+	}
+	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	r := newest.Table.Match(c.request.Host, path)
+	if r == nil {
+		r = c.route
+	}
+	return set.Intersect(bindingRegions(newest.Table, r, c.requestInfo.Key))
+}
+
+// reachableRegions returns the allowed regions without those that could not be reached
+// lately.
+func (c *clientRequest) reachableRegions() regions.Set {
+	set := c.allowedRegions()
+	if !set.Bound() {
+		return set
+	}
+	return c.unreached.remove(time.Now(), set)
+}
+
+// workRegion returns the region that runs the work of a service for the request, and false
+// when no region of a set has a server of it.
+func (c *clientRequest) workRegion(service string, set regions.Set) (region string, ok bool) {
+	own := c.servers.Region()
+	if !set.Bound() {
+		return own, true
+	}
+	return set.Choose(own, c.servers.countByRegion(c.currentServers(service)))
+}
+
+// currentServers returns the servers of a service by the newest view.
+func (c *clientRequest) currentServers(service string) []view.Server {
+	if newest := c.views.Current(); newest != nil {
+		return newest.Servers[service]
+	}
+	return c.view.Servers[service]
+}
+
+// refuseUnserved refuses the request when no allowed region has a server of one of the
+// services, and returns whether it did. It has no effect on requests that may be served in
+// all regions.
+func (c *clientRequest) refuseUnserved(services ...string) bool {
+	reachable := c.reachableRegions()
+	if !reachable.Bound() {
+		return false
+	}
+	for _, service := range services {
+		if _, ok := c.workRegion(service, reachable); ok {
+			continue
+		}
+		allowed := c.allowedRegions()
+		reason := reasonNoAllowedServer
+		if _, listed := c.workRegion(service, allowed); listed {
+			reason = reasonAllowedUnreachable
+		}
+		c.refuseRegions(reason, service, allowed)
+		return true
+	}
+	return false
+}
+
+// refuseRegions refuses the request for its allowed regions.
+func (c *clientRequest) refuseRegions(reason, service string, allowed regions.Set) {
+	c.recordUnserved(reason, service, allowed)
+	c.refuse(reason, regionRetryAfter)
+}
+
+// recordUnserved logs and counts that no allowed region serves the request.
+func (c *clientRequest) recordUnserved(reason, service string, allowed regions.Set) {
+	c.metrics.unservedRegions.Inc(1)
+	c.log(events.NoAllowedRegion, slog.String("reason", reason), slog.String("route", c.route.Name), slog.String("organisation", c.organisation),
+		slog.String("service", service), slog.String("regions", allowed.String()), slog.String("own_region", c.servers.Region()))
+}
+
+// refuseNoServer refuses a plain request for which no server is left.
+func (c *clientRequest) refuseNoServer() {
+	if !c.refuseUnserved(c.service.Name) {
+		c.refuse("no server", c.retryAfter())
+	}
+}
+
+// refuseNotReached refuses a plain request whose servers could not be reached. The last one
+// was in a region.
+func (c *clientRequest) refuseNotReached(region string) {
+	allowed := c.allowedRegions()
+	if !allowed.Bound() || region == c.servers.Region() {
+		c.refuse("servers are not reached", shortRetryAfter)
+		return
+	}
+	c.unreached.add(time.Now(), region)
+	c.refuseRegions(reasonAllowedUnreachable, c.service.Name, allowed)
+}
+
+// unreachedRegions remembers the other regions that could not be reached lately, so that
+// requests that may be served only there are refused without waiting.
+type unreachedRegions struct {
+	mu sync.Mutex
+	// until holds the end of the pause by region.
+	until map[string]time.Time
+}
+
+func newUnreachedRegions() *unreachedRegions {
+	return &unreachedRegions{until: map[string]time.Time{}}
+}
+
+// add begins a pause of a region.
+func (u *unreachedRegions) add(now time.Time, region string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.until[region] = now.Add(unreachedRegionPause)
+}
+
+// remove returns a bound set without the regions that are in a pause.
+func (u *unreachedRegions) remove(now time.Time, set regions.Set) regions.Set {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var kept []string
+	for _, name := range set.Names() {
+		if !now.Before(u.until[name]) {
+			kept = append(kept, name)
+		}
+	}
+	return regions.Only(kept)
+}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -76,6 +76,7 @@
 	Placer     *Placer
 	Quarantine *Quarantines
 	Permits    *Permits
+	Regions    *RegionBindings
 	Gateway    *Gateway
 	Frontend   *Frontend
 	Drain      *Drain
@@ -95,6 +96,7 @@
 			NewServers,
 			NewStageRunner,
 			NewPlacer,
+			NewRegionBindings,
 			func(m *metrics.Metrics) *Quarantines { return NewQuarantines(logger, m.Scope) },
 			func() Protocol { return adapter.Protocol },
 			func() Store { return adapter.Store(s.StoreAddress) },
@@ -195,6 +197,7 @@
 	d.Views.Observe(d.Cluster.ObserveView)
 	d.Views.Observe(d.Servers.Update)
 	d.Views.Observe(d.Quarantine.ObserveView)
+	d.Views.Observe(d.Regions.ObserveView)
 	d.Views.Observe(d.Client.ObserveView)
 	d.Views.Observe(d.Scheduler.Update)
 	d.Views.Observe(d.Frontend.Update)
@@ -246,6 +249,7 @@
 		return map[string]any{"id": d.Settings.Instance, "region": d.Settings.Region, "failure_domain": d.Settings.FailureDomain, "draining": d.Drain.Draining()}
 	})
 	page.Add("server_limits", func() any { return d.Permits.Limits() })
+	page.Add("allowed_regions", func() any { return d.Regions.List() })
 	return page
 }
 
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -122,16 +122,24 @@
 	return parts, json.Unmarshal(body, &parts)
 }
 
-// fakeSource is a view.Source whose entries never change.
-type fakeSource struct{ entries []store.Entry }
+// fakeSource is a view.Source.
+type fakeSource struct {
+	entries []store.Entry
+	// changes are what Watch returns.
+	changes chan store.WatchResult
+}
 
 func (f fakeSource) Snapshot(context.Context, bool, view.CallOptions) ([]store.Entry, store.Version, error) {
 	return f.entries, 1, nil
 }
 
 func (f fakeSource) Watch(ctx context.Context, _ string, _ store.Version, _ view.CallOptions) (store.WatchResult, error) {
-	<-ctx.Done()
-	return store.WatchResult{Version: 1}, nil
+	select {
+	case change := <-f.changes:
+		return change, nil
+	case <-ctx.Done():
+		return store.WatchResult{Version: 1}, nil
+	}
 }
 
 // fixture is a running gateway whose backend servers are handler functions.
@@ -143,6 +151,10 @@
 	scheduler *StageScheduler
 	drain     *Drain
 	url       string
+	// changes are later changes of the store's entries, and viewed receives a value after
+	// each view.
+	changes chan store.WatchResult
+	viewed  chan struct{}
 }
 
 // addServer adds a backend server to a service and returns its address.
@@ -157,6 +169,23 @@
 	return address
 }
 
+// addServerIn adds a backend server in a failure domain: "d" is in the gateway's region "r",
+// "e" in region "q".
+func (f *fixture) addServerIn(domain, service string, handle http.HandlerFunc) {
+	f.addServer(service, handle)
+	f.servers[len(f.servers)-1].FailureDomain = domain
+}
+
+// reconfigure publishes the fixture's configuration again, as changed by the test.
+func (f *fixture) reconfigure() {
+	f.config.Version++
+	data, err := json.Marshal(f.config)
+	f.c.Assert(err, qt.IsNil)
+	version := store.Version(f.config.Version)
+	f.changes <- store.WatchResult{Changed: []store.Entry{{Key: "config", Value: data, Version: version}}, Version: version}
+	<-f.viewed
+}
+
 func discardLogger() *slog.Logger { return slog.New(slog.NewJSONHandler(io.Discard, nil)) }
 
 // freeUDPPorts draws ports outside the range that the system assigns to sockets
@@ -188,7 +217,7 @@
 func (f *fixture) start() {
 	c := f.c
 	node := listenPeer(c)
-	s := settings.Gateway{Instance: "g", Region: "r", FailureDomain: "d", Regions: map[string]string{"d": "r"}, PeerAddress: nodeAddress(node),
+	s := settings.Gateway{Instance: "g", Region: "r", FailureDomain: "d", Regions: map[string]string{"d": "r", "e": "q"}, PeerAddress: nodeAddress(node),
 		GraceSeconds: 8, RetryRatio: 20, RetrySlack: 1000, RetryWindowSeconds: 1}
 	entries := []store.Entry{}
 	add := func(key string, value any) {
@@ -205,7 +234,8 @@
 	protocol, peerClient := fakeProtocol{}, peer.NewClient()
 	cluster := NewCluster(s, node, peerClient, storetest.New(), discardLogger())
 	cluster.started = cluster.started.Add(-firstReadDelay) // no other instance starts
-	views := view.NewSync(fakeSource{entries}, cluster, protocol, discardLogger(), tally.NoopScope)
+	f.changes, f.viewed = make(chan store.WatchResult), make(chan struct{}, 10)
+	views := view.NewSync(fakeSource{entries, f.changes}, cluster, protocol, discardLogger(), tally.NoopScope)
 	servers := NewServers(s, cluster)
 	permits := NewPermits(s, cluster, peerClient, views, discardLogger(), tally.NoopScope)
 	client := NewServerClient(upstream.NewClient(tally.NoopScope), protocol, permits, markLeaving(views, cluster, discardLogger()), discardLogger(), tally.NoopScope)
@@ -214,16 +244,15 @@
 	f.drain = NewDrain(s.Grace())
 	quarantines := NewQuarantines(discardLogger(), tally.NoopScope)
 	f.gateway = New(protocol, views, servers, client, NewStageRunner(cluster, peerClient, f.scheduler, discardLogger()), NewPlacer(cluster, peerClient, servers, client, protocol, quarantines, discardLogger()), f.drain, discardLogger(), tally.NoopScope)
-	changed := make(chan struct{}, 10)
 	views.Observe(servers.Update)
 	views.Observe(quarantines.ObserveView)
 	views.Observe(f.scheduler.Update)
-	views.Observe(func(*view.View) { changed <- struct{}{} })
+	views.Observe(func(*view.View) { f.viewed <- struct{}{} })
 	ctx, cancel := context.WithCancel(context.Background())
 	go node.Run(ctx)
 	go views.Run(ctx)
 	if len(entries) > 0 {
-		<-changed
+		<-f.viewed
 	}
 	frontend := NewFrontend(f.gateway, f.drain, discardLogger())
 	c.Assert(frontend.Listen(ctx, "127.0.0.1:0"), qt.IsNil)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 	// durations holds the longest recent durations of whole requests by route.
 	durations      *recentMaxima
 	fetchEstimates *fetchEstimates
+	unreached      *unreachedRegions
 }
 
 // requestMetrics are the metrics of client requests.
@@ -41,7 +42,9 @@
 	requests, answered, refused, failed, aborted, abandoned, resumed tally.Counter
 	// undecided counts the requests that were refused because a newer configuration may
 	// allow them.
-	undecided                  tally.Counter
+	undecided tally.Counter
+	// unservedRegions counts the requests that no allowed region could serve.
+	unservedRegions            tally.Counter
 	duration, timeToFirstEvent tally.Histogram
 }
 
@@ -52,13 +55,14 @@
 		refused: scope.Counter("requests_refused"), failed: scope.Counter("requests_failed"),
 		aborted: scope.Counter("requests_broken_off"), abandoned: scope.Counter("requests_left"),
 		resumed: scope.Counter("streams_resumed"), undecided: scope.Counter("requests_undecided"),
-		duration: scope.Histogram("request_seconds", buckets), timeToFirstEvent: scope.Histogram("first_event_seconds", buckets),
+		unservedRegions: scope.Counter("requests_without_allowed_region"),
+		duration:        scope.Histogram("request_seconds", buckets), timeToFirstEvent: scope.Histogram("first_event_seconds", buckets),
 	}
 }
 
 // New returns a gateway that serves requests by the current view of views.
 func New(protocol Protocol, views *view.Sync, servers *Servers, client *ServerClient, stages *StageRunner, placer *Placer, drain *Drain, logger *slog.Logger, scope tally.Scope) *Gateway {
-	return &Gateway{protocol: protocol, views: views, servers: servers, client: client, stages: stages, placer: placer, drain: drain, logger: logger, metrics: newRequestMetrics(scope), runTimes: newMovingAverages(), durations: newRecentMaxima(), fetchEstimates: newFetchEstimates(), bodyMemory: newBodyMemory()}
+	return &Gateway{protocol: protocol, views: views, servers: servers, client: client, stages: stages, placer: placer, drain: drain, logger: logger, metrics: newRequestMetrics(scope), runTimes: newMovingAverages(), durations: newRecentMaxima(), fetchEstimates: newFetchEstimates(), bodyMemory: newBodyMemory(), unreached: newUnreachedRegions()}
 }
 
 // InFlight returns the number of requests in flight.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -21,6 +21,7 @@
 type plainSend struct {
 	server  upstream.Server
 	index   routing.ServerIndex
+	region  string
 	started time.Time
 }
 
@@ -31,7 +32,7 @@
 	for unsentTries := 0; ; {
 		send, ok := c.pickServer(excluded)
 		if !ok {
-			c.refuse("no server", c.retryAfter())
+			c.refuseNoServer()
 			return
 		}
 		excluded = append(excluded, send.index)
@@ -45,7 +46,7 @@
 			c.finishSend(send, routing.Unreachable)
 			c.logSendFailed(send.server, 0, err)
 			if unsentTries++; unsentTries >= maxUnsentTries {
-				c.refuse("servers are not reached", shortRetryAfter)
+				c.refuseNotReached(send.region)
 				return
 			}
 			continue
@@ -83,9 +84,11 @@
 func (c *clientRequest) pickServer(excluded []routing.ServerIndex) (send plainSend, ok bool) {
 	now := time.Now()
 	var id string
+	query := newPlainQuery(c.remaining(), excluded)
+	query.Regions = c.reachableRegions()
 	c.servers.WithPool(c.service.Name, func(pool *routing.Pool, random *rand.Rand) {
-		if send.index, ok = pool.Pick(now, random, newPlainQuery(c.remaining(), excluded)); ok {
-			id = pool.ID(send.index)
+		if send.index, ok = pool.Pick(now, random, query); ok {
+			id, send.region = pool.ID(send.index), pool.Region(send.index)
 			pool.Started(send.index, pipeline.ClassInteractive, now)
 		}
 	})
--- a/internal/gateway/serverclient.go
+++ b/internal/gateway/serverclient.go
@@ -118,7 +118,11 @@
 // shortestWait returns the time until the first server of the request's service takes
 // requests, 0 when one does now or there is none.
 func (c *clientRequest) shortestWait() (shortest time.Duration) {
+	allowed := c.allowedRegions()
 	for _, server := range c.view.Servers[c.service.Name] {
+		if !allowed.Contains(c.servers.RegionOf(server.FailureDomain)) {
+			continue
+		}
 		wait := c.client.wait(server.ID, server.Incarnation)
 		if wait == 0 {
 			return 0
