peer: an instance says who owns a key in its region

Cause: owners of stage services and of placements are chosen among the live instances of a region, which instances of other regions do not know.

Change: FindOwners returns the addresses of the owner and of those that take over from it. Passing whole requests on to an instance of the other region was ruled out: it would send their bodies twice over the link and tie the answer to two instances.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -179,6 +179,13 @@
 	return fromTwirp(err, "free_results", address)
 }
 
+// FindOwners asks an instance of another region for the instances there that own a key. Its
+// only time limit is the context.
+func (c *Client) FindOwners(ctx context.Context, address, key string) (*peerpb.FindOwnersResponse, error) {
+	response, err := c.peer(address).FindOwners(ctx, &peerpb.FindOwnersRequest{Key: key})
+	return response, fromTwirp(err, "find_owners", address)
+}
+
 // PullView returns the changes after a version that a peer has read from the store,
 // or all entries. The result has version 0 when the peer has nothing newer. When no answer
 // begins within a time, it is called once more on a new connection, because the one that was
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -65,6 +65,11 @@
 	AcquirePermit(ctx context.Context, request *peerpb.AcquirePermitRequest) (*peerpb.AcquirePermitResponse, error)
 }
 
+// OwnerHandler knows which instances of its region own keys.
+type OwnerHandler interface {
+	FindOwners(key string) *peerpb.FindOwnersResponse
+}
+
 // ViewHandler serves the entries that this instance has read from the store.
 type ViewHandler interface {
 	// ChangesAfter returns the changes after a version, or all entries when those
@@ -89,6 +94,7 @@
 	views         ViewHandler
 	placements    PlacementHandler
 	permits       PermitHandler
+	owners        OwnerHandler
 }
 
 // NewServer returns a server without handlers. It passes Leave calls to the node,
@@ -348,6 +354,24 @@
 	return s.placements
 }
 
+// HandleOwners registers the handler of FindOwners.
+func (s *Server) HandleOwners(h OwnerHandler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.owners = h
+}
+
+// FindOwners implements peerpb.Peer.
+func (s *Server) FindOwners(_ context.Context, request *peerpb.FindOwnersRequest) (*peerpb.FindOwnersResponse, error) {
+	s.mu.Lock()
+	handler := s.owners
+	s.mu.Unlock()
+	if handler == nil {
+		return nil, toTwirp(ErrUnsupported)
+	}
+	return handler.FindOwners(request.Key), nil
+}
+
 // PullView implements peerpb.Peer.
 func (s *Server) PullView(_ context.Context, request *peerpb.PullViewRequest) (*peerpb.PullViewResponse, error) {
 	handler := s.viewHandler()
