--- a/internal/gateway/allowedregions.go
+++ b/internal/gateway/allowedregions.go
@@ -82,59 +82,54 @@
 	return c.view.Servers[service]
 }
 
-// refuseUnserved refuses the request when no allowed region has a server of one of the
-// services, and returns whether it did. It has no effect on requests that may be served in
-// all regions.
-func (c *clientRequest) refuseUnserved(services ...string) bool {
+// unserved returns why no allowed region serves the request, and the first of the services
+// without a reachable server there. The reason is empty when all have one, and for requests
+// that may be served in all regions.
+func (c *clientRequest) unserved(services ...string) (reason, service string) {
 	reachable := c.reachableRegions()
 	if !reachable.Bound() {
-		return false
+		return "", ""
 	}
 	for _, service := range services {
 		if _, ok := c.workRegion(service, reachable); ok {
 			continue
 		}
-		allowed := c.allowedRegions()
-		reason := reasonNoAllowedServer
-		if _, listed := c.workRegion(service, allowed); listed {
-			reason = reasonAllowedUnreachable
+		if _, listed := c.workRegion(service, c.allowedRegions()); listed {
+			return reasonAllowedUnreachable, service
 		}
-		c.refuseRegions(reason, service, allowed)
-		return true
+		return reasonNoAllowedServer, service
 	}
-	return false
-}
-
-// refuseRegions refuses the request for its allowed regions.
-func (c *clientRequest) refuseRegions(reason, service string, allowed regions.Set) {
-	c.recordUnserved(reason, service, allowed)
-	c.refuse(reason, regionRetryAfter)
+	return "", ""
 }
 
 // recordUnserved logs and counts that no allowed region serves the request.
-func (c *clientRequest) recordUnserved(reason, service string, allowed regions.Set) {
+func (c *clientRequest) recordUnserved(reason, service string) {
 	c.metrics.unservedRegions.Inc(1)
 	c.log(events.NoAllowedRegion, slog.String("reason", reason), slog.String("route", c.route.Name), slog.String("organisation", c.organisation),
-		slog.String("service", service), slog.String("regions", allowed.String()), slog.String("own_region", c.servers.Region()))
+		slog.String("service", service), slog.String("regions", c.allowedRegions().String()), slog.String("own_region", c.servers.Region()))
 }
 
 // refuseNoServer refuses a plain request for which no server is left.
 func (c *clientRequest) refuseNoServer() {
-	if !c.refuseUnserved(c.service.Name) {
+	reason, service := c.unserved(c.service.Name)
+	if reason == "" {
 		c.refuse("no server", c.retryAfter())
+		return
 	}
+	c.recordUnserved(reason, service)
+	c.refuse(reason, regionRetryAfter)
 }
 
 // refuseNotReached refuses a plain request whose servers could not be reached. The last one
 // was in a region.
 func (c *clientRequest) refuseNotReached(region string) {
-	allowed := c.allowedRegions()
-	if !allowed.Bound() || region == c.servers.Region() {
+	if !c.allowedRegions().Bound() || region == c.servers.Region() {
 		c.refuse("servers are not reached", shortRetryAfter)
 		return
 	}
 	c.unreached.add(time.Now(), region)
-	c.refuseRegions(reasonAllowedUnreachable, c.service.Name, allowed)
+	c.recordUnserved(reasonAllowedUnreachable, c.service.Name)
+	c.refuse(reasonAllowedUnreachable, regionRetryAfter)
 }
 
 // unreachedRegions remembers the other regions that could not be reached lately, so that
--- a/internal/gateway/allowedregions_test.go
+++ b/internal/gateway/allowedregions_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -137,3 +138,28 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(body, qt.Equals, "near")
 }
+
+// Guards against a client that is told to come back while all servers that it may be sent to
+// are in a pause, because servers of another region take requests.
+func TestRetryAfterIsThatOfAllowedServers(t *testing.T) {
+	c := qt.New(t)
+	f := newPlainFixture(c, route.Idempotent)
+	f.config.Routes[0].AllowedRegions = []string{"q"}
+	var seen recorder
+	f.addServer("x", answerWith(&seen, "near"))
+	f.addServerIn("e", "x", func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Not-Run", "full")
+		rw.Header().Set("Pause", "2s")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	})
+	f.start()
+	for range 2 {
+		response, _, err := f.do("GET", "/p/", "")
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		c.Assert(err, qt.IsNil)
+		c.Assert(seconds > 1.9 && seconds <= maxRetryAfter.Seconds(), qt.IsTrue, qt.Commentf("%v s", seconds))
+	}
+	c.Assert(seen.all(), qt.HasLen, 0)
+}
--- a/internal/gateway/cluster.go
+++ b/internal/gateway/cluster.go
@@ -60,7 +60,9 @@
 	mu         sync.Mutex
 	avoidUntil map[string]time.Time
 	ranks      ownerRanks
-	started    time.Time
+	// regionOwners has a lock of its own.
+	regionOwners regionOwners
+	started      time.Time
 	// rereadInterval is the mean time between rereads of the registrations.
 	rereadInterval time.Duration
 	// registered holds the registrations of the region's other instances by ID, as last
--- a/internal/gateway/cutshort.go
+++ b/internal/gateway/cutshort.go
@@ -35,6 +35,10 @@
 	if placed.onTrial {
 		parts = partIDs(g.requestInfo.Prompt)
 	}
+	if len(parts) > 0 && placed.owner != "" {
+		g.placer.answeredAt(placed.owner, g.service.Name, parts)
+		return
+	}
 	if len(parts) > 0 {
 		g.placer.recordAnswered(g.service.Name, parts, placed.onTrial)
 	}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -210,6 +210,7 @@
 	d.PeerServer.HandleStages(d.Scheduler)
 	d.PeerServer.HandlePlacements(d.Placer)
 	d.PeerServer.HandlePermits(d.Permits)
+	d.PeerServer.HandleOwners(d.Cluster)
 	if err := d.listen(ctx); err != nil {
 		return err
 	}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -151,6 +151,8 @@
 	scheduler *StageScheduler
 	drain     *Drain
 	url       string
+	// far is true for an instance in region "q".
+	far bool
 	// changes are later changes of the store's entries, and viewed receives a value after
 	// each view.
 	changes chan store.WatchResult
@@ -194,12 +196,15 @@
 
 // listenPeer returns a node that is bound to its UDP port. It tries the next port when
 // another process takes one between the draw and the bind.
-func listenPeer(c *qt.C) *peer.Node {
+func listenPeer(c *qt.C) *peer.Node { return listenPeerIn(c, "g", "r") }
+
+// listenPeerIn is listenPeer for an instance with an ID in a region.
+func listenPeerIn(c *qt.C, id, region string) *peer.Node {
 	for {
 		port, err := freeUDPPorts()
 		c.Assert(err, qt.IsNil)
 		address := net.JoinHostPort(standin.Host, strconv.Itoa(port))
-		node, err := peer.Listen(membership.Identity{ID: "g", FailureDomain: "r", Address: address, Incarnation: 1}, discardLogger(), tally.NoopScope)
+		node, err := peer.Listen(membership.Identity{ID: id, FailureDomain: region, Address: address, Incarnation: 1}, discardLogger(), tally.NoopScope)
 		if errors.Is(err, syscall.EADDRINUSE) {
 			continue
 		}
@@ -213,11 +218,48 @@
 	return address
 }
 
+// location is where an instance runs.
+type location struct{ id, region, domain string }
+
+func (f *fixture) location() location {
+	if f.far {
+		return location{"h", "q", "e"}
+	}
+	return location{"g", "r", "d"}
+}
+
+// startFar starts an instance in region "q" with the same configuration and servers, which
+// serves the calls of the fixture's instance. The result ends these calls.
+func (f *fixture) startFar() (far *fixture, stop func()) {
+	far = &fixture{c: f.c, config: f.config, servers: f.servers, far: true}
+	far.start()
+	cluster := far.gateway.stages.cluster
+	handlers := peer.NewServer(nil)
+	handlers.HandleStages(far.scheduler)
+	handlers.HandlePlacements(far.gateway.placer)
+	handlers.HandleOwners(cluster)
+	listener, err := net.Listen("tcp", cluster.Address())
+	f.c.Assert(err, qt.IsNil)
+	server := &http.Server{Handler: handlers.Handler()}
+	go server.Serve(listener)
+	stop = func() { server.Close() }
+	f.c.Cleanup(stop)
+	contacts := []membership.Contact{{ID: "h", Address: cluster.Address()}}
+	f.gateway.stages.cluster.node.Do(func(s *membership.State) []membership.Output {
+		return s.Receive(time.Now(), membership.Message{
+			From:      membership.Record{ID: "h", FailureDomain: "q", Address: cluster.Address(), Incarnation: 1, Counter: 1},
+			Summaries: []membership.DomainSummary{{FailureDomain: "q", Members: 1, Contacts: contacts}},
+		})
+	})
+	return far, stop
+}
+
 // start starts the gateway and waits until it has loaded the configuration.
 func (f *fixture) start() {
 	c := f.c
-	node := listenPeer(c)
-	s := settings.Gateway{Instance: "g", Region: "r", FailureDomain: "d", Regions: map[string]string{"d": "r", "e": "q"}, PeerAddress: nodeAddress(node),
+	at := f.location()
+	node := listenPeerIn(c, at.id, at.region)
+	s := settings.Gateway{Instance: at.id, Region: at.region, FailureDomain: at.domain, Regions: map[string]string{"d": "r", "e": "q"}, PeerAddress: nodeAddress(node),
 		GraceSeconds: 8, RetryRatio: 20, RetrySlack: 1000, RetryWindowSeconds: 1}
 	entries := []store.Entry{}
 	add := func(key string, value any) {
--- a/internal/gateway/inputs.go
+++ b/internal/gateway/inputs.go
@@ -21,21 +21,12 @@
 	if largest < 0 {
 		return ""
 	}
-	producers, allProducers := map[string]int{}, map[string]int{}
-	for _, s := range g.view.Servers[g.route.Stages[largest].Service] {
-		allProducers[s.FailureDomain]++
-		if g.servers.InRegion(s.FailureDomain) {
-			producers[s.FailureDomain]++
-		}
-	}
-	if len(producers) == 0 {
-		producers = allProducers
-	}
+	producers := g.producersOf(g.route.Stages[largest].Service)
 	domain := engine.ChooseDomain(g.requestInfo.Prompt, producers, g.servers.RandomFloat64())
 	if g.inputBytes() < largeInputBytes {
 		return domain
 	}
-	placed, err := g.placer.Place(g.ctx, g.requestInfo.ID, g.service.Name, engine.Query{
+	placed, err := g.place(engine.Query{
 		Prompt: g.requestInfo.Prompt, InputBytes: map[string]int64{domain: g.inputBytes()}, Excluded: g.tried, AskOnly: true,
 	})
 	if _, produces := producers[placed.FailureDomain]; err == nil && produces {
@@ -134,11 +125,12 @@
 	g.servers.WithEngineScheduler(g.service.Name, func(s *engine.Scheduler) { typicalDelay = s.TypicalDelay() })
 	ctx, cancel := g.waitingContext()
 	defer cancel()
+	g.stageRegions = g.chooseStageRegions()
 	inputs, err := g.stages.Run(ctx, StagePlan{
 		RequestID: g.requestInfo.ID, PieceKey: g.requestInfo.PieceKey, Table: g.view.Table, Route: g.route, Graph: g.graph, Priority: g.priority,
 		Due:           g.arrived.Add(g.route.Target - typicalDelay),
 		Deadline:      g.stagesDeadline(typicalDelay),
-		FailureDomain: g.inputDomain, DomainOf: g.domainOf,
+		FailureDomain: g.inputDomain, DomainOf: g.domainOf, Regions: g.stageRegions, Allowed: g.allowedRegions,
 	})
 	if err == nil {
 		g.inputs = inputs
@@ -150,6 +142,9 @@
 	if ctx.Err() != nil {
 		return false, g.giveUp("draining", shortRetryAfter, nil)
 	}
+	if ended, handled := g.handleRegionError(err); handled {
+		return false, ended
+	}
 	var refused *RefusedError
 	if !errors.As(err, &refused) {
 		return false, g.giveUp("stages failed", shortRetryAfter, err)
@@ -211,7 +206,7 @@
 	if len(g.inputs) == 0 {
 		return
 	}
-	g.stages.FreeAll(g.inputsByService())
+	g.stages.FreeAll(g.stageRegions, g.inputsByService())
 	g.inputs = nil
 }
 
@@ -232,8 +227,8 @@
 	if len(g.inputs) == 0 {
 		return func() bool { return false }
 	}
-	results := g.inputsByService()
-	timer := time.AfterFunc(g.fetchEstimates.timeUntilFetched(g.service.Name, g.view.Table, results, g.inputBytes()), func() { g.stages.FreeAll(results) })
+	results, ran := g.inputsByService(), g.stageRegions
+	timer := time.AfterFunc(g.fetchEstimates.timeUntilFetched(g.service.Name, g.view.Table, results, g.inputBytes()), func() { g.stages.FreeAll(ran, results) })
 	return func() bool {
 		if timer.Stop() {
 			return false
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -121,6 +121,9 @@
 // placement is a server that was chosen for a request.
 type placement struct {
 	engine.Placement
+	// owner is the address of the instance of another region that chose the server; empty
+	// for one of the own region.
+	owner string
 	// onTrial is true when other requests wait for the outcome of this one.
 	onTrial bool
 }
@@ -161,28 +164,15 @@
 	if address == "" {
 		return p.placeForRegion(id, service, q)
 	}
-	request := &peerpb.PlacePromptRequest{Service: service, InputBytes: q.InputBytes, Excluded: q.Excluded, AskOnly: q.AskOnly, RequestId: id, Answered: p.quarantines.takeAnswered(service)}
-	request.Prompt = encodeParts(q.Prompt)
+	request := newPlacePromptRequest(id, service, q)
+	request.Answered = p.quarantines.takeAnswered(service)
 	bounded, cancel := context.WithTimeout(ctx, placePromptTimeout)
 	defer cancel()
 	response, err := p.peerClient.PlacePrompt(bounded, address, request)
 	if err == nil {
-		remaining := time.Duration(response.RemainingMs) * time.Millisecond
-		if err := verdictError(quarantine.Verdict(response.Verdict), response.Quarantine, remaining); err != nil {
-			return placement{}, err
+		if placed, usable, err := p.readPlacement(response, q); usable || err != nil {
+			return placed, err
 		}
-		if response.Server == "" && remaining > 0 {
-			return placement{}, &LimitedError{Wait: remaining}
-		}
-	}
-	if err == nil && response.Server != "" && p.servers.InUse(response.Server) {
-		return placement{
-			Placement: engine.Placement{
-				Server: response.Server, Incarnation: response.Incarnation, Expected: time.Duration(response.ExpectedUs) * time.Microsecond,
-				FailureDomain: response.FailureDomain, CopyFrom: response.CopyFrom, CopyFromIncarnation: response.CopyFromIncarnation,
-			},
-			onTrial: quarantine.Verdict(response.Verdict) == quarantine.OnTrial,
-		}, nil
 	}
 	if err != nil && ctx.Err() == nil {
 		p.cluster.Avoid(address)
@@ -191,6 +181,35 @@
 	return p.placeLocally(id, service, q)
 }
 
+func newPlacePromptRequest(id, service string, q engine.Query) *peerpb.PlacePromptRequest {
+	return &peerpb.PlacePromptRequest{
+		Service: service, InputBytes: q.InputBytes, Excluded: q.Excluded, AskOnly: q.AskOnly, RequestId: id, Prompt: encodeParts(q.Prompt),
+		RegionsBound: q.Regions.Bound(), Regions: q.Regions.Names(),
+	}
+}
+
+// readPlacement returns the placement in the answer of another instance. It is not usable
+// without a server that this instance knows and that the query allows.
+func (p *Placer) readPlacement(response *peerpb.PlacePromptResponse, q engine.Query) (placed placement, usable bool, err error) {
+	remaining := time.Duration(response.RemainingMs) * time.Millisecond
+	if err := verdictError(quarantine.Verdict(response.Verdict), response.Quarantine, remaining); err != nil {
+		return placement{}, false, err
+	}
+	if response.Server == "" && remaining > 0 {
+		return placement{}, false, &LimitedError{Wait: remaining}
+	}
+	if response.Server == "" || !p.mayRunOn(response.Server, response.FailureDomain, q) {
+		return placement{}, false, nil
+	}
+	return placement{
+		Placement: engine.Placement{
+			Server: response.Server, Incarnation: response.Incarnation, Expected: time.Duration(response.ExpectedUs) * time.Microsecond,
+			FailureDomain: response.FailureDomain, CopyFrom: response.CopyFrom, CopyFromIncarnation: response.CopyFromIncarnation,
+		},
+		onTrial: quarantine.Verdict(response.Verdict) == quarantine.OnTrial,
+	}, true, nil
+}
+
 // verdictError returns the error of a verdict by which a request is not placed, nil for
 // others.
 func verdictError(verdict quarantine.Verdict, id string, remaining time.Duration) error {
@@ -234,10 +253,11 @@
 }
 
 // placeForRegion places a prompt for an instance of the region, and queues the prompt
-// parts that the server newly caches for the next message to the other regions.
+// parts that the server newly caches for the next message to the other regions, unless the
+// request may be served in some regions only.
 func (p *Placer) placeForRegion(id, service string, q engine.Query) (placement, error) {
 	placed, err := p.placeLocally(id, service, q)
-	if len(placed.NewParts) > 0 {
+	if len(placed.NewParts) > 0 && !q.Regions.Bound() {
 		p.queueShare(service, placed.Placement)
 	}
 	return placed, err
@@ -246,7 +266,7 @@
 // PlacePrompt implements peer.PlacementHandler.
 func (p *Placer) PlacePrompt(request *peerpb.PlacePromptRequest) *peerpb.PlacePromptResponse {
 	p.quarantines.recordAnswered(request.Service, request.Answered)
-	q := engine.Query{InputBytes: request.InputBytes, Excluded: request.Excluded, AskOnly: request.AskOnly}
+	q := engine.Query{InputBytes: request.InputBytes, Excluded: request.Excluded, AskOnly: request.AskOnly, Regions: decodeRegions(request.RegionsBound, request.Regions)}
 	q.Prompt = decodeParts(request.Prompt)
 	placed, err := p.placeForRegion(request.RequestId, request.Service, q)
 	response := &peerpb.PlacePromptResponse{
@@ -276,11 +296,14 @@
 	if address == "" {
 		return
 	}
-	request := &peerpb.ReportPlacementRequest{
+	p.sendReport(address, newReport(service, r))
+}
+
+func newReport(service string, r engine.Report) *peerpb.ReportPlacementRequest {
+	return &peerpb.ReportPlacementRequest{
 		Service: service, Server: r.Server, Incarnation: r.Incarnation, ExpectedUs: r.Expected.Microseconds(), DelayUs: r.Delay.Microseconds(),
 		Failed: r.Failed, Refused: r.Refused,
 	}
-	p.sendReport(address, request)
 }
 
 // sendReport sends a report together with the answered parts that are queued.
--- a/internal/gateway/servicequeue.go
+++ b/internal/gateway/servicequeue.go
@@ -19,6 +19,8 @@
 	// Their requesters are expected to call AwaitStage again.
 	pending map[stagework.JobID]*stageJob
 	lastID  stagework.JobID
+	// regions holds the regions of the servers that get calls.
+	regions []string
 	// expiryScheduled is true while the timer of scheduleExpiry runs.
 	expiryScheduled bool
 }
@@ -80,6 +82,9 @@
 	job.deadline = now.Add(time.Duration(r.DeadlineMs) * time.Millisecond)
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if !q.mayRun(r) {
+		return 0, stagework.RefusedNoServer
+	}
 	q.lastID++
 	pieces := make([]int, len(r.Pieces))
 	for i, p := range r.Pieces {
--- a/internal/gateway/stagerequest.go
+++ b/internal/gateway/stagerequest.go
@@ -26,8 +26,10 @@
 // one in the order of owners when that does not answer.
 func (r *stageRun) requestStage(ctx context.Context, i int, inputs []stagework.Result) ([]stagework.Result, error) {
 	stage := r.Route.Stages[i]
-	owners := r.cluster.Owners(stage.Service)
-	owners = owners[:min(maxOwners, len(owners))]
+	owners, err := r.stageOwners(ctx, stage.Service)
+	if err != nil {
+		return nil, err
+	}
 	var lastErr error
 	for try, address := range owners {
 		started := time.Now()
@@ -44,20 +46,22 @@
 		}
 		if err != nil {
 			lastErr = err
-			r.cluster.Avoid(address)
+			r.avoidOwner(regionKey{r.Regions[stage.Service], stage.Service}, address)
 			events.StagePeerFailed.Log(ctx, r.logger, slog.String("id", r.RequestID), slog.Int("stage", i), slog.String("address", address),
 				slog.Int64("waited_ms", time.Since(started).Milliseconds()), slog.Any("error", err))
 			continue
 		}
 		if response.Refusal == string(stagework.RefusedMoved) {
-			r.cluster.Avoid(address)
+			r.avoidOwner(regionKey{r.Regions[stage.Service], stage.Service}, address)
 			events.StageHandedBack.Log(ctx, r.logger, slog.String("id", r.RequestID), slog.Int("stage", i), slog.String("address", address))
 			continue
 		}
 		events.StageEnded.Log(ctx, r.logger, slog.String("id", r.RequestID), slog.Int("stage", i), slog.String("service", stage.Service),
 			slog.Int("pieces", r.Graph.Counts[i]), slog.String("caller", address), slog.Int64("took_ms", time.Since(started).Milliseconds()),
 			slog.Int64("left_ms", time.Until(r.Deadline).Milliseconds()), slog.Int64("queue_ms", response.WaitMs), slog.String("refusal", response.Refusal))
-		r.recordQueueState(stage.Service, response)
+		if r.Regions[stage.Service] == "" {
+			r.recordQueueState(stage.Service, response)
+		}
 		if response.Refusal != "" {
 			return nil, &RefusedError{Stage: i, Reason: stagework.Refusal(response.Refusal), Wait: time.Duration(response.WaitMs) * time.Millisecond}
 		}
@@ -66,6 +70,9 @@
 		}
 		return decodeResults(response.Results), nil
 	}
+	if region := r.Regions[stage.Service]; region != "" && lastErr != nil {
+		return nil, errors.Join(&RegionError{Region: region, Service: stage.Service, Allowed: true}, lastErr)
+	}
 	return nil, errors.Join(&RefusedError{Stage: i, Reason: stagework.RefusedFailed}, lastErr)
 }
 
@@ -82,6 +89,8 @@
 		DeadlineMs: min(time.Until(r.Deadline.Add(-tail)), r.inputLifetime(i)).Milliseconds(),
 		Started:    started,
 	}
+	allowed := r.allowedRegions()
+	request.RegionsBound, request.Regions = allowed.Bound(), allowed.Names()
 	for _, j := range r.Graph.After[i] {
 		producer := r.Route.Stages[j]
 		request.InputBytes += int64(r.Graph.Counts[j]) * producer.ResultBytes
--- a/internal/gateway/stagerun.go
+++ b/internal/gateway/stagerun.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/coltsfootdrift/coltsfootdrift/regions"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
@@ -24,6 +25,10 @@
 	Deadline time.Time
 	// FailureDomain is where the final results are used.
 	FailureDomain string
+	// Regions holds the regions other than the instance's own in which stages run, by service.
+	Regions map[string]string
+	// Allowed returns the regions in which the request may be served now; nil for all.
+	Allowed func() regions.Set
 	// DomainOf returns the failure domain in which a result is held.
 	DomainOf func(result stagework.Result) string
 }
@@ -66,7 +71,7 @@
 	}
 	if err := group.Wait(); err != nil {
 		for i := range n {
-			s.Free(plan.Route.Stages[i].Service, r.results[i])
+			s.Free(plan.Regions, plan.Route.Stages[i].Service, r.results[i])
 		}
 		return nil, err
 	}
@@ -121,7 +126,7 @@
 	r.inputsFreed[i] = true
 	for _, j := range r.Graph.After[i] {
 		if r.consumers[j]--; r.consumers[j] == 0 {
-			r.Free(r.Route.Stages[j].Service, r.results[j])
+			r.Free(r.Regions, r.Route.Stages[j].Service, r.results[j])
 			r.results[j] = nil
 		}
 	}
--- a/internal/gateway/stagerunner.go
+++ b/internal/gateway/stagerunner.go
@@ -47,8 +47,9 @@
 	stageTimes *movingAverages
 
 	mu sync.Mutex
-	// pendingFrees holds the results that the next call to the owner frees, by service.
-	pendingFrees map[string][]stagework.Result
+	// pendingFrees holds the results that the next call to the owner frees, by the service
+	// and the region in which they were produced; the region is empty for the own one.
+	pendingFrees map[regionKey][]stagework.Result
 	// queueStates holds the last reported state of the queue of each service.
 	queueStates map[string]queueState
 }
@@ -65,7 +66,7 @@
 // NewStageRunner returns a StageRunner that uses the local scheduler and, through
 // peerClient, those of peers.
 func NewStageRunner(cluster *Cluster, peerClient *peer.Client, local *StageScheduler, logger *slog.Logger) *StageRunner {
-	return &StageRunner{cluster: cluster, peerClient: peerClient, scheduler: local, logger: logger, stageTimes: newMovingAverages(), pendingFrees: map[string][]stagework.Result{}, queueStates: map[string]queueState{}}
+	return &StageRunner{cluster: cluster, peerClient: peerClient, scheduler: local, logger: logger, stageTimes: newMovingAverages(), pendingFrees: map[regionKey][]stagework.Result{}, queueStates: map[string]queueState{}}
 }
 
 // TypicalTime returns the mean duration of a stage of a service, or the duration by the
@@ -104,41 +105,43 @@
 	return queue.memoryShort && time.Since(queue.reportedAt) < queueStateMaxAge
 }
 
-// Free frees results of a service after peerFreeDelay.
-func (s *StageRunner) Free(service string, results []stagework.Result) {
+// Free frees results of a service after peerFreeDelay. ranIn holds the regions other than the
+// own one in which stages ran, by service.
+func (s *StageRunner) Free(ranIn map[string]string, service string, results []stagework.Result) {
 	if len(results) == 0 {
 		return
 	}
+	key := regionKey{ranIn[service], service}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.pendingFrees[service]) == 0 {
-		time.AfterFunc(peerFreeDelay, func() { s.flushFrees(service) })
+	if len(s.pendingFrees[key]) == 0 {
+		time.AfterFunc(peerFreeDelay, func() { s.flushFrees(key) })
 	}
-	s.pendingFrees[service] = append(s.pendingFrees[service], results...)
+	s.pendingFrees[key] = append(s.pendingFrees[key], results...)
 }
 
 // FreeAll frees results, listed by the service that produced them, after
 // peerFreeDelay.
-func (s *StageRunner) FreeAll(results map[string][]stagework.Result) {
+func (s *StageRunner) FreeAll(ranIn map[string]string, results map[string][]stagework.Result) {
 	for service, produced := range results {
-		s.Free(service, produced)
+		s.Free(ranIn, service, produced)
 	}
 }
 
 // flushFrees sends the pending results of a service to the instance that owns it, which
 // frees them and accounts for result memory. When that fails, this instance frees them.
-func (s *StageRunner) flushFrees(service string) {
+func (s *StageRunner) flushFrees(key regionKey) {
 	s.mu.Lock()
-	request := &peerpb.FreeResultsRequest{Service: service, Results: encodeResults(s.pendingFrees[service])}
-	delete(s.pendingFrees, service)
+	request := &peerpb.FreeResultsRequest{Service: key.key, Results: encodeResults(s.pendingFrees[key])}
+	delete(s.pendingFrees, key)
 	s.mu.Unlock()
-	address := s.cluster.Owner(service)
+	address := s.freeingOwner(key)
 	if address == "" {
 		s.scheduler.FreeResults(request)
 		return
 	}
 	if err := s.peerClient.FreeResults(context.Background(), address, request); err != nil {
-		s.cluster.Avoid(address)
+		s.avoidOwner(key, address)
 		s.scheduler.FreeResults(request)
 	}
 }
--- a/internal/gateway/stagescheduler.go
+++ b/internal/gateway/stagescheduler.go
@@ -69,8 +69,11 @@
 		q := s.queueOf(service.Name, true)
 		q.mu.Lock()
 		q.queue.SetProfile(*service.StageProfile)
-		q.queue.SetServers(s.regionServers(v.Servers[service.Name]))
+		inUse := s.regionServers(v.Servers[service.Name])
+		q.queue.SetServers(inUse)
+		effects := q.setRegions(s.regionsOf(inUse))
 		q.mu.Unlock()
+		s.applyEffects(q, effects)
 		s.startCalls(q)
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,6 +22,9 @@
 	// inputs are the final results of the stages, nil before the stages
 	// have run and after the results were freed.
 	inputs []stagework.Result
+	// stageRegions holds the regions other than the instance's own in which the stages ran,
+	// by service.
+	stageRegions map[string]string
 	// tried holds the IDs of the model servers that must not be chosen again.
 	tried       []string
 	unsentTries int
@@ -53,6 +56,9 @@
 	if g.refuseQuarantined() {
 		return true
 	}
+	if g.endUnserved() {
+		return true
+	}
 	if g.inputs == nil && g.refuseLimited() {
 		return true
 	}
@@ -62,9 +68,12 @@
 	if !g.producersLive() {
 		return g.rerunStages("a producer of inputs has left")
 	}
+	if !g.inputsAllowed() {
+		return g.rerunStages("inputs are in a region that is no longer allowed")
+	}
 	inputs := g.inputsByDomain()
 	unavailable := g.client.withheldServers(g.service.Name)
-	placed, err := g.placer.Place(g.ctx, g.requestInfo.ID, g.service.Name, engine.Query{
+	placed, err := g.place(engine.Query{
 		Prompt: g.requestInfo.Prompt, InputBytes: inputs, Excluded: append(unavailable, g.tried...),
 	})
 	if err != nil {
@@ -102,7 +111,7 @@
 // of the prompt, empty when there is none or it has restarted since.
 func (g *generateRequest) copySource(placed placement) string {
 	source, known := g.servers.Server(placed.CopyFrom)
-	if !known || source.Incarnation != placed.CopyFromIncarnation {
+	if !known || source.Incarnation != placed.CopyFromIncarnation || !g.mayCopyFrom(placed.CopyFrom) {
 		return ""
 	}
 	return source.Address
@@ -111,6 +120,10 @@
 // report records the outcome of a placement.
 func (g *generateRequest) report(placed placement, r engine.Report) {
 	r.Server, r.Incarnation = placed.Server, placed.Incarnation
+	if placed.owner != "" {
+		g.placer.reportTo(placed.owner, g.service.Name, r)
+		return
+	}
 	g.placer.Report(g.service.Name, r)
 }
 
@@ -123,7 +136,7 @@
 	if len(g.client.permits.LimitedServers(g.service.Name)) == 0 {
 		return false
 	}
-	_, err := g.placer.Place(g.ctx, g.requestInfo.ID, g.service.Name, engine.Query{Prompt: g.requestInfo.Prompt, Excluded: g.tried, AskOnly: true})
+	_, err := g.place(engine.Query{Prompt: g.requestInfo.Prompt, Excluded: g.tried, AskOnly: true})
 	var limited *LimitedError
 	return errors.As(err, &limited) && g.handleNotPlaced(err)
 }
@@ -163,7 +176,7 @@
 	g.report(placed, engine.Report{Failed: true})
 	if errors.Is(err, upstream.ErrNotSent) {
 		if g.unsentTries++; g.unsentTries >= maxUnsentTries {
-			return g.giveUp("servers are not reached", shortRetryAfter, err)
+			return g.giveUpNotReached(placed.FailureDomain, err)
 		}
 		return false
 	}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -55,7 +55,7 @@
 	case errors.Is(err, errTrialRunning):
 		return g.awaitTrial()
 	}
-	return g.giveUp("no server", g.retryAfter(), nil)
+	return g.endUnserved() || g.giveUp("no server", g.retryAfter(), nil)
 }
 
 // awaitTrial waits before the request asks for a server again, because another one with a
