gateway: tests of a list that changes while stages run

Inputs in a region that the newest configuration took from the list were freed, and later stages not requested there, without a test that fails when either check is taken out. The list of bindings for operators gets one, too.

--- a/internal/gateway/generateregions_test.go
+++ b/internal/gateway/generateregions_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/engine"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/regions"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
@@ -166,6 +168,46 @@
 	c.Assert(seen.all(), qt.DeepEquals, []string{"model e"})
 }
 
+// Guards against a second stage, or a model server, that gets the results of a first stage
+// after the newest configuration has taken the region that holds them from the list.
+func TestStagesFollowTheNewestRegions(t *testing.T) {
+	for _, stages := range []int{1, 2} {
+		t.Run(fmt.Sprint(stages), func(t *testing.T) {
+			c := qt.New(t)
+			f := newEngineFixture(c, false, []route.Stage{{Service: "stage", ResultBytes: 1}, {Service: "stage", After: []int{0}}}[:stages]...)
+			f.config.Routes[0].AllowedRegions = []string{"q", "r"}
+			var seen recorder
+			f.addModel("d", &seen, oneEvent)
+			f.addServerIn("e", "stage", func(rw http.ResponseWriter, r *http.Request) {
+				if seen.add("stage"+r.URL.Path) == 1 {
+					f.config.Routes[0].AllowedRegions = []string{"r"}
+					f.reconfigure()
+				}
+				_, _ = io.WriteString(rw, `[{"Handle": "e/1"}]`)
+			})
+			f.start()
+			f.startFar()
+			response, body, err := f.do("POST", "/p/", "", "Counts", "1 1")
+			c.Assert(err, qt.IsNil)
+			c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			c.Assert(body, qt.Equals, reasonNoAllowedServer+"\n")
+			eventually(c, func() bool { return len(seen.all()) == 2 })
+			c.Assert(seen.all(), qt.DeepEquals, []string{"stage/run", "stage/free"})
+		})
+	}
+}
+
+// Guards against an operator who does not see which routes and organisations are bound.
+func TestBindingsAreListed(t *testing.T) {
+	c := qt.New(t)
+	f := newPlainFixture(c, route.Idempotent)
+	f.bindOrganisation("q")
+	f.config.Routes = append(f.config.Routes, route.Route{Name: "other", AllowedRegions: []string{regions.InvalidList}})
+	b := NewRegionBindings(discardLogger())
+	b.ObserveView(&view.View{Table: route.NewTable(f.config)})
+	c.Assert(b.List(), qt.DeepEquals, []RegionBinding{{"route", "other", []string{regions.InvalidList}}, {"organisation", "o", []string{"q"}}})
+}
+
 // Guards against a queue that runs a job on the servers of another region, which it uses when
 // its own has none, although the job's request does not allow that region.
 func TestStageQueuesRefuseJobsForRegionsThatAreNotAllowed(t *testing.T) {
