Servers of an evacuated failure domain get no requests (EVAC)

Cause: the operator's entry that evacuates a failure domain was read with the view and ignored, so that its servers got requests like all others.

Ruled out: the marker that announces a leaving server, because it names one server and ends with its incarnation; a copy of the state beside the view, because the view already reaches instances without the store, survives a restart and is never replaced by an older one.

Change: the view has a new kind of key for evacuations. Servers of an evacuated failure domain are not listed for new requests, but stay known by ID, so that running answers end and results there are still fetched. ServerClient.Send has a last check against the current view for whatever had been chosen before: retries, stage calls, frees, cache reads, probes. An evacuation that a restored store lacks lasts 2 s longer, so that the operator can write it again. Events 7240 to 7242, metrics evacuated_failure_domains and evacuation_requests_stopped, a section of the status page with the time since and the open connections.

Two thirds of one region's model servers carry its load while a domain is empty, and prompts do not spill to the other region yet.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -52,5 +52,8 @@
 	NoAllowedRegion       = define(7230, slog.LevelWarn, "no allowed region serves the request")
 	RegionsBound          = define(7231, slog.LevelInfo, "regions in which routes and organisations may be served have changed")
 	RegionOwnerFailed     = define(7232, slog.LevelWarn, "instance of another region did not say or do what its region's owner should")
+	EvacuationBegan       = define(7240, slog.LevelInfo, "evacuation of a failure domain began: its backend servers get no requests")
+	EvacuationEnded       = define(7241, slog.LevelInfo, "evacuation of a failure domain ended: its backend servers get requests again")
+	EvacuationBlockedSend = define(7242, slog.LevelInfo, "request to a backend server of an evacuated failure domain was not sent")
 	AttemptCutShort       = define(7221, slog.LevelInfo, "request broke off before or at the start of its answer")
 )
--- a/internal/experiment/viewstore.go
+++ b/internal/experiment/viewstore.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -197,6 +198,11 @@
 	return route.Configuration{Version: c.Version}, err
 }
 
+// EvacuatedDomain implements view.Decoder. The store of the experiments holds no evacuations.
+func (viewDecoder) EvacuatedDomain(string) (string, error) {
+	return "", errors.ErrUnsupported
+}
+
 // Server implements view.Decoder.
 func (viewDecoder) Server(_ string, value []byte) (s view.Server, err error) {
 	return s, json.Unmarshal(value, &s)
--- a/internal/gateway/cutshort.go
+++ b/internal/gateway/cutshort.go
@@ -54,8 +54,9 @@
 // or answered, so that the next placement takes it into account, also that of a client's
 // retry.
 func (g *generateRequest) handleCutShort(placed placement, sent time.Time) {
-	listed, ok := g.views.Current().ByID(placed.Server)
-	if !ok || listed.Draining || len(g.requestInfo.Prompt) == 0 {
+	current := g.views.Current()
+	listed, ok := current.ByID(placed.Server)
+	if !ok || listed.Draining || current.IsEvacuated(listed.FailureDomain) || len(g.requestInfo.Prompt) == 0 {
 		return
 	}
 	if g.reportCrash(listed, sent) {
@@ -89,7 +90,7 @@
 func (g *generateRequest) reportWhenRemoved(ctx context.Context, server view.Server, crash quarantine.Crash) {
 	for deadline := time.Now().Add(removalWait); time.Now().Before(deadline); {
 		listed, ok := g.views.Current().ByID(server.ID)
-		if ok && listed.Draining {
+		if ok && (listed.Draining || g.views.Current().IsEvacuated(listed.FailureDomain)) {
 			return
 		}
 		if !ok || listed.Incarnation != server.Incarnation {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -77,6 +77,7 @@
 	Quarantine *Quarantines
 	Permits    *Permits
 	Regions    *RegionBindings
+	Evacuation *Evacuations
 	Gateway    *Gateway
 	Frontend   *Frontend
 	Drain      *Drain
@@ -113,8 +114,9 @@
 			func(c *Cluster, client *peer.Client, views *view.Sync, m *metrics.Metrics) *Permits {
 				return NewPermits(s, c, client, views, logger, m.Scope)
 			},
-			func(upstreamClient *upstream.Client, permits *Permits, views *view.Sync, c *Cluster, m *metrics.Metrics) *ServerClient {
-				return NewServerClient(upstreamClient, adapter.Protocol, permits, markLeaving(views, c, logger), logger, m.Scope)
+			func(views *view.Sync, m *metrics.Metrics) *Evacuations { return NewEvacuations(views, logger, m.Scope) },
+			func(upstreamClient *upstream.Client, permits *Permits, evacuations *Evacuations, views *view.Sync, c *Cluster, m *metrics.Metrics) *ServerClient {
+				return NewServerClient(upstreamClient, adapter.Protocol, permits, evacuations, markLeaving(views, c, logger), logger, m.Scope)
 			},
 			func(client *ServerClient, views *view.Sync) *ResultFreer {
 				return NewResultFreer(adapter.Protocol, client, registeredProducer(views), logger)
@@ -199,6 +201,7 @@
 	d.Views.Observe(d.Quarantine.ObserveView)
 	d.Views.Observe(d.Regions.ObserveView)
 	d.Views.Observe(d.Client.ObserveView)
+	d.Views.Observe(d.Evacuation.ObserveView)
 	d.Views.Observe(d.Scheduler.Update)
 	d.Views.Observe(d.Frontend.Update)
 	ObserveVersions(d.Node, d.Views)
@@ -251,6 +254,7 @@
 	})
 	page.Add("server_limits", func() any { return d.Permits.Limits() })
 	page.Add("allowed_regions", func() any { return d.Regions.List() })
+	page.Add("evacuations", func() any { return d.Evacuation.Status(d.Upstream.OpenConnections) })
 	return page
 }
 
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -38,8 +38,11 @@
 type fakeProtocol struct{}
 
 func (fakeProtocol) Kind(key string) view.KeyKind {
-	if key == "config" {
+	switch {
+	case key == "config":
 		return view.KeyConfiguration
+	case strings.HasPrefix(key, "evacuate/"):
+		return view.KeyEvacuation
 	}
 	return view.KeyServer
 }
@@ -52,6 +55,10 @@
 	return s, json.Unmarshal(value, &s)
 }
 
+func (fakeProtocol) EvacuatedDomain(key string) (string, error) {
+	return strings.TrimPrefix(key, "evacuate/"), nil
+}
+
 func (fakeProtocol) ReadRequest(h http.Header) RequestInfo {
 	info := RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last"), PieceKey: "pk"}
 	if ms, err := strconv.Atoi(h.Get("Wait")); err == nil {
@@ -122,10 +129,9 @@
 	return parts, json.Unmarshal(body, &parts)
 }
 
-// fakeSource is a view.Source.
+// fakeSource is a view.Source whose entries change by what a channel delivers.
 type fakeSource struct {
 	entries []store.Entry
-	// changes are what Watch returns.
 	changes chan store.WatchResult
 }
 
@@ -135,8 +141,8 @@
 
 func (f fakeSource) Watch(ctx context.Context, _ string, _ store.Version, _ view.CallOptions) (store.WatchResult, error) {
 	select {
-	case change := <-f.changes:
-		return change, nil
+	case result := <-f.changes:
+		return result, nil
 	case <-ctx.Done():
 		return store.WatchResult{Version: 1}, nil
 	}
@@ -153,10 +159,11 @@
 	url       string
 	// far is true for an instance in region "q".
 	far bool
-	// changes are later changes of the store's entries, and viewed receives a value after
-	// each view.
+	// version is the store's version, changes what the store reports next, and changed
+	// receives after each change of the view.
+	version store.Version
 	changes chan store.WatchResult
-	viewed  chan struct{}
+	changed chan struct{}
 }
 
 // addServer adds a backend server to a service and returns its address.
@@ -183,9 +190,7 @@
 	f.config.Version++
 	data, err := json.Marshal(f.config)
 	f.c.Assert(err, qt.IsNil)
-	version := store.Version(f.config.Version)
-	f.changes <- store.WatchResult{Changed: []store.Entry{{Key: "config", Value: data, Version: version}}, Version: version}
-	<-f.viewed
+	f.change(store.WatchResult{Changed: []store.Entry{{Key: "config", Value: data}}})
 }
 
 func discardLogger() *slog.Logger { return slog.New(slog.NewJSONHandler(io.Discard, nil)) }
@@ -276,11 +281,12 @@
 	protocol, peerClient := fakeProtocol{}, peer.NewClient()
 	cluster := NewCluster(s, node, peerClient, storetest.New(), discardLogger())
 	cluster.started = cluster.started.Add(-firstReadDelay) // no other instance starts
-	f.changes, f.viewed = make(chan store.WatchResult), make(chan struct{}, 10)
+	f.version, f.changes, f.changed = 1, make(chan store.WatchResult), make(chan struct{}, 10)
 	views := view.NewSync(fakeSource{entries, f.changes}, cluster, protocol, discardLogger(), tally.NoopScope)
 	servers := NewServers(s, cluster)
 	permits := NewPermits(s, cluster, peerClient, views, discardLogger(), tally.NoopScope)
-	client := NewServerClient(upstream.NewClient(tally.NoopScope), protocol, permits, markLeaving(views, cluster, discardLogger()), discardLogger(), tally.NoopScope)
+	evacuations := NewEvacuations(views, discardLogger(), tally.NoopScope)
+	client := NewServerClient(upstream.NewClient(tally.NoopScope), protocol, permits, evacuations, markLeaving(views, cluster, discardLogger()), discardLogger(), tally.NoopScope)
 	freer := NewResultFreer(protocol, client, registeredProducer(views), discardLogger())
 	f.scheduler = NewStageScheduler(protocol, client, servers, freer, discardLogger(), tally.NoopScope)
 	f.drain = NewDrain(s.Grace())
@@ -288,13 +294,14 @@
 	f.gateway = New(protocol, views, servers, client, NewStageRunner(cluster, peerClient, f.scheduler, discardLogger()), NewPlacer(cluster, peerClient, servers, client, protocol, quarantines, discardLogger()), f.drain, discardLogger(), tally.NoopScope)
 	views.Observe(servers.Update)
 	views.Observe(quarantines.ObserveView)
+	views.Observe(evacuations.ObserveView)
 	views.Observe(f.scheduler.Update)
-	views.Observe(func(*view.View) { f.viewed <- struct{}{} })
+	views.Observe(func(*view.View) { f.changed <- struct{}{} })
 	ctx, cancel := context.WithCancel(context.Background())
 	go node.Run(ctx)
 	go views.Run(ctx)
 	if len(entries) > 0 {
-		<-f.viewed
+		<-f.changed
 	}
 	frontend := NewFrontend(f.gateway, f.drain, discardLogger())
 	c.Assert(frontend.Listen(ctx, "127.0.0.1:0"), qt.IsNil)
@@ -308,6 +315,17 @@
 	})
 }
 
+// change applies one change of the store, and returns when the view has it.
+func (f *fixture) change(result store.WatchResult) {
+	f.version++
+	result.Version = f.version
+	for i := range result.Changed {
+		result.Changed[i].Version = f.version
+	}
+	f.changes <- result
+	<-f.changed
+}
+
 // newPlainFixture returns a fixture with one route, to a plain service.
 func newPlainFixture(c *qt.C, kind route.Kind) *fixture {
 	return &fixture{c: c, config: route.Configuration{Version: 1,
--- a/internal/gateway/resultfreer_test.go
+++ b/internal/gateway/resultfreer_test.go
@@ -64,8 +64,9 @@
 
 // newTestFreer returns a ResultFreer that looks up producers in a view.
 func newTestFreer(current *atomic.Pointer[view.View]) *ResultFreer {
-	permits := &Permits{views: view.NewSync(fakeSource{}, nil, fakeProtocol{}, discardLogger(), tally.NoopScope), table: ratelimit.NewTable()}
-	client := NewServerClient(upstream.NewClient(tally.NoopScope), fakeProtocol{}, permits, func(upstream.Server) {}, discardLogger(), tally.NoopScope)
+	views := view.NewSync(fakeSource{}, nil, fakeProtocol{}, discardLogger(), tally.NoopScope)
+	permits := &Permits{views: views, table: ratelimit.NewTable()}
+	client := NewServerClient(upstream.NewClient(tally.NoopScope), fakeProtocol{}, permits, NewEvacuations(views, discardLogger(), tally.NoopScope), func(upstream.Server) {}, discardLogger(), tally.NoopScope)
 	serverOf := func(p stagework.Producer) (upstream.Server, bool) {
 		s, ok := producerOf(current.Load(), p)
 		return upstream.Server{ID: s.ID, Address: s.Address, Incarnation: s.Incarnation}, ok
--- a/internal/gateway/serverclient.go
+++ b/internal/gateway/serverclient.go
@@ -30,11 +30,12 @@
 // their answers whether a server is leaving or asks for a pause, and sends nothing to a
 // server during its pause.
 type ServerClient struct {
-	upstream *upstream.Client
-	protocol Protocol
-	logger   *slog.Logger
-	holds    *serverHolds
-	permits  *Permits
+	upstream    *upstream.Client
+	protocol    Protocol
+	logger      *slog.Logger
+	holds       *serverHolds
+	permits     *Permits
+	evacuations *Evacuations
 	// onLeaving is called with a server whose answer says that it leaves.
 	onLeaving func(upstream.Server)
 
@@ -43,23 +44,30 @@
 
 // NewServerClient returns a client that passes leaving servers to onLeaving, which may be
 // called several times for one server.
-func NewServerClient(upstreamClient *upstream.Client, protocol Protocol, permits *Permits, onLeaving func(upstream.Server), logger *slog.Logger, scope tally.Scope) *ServerClient {
+func NewServerClient(upstreamClient *upstream.Client, protocol Protocol, permits *Permits, evacuations *Evacuations, onLeaving func(upstream.Server), logger *slog.Logger, scope tally.Scope) *ServerClient {
 	return &ServerClient{
-		upstream: upstreamClient, protocol: protocol, logger: logger, holds: newServerHolds(), permits: permits, onLeaving: onLeaving,
+		upstream: upstreamClient, protocol: protocol, logger: logger, holds: newServerHolds(), permits: permits, evacuations: evacuations, onLeaving: onLeaving,
 		leaving: scope.Counter("leaving_answers"), held: scope.Counter("server_pauses"),
 	}
 }
 
 // Send sends a request like upstream.Client.Send. Its error wraps upstream.ErrNotSent and
-// errServerHeld during a pause of the server, and errServerLimited when the server's limit is
-// used up.
+// errServerHeld during a pause of the server, errServerLimited when the server's limit is
+// used up, and errServerEvacuated when the server's failure domain is evacuated.
 func (c *ServerClient) Send(ctx context.Context, server upstream.Server, request *upstream.Request) (*upstream.Answer, error) {
+	if err := c.evacuations.Check(ctx, server.ID); err != nil {
+		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
+	}
 	if c.holds.remaining(server.ID, server.Incarnation, time.Now()) > 0 {
 		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, errServerHeld)
 	}
 	if err := c.permits.Acquire(ctx, server.ID); err != nil {
 		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
 	}
+	// Waiting for a permit may have lasted until the evacuation was known.
+	if err := c.evacuations.Check(ctx, server.ID); err != nil {
+		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
+	}
 	sentAt := time.Now()
 	answer, err := c.upstream.Send(ctx, server, request)
 	if err != nil {
@@ -85,9 +93,10 @@
 	c.holds.add(server, time.Now(), pause+time.Duration(holdJitter*rand.Float64()*float64(pause)))
 }
 
-// withheld reports whether an error of Send means that the server is paused or at its limit.
+// withheld reports whether an error of Send means that the server is paused, at its limit or in
+// an evacuated failure domain.
 func withheld(err error) bool {
-	return errors.Is(err, errServerHeld) || errors.Is(err, errServerLimited)
+	return errors.Is(err, errServerHeld) || errors.Is(err, errServerLimited) || errors.Is(err, errServerEvacuated)
 }
 
 // ObserveView ends the pauses of servers that have restarted.
@@ -171,6 +180,9 @@
 	if errors.Is(err, errServerHeld) {
 		return livenessRunning
 	}
+	if errors.Is(err, errServerEvacuated) {
+		return livenessUnknown
+	}
 	if errors.Is(err, syscall.ECONNREFUSED) || tcpprobe.Refused(ctx, server.Address) {
 		return livenessEnded
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -116,6 +116,13 @@
 	}
 }
 
+// OpenConnections returns the number of connections to a server.
+func (c *Client) OpenConnections(serverID string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open[serverID]
+}
+
 // putIdle adds a connection to the idle ones.
 func (c *Client) putIdle(cn *conn) {
 	c.mu.Lock()
--- a/internal/view/observe.go
+++ b/internal/view/observe.go
@@ -117,7 +117,8 @@
 	}
 	attrs = append(attrs, slog.Bool("new_configuration", change.Configuration),
 		slog.Bool("store_restored", change.Restored), slog.Int("quarantines", len(next.Quarantines)),
-		serversAttr("joined", change.Joined), serversAttr("drained", change.Drained), serversAttr("left", change.Left))
+		serversAttr("joined", change.Joined), serversAttr("drained", change.Drained), serversAttr("left", change.Left),
+		slog.Any("evacuated", next.Evacuated))
 	events.ViewChanged.Log(context.Background(), s.logger, attrs...)
 }
 
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -27,6 +27,8 @@
 	// Joined, Drained and Left are the IDs of the backend servers that were added or
 	// changed, that started to drain, and that were removed.
 	Joined, Drained, Left []string
+	// Evacuated and Returned are the failure domains whose evacuation began and ended.
+	Evacuated, Returned []string
 	// Rejected entries do not change the view.
 	Rejected []RejectedEntry
 	// Removals is true when peers have to learn of a removal that changes nothing here.
@@ -35,7 +37,8 @@
 
 // Any reports whether the view changed.
 func (c Change) Any() bool {
-	return c.Configuration || c.Quarantines || c.Restored || c.Removals || len(c.Joined)+len(c.Drained)+len(c.Left) > 0
+	return c.Configuration || c.Quarantines || c.Restored || c.Removals ||
+		len(c.Joined)+len(c.Drained)+len(c.Left)+len(c.Evacuated)+len(c.Returned) > 0
 }
 
 // State is a copy of the store's entries, from which views are built. Its position never
@@ -60,7 +63,8 @@
 	removalsSince store.Version
 	// undated holds the keys that the last full read lacked. They were removed before its
 	// end, which may be after its version.
-	undated []string
+	undated     []string
+	evacuations evacuations
 	// viewVersion is the store's version at the newest change of the view.
 	viewVersion store.Version
 	// leaving holds, by server ID, the incarnation of the servers that said themselves
@@ -91,7 +95,7 @@
 
 // NewState returns an empty state.
 func NewState(decoder Decoder) *State {
-	return &State{decoder: decoder, entries: map[string]store.Entry{}, servers: map[string]Server{}, idByKey: map[string]string{}, graceUntil: map[string]time.Time{}, leaving: map[string]int64{}, departed: map[string]int64{}}
+	return &State{decoder: decoder, entries: map[string]store.Entry{}, servers: map[string]Server{}, idByKey: map[string]string{}, graceUntil: map[string]time.Time{}, leaving: map[string]int64{}, departed: map[string]int64{}, evacuations: newEvacuations()}
 }
 
 // Position returns the store's version up to which all changes are applied.
@@ -211,6 +215,7 @@
 			c.Left = append(c.Left, id)
 		}
 	}
+	s.evacuations.tick(&c, now)
 	if c.Any() {
 		s.viewVersion = s.position
 	}
@@ -229,6 +234,8 @@
 		s.putServer(c, e)
 	case KeyQuarantine:
 		c.Quarantines = true
+	case KeyEvacuation:
+		s.putEvacuation(c, e)
 	}
 }
 
@@ -318,8 +325,11 @@
 	}
 	delete(s.entries, key)
 	s.recordRemoval(removal{key, version})
-	if s.kind(key) == KeyQuarantine {
+	switch s.kind(key) {
+	case KeyQuarantine:
 		c.Quarantines = true
+	case KeyEvacuation:
+		s.evacuations.remove(c, key, s.evacuationEnd(now))
 	}
 	if id, named := s.idByKey[key]; named {
 		delete(s.idByKey, key)
@@ -357,7 +367,7 @@
 
 // View returns the current view.
 func (s *State) View() *View {
-	v := &View{Version: s.viewVersion, Table: s.table, Servers: map[string][]Server{}, byID: maps.Clone(s.servers)}
+	v := &View{Version: s.viewVersion, Table: s.table, Servers: map[string][]Server{}, Evacuated: s.evacuations.domains(), byID: maps.Clone(s.servers)}
 	for key, e := range s.entries {
 		if strings.HasPrefix(key, QuarantinePrefix) {
 			v.Quarantines = append(v.Quarantines, e)
@@ -365,7 +375,7 @@
 	}
 	slices.SortFunc(v.Quarantines, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
 	for _, server := range s.servers {
-		if !server.Draining {
+		if !server.Draining && !v.IsEvacuated(server.FailureDomain) {
 			v.Servers[server.Service] = append(v.Servers[server.Service], server)
 		}
 	}
--- a/internal/view/state_test.go
+++ b/internal/view/state_test.go
@@ -24,6 +24,8 @@
 		return KeyConfiguration
 	case strings.HasPrefix(key, "server/"):
 		return KeyServer
+	case strings.HasPrefix(key, "evacuate/"):
+		return KeyEvacuation
 	}
 	return KeyOther
 }
@@ -39,7 +41,15 @@
 		return Server{}, errors.New("no service")
 	}
 	id := strings.TrimPrefix(key, "server/")
-	return Server{ID: id, Service: service, Address: id, Draining: state == "draining"}, nil
+	return Server{ID: id, Service: service, Address: id, FailureDomain: "domain-of-" + service, Draining: state == "draining"}, nil
+}
+
+func (fakeDecoder) EvacuatedDomain(key string) (string, error) {
+	domain := strings.TrimPrefix(key, "evacuate/")
+	if domain == "" {
+		return "", errors.New("no failure domain")
+	}
+	return domain, nil
 }
 
 func entry(key, value string, version store.Version) store.Entry {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -4,6 +4,7 @@
 package view
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
@@ -35,11 +36,14 @@
 	Servers map[string][]Server
 	// Quarantines holds the entries under QuarantinePrefix, sorted by key.
 	Quarantines []store.Entry
-	// byID holds all registered servers, including draining ones.
+	// Evacuated holds the failure domains whose servers get no requests, sorted.
+	Evacuated []string
+	// byID holds all registered servers, including draining ones and those of evacuated
+	// failure domains.
 	byID map[string]Server
 }
 
-// ByID returns a registered server, also a draining one.
+// ByID returns a registered server, also one that gets no new requests.
 func (v *View) ByID(id string) (Server, bool) {
 	if v == nil {
 		return Server{}, false
@@ -48,6 +52,25 @@
 	return server, ok
 }
 
+// InFailureDomain returns the registered servers of a failure domain, in no order.
+func (v *View) InFailureDomain(domain string) (servers []Server) {
+	if v == nil {
+		return nil
+	}
+	for _, server := range v.byID {
+		if server.FailureDomain == domain {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
+// IsEvacuated reports whether the operator wants no requests sent to the servers of a failure
+// domain.
+func (v *View) IsEvacuated(domain string) bool {
+	return v != nil && slices.Contains(v.Evacuated, domain)
+}
+
 // KeyKind is the kind of data under a key of the store.
 type KeyKind uint8
 
@@ -57,6 +80,7 @@
 	KeyConfiguration
 	KeyServer
 	KeyQuarantine
+	KeyEvacuation
 )
 
 // QuarantinePrefix is the prefix of the keys under which the gateways record quarantines.
@@ -70,6 +94,9 @@
 	// Server returns an error for an entry that is not the registration of a usable
 	// server.
 	Server(key string, value []byte) (Server, error)
+	// EvacuatedDomain returns the failure domain that a key of KeyEvacuation evacuates while
+	// it exists.
+	EvacuatedDomain(key string) (string, error)
 }
 
 // reregisterGracePeriod is how long after the store's return a server stays in use whose
