--- a/engine/engine.go
+++ b/engine/engine.go
@@ -63,6 +63,9 @@
 	// Incarnation differs between the starts of a server under the same ID. A restart
 	// empties the cache.
 	Incarnation int64
+	// ColdPeriod differs between the times at which a server became cold, which empties the
+	// cache, too.
+	ColdPeriod int
 	// CacheTokens is the capacity of the prompt cache in tokens; 0 when unknown.
 	CacheTokens int
 	// CopyRate is the number of cached prompt tokens per second that the server can
@@ -122,13 +125,14 @@
 	return &Scheduler{region: region, byID: map[string]*serverState{}, prefillFactor: 1}
 }
 
-// SetServers replaces the servers. The state of a server is kept unless it restarted.
+// SetServers replaces the servers. The state of a server is kept unless it restarted or became
+// cold.
 func (s *Scheduler) SetServers(servers []Server) {
 	byID := make(map[string]*serverState, len(servers))
 	s.servers = s.servers[:0]
 	for _, server := range servers {
 		current := s.byID[server.ID]
-		if current == nil || current.Incarnation != server.Incarnation {
+		if current == nil || current.Incarnation != server.Incarnation || current.ColdPeriod != server.ColdPeriod {
 			current = &serverState{hash: xxhash.Sum64String(server.ID), cachedParts: map[string]cachedPart{}}
 		}
 		current.Server = server
--- a/engine/restart_test.go
+++ b/engine/restart_test.go
@@ -33,3 +33,15 @@
 		c.Check(placed.Incarnation, qt.Equals, int64(2))
 	}
 }
+
+// Guards against prompts that are placed by the cache that a server had before it became cold.
+func TestColdServersLoseTheirCache(t *testing.T) {
+	c := qt.New(t)
+	s := NewScheduler("r")
+	s.SetServers([]Server{{ID: "a", Region: "r", Incarnation: 1}})
+	s.RecordCached(start, "a", 1, []Part{{"system", 2000}})
+	s.SetServers([]Server{{ID: "a", Region: "r", Incarnation: 1}})
+	c.Assert(s.byID["a"].cachedParts, qt.HasLen, 1)
+	s.SetServers([]Server{{ID: "a", Region: "r", Incarnation: 1, ColdPeriod: 1}})
+	c.Assert(s.byID["a"].cachedParts, qt.HasLen, 0)
+}
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -55,5 +55,7 @@
 	EvacuationBegan       = define(7240, slog.LevelInfo, "evacuation of a failure domain began: its backend servers get no requests")
 	EvacuationEnded       = define(7241, slog.LevelInfo, "evacuation of a failure domain ended: its backend servers get requests again")
 	EvacuationBlockedSend = define(7242, slog.LevelInfo, "request to a backend server of an evacuated failure domain was not sent")
+	ServerCold            = define(7243, slog.LevelInfo, "backend server is cold and gets few requests")
+	ServerWarm            = define(7244, slog.LevelInfo, "backend server is no longer cold")
 	AttemptCutShort       = define(7221, slog.LevelInfo, "request broke off before or at the start of its answer")
 )
--- /dev/null
+++ b/internal/gateway/coldservers.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
+	"github.com/coltsfootdrift/coltsfootdrift/ratelimit"
+)
+
+// ObserveView records which servers are cold. Requests to a cold server need permits like those
+// to a server that has named a limit.
+func (p *Permits) ObserveView(v *view.View) {
+	if v.Table == nil {
+		return
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, server := range v.Registered() {
+		if server.ColdFor > 0 {
+			p.recordCold(server, now.Add(server.ColdFor))
+		} else if p.table.EndCold(now, server.ID) {
+			events.ServerWarm.Log(context.Background(), p.logger, slog.String("server", server.ID))
+		}
+	}
+}
+
+// recordCold records that a server is cold until a time. It is called with the lock held.
+func (p *Permits) recordCold(server view.Server, until time.Time) {
+	rate, limited := p.coldRate(server.Service)
+	if !limited {
+		return
+	}
+	period := ratelimit.ColdPeriod{Server: server.ID, Incarnation: server.Incarnation, Number: server.ColdPeriod, Rate: rate, Until: until}
+	if p.table.SetCold(period) {
+		events.ServerCold.Log(context.Background(), p.logger, slog.String("server", server.ID), slog.String("failure_domain", server.FailureDomain),
+			slog.Int64("cold_ms", server.ColdFor.Milliseconds()), slog.Float64("per_second", float64(rate)))
+	}
+}
+
+// coldRate returns the rate of requests to a cold server of a service, and false when the
+// configuration names none.
+func (p *Permits) coldRate(service string) (ratelimit.Rate, bool) {
+	current := p.views.Current()
+	if current == nil || current.Table == nil {
+		return 0, false
+	}
+	configured := current.Table.Service(service)
+	if configured == nil || configured.ColdRate <= 0 {
+		return 0, false
+	}
+	bound := configured.ColdRate*p.settings.ColdOverage + p.settings.ColdSlack
+	return min(ratelimit.Rate(configured.ColdRate), ratelimit.SafeRate(bound)), true
+}
+
+// receiveCold records that the server of a request for a permit is cold, which the caller may
+// have learned first.
+func (p *Permits) receiveCold(request *peerpb.AcquirePermitRequest) {
+	rate, limited := p.coldRate(request.Service)
+	if request.ColdMs <= 0 || !limited {
+		return
+	}
+	until := time.Now().Add(min(time.Duration(request.ColdMs)*time.Millisecond, maxReportedCold))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.ReportCold(ratelimit.ColdPeriod{Server: request.Limit.GetServer(), Incarnation: request.Limit.GetIncarnation(), Rate: rate, Until: until})
+}
+
+// maxReportedCold bounds the time that another instance may report.
+const maxReportedCold = 10 * time.Minute
+
+// coldRemaining returns how long a server is still cold.
+func (p *Permits) coldRemaining(server string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	period, cold := p.table.Cold(now, server)
+	if !cold {
+		return 0
+	}
+	return period.Until.Sub(now)
+}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -197,6 +197,7 @@
 // start opens the listeners and starts watching the store and the peers.
 func (d *daemon) start(ctx context.Context) error {
 	d.Views.Observe(d.Cluster.ObserveView)
+	d.Views.Observe(d.Permits.ObserveView) // before the servers that need permits are chosen
 	d.Views.Observe(d.Servers.Update)
 	d.Views.Observe(d.Quarantine.ObserveView)
 	d.Views.Observe(d.Regions.ObserveView)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -265,7 +265,7 @@
 	at := f.location()
 	node := listenPeerIn(c, at.id, at.region)
 	s := settings.Gateway{Instance: at.id, Region: at.region, FailureDomain: at.domain, Regions: map[string]string{"d": "r", "e": "q"}, PeerAddress: nodeAddress(node),
-		GraceSeconds: 8, RetryRatio: 20, RetrySlack: 1000, RetryWindowSeconds: 1}
+		GraceSeconds: 8, RetryRatio: 20, RetrySlack: 1000, RetryWindowSeconds: 1, ColdOverage: 1.5, ColdSlack: 5}
 	entries := []store.Entry{}
 	add := func(key string, value any) {
 		data, err := json.Marshal(value)
@@ -292,6 +292,7 @@
 	f.drain = NewDrain(s.Grace())
 	quarantines := NewQuarantines(discardLogger(), tally.NoopScope)
 	f.gateway = New(protocol, views, servers, client, NewStageRunner(cluster, peerClient, f.scheduler, discardLogger()), NewPlacer(cluster, peerClient, servers, client, protocol, quarantines, discardLogger()), f.drain, discardLogger(), tally.NoopScope)
+	views.Observe(permits.ObserveView)
 	views.Observe(servers.Update)
 	views.Observe(quarantines.ObserveView)
 	views.Observe(evacuations.ObserveView)
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -49,7 +49,7 @@
 	logger     *slog.Logger
 
 	granted, denied, unreachable, malformed tally.Counter
-	limited                                 tally.Gauge
+	limited, cold                           tally.Gauge
 
 	mu    sync.Mutex
 	table *ratelimit.Table
@@ -67,8 +67,8 @@
 		settings: s, cluster: cluster, peerClient: peerClient, views: views, logger: logger,
 		granted: scope.Counter("limit_permits_granted"), denied: scope.Counter("limit_permits_denied"),
 		unreachable: scope.Counter("limit_permit_calls_failed"), malformed: scope.Counter("server_limits_malformed"),
-		limited: scope.Gauge("limited_servers"),
-		table:   ratelimit.NewTable(), allocators: map[string]*ratelimit.Allocator{}, askAgain: map[string]time.Time{}, malformedLogged: map[string]time.Time{},
+		limited: scope.Gauge("limited_servers"), cold: scope.Gauge("cold_servers"),
+		table: ratelimit.NewTable(), allocators: map[string]*ratelimit.Allocator{}, askAgain: map[string]time.Time{}, malformedLogged: map[string]time.Time{},
 	}
 	cluster.node.Observe(func(output membership.Output) {
 		if received, ok := output.(membership.ServerLimitsReceived); ok {
@@ -214,7 +214,7 @@
 
 // ask asks the instance that gives out the permits for a server.
 func (p *Permits) ask(ctx context.Context, server view.Server) permitReply {
-	request := &peerpb.AcquirePermitRequest{Service: server.Service, Limit: peer.EncodeServerLimit(p.entry(server.ID))}
+	request := &peerpb.AcquirePermitRequest{Service: server.Service, Limit: peer.EncodeServerLimit(p.entry(server)), ColdMs: p.coldRemaining(server.ID).Milliseconds()}
 	if !p.inRegion(server) {
 		if contact := p.cluster.RegionContacts()[p.settings.Regions[server.FailureDomain]]; contact != "" {
 			request.FromOtherRegion = true
@@ -237,10 +237,14 @@
 	return permitReply{wait: unreachableWait}
 }
 
-func (p *Permits) entry(server string) membership.ServerLimit {
+// entry returns the limit that a server has named, without a rate if it has named none.
+func (p *Permits) entry(server view.Server) membership.ServerLimit {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e, _ := p.table.Entry(server)
+	e, named := p.table.Entry(server.ID)
+	if !named {
+		e.Server, e.Incarnation = server.ID, server.Incarnation
+	}
 	return membership.ServerLimit{Entry: e}
 }
 
@@ -267,6 +271,7 @@
 		return nil, peer.ErrUnsupported
 	}
 	p.receive(membership.ServerLimitsReceived{Limits: []membership.ServerLimit{peer.DecodeServerLimit(request.Limit)}, Local: true})
+	p.receiveCold(request)
 	address := p.cluster.Owner(p.ownerKey(request.Service))
 	if address == "" || !p.toForward(request) {
 		reply := p.grant(request)
--- a/internal/gateway/serverlimits.go
+++ b/internal/gateway/serverlimits.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
@@ -84,6 +86,7 @@
 		all = append(all, membership.ServerLimit{Entry: e})
 	}
 	p.limited.Update(float64(len(p.table.Limited(time.Now()))))
+	p.cold.Update(float64(p.table.ColdServers(time.Now())))
 	p.mu.Unlock()
 	p.cluster.node.Do(func(s *membership.State) []membership.Output {
 		s.SetServerLimits(all)
@@ -103,8 +106,9 @@
 		return server.Incarnation, listed
 	})
 	known := func(id string) bool {
-		_, ok := p.table.Entry(id)
-		return ok
+		_, named := p.table.Entry(id)
+		_, limited := p.table.Limit(time.Now(), id)
+		return named || limited
 	}
 	for _, allocator := range p.allocators {
 		allocator.Expire(known)
@@ -118,11 +122,13 @@
 // LimitStatus is the limit of one server for operators.
 type LimitStatus struct {
 	Server string `json:"server"`
-	// PerSecond is the limit that the server named last, and InForce the one that applies
+	// PerSecond is the limit that the server named last, 0 if it named none, and InForce the one that applies
 	// now, which rises for some seconds after the end of the limit.
 	PerSecond float64 `json:"per_second"`
 	InForce   float64 `json:"in_force"`
 	Ended     bool    `json:"ended"`
+	// ColdMS is the time in milliseconds for which the server is cold.
+	ColdMS int64 `json:"cold_ms"`
 	// WaitMS is the time in milliseconds for which this instance gets no permit.
 	WaitMS int64 `json:"wait_ms"`
 }
@@ -132,14 +138,16 @@
 	list := []LimitStatus{}
 	p.mu.Lock()
 	now := time.Now()
-	for _, e := range p.table.Entries() {
-		if rate, limited := p.table.Limit(now, e.Server); limited {
-			list = append(list, LimitStatus{Server: e.Server, PerSecond: float64(e.Rate), InForce: float64(rate), Ended: e.Ended})
-		}
+	for _, server := range p.table.Limited(now) {
+		rate, _ := p.table.Limit(now, server)
+		e, _ := p.table.Entry(server)
+		list = append(list, LimitStatus{Server: server, PerSecond: float64(e.Rate), InForce: float64(rate), Ended: e.Ended})
 	}
 	p.mu.Unlock()
+	slices.SortFunc(list, func(a, b LimitStatus) int { return strings.Compare(a.Server, b.Server) })
 	for i := range list {
 		list[i].WaitMS = p.Wait(list[i].Server).Milliseconds()
+		list[i].ColdMS = p.coldRemaining(list[i].Server).Milliseconds()
 	}
 	return list
 }
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -88,7 +88,7 @@
 	}
 	servers := make([]engine.Server, len(listed))
 	for i, server := range listed {
-		servers[i] = engine.Server{ID: server.ID, Region: s.settings.Regions[server.FailureDomain], FailureDomain: server.FailureDomain, Incarnation: server.Incarnation,
+		servers[i] = engine.Server{ID: server.ID, Region: s.settings.Regions[server.FailureDomain], FailureDomain: server.FailureDomain, Incarnation: server.Incarnation, ColdPeriod: server.ColdPeriod,
 			CacheTokens: service.Engine.CacheTokens, CopyRate: service.Engine.CopyRate()}
 	}
 	scheduler.SetServers(servers)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -43,10 +43,14 @@
 	RetryRatio         float64 `json:"retry_ratio,omitempty"`
 	RetrySlack         float64 `json:"retry_slack,omitempty"`
 	RetryWindowSeconds float64 `json:"retry_window_seconds,omitempty"`
+	// ColdOverage and ColdSlack limit the requests that all instances together send to a
+	// cold server in any second to the rate of its service x overage + slack.
+	ColdOverage float64 `json:"cold_overage,omitempty"`
+	ColdSlack   float64 `json:"cold_slack,omitempty"`
 }
 
 // defaultGateway holds the defaults of optional settings.
-var defaultGateway = Gateway{GraceSeconds: 8, RetryRatio: 0.1, RetrySlack: 20, RetryWindowSeconds: 10}
+var defaultGateway = Gateway{GraceSeconds: 8, RetryRatio: 0.1, RetrySlack: 20, RetryWindowSeconds: 10, ColdOverage: 1}
 
 // Grace returns the time from SIGTERM to SIGKILL.
 func (g Gateway) Grace() time.Duration {
@@ -82,10 +86,18 @@
 		c.checkPositive("link_mbits", gateway.LinkMbits)
 		c.checkPositive("processor", gateway.Processor)
 		c.checkPositive("retry_window_seconds", gateway.RetryWindowSeconds)
+		c.checkPositive("cold_overage", gateway.ColdOverage)
+		c.checkNotNegative("cold_slack", gateway.ColdSlack)
 	}
 	return gateway, c.err(path)
 }
 
+func (c *checker) checkNotNegative(name string, value float64) {
+	if given, ok := c.values[name]; ok && value < 0 {
+		c.addAt(given.StartOffset, "setting %q must not be below 0", name)
+	}
+}
+
 func (c *checker) checkPositive(name string, value float64) {
 	if given, ok := c.values[name]; ok && value <= 0 {
 		c.addAt(given.StartOffset, "setting %q must be above 0", name)
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -276,11 +276,12 @@
 		server.Draining = true
 	}
 	known, listed := s.servers[server.ID]
+	server.countColdPeriod(known)
 	s.servers[server.ID] = server
 	switch {
 	case server.Draining && (!listed || !known.Draining):
 		c.Drained = append(c.Drained, server.ID)
-	case !listed || server != known:
+	case !listed || !server.sameUse(known):
 		c.Joined = append(c.Joined, server.ID)
 	}
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -4,6 +4,7 @@
 package view
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -23,6 +24,34 @@
 	Draining bool
 	// Incarnation differs between the starts of a server under the same ID.
 	Incarnation int64
+	// ColdFor is how long the server is cold from the time at which its entry was written,
+	// and ColdPeriod counts the cold periods of the incarnation that this instance has seen.
+	// A server that has just become cold is slow, takes few requests and has no cache.
+	ColdFor    time.Duration
+	ColdPeriod int
+}
+
+// countColdPeriod sets the number of the cold period from what was known of the server. The
+// remaining time only falls within a period.
+func (s *Server) countColdPeriod(known Server) {
+	s.ColdPeriod = 0
+	if known.Incarnation == s.Incarnation {
+		s.ColdPeriod = known.ColdPeriod
+	} else {
+		known.ColdFor = 0
+	}
+	if s.ColdFor > known.ColdFor {
+		s.ColdPeriod++
+	}
+}
+
+// sameUse reports whether a server is to be used as it was. Most of the entries of a cold
+// server only count its remaining time down, which is no change.
+func (s Server) sameUse(known Server) bool {
+	if s.ColdPeriod == known.ColdPeriod && s.ColdFor > 0 && known.ColdFor > 0 {
+		s.ColdFor = known.ColdFor
+	}
+	return s == known
 }
 
 // View is the configuration and the backend servers at one version of the store. It is
@@ -52,6 +81,11 @@
 	return server, ok
 }
 
+// Registered returns all registered servers, in no order.
+func (v *View) Registered() []Server {
+	return slices.Collect(maps.Values(v.byID))
+}
+
 // InFailureDomain returns the registered servers of a failure domain, in no order.
 func (v *View) InFailureDomain(domain string) (servers []Server) {
 	if v == nil {
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -68,10 +68,12 @@
 // Table holds the limits that an instance knows. It is not safe for concurrent use.
 type Table struct {
 	limits map[string]*limit
+	// cold holds the latest cold period of each server, by its ID.
+	cold map[string]ColdPeriod
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{limits: map[string]*limit{}} }
+func NewTable() *Table { return &Table{limits: map[string]*limit{}, cold: map[string]ColdPeriod{}} }
 
 // Observe records what an answer of a server says of its limit. sentAt is when its request
 // was sent. It returns the new entry and true when the limit changes. An answer of an earlier
@@ -133,6 +135,19 @@
 
 // Limit returns the rate that applies to a server, and false when none does.
 func (t *Table) Limit(now time.Time, server string) (Rate, bool) {
+	rate, limited := t.namedLimit(now, server)
+	coldRate, cold := t.coldLimit(now, server)
+	switch {
+	case !cold:
+		return rate, limited
+	case !limited:
+		return coldRate, true
+	}
+	return min(rate, coldRate), true
+}
+
+// namedLimit returns the rate that applies to a server because it named a limit.
+func (t *Table) namedLimit(now time.Time, server string) (Rate, bool) {
 	l := t.limits[server]
 	if l == nil {
 		return 0, false
@@ -140,11 +155,7 @@
 	if !l.Ended {
 		return l.Rate, true
 	}
-	elapsed := now.Sub(l.learnedAt)
-	if elapsed >= rampTime {
-		return 0, false
-	}
-	return l.Rate * Rate(math.Exp2(1+elapsed.Seconds())), true
+	return rampedRate(l.Rate, now.Sub(l.learnedAt))
 }
 
 // Entry returns the entry of a server, also of a limit that has ended.
@@ -172,12 +183,21 @@
 			ids = append(ids, id)
 		}
 	}
+	for id := range t.cold {
+		if _, cold := t.coldLimit(now, id); cold && t.limits[id] == nil {
+			ids = append(ids, id) // the others are listed by their entries
+		}
+	}
 	return ids
 }
 
-// Expire drops ended limits, and those of servers that incarnationOf does not know or knows
-// in a later incarnation.
+// Expire drops ended limits, and the limits and cold periods of servers that incarnationOf does
+// not know or knows in a later incarnation.
 func (t *Table) Expire(now time.Time, incarnationOf func(server string) (int64, bool)) {
+	maps.DeleteFunc(t.cold, func(id string, p ColdPeriod) bool {
+		incarnation, known := incarnationOf(id)
+		return !known || incarnation > p.Incarnation
+	})
 	maps.DeleteFunc(t.limits, func(id string, l *limit) bool {
 		incarnation, known := incarnationOf(id)
 		return !known || incarnation > l.Incarnation || l.Ended && now.Sub(l.learnedAt) >= endedRetention
--- a/route/route.go
+++ b/route/route.go
@@ -89,6 +89,9 @@
 	// MaxConnections is the largest number of connections that all instances together
 	// open to one server.
 	MaxConnections int
+	// ColdRate is the number of requests per second that a cold server of the service takes
+	// from all instances together; 0 for no limit.
+	ColdRate float64
 	// StageProfile is set for services that run the pieces of stages.
 	StageProfile *stagework.ServerProfile
 	// Engine is set for services of model servers.
