--- a/internal/gateway/coldservers.go
+++ b/internal/gateway/coldservers.go
@@ -20,6 +20,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordReturned(v, now)
 	for _, server := range v.Registered() {
 		if server.ColdFor > 0 {
 			p.recordCold(server, now.Add(server.ColdFor))
@@ -29,6 +30,26 @@
 	}
 }
 
+// recordReturned takes the servers of a failure domain whose evacuation has ended as just
+// started: they may have become cold meanwhile, which their entries may say too late. It is
+// called with the lock held.
+func (p *Permits) recordReturned(v *view.View, now time.Time) {
+	for _, domain := range p.evacuated {
+		if v.IsEvacuated(domain) {
+			continue
+		}
+		for _, server := range v.InFailureDomain(domain) {
+			rate, limited := p.coldRate(server.Service)
+			if !limited {
+				continue
+			}
+			until := now.Add(v.Table.Service(server.Service).ColdStart)
+			p.table.ReportCold(ratelimit.ColdPeriod{Server: server.ID, Incarnation: server.Incarnation, Rate: rate, Until: until})
+		}
+	}
+	p.evacuated = v.Evacuated
+}
+
 // recordCold records that a server is cold until a time. It is called with the lock held.
 func (p *Permits) recordCold(server view.Server, until time.Time) {
 	rate, limited := p.coldRate(server.Service)
--- a/internal/gateway/coldservers_test.go
+++ b/internal/gateway/coldservers_test.go
@@ -74,3 +74,22 @@
 	}
 	c.Assert(granted < 23, qt.IsTrue)
 }
+
+// Guards against a failure domain whose servers get their usual load at once when its evacuation
+// ends, before their entries say that they are cold.
+func TestServersOfAReturnedFailureDomainCountAsCold(t *testing.T) {
+	c := qt.New(t)
+	f := newPlainFixture(c, route.Idempotent)
+	f.config.Services[0].ColdRate, f.config.Services[0].ColdStart = 12, time.Minute
+	f.addServer("x", func(http.ResponseWriter, *http.Request) {})
+	f.start()
+	permits := f.gateway.client.permits
+	c.Assert(permits.Limited("s0"), qt.IsFalse)
+	f.change(evacuateAll())
+	f.change(takeBackAll())
+	rate, limited := permits.LimitOf("s0")
+	c.Assert(limited, qt.IsTrue)
+	c.Assert(rate, qt.Equals, ratelimit.Rate(12))
+	f.change(store.WatchResult{Changed: []store.Entry{{Key: "config", Value: []byte(`{"Version":2}`)}}})
+	c.Assert(permits.Limited("s0"), qt.IsTrue)
+}
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -57,6 +57,8 @@
 	allocators map[string]*ratelimit.Allocator
 	// askAgain holds, by the ID of a server, when this instance may next ask for a permit.
 	askAgain map[string]time.Time
+	// evacuated holds the failure domains that the latest view evacuates.
+	evacuated []string
 	// malformedLogged holds, by the ID of a server, when a malformed limit was last logged.
 	malformedLogged map[string]time.Time
 }
--- a/route/route.go
+++ b/route/route.go
@@ -92,6 +92,8 @@
 	// ColdRate is the number of requests per second that a cold server of the service takes
 	// from all instances together; 0 for no limit.
 	ColdRate float64
+	// ColdStart is how long a server is cold after its start.
+	ColdStart time.Duration
 	// StageProfile is set for services that run the pieces of stages.
 	StageProfile *stagework.ServerProfile
 	// Engine is set for services of model servers.
