gateway: a request is refused when no allowed region answers for its stages

Cause: each failed region was marked as not reached for 0.5 s. With two allowed regions whose owners are silent for longer than that (0.55 s a call), a request went from one to the other until its deadline and ended with 504 after having held the client all the time.

Change: another region is tried as often as stages may run again, once. Then the request is refused.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -249,14 +249,19 @@
 	go server.Serve(listener)
 	stop = func() { server.Close() }
 	f.c.Cleanup(stop)
-	contacts := []membership.Contact{{ID: "h", Address: cluster.Address()}}
+	f.meet("q", cluster.Address())
+	return far, stop
+}
+
+// meet has the fixture's instance learn of an instance in another region.
+func (f *fixture) meet(region, address string) {
+	contacts := []membership.Contact{{ID: "h", Address: address}}
 	f.gateway.stages.cluster.node.Do(func(s *membership.State) []membership.Output {
 		return s.Receive(time.Now(), membership.Message{
-			From:      membership.Record{ID: "h", FailureDomain: "q", Address: cluster.Address(), Incarnation: 1, Counter: 1},
-			Summaries: []membership.DomainSummary{{FailureDomain: "q", Members: 1, Contacts: contacts}},
+			From:      membership.Record{ID: "h", FailureDomain: region, Address: address, Incarnation: 1, Counter: 1},
+			Summaries: []membership.DomainSummary{{FailureDomain: region, Members: 1, Contacts: contacts}},
 		})
 	})
-	return far, stop
 }
 
 // start starts the gateway and waits until it has loaded the configuration.
@@ -264,7 +269,7 @@
 	c := f.c
 	at := f.location()
 	node := listenPeerIn(c, at.id, at.region)
-	s := settings.Gateway{Instance: at.id, Region: at.region, FailureDomain: at.domain, Regions: map[string]string{"d": "r", "e": "q"}, PeerAddress: nodeAddress(node),
+	s := settings.Gateway{Instance: at.id, Region: at.region, FailureDomain: at.domain, Regions: map[string]string{"d": "r", "e": "q", "f": "s"}, PeerAddress: nodeAddress(node),
 		GraceSeconds: 8, RetryRatio: 20, RetrySlack: 1000, RetryWindowSeconds: 1, ColdOverage: 1.5, ColdSlack: 5}
 	entries := []store.Entry{}
 	add := func(key string, value any) {
--- a/internal/gateway/generateregions.go
+++ b/internal/gateway/generateregions.go
@@ -126,7 +126,8 @@
 		return g.rerunStages(failed.Error()), true
 	}
 	g.unreached.add(time.Now(), failed.Region)
-	return g.endUnserved(), true
+	// Another allowed region is tried, as often as stages may run again.
+	return g.endUnserved() || g.rerunStages(reasonAllowedUnreachable), true
 }
 
 // giveUpNotReached ends the request after connections to model servers failed, the last one
--- a/internal/gateway/generateregions_test.go
+++ b/internal/gateway/generateregions_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/coltsfootdrift/coltsfootdrift/engine"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/regions"
@@ -118,6 +120,46 @@
 	c.Assert(seen.all(), qt.Not(qt.Contains), "stage/run d")
 }
 
+// silentOwner is the owner handler of a region whose owner does not answer.
+type silentOwner struct{ region, address string }
+
+func (o silentOwner) FindOwners(string) *peerpb.FindOwnersResponse {
+	return &peerpb.FindOwnersResponse{Region: o.region, Addresses: []string{o.address}}
+}
+
+// Guards against a request that goes from one allowed region without an answer to the next
+// and back until its deadline.
+func TestRequestsAreRefusedWhenNoAllowedRegionAnswers(t *testing.T) {
+	c := qt.New(t)
+	var seen recorder
+	f := newEngineFixture(c, false, route.Stage{Service: "stage"})
+	f.config.Routes[0].AllowedRegions = []string{"q", "s"}
+	f.config.Routes[0].Target, f.config.Routes[0].Timeout = 5*time.Second, 10*time.Second
+	for _, domain := range []string{"e", "f"} {
+		f.addStages(domain, &seen)
+		f.addModel(domain, &seen, oneEvent)
+	}
+	f.start()
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}))
+	c.Cleanup(silent.Close)
+	for _, region := range []string{"q", "s"} {
+		handlers := peer.NewServer(nil)
+		handlers.HandleOwners(silentOwner{region, silent.Listener.Addr().String()})
+		contact := httptest.NewServer(handlers.Handler())
+		c.Cleanup(contact.Close)
+		f.meet(region, contact.Listener.Addr().String())
+	}
+	started := time.Now()
+	response, _, err := f.do("POST", "/p/", "", "Counts", "1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(time.Since(started) < 5*time.Second, qt.IsTrue)
+	c.Assert(seen.all(), qt.HasLen, 0)
+}
+
 // Guards against streams that fall back to the servers of a region that is not allowed when
 // they are sent first, when no instance places prompts there, and when they are resumed.
 func TestStreamsResumeInAllowedRegionsOnly(t *testing.T) {
