gateway: test of owners that another region names

An instance that is not in the region it was asked for says nothing about the owners there; the check had no test. Two comments are clearer.

--- a/internal/gateway/allowedregions.go
+++ b/internal/gateway/allowedregions.go
@@ -23,7 +23,9 @@
 
 // Reasons in the answers to requests that no allowed region serves.
 const (
-	reasonNoAllowedServer    = "no server in an allowed region"
+	// reasonNoAllowedServer is for regions without registered servers.
+	reasonNoAllowedServer = "no server in an allowed region"
+	// reasonAllowedUnreachable is for regions whose servers or instances are not reached.
 	reasonAllowedUnreachable = "no server in an allowed region is reached"
 )
 
@@ -120,8 +122,8 @@
 	c.refuse(reason, regionRetryAfter)
 }
 
-// refuseNotReached refuses a plain request whose servers could not be reached. The last one
-// was in a region.
+// refuseNotReached refuses a plain request whose servers could not be reached. region is that
+// of the last one.
 func (c *clientRequest) refuseNotReached(region string) {
 	if !c.allowedRegions().Bound() || region == c.servers.Region() {
 		c.refuse("servers are not reached", shortRetryAfter)
--- a/internal/gateway/generateregions.go
+++ b/internal/gateway/generateregions.go
@@ -130,8 +130,8 @@
 	return g.endUnserved() || g.rerunStages(reasonAllowedUnreachable), true
 }
 
-// giveUpNotReached ends the request after connections to model servers failed, the last one
-// to a server in a failure domain.
+// giveUpNotReached ends the request after connections to model servers failed. failureDomain
+// is that of the last one.
 func (g *generateRequest) giveUpNotReached(failureDomain string, err error) bool {
 	region := g.servers.RegionOf(failureDomain)
 	if !g.allowedRegions().Bound() || region == g.servers.Region() {
--- a/internal/gateway/generateregions_test.go
+++ b/internal/gateway/generateregions_test.go
@@ -127,6 +127,29 @@
 	return &peerpb.FindOwnersResponse{Region: o.region, Addresses: []string{o.address}}
 }
 
+// serveOwner serves the calls of other instances with an owner handler, and returns the
+// address.
+func serveOwner(c *qt.C, owner silentOwner) string {
+	handlers := peer.NewServer(nil)
+	handlers.HandleOwners(owner)
+	contact := httptest.NewServer(handlers.Handler())
+	c.Cleanup(contact.Close)
+	return contact.Listener.Addr().String()
+}
+
+// Guards against work that is sent to a region which is not allowed, because the address of
+// an instance of the allowed one was taken over by an instance elsewhere.
+func TestOwnersAreTakenFromTheirOwnRegionOnly(t *testing.T) {
+	c := qt.New(t)
+	f := newPlainFixture(c, route.Idempotent)
+	f.start()
+	cluster := f.gateway.stages.cluster
+	f.meet("q", serveOwner(c, silentOwner{"elsewhere", "127.0.0.1:1"}))
+	c.Assert(cluster.OwnersIn(c.Context(), "q", "stage"), qt.HasLen, 0)
+	f.meet("s", serveOwner(c, silentOwner{"s", "127.0.0.1:1"}))
+	c.Assert(cluster.OwnersIn(c.Context(), "s", "stage"), qt.DeepEquals, []string{"127.0.0.1:1"})
+}
+
 // Guards against a request that goes from one allowed region without an answer to the next
 // and back until its deadline.
 func TestRequestsAreRefusedWhenNoAllowedRegionAnswers(t *testing.T) {
@@ -146,11 +169,7 @@
 	}))
 	c.Cleanup(silent.Close)
 	for _, region := range []string{"q", "s"} {
-		handlers := peer.NewServer(nil)
-		handlers.HandleOwners(silentOwner{region, silent.Listener.Addr().String()})
-		contact := httptest.NewServer(handlers.Handler())
-		c.Cleanup(contact.Close)
-		f.meet(region, contact.Listener.Addr().String())
+		f.meet(region, serveOwner(c, silentOwner{region, silent.Listener.Addr().String()}))
 	}
 	started := time.Now()
 	response, _, err := f.do("POST", "/p/", "", "Counts", "1")
