ratelimit: the rate of a cold server allows for three allocators at once

Cause: the safe rate allowed for the owner of the permits and its successor, each with its burst. A region that is cut off from both uses half of the limit at the same time, so a bound close to the rate could be exceeded.

Ruled out: no permits at all for a region that is cut off, because limits that servers name are shared in the same way and their tests require it to go on.

Change: SafeRate searches the rate at which the owner, its successor and a region that is cut off together stay within the bound.

--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -28,9 +28,6 @@
 	// unreachableWait is how long a server with a limit gets no requests from this instance
 	// after nobody could be asked for a permit.
 	unreachableWait = 500 * time.Millisecond
-	// cutOffShare is the share of a limit that the other regions together may use when they
-	// reach no instance of the server's region.
-	cutOffShare = 0.5
 )
 
 // errServerLimited reports a request that was not sent because no permit was left under the
@@ -293,7 +290,7 @@
 	owner := p.cluster.Owner(p.ownerKey(request.Service)) == ""
 	share := p.cluster.LiveShare()
 	if request.CutOff {
-		share *= cutOffShare / float64(max(1, p.otherRegions()))
+		share *= ratelimit.CutOffShare / float64(max(1, p.otherRegions()))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -70,10 +70,15 @@
 		b.tokens += elapsed.Seconds() * perSecond
 		b.filled = now
 	}
-	b.tokens = min(b.tokens, max(minBurst, perSecond*burstTime.Seconds()))
+	b.tokens = min(b.tokens, maxTokens(perSecond))
 	return b
 }
 
+// maxTokens returns the permits that may be given out at once.
+func maxTokens(perSecond float64) float64 {
+	return max(minBurst, perSecond*burstTime.Seconds())
+}
+
 // Take takes a permit for one request to a server with a limit, of which this instance may
 // give out a share from 0 to 1. Without one it returns false and the time after which the
 // caller should ask again, which differs between callers.
--- a/ratelimit/cold.go
+++ b/ratelimit/cold.go
@@ -21,14 +21,38 @@
 	Until time.Time
 }
 
-// SafeRate returns the highest rate whose permits in any one second stay within a bound, also
-// while an Allocator and its successor both give them out, each with its burst. It is at least
-// MinRate.
+// CutOffShare is the share of a limit that the other regions together may use when they reach no
+// instance of the server's region.
+const CutOffShare = 0.5
+
+// concurrentShares are the shares of a limit that allocators may give out at the same time: the
+// owner, its successor, and a region that is cut off from both.
+var concurrentShares = [...]float64{1, handoverShare, CutOffShare}
+
+// rateResolution is the resolution of SafeRate.
+const rateResolution Rate = 0.01
+
+// SafeRate returns the highest rate whose permits in any one second stay within a bound while
+// several allocators give them out, each with its burst. It is at least MinRate.
 func SafeRate(bound float64) Rate {
-	const allocators = 1 + handoverShare
-	withLeastBursts := (bound - 2*minBurst) / allocators
-	withBursts := bound / (allocators * (1 + burstTime.Seconds()))
-	return max(MinRate, Rate(min(withLeastBursts, withBursts)))
+	low, high := MinRate, max(MinRate, Rate(bound))
+	for high-low > rateResolution {
+		if middle := (low + high) / 2; mostPermits(middle) <= bound {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// mostPermits returns how many permits at a rate may be given out in one second.
+func mostPermits(rate Rate) (n float64) {
+	for _, share := range concurrentShares {
+		perSecond := share * float64(rate)
+		n += perSecond + maxTokens(perSecond)
+	}
+	return n
 }
 
 // SetCold records a cold period and reports whether it is new. The end of a known one may have
