gateway: the rate of cold servers follows the view that is observed

Cause: while a view was observed, the rate came from the current one, which may be newer. A service that only the newer configuration has would have ended the process at the end of an evacuation. Found by reading, not seen.

Change: the configuration is an argument.

--- a/internal/gateway/coldservers.go
+++ b/internal/gateway/coldservers.go
@@ -9,6 +9,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/ratelimit"
+	"github.com/coltsfootdrift/coltsfootdrift/route"
 )
 
 // ObserveView records which servers are cold. Requests to a cold server need permits like those
@@ -23,7 +24,7 @@
 	p.recordReturned(v, now)
 	for _, server := range v.Registered() {
 		if server.ColdFor > 0 {
-			p.recordCold(server, now.Add(server.ColdFor))
+			p.recordCold(v.Table, server, now.Add(server.ColdFor))
 		} else if p.table.EndCold(now, server.ID) {
 			events.ServerWarm.Log(context.Background(), p.logger, slog.String("server", server.ID))
 		}
@@ -39,11 +40,12 @@
 			continue
 		}
 		for _, server := range v.InFailureDomain(domain) {
-			rate, limited := p.coldRate(server.Service)
+			service := v.Table.Service(server.Service)
+			rate, limited := p.coldRate(service)
 			if !limited {
 				continue
 			}
-			until := now.Add(v.Table.Service(server.Service).ColdStart)
+			until := now.Add(service.ColdStart)
 			p.table.ReportCold(ratelimit.ColdPeriod{Server: server.ID, Incarnation: server.Incarnation, Rate: rate, Until: until})
 		}
 	}
@@ -51,8 +53,8 @@
 }
 
 // recordCold records that a server is cold until a time. It is called with the lock held.
-func (p *Permits) recordCold(server view.Server, until time.Time) {
-	rate, limited := p.coldRate(server.Service)
+func (p *Permits) recordCold(table *route.Table, server view.Server, until time.Time) {
+	rate, limited := p.coldRate(table.Service(server.Service))
 	if !limited {
 		return
 	}
@@ -63,25 +65,20 @@
 	}
 }
 
-// coldRate returns the rate of requests to a cold server of a service, and false when the
-// configuration names none.
-func (p *Permits) coldRate(service string) (ratelimit.Rate, bool) {
-	current := p.views.Current()
-	if current == nil || current.Table == nil {
+// coldRate returns the rate of requests to a cold server of a service, and false when the service
+// has none or is nil.
+func (p *Permits) coldRate(service *route.Service) (ratelimit.Rate, bool) {
+	if service == nil || service.ColdRate <= 0 {
 		return 0, false
 	}
-	configured := current.Table.Service(service)
-	if configured == nil || configured.ColdRate <= 0 {
-		return 0, false
-	}
-	bound := configured.ColdRate*p.settings.ColdOverage + p.settings.ColdSlack
-	return min(ratelimit.Rate(configured.ColdRate), ratelimit.SafeRate(bound)), true
+	bound := service.ColdRate*p.settings.ColdOverage + p.settings.ColdSlack
+	return min(ratelimit.Rate(service.ColdRate), ratelimit.SafeRate(bound)), true
 }
 
 // receiveCold records that the server of a request for a permit is cold, which the caller may
 // have learned first.
-func (p *Permits) receiveCold(request *peerpb.AcquirePermitRequest) {
-	rate, limited := p.coldRate(request.Service)
+func (p *Permits) receiveCold(table *route.Table, request *peerpb.AcquirePermitRequest) {
+	rate, limited := p.coldRate(table.Service(request.Service))
 	if request.ColdMs <= 0 || !limited {
 		return
 	}
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -266,11 +266,12 @@
 // of the service forwards a request of another region to the one that does. One without a
 // configuration does not know which that is, and returns peer.ErrUnsupported.
 func (p *Permits) AcquirePermit(ctx context.Context, request *peerpb.AcquirePermitRequest) (*peerpb.AcquirePermitResponse, error) {
-	if current := p.views.Current(); current == nil || current.Table == nil {
+	current := p.views.Current()
+	if current == nil || current.Table == nil {
 		return nil, peer.ErrUnsupported
 	}
 	p.receive(membership.ServerLimitsReceived{Limits: []membership.ServerLimit{peer.DecodeServerLimit(request.Limit)}, Local: true})
-	p.receiveCold(request)
+	p.receiveCold(current.Table, request)
 	address := p.cluster.Owner(p.ownerKey(request.Service))
 	if address == "" || !p.toForward(request) {
 		reply := p.grant(request)
--- a/internal/gateway/serverlimits.go
+++ b/internal/gateway/serverlimits.go
@@ -122,8 +122,8 @@
 // LimitStatus is the limit of one server for operators.
 type LimitStatus struct {
 	Server string `json:"server"`
-	// PerSecond is the limit that the server named last, 0 if it named none, and InForce the one that applies
-	// now, which rises for some seconds after the end of the limit.
+	// PerSecond is the limit that the server named last, 0 if it named none, and InForce the
+	// one that applies now, which rises for some seconds after the end of the limit.
 	PerSecond float64 `json:"per_second"`
 	InForce   float64 `json:"in_force"`
 	Ended     bool    `json:"ended"`
