--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -32,6 +32,10 @@
 	// instance does for others. 0 means unknown.
 	LinkMbits float64 `json:"link_mbits,omitempty"`
 	Processor float64 `json:"processor,omitempty"`
+	// MemoryMB is the memory of the instance in MB, and MaxDescriptors the number of file
+	// descriptors that the process may have open. 0 means unknown.
+	MemoryMB       float64 `json:"memory_mb,omitempty"`
+	MaxDescriptors int     `json:"max_descriptors,omitempty"`
 	// FirstStart is true when the whole system starts for the first time.
 	FirstStart bool `json:"first_start,omitempty"`
 	// Peers lists peer addresses to use before others are known.
@@ -85,6 +89,8 @@
 		c.checkPositive("grace_seconds", gateway.GraceSeconds)
 		c.checkPositive("link_mbits", gateway.LinkMbits)
 		c.checkPositive("processor", gateway.Processor)
+		c.checkPositive("memory_mb", gateway.MemoryMB)
+		c.checkPositive("max_descriptors", float64(gateway.MaxDescriptors))
 		c.checkPositive("retry_window_seconds", gateway.RetryWindowSeconds)
 		c.checkPositive("cold_overage", gateway.ColdOverage)
 		c.checkNotNegative("cold_slack", gateway.ColdSlack)
