doors: bound what clients make a gateway hold, at each door

Cause: nothing limited connections, heads cost nothing, bodies were limited by a constant, and the ready, metrics and peer doors had a time for heads only. Requests that were refused before their body was read held their connection until the client sent the rest. Answers that clients do not read took up to 256 KB each.

Ruled out: a limit for each address or key, because clients may share the address of a load balancer; a limit on the number of fields (see memorybudget); closing young requests for memory, because a burst of ordinary requests is better refused with 503 than reset.

Change: package internal/doors bounds the connections of each door and the memory of heads and bodies. A full door closes the connection that holds the most for the longest, never one whose request was passed on unless its client has not read for a second. Heads are charged as they arrive and refused with 503; bodies grow in reserved memory. An answer is held only as far as there is memory, otherwise it is passed on as it comes. A client must read each 16 KB of an answer within 20 s. A body over the limit by its length is refused before it is read, and a refusal closes the connection when more than 4 KB of body are unread. The doors for readiness, metrics and peers have limits for heads, reading and idling. The runtime's memory limit is set from memory_mb. The status page shows plan and use.

TestBodyMemoryIsBounded keeps its check; the reserved size is one byte more, which the reader takes to find the end of a body.

--- /dev/null
+++ b/internal/doors/body.go
@@ -0,0 +1,102 @@
+package doors
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+)
+
+// firstBodyBytes is the size of the buffer that a body begins with.
+const firstBodyBytes = 4 << 10
+
+// Body is a request body that was read into reserved memory.
+type Body struct {
+	memory *Memory
+	conn   *Conn
+	held   int64
+	Bytes  []byte
+}
+
+// Release gives the memory back. A nil body is ignored.
+func (b *Body) Release() {
+	if b == nil {
+		return
+	}
+	b.release(b.held)
+}
+
+func (b *Body) release(n int64) {
+	b.held -= n
+	if b.conn != nil {
+		b.conn.body.Add(-n)
+	}
+	b.memory.Release(n)
+}
+
+// ReadBody reads a body whose length is at most length, if that is known (0 or above). The
+// memory is reserved as the body arrives, so that a length alone costs nothing. The body must
+// be released, also after an error. Conn may be nil.
+func (d *Door) ReadBody(conn *Conn, r io.Reader, length int64) (*Body, error) {
+	body := &Body{memory: d.bodies, conn: conn}
+	for {
+		if len(body.Bytes) == cap(body.Bytes) {
+			if err := body.grow(d, length); err != nil {
+				return body, err
+			}
+		}
+		n, err := r.Read(body.Bytes[len(body.Bytes):cap(body.Bytes)])
+		body.Bytes = body.Bytes[:len(body.Bytes)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+}
+
+// grow doubles the buffer, but not beyond the length and the byte that finds its end.
+func (b *Body) grow(d *Door, length int64) error {
+	old := int64(cap(b.Bytes))
+	size := max(firstBodyBytes, 2*old)
+	if length >= 0 && size > length && old <= length {
+		size = length + 1
+	}
+	if err := d.reserve(b.conn, d.bodies, size, (*Conn).bodyBytes); err != nil {
+		return err
+	}
+	b.held += size
+	if b.conn != nil {
+		b.conn.body.Add(size)
+	}
+	grown := make([]byte, len(b.Bytes), size)
+	copy(grown, b.Bytes)
+	b.Bytes = grown
+	b.release(old)
+	return nil
+}
+
+// HoldBodies returns a handler that reads request bodies of up to maxBytes, which the door
+// bounds together, before it passes requests on. Their connections are then not closed to
+// make room.
+func (d *Door) HoldBodies(next http.Handler, maxBytes int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn := FromContext(r.Context())
+		body, err := d.ReadBody(conn, http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength)
+		defer body.Release()
+		var tooLarge *http.MaxBytesError
+		switch {
+		case errors.As(err, &tooLarge):
+			http.Error(w, "body is too large", http.StatusRequestEntityTooLarge)
+			return
+		case err != nil:
+			w.Header().Set("Connection", "close")
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		conn.Forward()
+		r.Body = io.NopCloser(bytes.NewReader(body.Bytes))
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -57,5 +57,6 @@
 	EvacuationBlockedSend = define(7242, slog.LevelInfo, "request to a backend server of an evacuated failure domain was not sent")
 	ServerCold            = define(7243, slog.LevelInfo, "backend server is cold and gets few requests")
 	ServerWarm            = define(7244, slog.LevelInfo, "backend server is no longer cold")
+	DoorFull              = define(7250, slog.LevelWarn, "client connections were closed to make room for others")
 	AttemptCutShort       = define(7221, slog.LevelInfo, "request broke off before or at the start of its answer")
 )
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
@@ -38,8 +39,10 @@
 	organisation string
 	priority     int
 	body         []byte
-	// bodyReader holds the memory reservation of the body; nil without a body.
-	bodyReader *bodyReader
+	// heldBody holds the memory reservation of the body; nil without a body.
+	heldBody *doors.Body
+	// bodyUnread is set until the whole body is read, if there is one.
+	bodyUnread bool
 	deadline   time.Time
 	// sends is the number of times that the request was sent to a backend server. Sends
 	// whose inputs were lost don't count.
@@ -62,13 +65,6 @@
 // remaining returns the time left for the request.
 func (c *clientRequest) remaining() time.Duration { return time.Until(c.deadline) }
 
-// releaseBody releases the memory reservation of the body.
-func (c *clientRequest) releaseBody() {
-	if c.bodyReader != nil {
-		c.bodyReader.release()
-	}
-}
-
 // clientGone reports whether the client has closed its connection.
 func (c *clientRequest) clientGone() bool { return c.request.Context().Err() != nil }
 
@@ -182,6 +178,7 @@
 	c.protocol.WriteLocalAnswer(header, c.requestInfo.ID)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	c.closeWhenDraining(header)
+	c.limitUnreadBody(header)
 	c.writer.WriteHeader(status)
 	fmt.Fprintln(c.writer, reason)
 }
@@ -211,7 +208,9 @@
 	_ = controller.Flush() // the client may be gone
 	if !c.request.ProtoAtLeast(1, 1) {
 		// Without chunks, the end of the connection is the end of the answer.
-		resetOnClose(c.request)
+		if conn := doors.FromContext(c.request.Context()); conn != nil {
+			conn.ResetOnClose()
+		}
 	}
 	panic(http.ErrAbortHandler)
 }
@@ -237,14 +236,20 @@
 // passed on, so that the request can be retried when the answer breaks off.
 const maxBufferedAnswerBytes = 256 << 10
 
+// relayBufferBytes is the size of the buffer for an answer that is passed on as it comes.
+const relayBufferBytes = 8 << 10
+
 // forwardAnswer passes on an answer that is not a stream of events. It returns an error
 // only when nothing was written to the client.
 func (c *clientRequest) forwardAnswer(answer *upstream.Answer, server string) error {
-	buffered, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswerBytes))
+	held := heldAnswer{memory: c.answers}
+	defer held.release()
+	whole, err := held.read(answer.Body)
 	if err != nil {
 		return err
 	}
-	if len(buffered) < maxBufferedAnswerBytes {
+	buffered := held.bytes
+	if whole {
 		c.writeHead(answer, int64(len(buffered)))
 		_, _ = c.writer.Write(buffered) // a failure ends the context of the client's request
 		c.recordAnswered(answer, server)
@@ -254,7 +259,8 @@
 	if _, err := c.writer.Write(buffered); err != nil {
 		c.abort(err)
 	}
-	if _, err := io.Copy(c.writer, answer.Body); err != nil {
+	// The writer's own ReadFrom would take a larger buffer.
+	if _, err := io.CopyBuffer(struct{ io.Writer }{c.writer}, answer.Body, make([]byte, relayBufferBytes)); err != nil {
 		c.abort(err)
 	}
 	c.recordAnswered(answer, server)
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -15,6 +14,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/httpserve"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
@@ -26,6 +26,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
+	"github.com/coltsfootdrift/coltsfootdrift/memorybudget"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
 
@@ -80,6 +81,8 @@
 	Evacuation *Evacuations
 	Gateway    *Gateway
 	Frontend   *Frontend
+	Plan       memorybudget.Plan
+	ClientDoor clientDoor
 	Drain      *Drain
 	Readiness  *readiness.Readiness
 }
@@ -124,12 +127,16 @@
 			func(client *ServerClient, servers *Servers, freer *ResultFreer, m *metrics.Metrics) *StageScheduler {
 				return NewStageScheduler(adapter.Protocol, client, servers, freer, logger, m.Scope)
 			},
-			func(views *view.Sync, servers *Servers, client *ServerClient, stages *StageRunner, placer *Placer, drain *Drain, m *metrics.Metrics) *Gateway {
-				return New(adapter.Protocol, views, servers, client, stages, placer, drain, logger, m.Scope)
+			limitMachine,
+			func(plan memorybudget.Plan, m *metrics.Metrics) clientDoor {
+				return newClientDoor(plan, logger, m.Scope)
+			},
+			func(views *view.Sync, servers *Servers, client *ServerClient, stages *StageRunner, placer *Placer, d clientDoor, drain *Drain, m *metrics.Metrics) *Gateway {
+				return New(adapter.Protocol, views, servers, client, stages, placer, d.door, d.answers, drain, logger, m.Scope)
 			},
 			func() *Drain { return NewDrain(s.Grace()) },
 			func() *readiness.Readiness { return &readiness.Readiness{Logger: logger, Ready: events.GatewayReady} },
-			func(g *Gateway, drain *Drain) *Frontend { return NewFrontend(g, drain, logger) },
+			func(g *Gateway, d clientDoor, drain *Drain) *Frontend { return NewFrontend(g, d.door, drain, logger) },
 		),
 	)
 }
@@ -253,6 +260,9 @@
 	page.Add("instance", func() any {
 		return map[string]any{"id": d.Settings.Instance, "region": d.Settings.Region, "failure_domain": d.Settings.FailureDomain, "draining": d.Drain.Draining()}
 	})
+	page.Add("clients", func() any {
+		return map[string]any{"door": d.ClientDoor.door.Usage(), "held_answer_bytes": d.ClientDoor.answers.Used(), "plan": d.Plan}
+	})
 	page.Add("server_limits", func() any { return d.Permits.Limits() })
 	page.Add("allowed_regions", func() any { return d.Regions.List() })
 	page.Add("evacuations", func() any { return d.Evacuation.Status(d.Upstream.OpenConnections) })
@@ -265,11 +275,16 @@
 	metricsRouter := mux.NewRouter()
 	metricsRouter.Handle("/metrics", d.Metrics.Handler)
 	metricsRouter.Handle(statuspage.Path, d.statusPage())
-	for address, handler := range map[string]http.Handler{
-		d.Settings.ReadyAddress: ready, d.Settings.MetricsAddress: metricsRouter, d.Settings.PeerAddress: d.PeerServer.Handler(),
+	newDoor := func(name string, limits memorybudget.Door) *doors.Door {
+		return doors.New(name, limits, d.Logger, d.Metrics.Scope)
+	}
+	peers := newDoor("peers", d.Plan.Peers)
+	for _, service := range []serviceDoor{
+		{d.Settings.ReadyAddress, ready, newDoor("ready", d.Plan.Ready)},
+		{d.Settings.MetricsAddress, metricsRouter, newDoor("metrics", d.Plan.Metrics)},
+		{d.Settings.PeerAddress, peers.HoldBodies(d.PeerServer.Handler(), maxPeerBodyBytes), peers},
 	} {
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-		if err := httpserve.Start(ctx, server, address, d.Logger); err != nil {
+		if err := httpserve.StartWrapped(ctx, service.server(), service.address, service.wrap, d.Logger); err != nil {
 			return err
 		}
 	}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/coltsfootdrift/coltsfootdrift/engine"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
@@ -28,6 +29,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
+	"github.com/coltsfootdrift/coltsfootdrift/memorybudget"
 	"github.com/coltsfootdrift/coltsfootdrift/ratelimit"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
@@ -296,7 +298,7 @@
 	f.scheduler = NewStageScheduler(protocol, client, servers, freer, discardLogger(), tally.NoopScope)
 	f.drain = NewDrain(s.Grace())
 	quarantines := NewQuarantines(discardLogger(), tally.NoopScope)
-	f.gateway = New(protocol, views, servers, client, NewStageRunner(cluster, peerClient, f.scheduler, discardLogger()), NewPlacer(cluster, peerClient, servers, client, protocol, quarantines, discardLogger()), f.drain, discardLogger(), tally.NoopScope)
+	f.gateway = New(protocol, views, servers, client, NewStageRunner(cluster, peerClient, f.scheduler, discardLogger()), NewPlacer(cluster, peerClient, servers, client, protocol, quarantines, discardLogger()), newTestDoor(), doors.NewMemory(1<<20), f.drain, discardLogger(), tally.NoopScope)
 	views.Observe(permits.ObserveView)
 	views.Observe(servers.Update)
 	views.Observe(quarantines.ObserveView)
@@ -309,7 +311,7 @@
 	if len(entries) > 0 {
 		<-f.changed
 	}
-	frontend := NewFrontend(f.gateway, f.drain, discardLogger())
+	frontend := NewFrontend(f.gateway, f.gateway.door, f.drain, discardLogger())
 	c.Assert(frontend.Listen(ctx, "127.0.0.1:0"), qt.IsNil)
 	if v := views.Current(); v != nil {
 		frontend.Update(v)
@@ -332,6 +334,14 @@
 	<-f.changed
 }
 
+// testBodyBytes is the memory for bodies of a test gateway.
+const testBodyBytes = 32 << 20
+
+func newTestDoor() *doors.Door {
+	limits := memorybudget.Door{Connections: 100, HeadBytes: 1 << 20, BodyBytes: testBodyBytes}
+	return doors.New("clients", limits, discardLogger(), tally.NoopScope)
+}
+
 // newPlainFixture returns a fixture with one route, to a plain service.
 func newPlainFixture(c *qt.C, kind route.Kind) *fixture {
 	return &fixture{c: c, config: route.Configuration{Version: 1,
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
@@ -21,6 +22,7 @@
 // the new ones apply to connections that are opened afterwards.
 type Frontend struct {
 	handler http.Handler
+	door    *doors.Door
 	drain   *Drain
 	logger  *slog.Logger
 
@@ -31,9 +33,10 @@
 	servers  []*http.Server
 }
 
-// NewFrontend returns a frontend that passes requests to a handler.
-func NewFrontend(handler http.Handler, drain *Drain, logger *slog.Logger) *Frontend {
-	return &Frontend{handler: handler, drain: drain, logger: logger}
+// NewFrontend returns a frontend that passes requests to a handler. The door bounds its
+// connections.
+func NewFrontend(handler http.Handler, door *doors.Door, drain *Drain, logger *slog.Logger) *Frontend {
+	return &Frontend{handler: handler, door: door, drain: drain, logger: logger}
 }
 
 // connListener is the net.Listener of one http.Server. Frontend passes it the accepted
@@ -99,7 +102,7 @@
 	f.current = &connListener{address: f.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{})}
 	server := &http.Server{
 		Handler: f.handler, MaxHeaderBytes: limits.HeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
-		ConnState: f.countConnection, ConnContext: withClientConn, ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelDebug),
+		ConnState: f.countConnection, ConnContext: doors.ConnContext, ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelDebug),
 	}
 	f.servers = append(f.servers, server)
 	go func(l *connListener) {
@@ -109,23 +112,9 @@
 	}(f.current)
 }
 
-// clientConnKey is the key of the client's connection in the context of a request.
-type clientConnKey struct{}
-
-func withClientConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, clientConnKey{}, conn)
-}
-
-// resetOnClose makes the end of the client's connection a reset, which no client takes for
-// the end of an answer.
-func resetOnClose(r *http.Request) {
-	if conn, ok := r.Context().Value(clientConnKey{}).(*net.TCPConn); ok {
-		_ = conn.SetLinger(0) // fails only for a connection that is closed
-	}
-}
-
-// countConnection counts the open connections.
-func (f *Frontend) countConnection(_ net.Conn, state http.ConnState) {
+// countConnection counts the open connections, and passes their states to the door.
+func (f *Frontend) countConnection(conn net.Conn, state http.ConnState) {
+	doors.ConnState(conn, state)
 	switch state {
 	case http.StateNew:
 		f.drain.openConnections.Add(1)
@@ -150,10 +139,14 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
+		admitted := f.door.Admit(conn)
+		if admitted == nil {
+			continue
+		}
 		f.mu.Lock()
 		current := f.current
 		f.mu.Unlock()
-		current.conns <- conn
+		current.conns <- admitted
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,23 +12,27 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
 )
 
 // Gateway serves the requests of clients.
 type Gateway struct {
-	protocol   Protocol
-	views      *view.Sync
-	servers    *Servers
-	client     *ServerClient
-	stages     *StageRunner
-	placer     *Placer
-	drain      *Drain
-	logger     *slog.Logger
-	metrics    requestMetrics
-	inFlight   atomic.Int64
-	bodyMemory *bodyMemory
+	protocol Protocol
+	views    *view.Sync
+	servers  *Servers
+	client   *ServerClient
+	stages   *StageRunner
+	placer   *Placer
+	drain    *Drain
+	logger   *slog.Logger
+	metrics  requestMetrics
+	inFlight atomic.Int64
+	// door bounds the memory of request bodies, and answers that of answers which are held
+	// before they are passed on.
+	door    *doors.Door
+	answers *doors.Memory
 	// runTimes holds the mean duration of runs at model servers by route.
 	runTimes *movingAverages
 	// durations holds the longest recent durations of whole requests by route.
@@ -61,8 +65,8 @@
 }
 
 // New returns a gateway that serves requests by the current view of views.
-func New(protocol Protocol, views *view.Sync, servers *Servers, client *ServerClient, stages *StageRunner, placer *Placer, drain *Drain, logger *slog.Logger, scope tally.Scope) *Gateway {
-	return &Gateway{protocol: protocol, views: views, servers: servers, client: client, stages: stages, placer: placer, drain: drain, logger: logger, metrics: newRequestMetrics(scope), runTimes: newMovingAverages(), durations: newRecentMaxima(), fetchEstimates: newFetchEstimates(), bodyMemory: newBodyMemory(), unreached: newUnreachedRegions()}
+func New(protocol Protocol, views *view.Sync, servers *Servers, client *ServerClient, stages *StageRunner, placer *Placer, door *doors.Door, answers *doors.Memory, drain *Drain, logger *slog.Logger, scope tally.Scope) *Gateway {
+	return &Gateway{protocol: protocol, views: views, servers: servers, client: client, stages: stages, placer: placer, door: door, answers: answers, drain: drain, logger: logger, metrics: newRequestMetrics(scope), runTimes: newMovingAverages(), durations: newRecentMaxima(), fetchEstimates: newFetchEstimates(), unreached: newUnreachedRegions()}
 }
 
 // InFlight returns the number of requests in flight.
@@ -83,7 +87,8 @@
 		view: g.views.Current(), requestInfo: g.protocol.ReadRequest(r.Header),
 	}
 	c.deadline = c.arrived.Add(defaultTimeout)
-	defer c.releaseBody()
+	c.bodyUnread = r.ContentLength != 0
+	defer func() { c.heldBody.Release() }()
 	if !c.resolveRoute() || !c.readBody() {
 		return
 	}
@@ -100,6 +105,7 @@
 		c.refuse("draining", shortRetryAfter)
 		return
 	}
+	doors.FromContext(r.Context()).Forward()
 	g.servers.CountRequest(c.service.Name)
 	if c.service.Engine != nil {
 		c.serveEngine()
@@ -182,13 +188,17 @@
 	_ = controller.SetReadDeadline(c.deadline) // a connection without read deadlines waits for the client
 	reader := io.Reader(c.request.Body)
 	if limit := c.view.Table.Limits.BodyBytes; limit > 0 {
+		if c.request.ContentLength > limit {
+			c.fail(http.StatusRequestEntityTooLarge, "body is too large", nil)
+			return false
+		}
 		reader = http.MaxBytesReader(c.writer, c.request.Body, limit)
 	}
-	c.bodyReader = &bodyReader{memory: c.bodyMemory, reader: reader}
-	body, err := io.ReadAll(c.bodyReader)
+	body, err := c.door.ReadBody(doors.FromContext(c.request.Context()), reader, c.request.ContentLength)
+	c.heldBody = body
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, errBodyMemoryFull):
+	case errors.Is(err, doors.ErrNoRoom):
 		c.refuse("memory for bodies is full", shortRetryAfter)
 		return false
 	case errors.As(err, &tooLarge):
@@ -199,6 +209,6 @@
 		return false
 	}
 	_ = controller.SetReadDeadline(time.Time{})
-	c.body = body
+	c.body, c.bodyUnread = body.Bytes, false
 	return true
 }
--- /dev/null
+++ b/internal/gateway/heldanswer.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
+)
+
+const (
+	// maxUnreadBodyBytes is the size up to which the rest of a body is read after the
+	// request was refused, so that its connection can be used again.
+	maxUnreadBodyBytes = 4 << 10
+	// unreadBodyTimeout bounds reading that rest.
+	unreadBodyTimeout = time.Second
+)
+
+// limitUnreadBody closes the connection after an answer when reading on would cost more than
+// a new connection. Otherwise it bounds the time for the rest of the body.
+func (c *clientRequest) limitUnreadBody(header http.Header) {
+	if !c.bodyUnread {
+		return
+	}
+	if length := c.request.ContentLength; length < 0 || length > maxUnreadBodyBytes {
+		header.Set("Connection", "close")
+	}
+	// A connection without read deadlines waits for the client.
+	_ = http.NewResponseController(c.writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+}
+
+// firstAnswerBytes is the size of the buffer that an answer begins with.
+const firstAnswerBytes = 4 << 10
+
+// heldAnswer is an answer of a server that is held before it is passed on.
+type heldAnswer struct {
+	memory *doors.Memory
+	held   int64
+	bytes  []byte
+}
+
+// release gives the memory back.
+func (a *heldAnswer) release() { a.memory.Release(a.held) }
+
+// read reads an answer up to maxBufferedAnswerBytes, or as far as there is memory. It reports
+// whether that is the whole answer.
+func (a *heldAnswer) read(r io.Reader) (whole bool, err error) {
+	for {
+		if len(a.bytes) == cap(a.bytes) && !a.grow() {
+			return false, nil
+		}
+		n, err := r.Read(a.bytes[len(a.bytes):cap(a.bytes)])
+		a.bytes = a.bytes[:len(a.bytes)+n]
+		if errors.Is(err, io.EOF) {
+			return len(a.bytes) < maxBufferedAnswerBytes, nil
+		}
+		if err != nil {
+			return false, err
+		}
+	}
+}
+
+// grow doubles the buffer. It returns false when there is no memory for that.
+func (a *heldAnswer) grow() bool {
+	old := int64(cap(a.bytes))
+	size := max(firstAnswerBytes, 2*old)
+	if size > maxBufferedAnswerBytes || !a.memory.TryAcquire(size) {
+		return false
+	}
+	a.held += size
+	grown := make([]byte, len(a.bytes), size)
+	copy(grown, a.bytes)
+	a.bytes = grown
+	a.memory.Release(old)
+	a.held -= old
+	return true
+}
--- a/internal/gateway/plain_test.go
+++ b/internal/gateway/plain_test.go
@@ -324,7 +324,8 @@
 	f := newPlainFixture(c, route.Idempotent)
 	f.addServer("x", func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "served") })
 	f.start()
-	c.Assert(f.gateway.bodyMemory.available.TryAcquire(maxBodyMemoryBytes-3), qt.IsTrue)
+	// A body takes its length and a byte to find its end.
+	c.Assert(f.gateway.door.Bodies().TryAcquire(testBodyBytes-4), qt.IsTrue)
 	response, _, err := f.do("POST", "/p/", "1234")
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
@@ -333,7 +334,7 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(body, qt.Equals, "served")
 	}
-	eventually(c, func() bool { return f.gateway.bodyMemory.available.TryAcquire(3) })
+	eventually(c, func() bool { return f.gateway.door.Bodies().TryAcquire(4) })
 }
 
 // Guards against request smuggling, where a second request is hidden in the body of the
