--- a/internal/doors/doors_test.go
+++ b/internal/doors/doors_test.go
@@ -88,7 +88,7 @@
 	reader, writer := io.Pipe()
 	go func() {
 		_, _ = writer.Write(make([]byte, 4000))
-		_, _ = olderClient.Read(make([]byte, 1)) // returns when the connection is closed
+		_, _ = olderClient.Read(make([]byte, 1))   // returns when the connection is closed
 		writer.CloseWithError(io.ErrUnexpectedEOF) // as net/http does when the connection ends
 	}()
 	released := make(chan struct{})
