entry: bound what callers, operators and peers make an instance hold

Change: the doors of the gateway also bound the caller, admin and peer addresses of an entry instance, by the settings memory_mb and max_descriptors. Bodies are read into the memory of the door and refused as not run when there is none. The servers and the plan of both daemons come from internal/doors. A call of a peer is not cancelled when the read timeout of its connection passes while it runs.

--- a/internal/doors/body.go
+++ b/internal/doors/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 )
 
 // firstBodyBytes is the size of the buffer that a body begins with.
@@ -95,8 +96,33 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
+		// Otherwise the read timeout would end net/http's background read, which detects that
+		// the caller disconnected, and cancel a call that takes longer.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 		conn.Forward()
 		r.Body = io.NopCloser(bytes.NewReader(body.Bytes))
 		next.ServeHTTP(w, r)
 	})
 }
+
+const (
+	// maxUnreadBodyBytes is the size up to which the rest of a body is read after the
+	// request was refused, so that its connection can be used again.
+	maxUnreadBodyBytes = 4 << 10
+	// unreadBodyTimeout bounds reading that rest.
+	unreadBodyTimeout = time.Second
+)
+
+// LimitUnreadBody is called before the answer to a request whose body was not read. It closes
+// the connection after the answer when reading on would cost more than a new connection.
+// Otherwise it bounds the time for the rest of the body.
+func LimitUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	if r.ContentLength < 0 || r.ContentLength > maxUnreadBodyBytes {
+		w.Header().Set("Connection", "close")
+	}
+	// A connection without read deadlines waits for the client.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+}
--- a/internal/doors/conn.go
+++ b/internal/doors/conn.go
@@ -38,6 +38,8 @@
 	// forwarded is set while the request may have reached a server.
 	forwarded  atomic.Bool
 	head, body counter
+	// answered is the body that is released when the request is answered; nil without one.
+	answered atomic.Pointer[Body]
 	// writeDeadline bounds all writes; zero for none.
 	writeDeadline atomic.Int64
 	once          sync.Once
@@ -70,11 +72,25 @@
 	c.inRequest.Store(state == http.StateActive)
 	if state == http.StateIdle {
 		c.forwarded.Store(false)
-		c.head.release(c.door.heads)
+		c.releaseRequest()
 		c.since.Store(time.Now().UnixNano())
 	}
 }
 
+// releaseRequest gives back what the request held.
+func (c *Conn) releaseRequest() {
+	c.head.release(c.door.heads)
+	c.answered.Swap(nil).Release()
+}
+
+// HoldBody reads the body of the current request like Door.ReadBody. Its memory is given back
+// when the request is answered.
+func (c *Conn) HoldBody(r io.Reader, length int64) ([]byte, error) {
+	body, err := c.door.ReadBody(c, r, length)
+	c.answered.Store(body)
+	return body.Bytes, err
+}
+
 // Forward marks that the request may reach a server from now on, so that its connection is
 // not closed to make room. A nil connection is ignored.
 func (c *Conn) Forward() {
@@ -164,12 +180,12 @@
 	return nil
 }
 
-// Close closes the connection and gives the memory of its head back.
+// Close closes the connection and gives the memory of its request back.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
 	c.once.Do(func() {
 		c.door.remove(c)
-		c.head.release(c.door.heads)
+		c.releaseRequest()
 	})
 	return err
 }
--- a/internal/doors/doors.go
+++ b/internal/doors/doors.go
@@ -174,8 +174,8 @@
 	}
 }
 
-// Listener returns a listener whose connections the door bounds.
-func (d *Door) Listener(l net.Listener) net.Listener { return &listener{l, d} }
+// listener returns a listener whose connections the door bounds.
+func (d *Door) listener(l net.Listener) net.Listener { return &listener{l, d} }
 
 type listener struct {
 	net.Listener
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -18,13 +18,14 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
-	"github.com/coltsfootdrift/coltsfootdrift/internal/httpserve"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/readiness"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/statuspage"
+	"github.com/coltsfootdrift/coltsfootdrift/memorybudget"
 )
 
 // listInterval is the time between two reads of the platform's instance list. The
@@ -42,6 +43,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Provide(
 			metrics.New,
+			func() memorybudget.Plan { return doors.DivideMachine(entry.MemoryMB, entry.MaxDescriptors) },
 			newLister,
 			newInstanceListPoller,
 			newCaller,
@@ -123,6 +125,9 @@
 	Readiness *readiness.Readiness
 	Steps     *StopSteps
 	Logger    *slog.Logger
+	Plan      memorybudget.Plan
+	Metrics   *metrics.Metrics
+	Status    *statuspage.Status
 }
 
 // serveCallers listens for callers after all other parts have started. Since fx
@@ -130,6 +135,8 @@
 // any other part stops.
 func serveCallers(lc fx.Lifecycle, p callerServerParams) {
 	server := &http.Server{Handler: p.Handler.Router(), ReadHeaderTimeout: headerTimeout}
+	door := doors.New("callers", p.Plan.Clients, p.Logger, p.Metrics.Scope)
+	p.Status.Add("callers", func() any { return door.Usage() })
 	var listening atomic.Bool
 	p.Readiness.Require("start", listening.Load)
 	p.Readiness.Require("configuration", func() bool { return p.Handler.Configuration.Current() != nil })
@@ -142,7 +149,7 @@
 	p.Steps.Add(StopStep{StopCallers, "callers", server.Shutdown})
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
-			if err := httpserve.Start(ctx, server, p.Entry.CallerAddress, p.Logger); err != nil {
+			if err := door.Start(ctx, server, p.Entry.CallerAddress, p.Logger); err != nil {
 				return err
 			}
 			listening.Store(true)
@@ -158,16 +165,17 @@
 
 // serveAdmin serves health, readiness, metrics and the status. It starts first and
 // stops last, so that readiness can be read throughout the shutdown.
-func serveAdmin(lc fx.Lifecycle, entry settings.Entry, m *metrics.Metrics, ready *readiness.Readiness, status *statuspage.Status, logger *slog.Logger) {
+func serveAdmin(lc fx.Lifecycle, entry settings.Entry, plan memorybudget.Plan, m *metrics.Metrics, ready *readiness.Readiness, status *statuspage.Status, logger *slog.Logger) {
 	router := http.NewServeMux()
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.Handle("/readyz", ready)
 	router.Handle("/metrics", m.Handler)
 	router.Handle(statuspage.Path, status)
-	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	server := doors.NewServiceServer(router)
+	door := doors.New("admin", plan.Ready, logger, m.Scope)
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
-			return httpserve.Start(ctx, server, entry.AdminAddress, logger)
+			return door.Start(ctx, server, entry.AdminAddress, logger)
 		},
 		OnStop: func(ctx context.Context) error {
 			return errors.Join(server.Shutdown(ctx), m.Close())
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
 )
 
 // PathRequest is the route of callers' requests.
@@ -82,6 +84,7 @@
 
 func problemHandler(status int, title string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		doors.LimitUnreadBody(w, r)
 		notRunProblem(status, ProblemNotFound, title, fmt.Sprintf("%s %s", r.Method, r.URL.Path)).write(w)
 	})
 }
@@ -90,9 +93,11 @@
 	request, problem := parseRequest(w, r, h.Configuration.Current(), h.Now())
 	if problem != nil {
 		h.Executor.Metrics.countRejected(problem.Status)
+		doors.LimitUnreadBody(w, r)
 		problem.write(w)
 		return
 	}
+	doors.FromContext(r.Context()).Forward()
 	switch {
 	case request.Kind.Durable && h.Jobs == nil:
 		notRunProblem(http.StatusServiceUnavailable, ProblemUnavailable, "durable work is unavailable",
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -3,20 +3,20 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/fx"
 
-	"github.com/coltsfootdrift/coltsfootdrift/internal/httpserve"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/platform"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/statuspage"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
+	"github.com/coltsfootdrift/coltsfootdrift/memorybudget"
 )
 
 // Members gives access to the membership of this instance. Without a peer address
@@ -153,6 +153,8 @@
 	Steps      *StopSteps
 	Status     *statuspage.Status
 	Logger     *slog.Logger
+	Plan       memorybudget.Plan
+	Metrics    *metrics.Metrics
 }
 
 // servePeers runs membership and the API for other instances.
@@ -166,7 +168,8 @@
 	p.ListPoller.Observe(p.Members.addCandidates)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	server := &http.Server{Handler: p.Server.Handler(), ReadHeaderTimeout: headerTimeout}
+	door := doors.New("peers", p.Plan.Peers, p.Logger, p.Metrics.Scope)
+	server := door.NewPeerServer(p.Server.Handler())
 	p.Steps.Add(StopStep{StopMembership, "membership", func(ctx context.Context) error {
 		p.Members.Node.Leave(ctx, p.Client)
 		return nil
@@ -174,7 +177,7 @@
 	lc.Append(fx.Hook{
 		OnStart: func(start context.Context) error {
 			running.Go(func() { p.Members.Node.Run(ctx) })
-			return httpserve.Start(start, server, p.Entry.PeerAddress, p.Logger)
+			return door.Start(start, server, p.Entry.PeerAddress, p.Logger)
 		},
 		OnStop: func(stop context.Context) error {
 			err := server.Shutdown(stop)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
 	"github.com/coltsfootdrift/coltsfootdrift/pipeline"
 )
 
@@ -122,11 +124,15 @@
 	control := http.NewResponseController(w)
 	// The writers of tests do not support deadlines.
 	_ = control.SetReadDeadline(time.Now().Add(timeout))
-	body, err := readAll(http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength)
+	body, err := readAll(r.Context(), http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, bodyTooLarge()
+	case errors.Is(err, doors.ErrNoRoom):
+		problem := notRunProblem(http.StatusServiceUnavailable, ProblemUnavailable, "no memory", "the memory for request bodies is used up")
+		problem.RetryAfterMS = refusedRetryAfter.Milliseconds()
+		return nil, problem
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, notRunProblem(http.StatusGatewayTimeout, ProblemDeadline, "deadline expired", "the body did not arrive in time")
 	case err != nil:
@@ -144,9 +150,13 @@
 // the body has arrived.
 const preallocatedBodyBytes = 64 << 10
 
-// readAll reads a body. One whose length is known and short is read without growing
-// a buffer. length is -1 when it is unknown.
-func readAll(body io.Reader, length int64) ([]byte, error) {
+// readAll reads a body into the memory of the door that it came through. Without a door, one
+// whose length is known and short is read without growing a buffer. length is -1 when it is
+// unknown.
+func readAll(ctx context.Context, body io.Reader, length int64) ([]byte, error) {
+	if conn := doors.FromContext(ctx); conn != nil {
+		return conn.HoldBody(body, length)
+	}
 	if length < 0 || length > preallocatedBodyBytes {
 		return io.ReadAll(body)
 	}
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -178,7 +178,9 @@
 	c.protocol.WriteLocalAnswer(header, c.requestInfo.ID)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	c.closeWhenDraining(header)
-	c.limitUnreadBody(header)
+	if c.bodyUnread {
+		doors.LimitUnreadBody(c.writer, c.request)
+	}
 	c.writer.WriteHeader(status)
 	fmt.Fprintln(c.writer, reason)
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -16,7 +17,6 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
-	"github.com/coltsfootdrift/coltsfootdrift/internal/httpserve"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/metrics"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/readiness"
@@ -44,8 +44,6 @@
 }
 
 const (
-	// readHeaderTimeout bounds reading the headers of readiness, metrics and peer calls.
-	readHeaderTimeout = 5 * time.Second
 	// closeIdleInterval is how often idle connections to backend servers are closed.
 	closeIdleInterval = time.Second
 	// limitExpiryInterval is how often limits of servers that are no longer in use are
@@ -127,7 +125,7 @@
 			func(client *ServerClient, servers *Servers, freer *ResultFreer, m *metrics.Metrics) *StageScheduler {
 				return NewStageScheduler(adapter.Protocol, client, servers, freer, logger, m.Scope)
 			},
-			limitMachine,
+			newPlan,
 			func(plan memorybudget.Plan, m *metrics.Metrics) clientDoor {
 				return newClientDoor(plan, logger, m.Scope)
 			},
@@ -279,12 +277,16 @@
 		return doors.New(name, limits, d.Logger, d.Metrics.Scope)
 	}
 	peers := newDoor("peers", d.Plan.Peers)
-	for _, service := range []serviceDoor{
-		{d.Settings.ReadyAddress, ready, newDoor("ready", d.Plan.Ready)},
-		{d.Settings.MetricsAddress, metricsRouter, newDoor("metrics", d.Plan.Metrics)},
-		{d.Settings.PeerAddress, peers.HoldBodies(d.PeerServer.Handler(), maxPeerBodyBytes), peers},
+	for _, service := range []struct {
+		address string
+		door    *doors.Door
+		server  *http.Server
+	}{
+		{d.Settings.ReadyAddress, newDoor("ready", d.Plan.Ready), doors.NewServiceServer(ready)},
+		{d.Settings.MetricsAddress, newDoor("metrics", d.Plan.Metrics), doors.NewServiceServer(metricsRouter)},
+		{d.Settings.PeerAddress, peers, peers.NewPeerServer(d.PeerServer.Handler())},
 	} {
-		if err := httpserve.StartWrapped(ctx, service.server(), service.address, service.wrap, d.Logger); err != nil {
+		if err := service.door.Start(ctx, service.server, service.address, d.Logger); err != nil {
 			return err
 		}
 	}
--- a/internal/gateway/heldanswer.go
+++ b/internal/gateway/heldanswer.go
@@ -3,33 +3,10 @@
 import (
 	"errors"
 	"io"
-	"net/http"
-	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
 )
 
-const (
-	// maxUnreadBodyBytes is the size up to which the rest of a body is read after the
-	// request was refused, so that its connection can be used again.
-	maxUnreadBodyBytes = 4 << 10
-	// unreadBodyTimeout bounds reading that rest.
-	unreadBodyTimeout = time.Second
-)
-
-// limitUnreadBody closes the connection after an answer when reading on would cost more than
-// a new connection. Otherwise it bounds the time for the rest of the body.
-func (c *clientRequest) limitUnreadBody(header http.Header) {
-	if !c.bodyUnread {
-		return
-	}
-	if length := c.request.ContentLength; length < 0 || length > maxUnreadBodyBytes {
-		header.Set("Connection", "close")
-	}
-	// A connection without read deadlines waits for the client.
-	_ = http.NewResponseController(c.writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
-}
-
 // firstAnswerBytes is the size of the buffer that an answer begins with.
 const firstAnswerBytes = 4 << 10
 
--- a/internal/proof/doors_test.go
+++ b/internal/proof/doors_test.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
-	"path/filepath"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/crowd"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/entry"
-	"github.com/coltsfootdrift/coltsfootdrift/internal/settings"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/standin"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/traffic"
 )
@@ -74,8 +70,10 @@
 	f.Cleanup(func() { _ = f.cluster.Close() }) // connections of killed processes may be broken
 	entries, err := f.cluster.EntrySettings(exampleFolder, 1, nextPort)
 	f.Assert(err, qt.IsNil)
-	i := &instance{C: f.C, settings: entries[0], path: filepath.Join(f.TempDir(), "entry.jsonc")}
-	f.Assert(os.WriteFile(i.path, limitedSettings(f.C, entries[0]), 0o600), qt.IsNil)
+	entries[0].MemoryMB, entries[0].MaxDescriptors = crowd.MemoryMB, crowd.MaxDescriptors
+	paths, err := standin.WriteSettings(f.TempDir(), entries[:1])
+	f.Assert(err, qt.IsNil)
+	i := &instance{C: f.C, settings: entries[0], path: paths[0]}
 	i.start()
 	f.Cleanup(i.killAndShowLog)
 	f.waitReady(i)
@@ -87,15 +85,3 @@
 	f.Fatal("no idempotent request is planned")
 	return nil, traffic.Request{}
 }
-
-// limitedSettings returns settings with the machine of the crowds. Versions that do not know
-// the limits run without them.
-func limitedSettings(c *qt.C, e settings.Entry) []byte {
-	data, err := json.Marshal(e)
-	c.Assert(err, qt.IsNil)
-	limited := fmt.Appendf(data[:len(data)-1:len(data)-1], `, "memory_mb": %d, "max_descriptors": %d}`, crowd.MemoryMB, crowd.MaxDescriptors)
-	if _, err := settings.Parse("entry.jsonc", limited); err != nil {
-		return data
-	}
-	return limited
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,10 @@
 	StoreAddress string `json:"store_address"`
 	// PlatformAddress is the address of the platform's instance list.
 	PlatformAddress string `json:"platform_address"`
+	// MemoryMB is the memory of the instance in MB, and MaxDescriptors the number of file
+	// descriptors that the process may have open. 0 means unknown.
+	MemoryMB       float64 `json:"memory_mb,omitempty"`
+	MaxDescriptors int     `json:"max_descriptors,omitempty"`
 	// Peers lists peer addresses to use before the instance list is known.
 	Peers []string `json:"peers,omitempty"`
 	// PipelineFiles is the folder of operators' files to use while the store holds no
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -167,6 +167,8 @@
 		c.addAt(root.StartOffset, "one of \"store_address\" and \"pipeline_files\" is needed")
 	}
 	c.checkAddresses("caller_address", "peer_address", "advertise_address", "admin_address", "store_address", "platform_address")
+	c.checkPositive("memory_mb", entry.MemoryMB)
+	c.checkPositive("max_descriptors", float64(entry.MaxDescriptors))
 	c.checkShutdownTimes(entry)
 }
 
