doors: requests in progress leave room for others, and one organisation too

Cause: a connection whose request was passed on is never closed to make room.

Ruled out: equal parts for the organisations. A single organisation on a deployment must be able to use most of the door.

Conclusion: an organisation with slow servers leaves room for the requests of others. Memory is not divided among organisations.

--- a/internal/doors/conn.go
+++ b/internal/doors/conn.go
@@ -99,6 +99,14 @@
 	}
 }
 
+// Enter is Door.Enter for the connection's door. It always succeeds for a nil connection.
+func (c *Conn) Enter(organisation string) (leave func(), ok bool) {
+	if c == nil {
+		return func() {}, true
+	}
+	return c.door.Enter(c, organisation)
+}
+
 // Read reads from the connection. It reserves the memory of heads as they come, and refuses
 // the request when there is none.
 func (c *Conn) Read(p []byte) (int, error) {
--- a/internal/doors/doors.go
+++ b/internal/doors/doors.go
@@ -52,6 +52,7 @@
 
 	mu         sync.Mutex
 	conns      map[*Conn]struct{}
+	shares     *memorybudget.Shares
 	reportedAt time.Time
 	unreported int64
 }
@@ -61,10 +62,28 @@
 	scope = scope.Tagged(map[string]string{"door": name})
 	return &Door{
 		name: name, limits: limits, heads: NewMemory(limits.HeadBytes), bodies: NewMemory(limits.BodyBytes), logger: logger,
-		closedCount: scope.Counter("door_connections_closed"), refusedCount: scope.Counter("door_requests_refused"), conns: map[*Conn]struct{}{},
+		closedCount: scope.Counter("door_connections_closed"), refusedCount: scope.Counter("door_requests_refused"), conns: map[*Conn]struct{}{}, shares: memorybudget.NewShares(limits),
 	}
 }
 
+// Enter counts a request that is to be passed on, on a connection that is then not closed to
+// make room, until leave is called. It returns false when the door or the organisation has no
+// room for it. Conn may be nil.
+func (d *Door) Enter(conn *Conn, organisation string) (leave func(), ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.shares.Enter(organisation) {
+		d.refusedCount.Inc(1)
+		return nil, false
+	}
+	conn.Forward()
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.shares.Leave(organisation)
+	}, true
+}
+
 // Bodies returns the memory for request bodies.
 func (d *Door) Bodies() *Memory { return d.bodies }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -97,7 +97,15 @@
 		problem.write(w)
 		return
 	}
-	doors.FromContext(r.Context()).Forward()
+	leave, ok := doors.FromContext(r.Context()).Enter(request.Organisation.Name)
+	if !ok {
+		problem := notRunProblem(http.StatusServiceUnavailable, ProblemUnavailable, "too many requests", "too many requests are in progress")
+		problem.RetryAfterMS = refusedRetryAfter.Milliseconds()
+		h.Executor.Metrics.countRejected(problem.Status)
+		problem.write(w)
+		return
+	}
+	defer leave()
 	switch {
 	case request.Kind.Durable && h.Jobs == nil:
 		notRunProblem(http.StatusServiceUnavailable, ProblemUnavailable, "durable work is unavailable",
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -334,11 +334,14 @@
 	<-f.changed
 }
 
-// testBodyBytes is the memory for bodies of a test gateway.
-const testBodyBytes = 32 << 20
+// Limits of the door of a test gateway.
+const (
+	testBodyBytes   = 32 << 20
+	testConnections = 100
+)
 
 func newTestDoor() *doors.Door {
-	limits := memorybudget.Door{Connections: 100, HeadBytes: 1 << 20, BodyBytes: testBodyBytes}
+	limits := memorybudget.Door{Connections: testConnections, HeadBytes: 1 << 20, BodyBytes: testBodyBytes}
 	return doors.New("clients", limits, discardLogger(), tally.NoopScope)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,7 +105,12 @@
 		c.refuse("draining", shortRetryAfter)
 		return
 	}
-	doors.FromContext(r.Context()).Forward()
+	leave, ok := g.door.Enter(doors.FromContext(r.Context()), c.organisation)
+	if !ok {
+		c.refuse("too many requests in progress", shortRetryAfter)
+		return
+	}
+	defer leave()
 	g.servers.CountRequest(c.service.Name)
 	if c.service.Engine != nil {
 		c.serveEngine()
