gateway: the status page shows all doors

Cause: it showed what clients hold, but not the ready, metrics and peer doors.

Change: the doors are built in one place, and section doors has the plan and the use of each.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -26,7 +26,6 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
-	"github.com/coltsfootdrift/coltsfootdrift/memorybudget"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
 
@@ -79,8 +78,7 @@
 	Evacuation *Evacuations
 	Gateway    *Gateway
 	Frontend   *Frontend
-	Plan       memorybudget.Plan
-	ClientDoor clientDoor
+	Doors      *doorSet
 	Drain      *Drain
 	Readiness  *readiness.Readiness
 }
@@ -125,16 +123,13 @@
 			func(client *ServerClient, servers *Servers, freer *ResultFreer, m *metrics.Metrics) *StageScheduler {
 				return NewStageScheduler(adapter.Protocol, client, servers, freer, logger, m.Scope)
 			},
-			newPlan,
-			func(plan memorybudget.Plan, m *metrics.Metrics) clientDoor {
-				return newClientDoor(plan, logger, m.Scope)
-			},
-			func(views *view.Sync, servers *Servers, client *ServerClient, stages *StageRunner, placer *Placer, d clientDoor, drain *Drain, m *metrics.Metrics) *Gateway {
-				return New(adapter.Protocol, views, servers, client, stages, placer, d.door, d.answers, drain, logger, m.Scope)
+			func(m *metrics.Metrics) *doorSet { return newDoorSet(s, logger, m.Scope) },
+			func(views *view.Sync, servers *Servers, client *ServerClient, stages *StageRunner, placer *Placer, d *doorSet, drain *Drain, m *metrics.Metrics) *Gateway {
+				return New(adapter.Protocol, views, servers, client, stages, placer, d.clients, d.answers, drain, logger, m.Scope)
 			},
 			func() *Drain { return NewDrain(s.Grace()) },
 			func() *readiness.Readiness { return &readiness.Readiness{Logger: logger, Ready: events.GatewayReady} },
-			func(g *Gateway, d clientDoor, drain *Drain) *Frontend { return NewFrontend(g, d.door, drain, logger) },
+			func(g *Gateway, d *doorSet, drain *Drain) *Frontend { return NewFrontend(g, d.clients, drain, logger) },
 		),
 	)
 }
@@ -258,9 +253,7 @@
 	page.Add("instance", func() any {
 		return map[string]any{"id": d.Settings.Instance, "region": d.Settings.Region, "failure_domain": d.Settings.FailureDomain, "draining": d.Drain.Draining()}
 	})
-	page.Add("clients", func() any {
-		return map[string]any{"door": d.ClientDoor.door.Usage(), "held_answer_bytes": d.ClientDoor.answers.Used(), "plan": d.Plan}
-	})
+	page.Add("doors", d.Doors.status)
 	page.Add("server_limits", func() any { return d.Permits.Limits() })
 	page.Add("allowed_regions", func() any { return d.Regions.List() })
 	page.Add("evacuations", func() any { return d.Evacuation.Status(d.Upstream.OpenConnections) })
@@ -273,18 +266,14 @@
 	metricsRouter := mux.NewRouter()
 	metricsRouter.Handle("/metrics", d.Metrics.Handler)
 	metricsRouter.Handle(statuspage.Path, d.statusPage())
-	newDoor := func(name string, limits memorybudget.Door) *doors.Door {
-		return doors.New(name, limits, d.Logger, d.Metrics.Scope)
-	}
-	peers := newDoor("peers", d.Plan.Peers)
 	for _, service := range []struct {
 		address string
 		door    *doors.Door
 		server  *http.Server
 	}{
-		{d.Settings.ReadyAddress, newDoor("ready", d.Plan.Ready), doors.NewServiceServer(ready)},
-		{d.Settings.MetricsAddress, newDoor("metrics", d.Plan.Metrics), doors.NewServiceServer(metricsRouter)},
-		{d.Settings.PeerAddress, peers, peers.NewPeerServer(d.PeerServer.Handler())},
+		{d.Settings.ReadyAddress, d.Doors.ready, doors.NewServiceServer(ready)},
+		{d.Settings.MetricsAddress, d.Doors.metrics, doors.NewServiceServer(metricsRouter)},
+		{d.Settings.PeerAddress, d.Doors.peers, d.Doors.peers.NewPeerServer(d.PeerServer.Handler())},
 	} {
 		if err := service.door.Start(ctx, service.server, service.address, d.Logger); err != nil {
 			return err
--- a/internal/gateway/machinelimits.go
+++ b/internal/gateway/machinelimits.go
@@ -10,16 +10,27 @@
 	"github.com/coltsfootdrift/coltsfootdrift/memorybudget"
 )
 
-// clientDoor is the door of the clients with the memory for their answers.
-type clientDoor struct {
-	door    *doors.Door
-	answers *doors.Memory
+// doorSet holds the doors of a gateway and the memory for answers of clients.
+type doorSet struct {
+	plan                           memorybudget.Plan
+	clients, ready, metrics, peers *doors.Door
+	answers                        *doors.Memory
 }
 
-func newPlan(s settings.Gateway) memorybudget.Plan {
-	return doors.DivideMachine(s.MemoryMB, s.MaxDescriptors)
+// newDoorSet divides the machine of the settings among the doors.
+func newDoorSet(s settings.Gateway, logger *slog.Logger, scope tally.Scope) *doorSet {
+	plan := doors.DivideMachine(s.MemoryMB, s.MaxDescriptors)
+	return &doorSet{
+		plan: plan, answers: doors.NewMemory(plan.AnswerBytes),
+		clients: doors.New("clients", plan.Clients, logger, scope), ready: doors.New("ready", plan.Ready, logger, scope),
+		metrics: doors.New("metrics", plan.Metrics, logger, scope), peers: doors.New("peers", plan.Peers, logger, scope),
+	}
 }
 
-func newClientDoor(plan memorybudget.Plan, logger *slog.Logger, scope tally.Scope) clientDoor {
-	return clientDoor{doors.New("clients", plan.Clients, logger, scope), doors.NewMemory(plan.AnswerBytes)}
+// status returns what the doors may hold and hold, for the status page.
+func (d *doorSet) status() any {
+	return map[string]any{
+		"plan": d.plan, "held_answer_bytes": d.answers.Used(),
+		"clients": d.clients.Usage(), "ready": d.ready.Usage(), "metrics": d.metrics.Usage(), "peers": d.peers.Usage(),
+	}
 }
