doors: the buffer of a body does not grow beyond the limit

Cause: a body of unknown length doubled its buffer beyond the limit of bodies.

Conclusion: TestBodyOfUnknownLengthTakesNoMoreThanTheLimit has room for one and a half times the limit; it was refused with doubling.

--- a/internal/doors/body.go
+++ b/internal/doors/body.go
@@ -35,10 +35,13 @@
 	b.memory.Release(n)
 }
 
-// ReadBody reads a body whose length is at most length, if that is known (0 or above). The
-// memory is reserved as the body arrives, so that a length alone costs nothing. The body must
-// be released, also after an error. Conn may be nil.
-func (d *Door) ReadBody(conn *Conn, r io.Reader, length int64) (*Body, error) {
+// ReadBody reads a body. Length is its length, -1 if that is unknown, and maxBytes the limit
+// that the reader enforces, -1 without one. The memory is reserved as the body arrives, so that
+// a length alone costs nothing. The body must be released, also after an error. Conn may be nil.
+func (d *Door) ReadBody(conn *Conn, r io.Reader, length, maxBytes int64) (*Body, error) {
+	if length < 0 {
+		length = maxBytes
+	}
 	body := &Body{memory: d.bodies, conn: conn}
 	for {
 		if len(body.Bytes) == cap(body.Bytes) {
@@ -57,11 +60,11 @@
 	}
 }
 
-// grow doubles the buffer, but not beyond the length and the byte that finds its end.
+// grow doubles the buffer, but not beyond the greatest length and the byte that finds the end.
 func (b *Body) grow(d *Door, length int64) error {
 	old := int64(cap(b.Bytes))
 	size := max(firstBodyBytes, 2*old)
-	if length >= 0 && size > length && old <= length {
+	if length >= 0 && size >= length && old <= length {
 		size = length + 1
 	}
 	if err := d.reserveBody(b.conn, size); err != nil {
@@ -84,7 +87,7 @@
 func (d *Door) HoldBodies(next http.Handler, maxBytes int64) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := FromContext(r.Context())
-		body, err := d.ReadBody(conn, http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength)
+		body, err := d.ReadBody(conn, http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength, maxBytes)
 		defer body.Release()
 		var tooLarge *http.MaxBytesError
 		switch {
--- a/internal/doors/conn.go
+++ b/internal/doors/conn.go
@@ -85,8 +85,8 @@
 
 // HoldBody reads the body of the current request like Door.ReadBody. Its memory is given back
 // when the request is answered.
-func (c *Conn) HoldBody(r io.Reader, length int64) ([]byte, error) {
-	body, err := c.door.ReadBody(c, r, length)
+func (c *Conn) HoldBody(r io.Reader, length, maxBytes int64) ([]byte, error) {
+	body, err := c.door.ReadBody(c, r, length, maxBytes)
 	c.answered.Store(body)
 	return body.Bytes, err
 }
--- a/internal/doors/doors_test.go
+++ b/internal/doors/doors_test.go
@@ -93,7 +93,7 @@
 	}()
 	released := make(chan struct{})
 	go func() {
-		body, err := d.ReadBody(older, reader, 4050)
+		body, err := d.ReadBody(older, reader, 4050, -1)
 		c.Check(err, qt.Equals, io.ErrUnexpectedEOF)
 		body.Release()
 		close(released)
@@ -102,7 +102,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	newer, _ := admit(c, d, 0)
-	body, err := d.ReadBody(newer, strings.NewReader(strings.Repeat("b", 3<<10)), 3<<10)
+	body, err := d.ReadBody(newer, strings.NewReader(strings.Repeat("b", 3<<10)), 3<<10, -1)
 	c.Assert(err, qt.IsNil)
 	c.Assert(body.Bytes, qt.HasLen, 3<<10)
 	body.Release()
@@ -129,3 +129,16 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(large.head.Load(), qt.Equals, int64(0))
 }
+
+// Guards against a single body of unknown length within the limits that is refused because its
+// buffer grows beyond them.
+func TestBodyOfUnknownLengthTakesNoMoreThanTheLimit(t *testing.T) {
+	c := qt.New(t)
+	const limit = 64 << 10
+	d := newTestDoor(memorybudget.Door{Connections: 1, BodyBytes: 3*limit/2 + 1})
+	body, err := d.ReadBody(nil, strings.NewReader(strings.Repeat("b", limit)), -1, limit)
+	c.Assert(err, qt.IsNil)
+	c.Assert(body.Bytes, qt.HasLen, limit)
+	body.Release()
+	c.Assert(d.bodies.Used(), qt.Equals, int64(0))
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -155,7 +155,7 @@
 // unknown.
 func readAll(ctx context.Context, body io.Reader, length int64) ([]byte, error) {
 	if conn := doors.FromContext(ctx); conn != nil {
-		return conn.HoldBody(body, length)
+		return conn.HoldBody(body, length, maxBodyBytes)
 	}
 	if length < 0 || length > preallocatedBodyBytes {
 		return io.ReadAll(body)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -192,14 +192,16 @@
 	controller := http.NewResponseController(c.writer)
 	_ = controller.SetReadDeadline(c.deadline) // a connection without read deadlines waits for the client
 	reader := io.Reader(c.request.Body)
+	maxBytes := int64(-1)
 	if limit := c.view.Table.Limits.BodyBytes; limit > 0 {
+		maxBytes = limit
 		if c.request.ContentLength > limit {
 			c.fail(http.StatusRequestEntityTooLarge, "body is too large", nil)
 			return false
 		}
 		reader = http.MaxBytesReader(c.writer, c.request.Body, limit)
 	}
-	body, err := c.door.ReadBody(doors.FromContext(c.request.Context()), reader, c.request.ContentLength)
+	body, err := c.door.ReadBody(doors.FromContext(c.request.Context()), reader, c.request.ContentLength, maxBytes)
 	c.heldBody = body
 	var tooLarge *http.MaxBytesError
 	switch {
