stagework: order by priority under shortage, judge chains as a whole

Cause: a burst of requests with three stages leaves most of them late. Each queue orders by due time, judged by the duration of a call with the job's own pieces only. Under load calls are full and last longer, so the queue serves every job at the edge of its due time and the next stage finds all of them late. Requests that can't be on time are ahead of on-time ones at the next stage, and a less urgent kind with one stage is served while a more urgent one with three is late.

Change: with Queue.SetPriorityOrder, whether a job can be on time is judged by the call that is expected next; while the queue can't serve all on time, more urgent jobs come first among those that can, and every tenth call is formed without regard to priority, so that no kind starves. Jobs without work done that can no longer end behind those before them are refused at once. Queue.Waits reports the wait by priority; while memory for results is short, waits follow the measured rate instead of the profile. Queues without SetPriorityOrder behave as before.

--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -57,6 +57,7 @@
 	"overhead":     overhead,
 	"stages":       stages,
 	"admission":    admission,
+	"chains":       chains,
 	"owners":       owners,
 	"crashing":     crashing,
 	"limits":       limits,
--- a/internal/experiment/stages_test.go
+++ b/internal/experiment/stages_test.go
@@ -12,7 +12,7 @@
 // leaves them unused.
 func TestStagePoliciesBeatTheirBaselines(t *testing.T) {
 	c := qt.New(t)
-	for _, name := range []string{"stages", "admission", "owners", "limits"} {
+	for _, name := range []string{"stages", "admission", "chains", "owners", "limits"} {
 		report, err := Run(name, 1, 3)
 		c.Assert(err, qt.IsNil)
 		for _, goal := range report.Goals {
--- a/stagework/estimate.go
+++ b/stagework/estimate.go
@@ -15,7 +15,7 @@
 	offeredJob := &job{Job: offered, workDelay: q.workDelay(offered)}
 	ahead := 0
 	for _, j := range q.jobsByRank {
-		if j.rank() <= offeredJob.rank() {
+		if q.comesBefore(j, offeredJob, now) {
 			ahead += len(j.waiting)
 		}
 	}
@@ -52,7 +52,7 @@
 		return 0
 	}
 	fullCalls := pieces / q.profile.Batch
-	return soonest + time.Duration(float64(fullCalls)/capacity*float64(time.Second))
+	return soonest + time.Duration(float64(fullCalls)/q.limitToDrain(capacity, now)*float64(time.Second))
 }
 
 // WaitingOfFirstJob returns the number of waiting pieces of the first job by rank that
--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -122,6 +122,14 @@
 	roomShortAt time.Time
 	// fetchEstimator estimates how long servers take to fetch the inputs of a call.
 	fetchEstimator FetchEstimator
+	// priorityOrder is set by SetPriorityOrder. shortAt is when a job was last expected to
+	// miss its due time.
+	priorityOrder bool
+	shortAt       time.Time
+	// callDuration is the expected duration of the next call at the time of the last sort;
+	// 0 without priorityOrder.
+	callDuration time.Duration
+	drain        drainMeter
 }
 
 // NewQueue returns a queue without servers.
@@ -274,7 +282,9 @@
 // pieces of overdue calls to the queue, for other servers. It should be called every
 // few tens of milliseconds.
 func (q *Queue) Expire(now time.Time) Effects {
+	q.updateShort(now)
 	var e Effects
+	q.refuseHopeless(&e, now)
 	for _, j := range slices.Clone(q.jobsByRank) {
 		switch {
 		case len(j.waiting) == 0:
--- a/stagework/rank.go
+++ b/stagework/rank.go
@@ -6,30 +6,40 @@
 	"time"
 )
 
-// sortByRank sorts the jobs by rank, with those that can still end by their due time
-// first.
+// sortByRank sorts the jobs in the order in which they get calls.
 func (q *Queue) sortByRank(now time.Time) {
-	slices.SortStableFunc(q.jobsByRank, func(a, b *job) int {
-		lastA, lastB := a.ranksLast(now, q.profile), b.ranksLast(now, q.profile)
-		if lastA != lastB {
-			if lastA {
-				return 1
-			}
-			return -1
+	if q.priorityOrder {
+		q.callDuration = q.nextCallDuration()
+	}
+	slices.SortStableFunc(q.jobsByRank, func(a, b *job) int { return q.compareJobs(a, b, now) })
+}
+
+// compareJobs compares jobs by rank, with those that can still end by their due time
+// first.
+func (q *Queue) compareJobs(a, b *job, now time.Time) int {
+	lastA, lastB := q.ranksLast(a, now), q.ranksLast(b, now)
+	if lastA != lastB {
+		if lastA {
+			return 1
 		}
-		return cmp.Compare(a.rank(), b.rank())
-	})
+		return -1
+	}
+	if order := q.comparePriority(a, b, now); order != 0 {
+		return order
+	}
+	return cmp.Compare(a.rank(), b.rank())
 }
 
 // missesDue reports whether the job can no longer end by its due time.
-func (j *job) missesDue(now time.Time, profile ServerProfile) bool {
-	return now.Add(profile.CallDuration(min(len(j.Pieces), profile.Batch))).After(j.Due)
+func (q *Queue) missesDue(j *job, now time.Time) bool {
+	call := q.profile.CallDuration(min(len(j.Pieces), q.profile.Batch))
+	return now.Add(max(call, q.callDuration)).After(j.Due)
 }
 
 // ranksLast reports whether the job is sorted behind those that can still end by their
 // due time.
-func (j *job) ranksLast(now time.Time, profile ServerProfile) bool {
-	return j.missesDue(now, profile)
+func (q *Queue) ranksLast(j *job, now time.Time) bool {
+	return q.missesDue(j, now)
 }
 
 // rank returns the sort key of a job in Unix nanoseconds: its due time, adjusted by
