gateway: refuse a request before its first stage when its chain is too long

Cause: the owner of each stage service decided about its own stage only. The time to return was the wait of one queue, the same for all that it refused.

Change: RunStage and AwaitStage answers carry the wait by priority and the duration of the next call. The instance that received a request follows its stages with them and refuses it at once when their end is past the deadline, less the model server's typical time; it is told to come back when the queues have drained, each caller at its own time, or that there is no capacity before its deadline. The typical time of a stage, from which due times of earlier stages derive, follows the reported state alone, because its mean counts jobs that wait behind those on time. State older than one second is not used. Services order by priority when routes of several priorities, or an organisation with one, use them. New events 7260 and 7261 and metrics chains_refused_at_once and stage_results_wasted.

Jobs that have begun still wait behind others with their results in memory.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -40,6 +40,8 @@
 	CacheUnknown          = define(7216, slog.LevelInfo, "cached prompt parts of a model server could not be read")
 	PlacementShareFailed  = define(7217, slog.LevelInfo, "cached prompt parts could not be shared with another region")
 	StageHandedBack       = define(7218, slog.LevelInfo, "stopping instance handed a stage back")
+	ChainRefused          = define(7260, slog.LevelInfo, "request was refused before its first stage, as its stages can not end by the deadline")
+	StageWorkWasted       = define(7261, slog.LevelInfo, "results of finished stages were freed unused, as a later stage was refused")
 	ServerLeaving         = define(7219, slog.LevelInfo, "backend server leaves and gets no new requests")
 	ServerPaused          = define(7220, slog.LevelInfo, "backend server asked for a pause and gets no requests until it ends")
 	QuarantineBegan       = define(7222, slog.LevelWarn, "prompt parts are quarantined: model servers ended under them")
--- /dev/null
+++ b/internal/gateway/chainadmission_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
+	"github.com/coltsfootdrift/coltsfootdrift/route"
+	"github.com/coltsfootdrift/coltsfootdrift/stagework"
+)
+
+// Guards against a first stage that begins although a later one can't end by the deadline,
+// against a refusal by a state that is too old, and against callers that all return at once.
+func TestRequestIsRefusedBeforeItsFirstStage(t *testing.T) {
+	c := qt.New(t)
+	s := NewStageRunner(nil, nil, nil, discardLogger(), tally.NoopScope)
+	s.random = func() float64 { return 0.5 }
+	table := route.NewTable(route.Configuration{
+		Routes: []route.Route{{Name: "r", Stages: []route.Stage{{Service: "a"}, {Service: "b", After: []int{0}}}}},
+		Services: []route.Service{
+			{Name: "a", StageProfile: &stagework.ServerProfile{Batch: 8, CallTime: 100 * time.Millisecond}},
+			{Name: "b", StageProfile: &stagework.ServerProfile{Batch: 8, CallTime: 100 * time.Millisecond}},
+		},
+	})
+	plan := func(left time.Duration) StagePlan {
+		return StagePlan{
+			Table: table, Route: &table.Routes[0], Graph: route.Graph{Counts: []int{1, 1}, After: [][]int{nil, {0}}},
+			Due: time.Now(), Deadline: time.Now().Add(left),
+		}
+	}
+	s.recordQueueState("a", &peerpb.RunStageResponse{LevelWaitMs: []int64{0}})
+	c.Assert(s.admit(context.Background(), plan(5*time.Second)), qt.IsNil)
+	s.recordQueueState("b", &peerpb.RunStageResponse{WaitMs: 6000, LevelWaitMs: []int64{50}})
+	c.Assert(s.admit(context.Background(), plan(7*time.Second)), qt.IsNil)
+	var refused *RefusedError
+	c.Assert(s.admit(context.Background(), plan(5*time.Second)), qt.ErrorAs, &refused)
+	c.Assert(refused.AtOnce, qt.IsTrue)
+	c.Assert(refused.Wait > 1200*time.Millisecond && refused.Wait < 1700*time.Millisecond, qt.IsTrue, qt.Commentf("%v", refused.Wait))
+	c.Assert(refused.Hopeless, qt.IsFalse)
+	c.Assert(s.admit(context.Background(), plan(time.Second)), qt.ErrorAs, &refused)
+	c.Assert(refused.Hopeless, qt.IsTrue)
+
+	old := s.queueStates["b"]
+	old.reportedAt = time.Now().Add(-queueStateMaxAge)
+	s.queueStates["b"] = old
+	c.Assert(s.admit(context.Background(), plan(5*time.Second)), qt.IsNil)
+}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -94,7 +94,9 @@
 			peer.NewServer,
 			NewCluster,
 			NewServers,
-			NewStageRunner,
+			func(c *Cluster, client *peer.Client, local *StageScheduler, m *metrics.Metrics) *StageRunner {
+				return NewStageRunner(c, client, local, logger, m.Scope)
+			},
 			NewPlacer,
 			NewRegionBindings,
 			func(m *metrics.Metrics) *Quarantines { return NewQuarantines(logger, m.Scope) },
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -298,7 +298,7 @@
 	f.scheduler = NewStageScheduler(protocol, client, servers, freer, discardLogger(), tally.NoopScope)
 	f.drain = NewDrain(s.Grace())
 	quarantines := NewQuarantines(discardLogger(), tally.NoopScope)
-	f.gateway = New(protocol, views, servers, client, NewStageRunner(cluster, peerClient, f.scheduler, discardLogger()), NewPlacer(cluster, peerClient, servers, client, protocol, quarantines, discardLogger()), newTestDoor(), doors.NewMemory(1<<20), f.drain, discardLogger(), tally.NoopScope)
+	f.gateway = New(protocol, views, servers, client, NewStageRunner(cluster, peerClient, f.scheduler, discardLogger(), tally.NoopScope), NewPlacer(cluster, peerClient, servers, client, protocol, quarantines, discardLogger()), newTestDoor(), doors.NewMemory(1<<20), f.drain, discardLogger(), tally.NoopScope)
 	views.Observe(permits.ObserveView)
 	views.Observe(servers.Update)
 	views.Observe(quarantines.ObserveView)
--- a/internal/gateway/inputs.go
+++ b/internal/gateway/inputs.go
@@ -126,12 +126,13 @@
 	ctx, cancel := g.waitingContext()
 	defer cancel()
 	g.stageRegions = g.chooseStageRegions()
-	inputs, err := g.stages.Run(ctx, StagePlan{
+	plan := StagePlan{
 		RequestID: g.requestInfo.ID, PieceKey: g.requestInfo.PieceKey, Table: g.view.Table, Route: g.route, Graph: g.graph, Priority: g.priority,
 		Due:           g.arrived.Add(g.route.Target - typicalDelay),
 		Deadline:      g.stagesDeadline(typicalDelay),
 		FailureDomain: g.inputDomain, DomainOf: g.domainOf, Regions: g.stageRegions, Allowed: g.allowedRegions,
-	})
+	}
+	inputs, err := g.stages.Run(ctx, plan)
 	if err == nil {
 		g.inputs = inputs
 		return true, false
@@ -152,6 +153,9 @@
 	if refused.Reason == stagework.RefusedInputGone && time.Now().Before(g.arrived.Add(g.route.Target)) {
 		return false, g.rerunStages("stages: inputs were lost")
 	}
+	if refused.Reason == stagework.RefusedLate {
+		return false, g.refuseLate(plan, refused)
+	}
 	return false, g.giveUp("stages: "+string(refused.Reason), refused.Wait, err)
 }
 
--- a/internal/gateway/servicequeue.go
+++ b/internal/gateway/servicequeue.go
@@ -53,7 +53,11 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	response.WaitMs, response.RoomShort = q.queue.EstimatedWait(now).Milliseconds(), q.queue.RoomShort(now)
+	waits := q.queue.Waits(now)
+	response.WaitMs, response.RoomShort, response.CallMs = waits.All.Milliseconds(), q.queue.RoomShort(now), waits.Call.Milliseconds()
+	for _, wait := range waits.Levels {
+		response.LevelWaitMs = append(response.LevelWaitMs, wait.Milliseconds())
+	}
 	return response
 }
 
--- a/internal/gateway/stagerequest.go
+++ b/internal/gateway/stagerequest.go
@@ -141,6 +141,9 @@
 func (r *stageRun) requestFrom(ctx context.Context, address string, i int, request *peerpb.RunStageRequest) (*peerpb.RunStageResponse, error) {
 	response, err := r.callRunStage(ctx, address, request)
 	for err == nil && response.Pending != 0 {
+		if r.Regions[request.Service] == "" {
+			r.recordQueueState(request.Service, response)
+		}
 		if response.InputsFetched {
 			r.freeInputsOf(i)
 		}
--- a/internal/gateway/stagerun.go
+++ b/internal/gateway/stagerun.go
@@ -52,6 +52,9 @@
 // Run runs all stages of a plan and returns the final results. After an
 // error it has freed all results.
 func (s *StageRunner) Run(ctx context.Context, plan StagePlan) ([]stagework.Result, error) {
+	if err := s.admit(ctx, plan); err != nil {
+		return nil, err
+	}
 	n := len(plan.Route.Stages)
 	r := &stageRun{
 		StageRunner: s, StagePlan: plan, ended: make([]chan struct{}, n), results: make([][]stagework.Result, n), consumers: make([]int, n), inputsFreed: make([]bool, n),
@@ -70,6 +73,7 @@
 		}
 	}
 	if err := group.Wait(); err != nil {
+		s.recordWaste(ctx, plan, r.results)
 		for i := range n {
 			s.Free(plan.Regions, plan.Route.Stages[i].Service, r.results[i])
 		}
@@ -136,7 +140,7 @@
 func (r *stageRun) typicalTimes() []time.Duration {
 	times := make([]time.Duration, len(r.Route.Stages))
 	for i, stage := range r.Route.Stages {
-		times[i] = r.TypicalTime(r.Table, stage.Service)
+		times[i] = r.TypicalTime(r.Table, stage.Service, r.Priority)
 	}
 	return times
 }
--- a/internal/gateway/stagerunner.go
+++ b/internal/gateway/stagerunner.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
@@ -30,6 +33,11 @@
 	Reason stagework.Refusal
 	// Wait is how long a new piece waits in the queue of the stage's service.
 	Wait time.Duration
+	// Hopeless is true when no capacity is expected before the client's deadline.
+	Hopeless bool
+	// AtOnce is true when no stage was begun. Wait then is the time after which the client
+	// may return.
+	AtOnce bool
 }
 
 func (e *RefusedError) Error() string {
@@ -45,6 +53,9 @@
 	logger     *slog.Logger
 
 	stageTimes *movingAverages
+	metrics    chainMetrics
+	// random returns a number in [0, 1).
+	random func() float64
 
 	mu sync.Mutex
 	// pendingFrees holds the results that the next call to the owner frees, by the service
@@ -56,8 +67,7 @@
 
 // queueState is the state of the queue of a service at a point in time.
 type queueState struct {
-	// wait is how long a new piece waits.
-	wait time.Duration
+	waits stagework.Waits
 	// memoryShort is true when memory for results limited the calls.
 	memoryShort bool
 	reportedAt  time.Time
@@ -65,14 +75,16 @@
 
 // NewStageRunner returns a StageRunner that uses the local scheduler and, through
 // peerClient, those of peers.
-func NewStageRunner(cluster *Cluster, peerClient *peer.Client, local *StageScheduler, logger *slog.Logger) *StageRunner {
-	return &StageRunner{cluster: cluster, peerClient: peerClient, scheduler: local, logger: logger, stageTimes: newMovingAverages(), pendingFrees: map[regionKey][]stagework.Result{}, queueStates: map[string]queueState{}}
+func NewStageRunner(cluster *Cluster, peerClient *peer.Client, local *StageScheduler, logger *slog.Logger, scope tally.Scope) *StageRunner {
+	return &StageRunner{cluster: cluster, peerClient: peerClient, scheduler: local, logger: logger, stageTimes: newMovingAverages(), metrics: newChainMetrics(scope), random: rand.Float64, pendingFrees: map[regionKey][]stagework.Result{}, queueStates: map[string]queueState{}}
 }
 
 // TypicalTime returns the mean duration of a stage of a service, or the duration by the
 // last state of its queue when that is longer: a burst fills the queue before the mean
 // follows.
-func (s *StageRunner) TypicalTime(table *route.Table, service string) time.Duration {
+// For a queue that orders by priority, its last state alone counts: most of what raises
+// the mean are jobs that can't be on time and wait behind those that can.
+func (s *StageRunner) TypicalTime(table *route.Table, service string, priority int) time.Duration {
 	var call time.Duration
 	if configured := table.Service(service); configured != nil && configured.StageProfile != nil {
 		call = configured.StageProfile.CallDuration(min(assumedPieces, configured.StageProfile.Batch))
@@ -84,8 +96,12 @@
 	s.mu.Lock()
 	queue := s.queueStates[service]
 	s.mu.Unlock()
-	if time.Since(queue.reportedAt) < queueStateMaxAge {
-		typical = max(typical, queue.wait+call)
+	switch {
+	case time.Since(queue.reportedAt) >= queueStateMaxAge:
+	case len(queue.waits.Levels) > 0:
+		typical = queue.waits.OnTime(priority) + max(call, queue.waits.Call) + stageOverhead
+	default:
+		typical = max(typical, queue.waits.All+call)
 	}
 	return typical
 }
@@ -94,7 +110,7 @@
 func (s *StageRunner) recordQueueState(service string, response *peerpb.RunStageResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queueStates[service] = queueState{time.Duration(response.WaitMs) * time.Millisecond, response.RoomShort, time.Now()}
+	s.queueStates[service] = queueState{decodeWaits(response), response.RoomShort, time.Now()}
 }
 
 // resultMemoryShort reports whether memory for the results of a service was short lately.
--- a/internal/gateway/stages_test.go
+++ b/internal/gateway/stages_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
@@ -367,7 +368,7 @@
 	f := newEngineFixture(c, false, route.Stage{Service: "stage"}, route.Stage{Service: "stage", After: []int{0}})
 	table := route.NewTable(f.config)
 	plan := StagePlan{Table: table, Route: &table.Routes[0], Graph: table.Routes[0].NewGraph([]int{1, 1}), Deadline: time.Now().Add(time.Minute)}
-	r := &stageRun{StageRunner: NewStageRunner(nil, nil, nil, discardLogger()), StagePlan: plan, schedule: stagework.NewStageSchedule(plan.Graph.After, plan.Graph.Counts)}
+	r := &stageRun{StageRunner: NewStageRunner(nil, nil, nil, discardLogger(), tally.NoopScope), StagePlan: plan, schedule: stagework.NewStageSchedule(plan.Graph.After, plan.Graph.Counts)}
 	r.schedule.SetTypicalDurations(make([]time.Duration, 2))
 	c.Assert(r.newRunStageRequest(0, nil).DeadlineMs > 50_000, qt.IsTrue)
 	c.Assert(r.newRunStageRequest(1, nil).DeadlineMs, qt.Equals, int64(1000))
--- a/internal/gateway/stagescheduler.go
+++ b/internal/gateway/stagescheduler.go
@@ -69,6 +69,7 @@
 		q := s.queueOf(service.Name, true)
 		q.mu.Lock()
 		q.queue.SetProfile(*service.StageProfile)
+		q.queue.SetPriorityOrder(v.Table.SharedByPriorities(service.Name))
 		inUse := s.regionServers(v.Servers[service.Name])
 		q.queue.SetServers(inUse)
 		effects := q.setRegions(s.regionsOf(inUse))
