stagework: finish begun jobs first, judge late ones by the rate that is left

Jobs of which some pieces had results moved behind others when they could no longer be on time, and their results stayed in memory. Requests that could not be on time were admitted by the number of pieces before them, were overtaken by all that arrived later and refused after 4 s, 183 in 2 s at one owner.

Change: with priority order, a job of which a piece was sent comes first. The wait of what can't be on time follows the rate at which such pieces were started, at least a twentieth of the capacity; admission, offers and the refusal of waiting jobs use it.

--- a/stagework/call.go
+++ b/stagework/call.go
@@ -194,7 +194,7 @@
 	c.RoomLeft = q.roomLeft(s, now)
 	c.expected = time.Duration(float64(q.profile.CallDuration(len(c.Items))) * max(1, s.slowness(now)))
 	q.recordDispatched(c)
-	q.drain.record(now, len(c.Items))
+	q.recordDrain(c, now)
 	c.Timeout = timeoutFactor*c.expected + timeoutMargin
 	q.calls[c.ID] = c
 	s.running++
--- a/stagework/chain.go
+++ b/stagework/chain.go
@@ -9,6 +9,8 @@
 	// Levels is the wait of a new piece that can be on time, for each priority. The last
 	// entry is for all lower priorities. It is empty unless the queue orders by priority.
 	Levels []time.Duration
+	// Late is the wait of a new piece that can't be on time.
+	Late time.Duration
 	// Call is the expected duration of the next call.
 	Call time.Duration
 }
@@ -56,7 +58,7 @@
 func DecideChain(now time.Time, r ChainRequest) ChainDecision {
 	d := r.estimate(now, func(w Waits) time.Duration { return w.OnTime(r.Priority) })
 	if d.PastDue > 0 {
-		return r.estimate(now, func(w Waits) time.Duration { return w.All })
+		return r.estimate(now, func(w Waits) time.Duration { return max(w.All, w.Late) })
 	}
 	return d
 }
--- a/stagework/drain.go
+++ b/stagework/drain.go
@@ -47,3 +47,53 @@
 	}
 	return capacity
 }
+
+// leastLateShare is the share of the capacity that is assumed for jobs that can't be on time
+// when fewer of their pieces were started.
+const leastLateShare = 0.05
+
+// lateWait returns how long a new piece waits that can't be on time. Jobs that arrive later
+// and can be on time overtake it, so it depends on the rate at which such pieces were started.
+func (q *Queue) lateWait(now time.Time) time.Duration {
+	onTime, late := 0, 0
+	for _, j := range q.jobsByRank {
+		if q.missesDue(j, now) {
+			late += len(j.waiting)
+		} else {
+			onTime += len(j.waiting)
+		}
+	}
+	return q.waitOfLate(now, onTime+late, late)
+}
+
+// waitOfLate returns how long a piece waits that can't be on time, behind the given numbers of
+// pieces in all and of such pieces.
+func (q *Queue) waitOfLate(now time.Time, ahead, late int) time.Duration {
+	wait := q.waitBehind(now, ahead)
+	if late < q.profile.Batch || !q.Short(now) {
+		return wait
+	}
+	capacity := 0.0
+	for _, s := range q.servers {
+		if s.inUse {
+			capacity += q.callsPerSecond(s) * float64(q.profile.Batch)
+		}
+	}
+	rate := max(q.lateDrain.perSecond(now), leastLateShare*capacity)
+	return max(wait, time.Duration(float64(late)/rate*float64(time.Second)))
+}
+
+// recordDrain counts the pieces of a call that starts.
+func (q *Queue) recordDrain(c *call, now time.Time) {
+	q.drain.record(now, len(c.Items))
+	if !q.priorityOrder {
+		return
+	}
+	late := 0
+	for _, item := range c.Items {
+		if q.missesDue(q.jobs[item.Job], now) {
+			late++
+		}
+	}
+	q.lateDrain.record(now, late)
+}
--- a/stagework/estimate.go
+++ b/stagework/estimate.go
@@ -55,6 +55,15 @@
 	return soonest + time.Duration(float64(fullCalls)/q.limitToDrain(capacity, now)*float64(time.Second))
 }
 
+// missedDueWait returns how much longer a job waits that will miss its due time, because jobs
+// that can still meet theirs overtake it.
+func (q *Queue) missedDueWait(now time.Time) time.Duration {
+	if q.priorityOrder {
+		return q.lateWait(now)
+	}
+	return missedDueWaitFactor * q.EstimatedWait(now)
+}
+
 // WaitingOfFirstJob returns the number of waiting pieces of the first job by rank that
 // has any, or 0 when no piece waits.
 func (q *Queue) WaitingOfFirstJob(now time.Time) int {
--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -129,7 +129,8 @@
 	// callDuration is the expected duration of the next call at the time of the last sort;
 	// 0 without priorityOrder.
 	callDuration time.Duration
-	drain        drainMeter
+	// drain counts all started pieces, lateDrain those that could not be on time.
+	drain, lateDrain drainMeter
 }
 
 // NewQueue returns a queue without servers.
@@ -211,7 +212,7 @@
 	if !offered.Started {
 		end := now.Add(q.timeToEnd(now, offered))
 		if end.After(offered.Due) {
-			end = end.Add(missedDueWaitFactor * q.EstimatedWait(now))
+			end = end.Add(q.missedDueWait(now))
 		}
 		if end.After(offered.Deadline) {
 			return RefusedLate, false
--- a/stagework/rank.go
+++ b/stagework/rank.go
@@ -17,6 +17,9 @@
 // compareJobs compares jobs by rank, with those that can still end by their due time
 // first.
 func (q *Queue) compareJobs(a, b *job, now time.Time) int {
+	if order := q.compareBegun(a, b); order != 0 {
+		return order
+	}
 	lastA, lastB := q.ranksLast(a, now), q.ranksLast(b, now)
 	if lastA != lastB {
 		if lastA {
--- a/stagework/shortage.go
+++ b/stagework/shortage.go
@@ -50,6 +50,19 @@
 	return cmp.Compare(a.Priority, b.Priority)
 }
 
+// compareBegun compares jobs by whether a piece was sent. The results of a job that has begun
+// occupy memory until its last piece has one, so it is finished first.
+func (q *Queue) compareBegun(a, b *job) int {
+	begunA, begunB := len(a.waiting) < len(a.Pieces), len(b.waiting) < len(b.Pieces)
+	switch {
+	case !q.priorityOrder || begunA == begunB:
+		return 0
+	case begunA:
+		return -1
+	}
+	return 1
+}
+
 // byPriority reports whether the next call is formed by priority.
 func (q *Queue) byPriority(now time.Time) bool {
 	return q.priorityOrder && q.Short(now) && q.lastCallID%leastShareCalls != 0
@@ -78,6 +91,7 @@
 	for _, pieces := range ahead {
 		w.Levels = append(w.Levels, q.waitBehind(now, pieces))
 	}
+	w.Late = q.lateWait(now)
 	return w
 }
 
@@ -104,16 +118,19 @@
 		return
 	}
 	q.sortByRank(now)
-	ahead := 0
+	ahead, late := 0, 0
 	for _, j := range slices.Clone(q.jobsByRank) {
 		if len(j.waiting) == 0 {
 			continue
 		}
-		end := now.Add(q.waitBehind(now, ahead) + q.profile.CallDuration(min(len(j.Pieces), q.profile.Batch)))
+		end := now.Add(q.waitOfLate(now, ahead, late) + q.profile.CallDuration(min(len(j.Pieces), q.profile.Batch)))
 		if !j.Started && len(j.waiting) == len(j.Pieces) && end.After(j.Deadline) {
 			q.refuse(effects, j, RefusedLate)
 			continue
 		}
 		ahead += len(j.waiting)
+		if q.missesDue(j, now) {
+			late += len(j.waiting)
+		}
 	}
 }
--- a/stagework/shortage_test.go
+++ b/stagework/shortage_test.go
@@ -29,7 +29,7 @@
 // nextJob ends the running call at a time and returns the first job of the next one.
 func nextJob(c *qt.C, q *Queue, at time.Duration) JobID {
 	for id, running := range q.calls {
-		q.Finished(epoch.Add(at), id, sameOutcomes(running.Call, Late))
+		q.Finished(epoch.Add(at), id, producedOutcomes(running.Call))
 	}
 	call, ok := q.Next(epoch.Add(at))
 	c.Assert(ok, qt.IsTrue)
@@ -87,3 +87,19 @@
 	q.jobs[1].Due = epoch
 	c.Assert(q.Expire(epoch).Done, qt.DeepEquals, []EndedJob{{Job: 1, Refusal: RefusedLate}})
 }
+
+// Guards against a job that waits behind others with some of its pieces produced, whose
+// results occupy memory meanwhile.
+func TestBegunJobsAreFinishedFirst(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue("a")
+	q.SetPriorityOrder(true)
+	begun := newJob(1, profile.Batch+1)
+	begun.Priority = 1
+	offer(c, q, begun)
+	q.Next(epoch)
+	urgent := newJob(2, profile.Batch)
+	urgent.Due = epoch.Add(500 * time.Millisecond)
+	offer(c, q, urgent)
+	c.Assert(nextJob(c, q, 100*time.Millisecond), qt.Equals, JobID(1))
+}
