stagework, gateway: a shortage ends, and inputs must outlive the wait

Change: a shortage is expected to last half as long again as it has lasted, after which the full capacity serves what waits. While a later stage would wait for more than half of the life of its inputs, a request is held back before its first stage.

--- a/internal/gateway/chainadmission.go
+++ b/internal/gateway/chainadmission.go
@@ -41,7 +41,7 @@
 			return stagework.ChainDecision{}, false
 		}
 		call := service.StageProfile.CallDuration(min(plan.Graph.Counts[i], service.StageProfile.Batch))
-		request.Stages = append(request.Stages, stagework.ChainStage{After: plan.Graph.After[i], Waits: waits, Call: max(call, waits.Call)})
+		request.Stages = append(request.Stages, stagework.ChainStage{After: plan.Graph.After[i], Waits: waits, Call: max(call, waits.Call), InputLife: plan.inputLife(i)})
 	}
 	return stagework.DecideChain(now, request), true
 }
@@ -55,14 +55,35 @@
 	return state.waits, len(state.waits.Levels) > 0 && now.Sub(state.reportedAt) < queueStateMaxAge
 }
 
-// admit returns an error for a plan whose stages can't end by their deadline. Nothing is
-// known about that before the owners of their services have reported their queues.
+// holdInterval is how often the decision about a request is repeated that is held back before
+// its first stage.
+const holdInterval = 100 * time.Millisecond
+
+// admit holds a plan back until its first stage should begin. It returns an error when its
+// stages can't end by their deadline. Nothing is known about that before the owners of their
+// services have reported their queues.
 func (s *StageRunner) admit(ctx context.Context, plan StagePlan) error {
-	now := time.Now()
-	decision, known := s.decideChain(now, plan)
-	if !known || decision.Excess == 0 {
-		return nil
+	for {
+		now := time.Now()
+		decision, known := s.decideChain(now, plan)
+		switch {
+		case !known || decision.Excess == 0 && decision.Hold == 0:
+			return nil
+		case decision.Excess > 0:
+			return s.refuseAtOnce(ctx, plan, decision, now)
+		}
+		timer := time.NewTimer(min(decision.Hold, holdInterval))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
 	}
+}
+
+// refuseAtOnce returns the refusal of a plan for which no stage was begun.
+func (s *StageRunner) refuseAtOnce(ctx context.Context, plan StagePlan, decision stagework.ChainDecision, now time.Time) error {
 	back := decision.ReturnAfter(plan.Deadline.Sub(now), s.random())
 	s.metrics.refusedAtOnce.Inc(1)
 	events.ChainRefused.Log(ctx, s.logger, slog.String("id", plan.RequestID), slog.Int("priority", plan.Priority),
--- a/internal/gateway/chainadmission_test.go
+++ b/internal/gateway/chainadmission_test.go
@@ -49,3 +49,31 @@
 	s.queueStates["b"] = old
 	c.Assert(s.admit(context.Background(), plan(5*time.Second)), qt.IsNil)
 }
+
+// Guards against a request that is held back for longer than a later stage is short.
+func TestRequestIsHeldUntilALaterStageHasCapacity(t *testing.T) {
+	c := qt.New(t)
+	s := NewStageRunner(nil, nil, nil, discardLogger(), tally.NoopScope)
+	table := route.NewTable(route.Configuration{
+		Routes: []route.Route{{Name: "r", Stages: []route.Stage{{Service: "a"}, {Service: "b", After: []int{0}}}}},
+		Services: []route.Service{
+			{Name: "a", StageProfile: &stagework.ServerProfile{Batch: 8, ResultLife: 4 * time.Second}},
+			{Name: "b", StageProfile: &stagework.ServerProfile{Batch: 8}},
+		},
+	})
+	plan := StagePlan{
+		Table: table, Route: &table.Routes[0], Graph: route.Graph{Counts: []int{1, 1}, After: [][]int{nil, {0}}},
+		Due: time.Now(), Deadline: time.Now().Add(time.Minute),
+	}
+	s.recordQueueState("a", &peerpb.RunStageResponse{LevelWaitMs: []int64{0}})
+	s.recordQueueState("b", &peerpb.RunStageResponse{WaitMs: 3000, LevelWaitMs: []int64{50}})
+	admitted := make(chan error, 1)
+	go func() { admitted <- s.admit(context.Background(), plan) }()
+	select {
+	case <-admitted:
+		c.Fatal("the request was not held")
+	case <-time.After(holdInterval / 2):
+	}
+	s.recordQueueState("b", &peerpb.RunStageResponse{WaitMs: 500, LevelWaitMs: []int64{50}})
+	c.Assert(<-admitted, qt.IsNil)
+}
--- a/internal/gateway/stagerequest.go
+++ b/internal/gateway/stagerequest.go
@@ -126,13 +126,25 @@
 // inputLifetime returns how long the inputs of stage i are kept when they have just
 // been produced. A stage that waits longer would find them gone.
 func (r *stageRun) inputLifetime(i int) time.Duration {
-	lifetime := time.Duration(math.MaxInt64)
-	for _, j := range r.Graph.After[i] {
-		if producer := r.Table.Service(r.Route.Stages[j].Service); producer != nil && producer.StageProfile != nil && producer.StageProfile.ResultLife > 0 {
-			lifetime = min(lifetime, producer.StageProfile.ResultLife)
+	if life := r.inputLife(i); life > 0 {
+		return life
+	}
+	return math.MaxInt64
+}
+
+// inputLife returns how long the inputs of stage i are kept after they were produced; 0 when
+// that is unlimited.
+func (p *StagePlan) inputLife(i int) (life time.Duration) {
+	for _, j := range p.Graph.After[i] {
+		producer := p.Table.Service(p.Route.Stages[j].Service)
+		if producer == nil || producer.StageProfile == nil || producer.StageProfile.ResultLife <= 0 {
+			continue
+		}
+		if life == 0 || producer.StageProfile.ResultLife < life {
+			life = producer.StageProfile.ResultLife
 		}
 	}
-	return lifetime
+	return life
 }
 
 // requestFrom has a stage run by the instance at an address, or by this one for an
--- a/stagework/chain.go
+++ b/stagework/chain.go
@@ -32,6 +32,8 @@
 	// Waits are the newest known waits of its service, Call is the duration of one call.
 	Waits Waits
 	Call  time.Duration
+	// InputLife is how long its inputs are kept; 0 when it is unlimited.
+	InputLife time.Duration
 }
 
 // ChainRequest is a request for which no stage has begun.
@@ -49,6 +51,9 @@
 	// time, the chain is expected to end; 0 when it ends by then.
 	Excess  time.Duration
 	PastDue time.Duration
+	// Hold is how long the first stage should be held back, because a later one would wait
+	// until its inputs are gone.
+	Hold time.Duration
 	// Waiting is the part of the expected time that the request waits in queues.
 	Waiting time.Duration
 }
@@ -82,6 +87,9 @@
 				}
 			}
 			wait := waitIn(stage.Waits)
+			if len(stage.After) > 0 && stage.InputLife > 0 {
+				d.Hold = max(d.Hold, wait-stage.InputLife/2)
+			}
 			ends[i], waited[i] = ready+wait+stage.Call, before+wait
 			if ends[i] > last {
 				last, d.Waiting = ends[i], waited[i]
--- a/stagework/chain_test.go
+++ b/stagework/chain_test.go
@@ -34,3 +34,13 @@
 	c.Assert(d.ReturnAfter(9*time.Second, 0.5), qt.Equals, Return{After: 1600 * time.Millisecond})
 	c.Assert(d.ReturnAfter(time.Second, 0.5).Hopeless, qt.IsTrue)
 }
+
+// Guards against a first stage whose results are gone before a later one fetches them.
+func TestChainIsHeldWhileItsInputsWouldBeLost(t *testing.T) {
+	c := qt.New(t)
+	request := chainOf(1, 5*time.Second)
+	request.Stages[1].InputLife = 3 * time.Second
+	c.Assert(DecideChain(epoch, request).Hold, qt.Equals, 500*time.Millisecond)
+	request.Stages[1].InputLife = 5 * time.Second
+	c.Assert(DecideChain(epoch, request).Hold, qt.Equals, time.Duration(0))
+}
--- a/stagework/drain.go
+++ b/stagework/drain.go
@@ -52,6 +52,11 @@
 // when fewer of their pieces were started.
 const leastLateShare = 0.05
 
+// shortageGrowth is how much longer a shortage is expected to last, relative to the time that
+// it has lasted. Above it, requests are refused that could be served after a burst; below it,
+// they wait in vain while it goes on.
+const shortageGrowth = 0.5
+
 // lateWait returns how long a new piece waits that can't be on time. Jobs that arrive later
 // and can be on time overtake it, so it depends on the rate at which such pieces were started.
 func (q *Queue) lateWait(now time.Time) time.Duration {
@@ -79,8 +84,16 @@
 			capacity += q.callsPerSecond(s) * float64(q.profile.Batch)
 		}
 	}
+	if capacity == 0 {
+		return wait
+	}
 	rate := max(q.lateDrain.perSecond(now), leastLateShare*capacity)
-	return max(wait, time.Duration(float64(late)/rate*float64(time.Second)))
+	lasts := shortageGrowth * now.Sub(q.shortSince).Seconds()
+	during := float64(late) / rate
+	if during > lasts {
+		during = lasts + (float64(late)-lasts*rate)/capacity
+	}
+	return max(wait, time.Duration(during*float64(time.Second)))
 }
 
 // recordDrain counts the pieces of a call that starts.
--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -123,9 +123,10 @@
 	// fetchEstimator estimates how long servers take to fetch the inputs of a call.
 	fetchEstimator FetchEstimator
 	// priorityOrder is set by SetPriorityOrder. shortAt is when a job was last expected to
-	// miss its due time.
+	// miss its due time, shortSince when that began.
 	priorityOrder bool
 	shortAt       time.Time
+	shortSince    time.Time
 	// callDuration is the expected duration of the next call at the time of the last sort;
 	// 0 without priorityOrder.
 	callDuration time.Duration
--- a/stagework/shortage.go
+++ b/stagework/shortage.go
@@ -34,6 +34,9 @@
 		}
 		end := now.Add(q.waitBehind(now, ahead) + q.profile.CallDuration(min(len(j.Pieces), q.profile.Batch)))
 		if end.After(j.Due) {
+			if !q.Short(now) {
+				q.shortSince = now
+			}
 			q.shortAt = now
 			return
 		}
