engine: runs at model servers are counted until they end

Cause: the scheduler knew the prefill backlog of a server only. A stream of 56 events counted like one of 5, a full server was found out by sending, and a slow server only by its first events.

Ruled out: counting requests alone, because one long stream occupies a slot as long as twenty short ones; one factor for the prefill of all servers.

Change: a ledger for each server with known slots holds the runs, their memory (shared parts once) and their expected end, learned by kind of request and from the length that the request says. Reports, refusals and what the server says of its load correct it; a run without a report of its end expires. The wait for a slot and for memory is part of the expected time, and a query may name the longest wait. The pace of a server's events scales its prefill and its runs. Servers without known slots are chosen as before.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -71,6 +71,9 @@
 	// CopyRate is the number of cached prompt tokens per second that the server can
 	// copy from another one; 0 when it can't copy.
 	CopyRate float64
+	// Slots is the number of requests that the server runs at once; 0 when unknown. The runs
+	// at a server are recorded only when it is known.
+	Slots int
 }
 
 // Part is a part of a prompt. Requests may share all parts but the last one, which
@@ -106,6 +109,7 @@
 	// than expected, and excessDelayAt the time of its last change.
 	excessDelay   time.Duration
 	excessDelayAt time.Time
+	serverRuns
 }
 
 // Scheduler chooses model servers of one service for the instances of one region. It is
@@ -118,11 +122,12 @@
 	// prefillFactor is the measured time of a prefill relative to that at
 	// initialPrefillTokensPerSecond.
 	prefillFactor float64
+	serviceRuns
 }
 
 // NewScheduler returns a scheduler without servers for the instances of a region.
 func NewScheduler(region string) *Scheduler {
-	return &Scheduler{region: region, byID: map[string]*serverState{}, prefillFactor: 1}
+	return &Scheduler{region: region, byID: map[string]*serverState{}, prefillFactor: 1, serviceRuns: newServiceRuns()}
 }
 
 // SetServers replaces the servers. The state of a server is kept unless it restarted or became
@@ -157,6 +162,10 @@
 	AskOnly bool
 	// Regions are the regions whose servers may run the prompt or be the source of a copy.
 	Regions regions.Set
+	// Run is what the request needs beside its prompt.
+	Run Run
+	// MaxWait is how long the request can wait for a free slot and memory; 0 for any time.
+	MaxWait time.Duration
 }
 
 // Placement is the server that was chosen for a prompt.
@@ -174,10 +183,13 @@
 	CopyFromIncarnation int64
 	// NewParts holds the shared parts that the server was not expected to cache.
 	NewParts []Part
+	// RoomWait is the part of Expected for which the request waits for a free slot or
+	// memory. Without a server, it is the time until one has room.
+	RoomWait time.Duration
 }
 
 // Place chooses a server and counts the prompt there. It returns false when no server
-// remains. Servers of other regions are used only when the scheduler's region has none.
+// remains, and with Placement.RoomWait when none has room within Query.MaxWait. Servers of other regions are used only when the scheduler's region has none.
 func (s *Scheduler) Place(now time.Time, q Query) (Placement, bool) {
 	candidates := s.candidates(now, q, true)
 	if len(candidates) == 0 {
@@ -186,6 +198,7 @@
 	if len(candidates) == 0 {
 		return Placement{}, false
 	}
+	s.expireRuns(now)
 	key := affinityKey(q.Prompt)
 	copySource := s.bestSource(now, q)
 	var best *serverState
@@ -197,7 +210,10 @@
 			best, bestCost, bestWork = c, cost, work
 		}
 	}
-	placed := Placement{Server: best.ID, Incarnation: best.Incarnation, Expected: s.expected(best, now, bestWork), FailureDomain: best.FailureDomain}
+	placed := Placement{Server: best.ID, Incarnation: best.Incarnation, Expected: s.expected(best, now, q, bestWork), FailureDomain: best.FailureDomain, RoomWait: s.roomWait(best, now, q)}
+	if q.MaxWait > 0 && placed.RoomWait > q.MaxWait {
+		return Placement{RoomWait: placed.RoomWait}, false
+	}
 	if q.AskOnly {
 		return placed, true
 	}
@@ -210,6 +226,7 @@
 	}
 	placed.NewParts = best.missingSharedParts(q.Prompt)
 	s.recordPlacement(best, now, q.Prompt, bestWork)
+	s.recordRun(best, now, q, placed.Expected)
 	return placed, true
 }
 
@@ -249,8 +266,8 @@
 }
 
 // expected returns the expected time to the first event at a server.
-func (s *Scheduler) expected(c *serverState, now time.Time, work workload) time.Duration {
-	expected := max(0, c.busyUntil.Sub(now)) + s.workDuration(c, work)
+func (s *Scheduler) expected(c *serverState, now time.Time, q Query, work workload) time.Duration {
+	expected := s.startWait(c, now, q) + s.workDuration(c, now, work)
 	if now.Sub(c.excessDelayAt) < excessDelayTTL {
 		expected += c.excessDelay
 	}
@@ -258,8 +275,8 @@
 }
 
 // workDuration returns the time that a server needs for a workload.
-func (s *Scheduler) workDuration(c *serverState, work workload) time.Duration {
-	duration := s.prefillDuration(work.prefill)
+func (s *Scheduler) workDuration(c *serverState, now time.Time, work workload) time.Duration {
+	duration := time.Duration(s.slowness(c, now) * float64(s.prefillDuration(work.prefill)))
 	if work.copied > 0 {
 		duration += time.Duration(float64(work.copied) / c.CopyRate * float64(time.Second))
 	}
@@ -271,9 +288,9 @@
 // chosen.
 func (s *Scheduler) cost(c *serverState, now time.Time, q Query, work workload, key uint64) time.Duration {
 	if q.Isolate {
-		return max(0, c.busyUntil.Sub(now))
+		return s.startWait(c, now, q)
 	}
-	cost := s.expected(c, now, work) + time.Duration(work.sharedPrefill)*sharedPrefillPenaltyPerToken + time.Duration(work.copied)*copyPenaltyPerToken
+	cost := s.expected(c, now, q, work) + time.Duration(work.sharedPrefill)*sharedPrefillPenaltyPerToken + time.Duration(work.copied)*copyPenaltyPerToken
 	const megabyte = 1e6
 	for domain, bytes := range q.InputBytes {
 		if domain != c.FailureDomain {
@@ -313,7 +330,7 @@
 	if c.busyUntil.Before(now) {
 		c.busyUntil = now
 	}
-	c.busyUntil = c.busyUntil.Add(s.workDuration(c, work))
+	c.busyUntil = c.busyUntil.Add(s.workDuration(c, now, work))
 	c.cacheParts(now, prompt)
 }
 
@@ -428,6 +445,7 @@
 	// Failed is true when the request failed, Refused when the server did not accept
 	// it.
 	Failed, Refused bool
+	RunReport
 }
 
 // Report updates the estimates for a server with the outcome of a placement. A report on
@@ -437,6 +455,7 @@
 	if c == nil {
 		return
 	}
+	s.recordRunReport(c, now, r)
 	switch {
 	case r.Failed:
 		c.failures++
@@ -445,6 +464,8 @@
 	case r.Refused:
 		c.pausedUntil = now.Add(refusedPause)
 		return
+	case r.Ended:
+		return
 	}
 	c.failures = 0
 	excess := max(0, r.Delay-r.Expected)
--- /dev/null
+++ b/engine/ledger.go
@@ -0,0 +1,201 @@
+package engine
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	// overdueShare is the share of a run's age that is assumed to remain once the run has
+	// lasted longer than expected. Lengths of streams have long tails.
+	overdueShare = 0.125
+	// runExpiryFactor and runExpiryMargin bound how long a run without a report of its end is
+	// counted, relative to its expected duration. They cover callers that were lost.
+	runExpiryFactor = 4
+	runExpiryMargin = 2 * time.Second
+	// maxRunsPerSlot bounds the runs that are recorded for a server. Those that are expected
+	// to end first are dropped.
+	maxRunsPerSlot = 8
+)
+
+// Run describes what a request needs of a model server beside its prompt.
+type Run struct {
+	// ID is the ID of the request. The end of a run without one can't be reported.
+	ID string
+	// Kind is the kind of the request. Requests of a kind have similar lengths.
+	Kind string
+	// OutputTokens is the expected number of output tokens; 0 when unknown.
+	OutputTokens int
+}
+
+// activeRun is one run at a server.
+type activeRun struct {
+	began, ends time.Time
+	// shared holds the shared parts of the prompt. Their memory is counted once for all runs
+	// of a server.
+	shared []Part
+	// ownTokens is the memory that only this run uses: the last part of the prompt and the
+	// output.
+	ownTokens int
+	// foreign is true for a run that only the server reported. It is counted until it is
+	// expected to end.
+	foreign bool
+}
+
+// remaining returns the time until a run is expected to end.
+func (r *activeRun) remaining(now time.Time) time.Duration {
+	overdue := time.Duration(overdueShare * float64(now.Sub(r.began)))
+	return max(r.ends.Sub(now), overdue, 0)
+}
+
+// expired reports whether a run is no longer counted although its end was not reported.
+func (r *activeRun) expired(now time.Time) bool {
+	if r.foreign {
+		return now.After(r.ends)
+	}
+	return now.After(r.began.Add(runExpiryFactor*r.ends.Sub(r.began) + runExpiryMargin))
+}
+
+// sharedUse is the memory of a shared part and the number of runs that use it.
+type sharedUse struct{ tokens, runs int }
+
+// ledger holds the runs at one server. It is a view by placements and reports, which lags
+// behind the server. The zero value is empty.
+type ledger struct {
+	runs   map[string]*activeRun
+	shared map[string]sharedUse
+	// tokens is the memory that the runs use.
+	tokens int
+	// unnamed numbers the runs without an ID and those that only the server reported.
+	unnamed int
+}
+
+// add records a run. One with the same ID is replaced.
+func (l *ledger) add(id string, r *activeRun) {
+	if l.runs == nil {
+		l.runs, l.shared = map[string]*activeRun{}, map[string]sharedUse{}
+	}
+	if id == "" {
+		id = l.nextUnnamed()
+	}
+	l.remove(id)
+	l.runs[id] = r
+	l.tokens += r.ownTokens
+	for _, part := range r.shared {
+		use := l.shared[part.ID]
+		if use.runs == 0 {
+			use.tokens = part.Tokens
+			l.tokens += part.Tokens
+		}
+		use.runs++
+		l.shared[part.ID] = use
+	}
+}
+
+// unnamedPrefix begins the keys of runs without an ID. No ID of a request contains a space.
+const unnamedPrefix = "unnamed "
+
+func (l *ledger) nextUnnamed() string {
+	l.unnamed++
+	return fmt.Sprint(unnamedPrefix, l.unnamed)
+}
+
+// remove ends a run, and returns false when none with the ID is recorded.
+func (l *ledger) remove(id string) bool {
+	r, ok := l.runs[id]
+	if !ok {
+		return false
+	}
+	delete(l.runs, id)
+	l.tokens -= r.ownTokens
+	for _, part := range r.shared {
+		use := l.shared[part.ID]
+		if use.runs--; use.runs > 0 {
+			l.shared[part.ID] = use
+			continue
+		}
+		l.tokens -= use.tokens
+		delete(l.shared, part.ID)
+	}
+	return true
+}
+
+// expire drops the runs that have ended without a report, and the first to end beyond a limit.
+func (l *ledger) expire(now time.Time, limit int) {
+	for id, r := range l.runs {
+		if r.expired(now) {
+			l.remove(id)
+		}
+	}
+	for len(l.runs) > limit {
+		l.remove(l.firstToEnd(func(string, *activeRun) bool { return true }))
+	}
+}
+
+// firstToEnd returns the ID of the run that ends first among those that match; empty without.
+func (l *ledger) firstToEnd(match func(id string, r *activeRun) bool) string {
+	first := ""
+	for id, r := range l.runs {
+		if match(id, r) && (first == "" || r.ends.Before(l.runs[first].ends)) {
+			first = id
+		}
+	}
+	return first
+}
+
+// wait returns the time until a slot and memory for a prompt are expected to be free. It is 0
+// for a server without known limits. Memory is counted as freed only for what a run has alone.
+func (l *ledger) wait(now time.Time, slots, capacity int, prompt []Part, outputTokens int) time.Duration {
+	excessRuns := 0
+	if slots > 0 {
+		excessRuns = len(l.runs) + 1 - slots
+	}
+	excessTokens := 0
+	if capacity > 0 {
+		excessTokens = l.tokens + l.tokensFor(prompt, outputTokens) - capacity
+	}
+	if excessRuns <= 0 && excessTokens <= 0 {
+		return 0
+	}
+	type ending struct {
+		in     time.Duration
+		tokens int
+	}
+	endings := make([]ending, 0, len(l.runs))
+	for _, r := range l.runs {
+		endings = append(endings, ending{r.remaining(now), r.ownTokens})
+	}
+	slices.SortFunc(endings, func(a, b ending) int { return int(a.in - b.in) })
+	wait := time.Duration(0)
+	for _, e := range endings {
+		if excessRuns <= 0 && excessTokens <= 0 {
+			break
+		}
+		wait = e.in
+		excessRuns--
+		excessTokens -= e.tokens
+	}
+	return wait
+}
+
+// tokensFor returns the memory that a prompt and its output need beside that of the runs.
+func (l *ledger) tokensFor(prompt []Part, outputTokens int) int {
+	tokens := outputTokens
+	for i, part := range prompt {
+		if _, used := l.shared[part.ID]; i == len(prompt)-1 || !used {
+			tokens += part.Tokens
+		}
+	}
+	return tokens
+}
+
+// newActiveRun returns a run of a prompt that begins now.
+func newActiveRun(now time.Time, prompt []Part, outputTokens int, duration time.Duration) *activeRun {
+	r := &activeRun{began: now, ends: now.Add(duration), ownTokens: outputTokens}
+	if n := len(prompt); n > 0 {
+		r.shared = slices.Clone(prompt[:n-1])
+		r.ownTokens += prompt[n-1].Tokens
+	}
+	return r
+}
