gateway: model servers are chosen by the room that they have

Cause: the instance that places the prompts never learned when a run ended, and took all servers for empty when it took over. A request ran its stages although no model server could take it before its client gave up.

Placements carry the run and the longest wait, reports the end of a run, its pace and the load that the server's answer named. A new placer reads the load of each server of its region. A request for which no server has room in time is refused at once with the time until one has; while a service was full within the last second, that is asked before the stages. The status page, four gauges and a counter show room by service.

Deployments whose configuration names no slots send no reports of ends and refuse nothing for room.

--- a/internal/events/gateway.go
+++ b/internal/events/gateway.go
@@ -60,5 +60,6 @@
 	ServerCold            = define(7243, slog.LevelInfo, "backend server is cold and gets few requests")
 	ServerWarm            = define(7244, slog.LevelInfo, "backend server is no longer cold")
 	DoorFull              = define(7250, slog.LevelWarn, "client connections were closed to make room for others")
+	ServerRunsUnknown     = define(7270, slog.LevelInfo, "runs of a model server could not be read")
 	AttemptCutShort       = define(7221, slog.LevelInfo, "request broke off before or at the start of its answer")
 )
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -97,7 +97,9 @@
 			func(c *Cluster, client *peer.Client, local *StageScheduler, m *metrics.Metrics) *StageRunner {
 				return NewStageRunner(c, client, local, logger, m.Scope)
 			},
-			NewPlacer,
+			func(c *Cluster, peerClient *peer.Client, servers *Servers, client *ServerClient, protocol Protocol, q *Quarantines, m *metrics.Metrics) *Placer {
+				return NewPlacer(c, peerClient, servers, client, protocol, q, logger, m.Scope)
+			},
 			NewRegionBindings,
 			func(m *metrics.Metrics) *Quarantines { return NewQuarantines(logger, m.Scope) },
 			func() Protocol { return adapter.Protocol },
@@ -256,6 +258,7 @@
 		return map[string]any{"id": d.Settings.Instance, "region": d.Settings.Region, "failure_domain": d.Settings.FailureDomain, "draining": d.Drain.Draining()}
 	})
 	page.Add("doors", d.Doors.status)
+	page.Add("model_room", func() any { return d.Placer.Rooms() })
 	page.Add("server_limits", func() any { return d.Permits.Limits() })
 	page.Add("allowed_regions", func() any { return d.Regions.List() })
 	page.Add("evacuations", func() any { return d.Evacuation.Status(d.Upstream.OpenConnections) })
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -123,6 +123,10 @@
 	return incarnation
 }
 
+func (fakeProtocol) StateLoad(body []byte) (load engine.Load, ok bool) {
+	return load, json.Unmarshal(body, &load) == nil && load.Running > 0
+}
+
 func (fakeProtocol) CacheCall(s upstream.Server) *upstream.Request {
 	return &upstream.Request{Method: http.MethodGet, Target: "/cache", Host: s.Address, Header: http.Header{}}
 }
@@ -298,7 +302,7 @@
 	f.scheduler = NewStageScheduler(protocol, client, servers, freer, discardLogger(), tally.NoopScope)
 	f.drain = NewDrain(s.Grace())
 	quarantines := NewQuarantines(discardLogger(), tally.NoopScope)
-	f.gateway = New(protocol, views, servers, client, NewStageRunner(cluster, peerClient, f.scheduler, discardLogger(), tally.NoopScope), NewPlacer(cluster, peerClient, servers, client, protocol, quarantines, discardLogger()), newTestDoor(), doors.NewMemory(1<<20), f.drain, discardLogger(), tally.NoopScope)
+	f.gateway = New(protocol, views, servers, client, NewStageRunner(cluster, peerClient, f.scheduler, discardLogger(), tally.NoopScope), NewPlacer(cluster, peerClient, servers, client, protocol, quarantines, discardLogger(), tally.NoopScope), newTestDoor(), doors.NewMemory(1<<20), f.drain, discardLogger(), tally.NoopScope)
 	views.Observe(permits.ObserveView)
 	views.Observe(servers.Update)
 	views.Observe(quarantines.ObserveView)
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/coltsfootdrift/coltsfootdrift/engine"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
@@ -54,11 +56,15 @@
 	// pendingShares holds the placements that the next message to the other regions
 	// carries, by service.
 	pendingShares map[string][]*peerpb.SharedPlacement
+	// fullAt holds, by service, when a placement had to wait for room or was refused for it.
+	fullAt map[string]time.Time
+
+	roomMetrics roomMetrics
 }
 
 // NewPlacer returns a placer for the model servers in servers.
-func NewPlacer(cluster *Cluster, peerClient *peer.Client, servers *Servers, client *ServerClient, protocol Protocol, quarantines *Quarantines, logger *slog.Logger) *Placer {
-	return &Placer{cluster: cluster, peerClient: peerClient, servers: servers, client: client, protocol: protocol, logger: logger, quarantines: quarantines, restored: map[string]bool{}, pendingShares: map[string][]*peerpb.SharedPlacement{}}
+func NewPlacer(cluster *Cluster, peerClient *peer.Client, servers *Servers, client *ServerClient, protocol Protocol, quarantines *Quarantines, logger *slog.Logger, scope tally.Scope) *Placer {
+	return &Placer{cluster: cluster, peerClient: peerClient, servers: servers, client: client, protocol: protocol, logger: logger, quarantines: quarantines, restored: map[string]bool{}, pendingShares: map[string][]*peerpb.SharedPlacement{}, fullAt: map[string]time.Time{}, roomMetrics: newRoomMetrics(scope)}
 }
 
 // Restore reads the cached prompt parts of the model servers of each service whose
@@ -77,6 +83,7 @@
 			p.quarantines.Record(ctx, p.cluster.store, service)
 		}
 	}
+	p.recordRoom()
 }
 
 func (p *Placer) restore(ctx context.Context, service string) {
@@ -87,6 +94,7 @@
 		if !known || p.client.permits.Limited(id) {
 			continue
 		}
+		p.readRuns(ctx, service, server)
 		parts, err := p.readCache(ctx, server)
 		if err != nil {
 			events.CacheUnknown.Log(ctx, p.logger, slog.String("server", id), slog.Any("error", err))
@@ -147,13 +155,19 @@
 	return fmt.Sprintf("prompt is in quarantine %s for %s", e.Quarantine, e.Remaining)
 }
 
-// LimitedError reports that no model server is left because of limits that they have named.
+// LimitedError reports that no model server is left because of limits that they have named, or
+// because none has room in time.
 type LimitedError struct {
 	// Wait is the time until one of them takes a request.
 	Wait time.Duration
+	// NoRoom is true when none has room before Wait has passed.
+	NoRoom bool
 }
 
 func (e *LimitedError) Error() string {
+	if e.NoRoom {
+		return fmt.Sprintf("model servers have no room for %s", e.Wait)
+	}
 	return fmt.Sprintf("limits of the model servers are used up for %s", e.Wait)
 }
 
@@ -170,6 +184,7 @@
 	defer cancel()
 	response, err := p.peerClient.PlacePrompt(bounded, address, request)
 	if err == nil {
+		p.observeRoom(service, time.Duration(response.RoomWaitMs)*time.Millisecond)
 		if placed, usable, err := p.readPlacement(response, q); usable || err != nil {
 			return placed, err
 		}
@@ -185,6 +200,7 @@
 	return &peerpb.PlacePromptRequest{
 		Service: service, InputBytes: q.InputBytes, Excluded: q.Excluded, AskOnly: q.AskOnly, RequestId: id, Prompt: encodeParts(q.Prompt),
 		RegionsBound: q.Regions.Bound(), Regions: q.Regions.Names(),
+		Run: encodeRun(q.Run), MaxWaitMs: q.MaxWait.Milliseconds(),
 	}
 }
 
@@ -196,7 +212,7 @@
 		return placement{}, false, err
 	}
 	if response.Server == "" && remaining > 0 {
-		return placement{}, false, &LimitedError{Wait: remaining}
+		return placement{}, false, &LimitedError{Wait: remaining, NoRoom: response.RoomWaitMs > 0}
 	}
 	if response.Server == "" || !p.mayRunOn(response.Server, response.FailureDomain, q) {
 		return placement{}, false, nil
@@ -242,8 +258,13 @@
 	placed.onTrial = decision.Verdict == quarantine.OnTrial
 	ok := false
 	p.servers.WithEngineScheduler(service, func(s *engine.Scheduler) { placed.Placement, ok = s.Place(time.Now(), q) })
+	p.observeRoom(service, placed.RoomWait)
 	if !ok {
 		p.quarantines.withdraw(id, service, q.Prompt)
+		if placed.RoomWait > 0 {
+			p.roomMetrics.refused.Inc(1)
+			return placed, &LimitedError{Wait: placed.RoomWait, NoRoom: true}
+		}
 		if len(withoutPermit) > 0 {
 			return placed, &LimitedError{Wait: p.client.permits.shortestWait(withoutPermit)}
 		}
@@ -268,10 +289,12 @@
 	p.quarantines.recordAnswered(request.Service, request.Answered)
 	q := engine.Query{InputBytes: request.InputBytes, Excluded: request.Excluded, AskOnly: request.AskOnly, Regions: decodeRegions(request.RegionsBound, request.Regions)}
 	q.Prompt = decodeParts(request.Prompt)
+	q.Run, q.MaxWait = decodeRun(request.Run), time.Duration(request.MaxWaitMs)*time.Millisecond
 	placed, err := p.placeForRegion(request.RequestId, request.Service, q)
 	response := &peerpb.PlacePromptResponse{
 		Server: placed.Server, Incarnation: placed.Incarnation, ExpectedUs: placed.Expected.Microseconds(),
 		FailureDomain: placed.FailureDomain, CopyFrom: placed.CopyFrom, CopyFromIncarnation: placed.CopyFromIncarnation,
+		RoomWaitMs: placed.RoomWait.Milliseconds(),
 	}
 	var quarantined *QuarantinedError
 	var limited *LimitedError
@@ -300,10 +323,12 @@
 }
 
 func newReport(service string, r engine.Report) *peerpb.ReportPlacementRequest {
-	return &peerpb.ReportPlacementRequest{
+	request := &peerpb.ReportPlacementRequest{
 		Service: service, Server: r.Server, Incarnation: r.Incarnation, ExpectedUs: r.Expected.Microseconds(), DelayUs: r.Delay.Microseconds(),
 		Failed: r.Failed, Refused: r.Refused,
 	}
+	encodeRunReport(request, r.RunReport)
+	return request
 }
 
 // sendReport sends a report together with the answered parts that are queued.
@@ -322,6 +347,7 @@
 	r := engine.Report{
 		Server: request.Server, Incarnation: request.Incarnation, Failed: request.Failed, Refused: request.Refused,
 		Expected: time.Duration(request.ExpectedUs) * time.Microsecond, Delay: time.Duration(request.DelayUs) * time.Microsecond,
+		RunReport: decodeRunReport(request),
 	}
 	p.servers.WithEngineScheduler(request.Service, func(s *engine.Scheduler) { s.Report(time.Now(), r) })
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -33,6 +33,8 @@
 	// for the pieces.
 	PieceCounts []int
 	PieceKey    string
+	// OutputTokens is the number of tokens that the answer is expected to have; 0 when unknown.
+	OutputTokens int
 }
 
 // SendInfo is what the gateway adds to a request that it sends to a backend server.
@@ -115,6 +117,9 @@
 	// StateIncarnation reads the incarnation of the server in the answer to a StateCall, 0
 	// when it does not say.
 	StateIncarnation(body []byte) int64
+	// StateLoad reads the load of the server in the answer to a StateCall, and returns false
+	// when it does not say.
+	StateLoad(body []byte) (engine.Load, bool)
 	// CacheCall returns the request that lists the cached prompt parts of a model server.
 	CacheCall(upstream.Server) *upstream.Request
 	// CachedParts reads the answer to a CacheCall.
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -89,7 +89,7 @@
 	servers := make([]engine.Server, len(listed))
 	for i, server := range listed {
 		servers[i] = engine.Server{ID: server.ID, Region: s.settings.Regions[server.FailureDomain], FailureDomain: server.FailureDomain, Incarnation: server.Incarnation, ColdPeriod: server.ColdPeriod,
-			CacheTokens: service.Engine.CacheTokens, CopyRate: service.Engine.CopyRate()}
+			CacheTokens: service.Engine.CacheTokens, CopyRate: service.Engine.CopyRate(), Slots: service.Engine.Slots}
 	}
 	scheduler.SetServers(servers)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -37,6 +37,7 @@
 	crashes int
 	// trialWait is how long the request has waited for the trial of another one.
 	trialWait time.Duration
+	lastRun   modelRun
 }
 
 // maxStageReruns bounds how often the stages run again because results were lost.
@@ -75,10 +76,13 @@
 	unavailable := g.client.withheldServers(g.service.Name)
 	placed, err := g.place(engine.Query{
 		Prompt: g.requestInfo.Prompt, InputBytes: inputs, Excluded: append(unavailable, g.tried...),
+		Run: g.run(), MaxWait: g.maxRoomWait(),
 	})
 	if err != nil {
 		return g.handleNotPlaced(err)
 	}
+	g.beginRun(placed)
+	defer g.endRun()
 	g.tried = append(g.tried, placed.Server)
 	server, known := g.servers.Server(placed.Server)
 	if !known {
@@ -101,6 +105,7 @@
 	g.sends++
 	defer answer.Close()
 	info := g.protocol.ReadAnswer(answer.Status, answer.Header)
+	g.lastRun.observeLoad(info)
 	if freed {
 		g.fetchEstimates.record(g.service.Name, !info.InputsLost)
 	}
@@ -119,7 +124,10 @@
 
 // report records the outcome of a placement.
 func (g *generateRequest) report(placed placement, r engine.Report) {
-	r.Server, r.Incarnation = placed.Server, placed.Incarnation
+	r.Server, r.Incarnation, r.Run = placed.Server, placed.Incarnation, g.run()
+	if r.Failed || r.Refused {
+		g.lastRun.recorded = false
+	}
 	if placed.owner != "" {
 		g.placer.reportTo(placed.owner, g.service.Name, r)
 		return
@@ -128,15 +136,16 @@
 }
 
 // refuseLimited ends a request before its stages run if its model servers are known to take no
-// requests now. It asks the instance that places the prompts when some of them have a limit.
+// requests now. It asks the instance that places the prompts when some of them have a limit or
+// were lately full.
 func (g *generateRequest) refuseLimited() bool {
 	if wait := g.shortestWait(); wait > 0 {
 		return g.giveUp("servers take no requests now", wait, nil)
 	}
-	if len(g.client.permits.LimitedServers(g.service.Name)) == 0 {
+	if len(g.client.permits.LimitedServers(g.service.Name)) == 0 && !g.placer.wasFull(g.service.Name) {
 		return false
 	}
-	_, err := g.place(engine.Query{Prompt: g.requestInfo.Prompt, Excluded: g.tried, AskOnly: true})
+	_, err := g.place(engine.Query{Prompt: g.requestInfo.Prompt, Excluded: g.tried, AskOnly: true, Run: g.run(), MaxWait: g.maxRoomWait()})
 	var limited *LimitedError
 	return errors.As(err, &limited) && g.handleNotPlaced(err)
 }
@@ -266,6 +275,7 @@
 	if g.stopAnswerStart() {
 		g.recordAnswerBegan(placed)
 	}
+	g.lastRun.complete = true
 	g.runTimes.observe(g.route.Name, time.Since(sent))
 	g.recordAnswered(answer, placed.Server, slog.Int("events", g.stream.events))
 	return true
@@ -277,7 +287,8 @@
 	now := time.Now()
 	g.firstEventDelay = delay
 	g.answerBegan(placed)
-	g.report(placed, engine.Report{Expected: placed.Expected, Delay: delay})
+	g.lastRun.firstEventAt = now
+	g.report(placed, engine.Report{Expected: placed.Expected, Delay: delay, RunReport: engine.RunReport{Load: g.lastRun.load}})
 	g.metrics.timeToFirstEvent.RecordDuration(now.Sub(g.arrived))
 	g.freeInputs()
 }
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -48,6 +48,8 @@
 	var quarantined *QuarantinedError
 	var limited *LimitedError
 	switch {
+	case errors.As(err, &limited) && limited.NoRoom:
+		return g.giveUp("model servers have no room in time", limited.Wait, err)
 	case errors.As(err, &limited):
 		return g.giveUp("servers take no requests now", max(limited.Wait, g.shortestWait()), err)
 	case errors.As(err, &quarantined):
--- a/route/route.go
+++ b/route/route.go
@@ -109,6 +109,8 @@
 	// other. Both are 0 when they can't copy.
 	TokenBytes float64
 	LinkRate   float64
+	// Slots is the number of requests that the server runs at once; 0 when unknown.
+	Slots int
 }
 
 // Organisation is an organisation with its API keys.
