engine: a copy of prompt memory has to save a longer wait

Cause: a copied token cost 8 us beyond its copy, so that a prompt of 6,000 shared tokens was copied for 50 ms of waiting at the server that caches it.

Change: a copied token costs the prefill of a token, 25 us, because it may displace one that must then be processed again. A full server's wait for a slot counts like its prefill, so that hot prompts are still copied from it.

--- a/engine/copy.go
+++ b/engine/copy.go
@@ -8,9 +8,10 @@
 	// minCopySpeedup is how many times faster than a prefill at initialPrefillTokensPerSecond a
 	// copy must be.
 	minCopySpeedup = 2
-	// copyPenaltyPerToken is the cost of a copied token beyond the time of the copy,
-	// because the token then occupies the cache of one more server.
-	copyPenaltyPerToken = 8 * time.Microsecond
+	// copyPenaltyPerToken is the cost of a copied token beyond the time of the copy: the
+	// prefill of a token, because it may displace another one from the cache, which must then
+	// be processed again. A copy is worth it when it saves a longer wait.
+	copyPenaltyPerToken = time.Second / initialPrefillTokensPerSecond
 )
 
 // source is the server of any region that caches most of a prompt, with the number of
--- a/engine/copy_test.go
+++ b/engine/copy_test.go
@@ -48,6 +48,26 @@
 	c.Assert(total, qt.Equals, 2)
 }
 
+// Guards against a copy that saves less time than the prefill of what it displaces, and against
+// a hot prompt that waits for the full server which caches it.
+func TestPartsAreCopiedWhenThatSavesALongerWait(t *testing.T) {
+	c := qt.New(t)
+	s := newCopyingScheduler()
+	first := place(c, s, start, Query{Prompt: prompt("x", "1")})
+	// The server is busy for 115 ms more; the shared parts have 6,000 tokens.
+	now := start.Add(60 * time.Millisecond)
+	placed, _ := s.Place(now, Query{Prompt: prompt("x", "2")})
+	c.Assert(placed.Server, qt.Equals, first)
+	c.Assert(placed.CopyFrom, qt.Equals, "")
+	for _, server := range s.servers {
+		server.Slots = testSlots
+	}
+	now = now.Add(time.Minute)
+	s.RecordLoad(now, first, 0, Load{Running: testSlots, Waiting: 4})
+	placed, _ = s.Place(now, Query{Prompt: prompt("x", "3")})
+	c.Assert(placed.CopyFrom, qt.Equals, first)
+}
+
 // Guards against parts that are processed again although a server of another region
 // caches them.
 func TestPartsCachedInOtherRegionsAreCopied(t *testing.T) {
