engine: servers without room in time are passed over, urgent runs overtake

Cause: the longest wait of a query was applied to the cheapest server only, so that a request could be refused while a dearer one had room. A request that is more urgent than those that wait at a server starts before them, but was counted, and could be refused, behind them. Each placement visited all runs of all servers to find the expired ones.

Change: candidates whose wait is too long are passed over; runs carry their priority, and those that wait and are less urgent than a new one are not counted before it; expired runs are looked for every 250 ms.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -199,6 +199,10 @@
 		return Placement{}, false
 	}
 	s.expireRuns(now)
+	candidates, wait := s.withRoom(now, q, candidates)
+	if len(candidates) == 0 {
+		return Placement{RoomWait: wait}, false
+	}
 	key := affinityKey(q.Prompt)
 	copySource := s.bestSource(now, q)
 	var best *serverState
@@ -211,9 +215,6 @@
 		}
 	}
 	placed := Placement{Server: best.ID, Incarnation: best.Incarnation, Expected: s.expected(best, now, q, bestWork), FailureDomain: best.FailureDomain, RoomWait: s.roomWait(best, now, q)}
-	if q.MaxWait > 0 && placed.RoomWait > q.MaxWait {
-		return Placement{RoomWait: placed.RoomWait}, false
-	}
 	if q.AskOnly {
 		return placed, true
 	}
--- a/engine/ledger.go
+++ b/engine/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -27,6 +28,8 @@
 	Kind string
 	// OutputTokens is the expected number of output tokens; 0 when unknown.
 	OutputTokens int
+	// Priority orders the requests that wait at a server; 0 is the first.
+	Priority int
 }
 
 // activeRun is one run at a server.
@@ -38,6 +41,8 @@
 	// ownTokens is the memory that only this run uses: the last part of the prompt and the
 	// output.
 	ownTokens int
+	// priority is Run.Priority. A run that only the server reported has priority 0.
+	priority int
 	// foreign is true for a run that only the server reported. It is counted until it is
 	// expected to end.
 	foreign bool
@@ -144,24 +149,26 @@
 	return first
 }
 
-// wait returns the time until a slot and memory for a prompt are expected to be free. It is 0
-// for a server without known limits. Memory is counted as freed only for what a run has alone.
-func (l *ledger) wait(now time.Time, slots, capacity int, prompt []Part, outputTokens int) time.Duration {
-	excessRuns := 0
-	if slots > 0 {
-		excessRuns = len(l.runs) + 1 - slots
-	}
+// ending is the expected end of a run and the memory that it frees.
+type ending struct {
+	in     time.Duration
+	tokens int
+}
+
+// wait returns the time until a slot and memory for a prompt are expected to be free. Memory
+// counts as freed only for what a run has alone, and not at all when the capacity is unknown.
+func (l *ledger) wait(now time.Time, slots, capacity int, prompt []Part, run Run) time.Duration {
+	excessRuns := len(l.runs) + 1 - slots
 	excessTokens := 0
 	if capacity > 0 {
-		excessTokens = l.tokens + l.tokensFor(prompt, outputTokens) - capacity
+		excessTokens = l.tokens + l.tokensFor(prompt, run.outputTokens()) - capacity
 	}
 	if excessRuns <= 0 && excessTokens <= 0 {
 		return 0
 	}
-	type ending struct {
-		in     time.Duration
-		tokens int
-	}
+	overtaken, tokens := l.overtakenBy(run, slots)
+	excessRuns -= overtaken
+	excessTokens -= tokens
 	endings := make([]ending, 0, len(l.runs))
 	for _, r := range l.runs {
 		endings = append(endings, ending{r.remaining(now), r.ownTokens})
@@ -179,6 +186,22 @@
 	return wait
 }
 
+// overtakenBy returns the number of the runs that wait at the server and start after a new one
+// with a higher priority, and their memory. The runs that began last are those that wait.
+func (l *ledger) overtakenBy(run Run, slots int) (runs, tokens int) {
+	if len(l.runs) <= slots {
+		return 0, 0
+	}
+	byAge := slices.SortedFunc(maps.Values(l.runs), func(a, b *activeRun) int { return a.began.Compare(b.began) })
+	for _, r := range byAge[slots:] {
+		if r.priority > run.Priority {
+			runs++
+			tokens += r.ownTokens
+		}
+	}
+	return runs, tokens
+}
+
 // tokensFor returns the memory that a prompt and its output need beside that of the runs.
 func (l *ledger) tokensFor(prompt []Part, outputTokens int) int {
 	tokens := outputTokens
@@ -191,8 +214,8 @@
 }
 
 // newActiveRun returns a run of a prompt that begins now.
-func newActiveRun(now time.Time, prompt []Part, outputTokens int, duration time.Duration) *activeRun {
-	r := &activeRun{began: now, ends: now.Add(duration), ownTokens: outputTokens}
+func newActiveRun(now time.Time, prompt []Part, run Run, duration time.Duration) *activeRun {
+	r := &activeRun{began: now, ends: now.Add(duration), ownTokens: run.outputTokens(), priority: run.Priority}
 	if n := len(prompt); n > 0 {
 		r.shared = slices.Clone(prompt[:n-1])
 		r.ownTokens += prompt[n-1].Tokens
--- a/engine/room.go
+++ b/engine/room.go
@@ -20,7 +20,25 @@
 	if !c.hasLedger() {
 		return 0
 	}
-	return c.ledger.wait(now, c.Slots, c.CacheTokens, q.Prompt, q.Run.outputTokens())
+	return c.ledger.wait(now, c.Slots, c.CacheTokens, q.Prompt, q.Run)
+}
+
+// withRoom returns the candidates that have room within the wait of a query, and the shortest
+// wait of all candidates.
+func (s *Scheduler) withRoom(now time.Time, q Query, candidates []*serverState) (remaining []*serverState, shortest time.Duration) {
+	if q.MaxWait <= 0 {
+		return candidates, 0
+	}
+	for i, c := range candidates {
+		wait := s.roomWait(c, now, q)
+		if wait <= q.MaxWait {
+			remaining = append(remaining, c)
+		}
+		if i == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return remaining, shortest
 }
 
 // startWait returns the time until a server can begin to process a prompt.
@@ -28,8 +46,16 @@
 	return max(0, c.busyUntil.Sub(now), s.roomWait(c, now, q))
 }
 
+// expireInterval is how often runs without a report of their end are looked for. Each search
+// visits all runs.
+const expireInterval = 250 * time.Millisecond
+
 // expireRuns drops the runs that are no longer counted at any server.
 func (s *Scheduler) expireRuns(now time.Time) {
+	if now.Sub(s.expiredAt) < expireInterval {
+		return
+	}
+	s.expiredAt = now
 	for _, c := range s.servers {
 		c.ledger.expire(now, maxRunsPerSlot*c.Slots)
 	}
@@ -38,7 +64,7 @@
 // recordRun adds a run that is expected to have its first event after a time.
 func (s *Scheduler) recordRun(c *serverState, now time.Time, q Query, firstEvent time.Duration) {
 	if c.hasLedger() {
-		c.ledger.add(q.Run.ID, newActiveRun(now, q.Prompt, q.Run.outputTokens(), firstEvent+s.runDuration(c, now, q.Run)))
+		c.ledger.add(q.Run.ID, newActiveRun(now, q.Prompt, q.Run, firstEvent+s.runDuration(c, now, q.Run)))
 	}
 }
 
--- a/engine/room_test.go
+++ b/engine/room_test.go
@@ -123,6 +123,37 @@
 	c.Assert(s.Room(start.Add(time.Minute)).SlotsUsed, qt.Equals, 0)
 }
 
+// Guards against an urgent request that is refused, or waits, behind less urgent ones that have
+// not begun.
+func TestUrgentRequestsOvertakeThoseThatWait(t *testing.T) {
+	c := qt.New(t)
+	s := NewScheduler("r")
+	s.SetServers(roomServers(1, 2))
+	q := Query{Run: Run{OutputTokens: 100, Priority: 2}}
+	for i := range 6 {
+		q.Run.ID = fmt.Sprint(i)
+		place(c, s, start.Add(time.Duration(i)), q)
+	}
+	q.MaxWait = 2 * time.Second
+	_, ok := s.Place(start.Add(10), q)
+	c.Assert(ok, qt.IsFalse)
+	q.Run.Priority = 0
+	placed, ok := s.Place(start.Add(10), q)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(placed.RoomWait < 2*time.Second, qt.IsTrue, qt.Commentf("%v", placed.RoomWait))
+}
+
+// Guards against a refusal because the server that is cheapest without its wait is full, while
+// another one has room.
+func TestServersWithoutRoomInTimeArePassedOver(t *testing.T) {
+	c := qt.New(t)
+	s := NewScheduler("r")
+	s.SetServers([]Server{{ID: "0", Region: "r", FailureDomain: "a", Slots: 1}, {ID: "1", Region: "r", FailureDomain: "b", Slots: 1}})
+	q := Query{Run: Run{ID: "long", OutputTokens: 100}, InputBytes: map[string]int64{"a": 30_000_000}, MaxWait: 500 * time.Millisecond}
+	c.Assert(place(c, s, start, q), qt.Equals, "0")
+	c.Assert(place(c, s, start, q), qt.Equals, "1")
+}
+
 // Guards against a request that is sent to a full server although its client gives up before
 // a slot or memory is free, and against one that then still counts.
 func TestRequestsWithoutRoomInTimeAreNotPlaced(t *testing.T) {
--- a/engine/runtime.go
+++ b/engine/runtime.go
@@ -95,6 +95,8 @@
 type serviceRuns struct {
 	runTimes map[string]*runTimes
 	pace     pace
+	// expiredAt is when runs without a report of their end were last looked for.
+	expiredAt time.Time
 }
 
 func newServiceRuns() serviceRuns { return serviceRuns{runTimes: map[string]*runTimes{}} }
--- a/internal/gateway/modelruns.go
+++ b/internal/gateway/modelruns.go
@@ -32,7 +32,7 @@
 
 // run returns what the request needs of a model server beside its prompt.
 func (g *generateRequest) run() engine.Run {
-	return engine.Run{ID: g.requestInfo.ID, Kind: g.route.Name, OutputTokens: g.requestInfo.OutputTokens}
+	return engine.Run{ID: g.requestInfo.ID, Kind: g.route.Name, OutputTokens: g.requestInfo.OutputTokens, Priority: g.priority}
 }
 
 // maxRoomWait returns how long the request can wait for room at a model server: until its
@@ -64,11 +64,11 @@
 }
 
 func encodeRun(r engine.Run) *peerpb.ModelRun {
-	return &peerpb.ModelRun{RequestId: r.ID, Kind: r.Kind, OutputTokens: int64(r.OutputTokens)}
+	return &peerpb.ModelRun{RequestId: r.ID, Kind: r.Kind, OutputTokens: int64(r.OutputTokens), Priority: int32(r.Priority)}
 }
 
 func decodeRun(r *peerpb.ModelRun) engine.Run {
-	return engine.Run{ID: r.GetRequestId(), Kind: r.GetKind(), OutputTokens: int(r.GetOutputTokens())}
+	return engine.Run{ID: r.GetRequestId(), Kind: r.GetKind(), OutputTokens: int(r.GetOutputTokens()), Priority: int(r.GetPriority())}
 }
 
 // encodeRunReport sets what a report says of the run.
