engine: runs whose end is never reported end when expected

Cause: a run without an ID was dropped only after four times its expected time and 2 s. An instance of an earlier version names no run and reports no end, so that during an upgrade its requests filled the ledger of a newer owner, which could then refuse others for room.

Change: a run without an ID counts until it is expected to end, like one that only a server reported.

Figures: the new test fails without the change.

--- a/engine/ledger.go
+++ b/engine/ledger.go
@@ -22,7 +22,7 @@
 
 // Run describes what a request needs of a model server beside its prompt.
 type Run struct {
-	// ID is the ID of the request. The end of a run without one can't be reported.
+	// ID is the ID of the request. A run without one counts until it is expected to end.
 	ID string
 	// Kind is the kind of the request. Requests of a kind have similar lengths.
 	Kind string
@@ -43,8 +43,8 @@
 	ownTokens int
 	// priority is Run.Priority. A run that only the server reported has priority 0.
 	priority int
-	// foreign is true for a run that only the server reported. It is counted until it is
-	// expected to end.
+	// foreign is true for a run whose end is not reported: one that only the server named, or
+	// one without an ID. It is counted until it is expected to end.
 	foreign bool
 }
 
@@ -215,7 +215,7 @@
 
 // newActiveRun returns a run of a prompt that begins now.
 func newActiveRun(now time.Time, prompt []Part, run Run, duration time.Duration) *activeRun {
-	r := &activeRun{began: now, ends: now.Add(duration), ownTokens: run.outputTokens(), priority: run.Priority}
+	r := &activeRun{began: now, ends: now.Add(duration), ownTokens: run.outputTokens(), priority: run.Priority, foreign: run.ID == ""}
 	if n := len(prompt); n > 0 {
 		r.shared = slices.Clone(prompt[:n-1])
 		r.ownTokens += prompt[n-1].Tokens
--- a/engine/room.go
+++ b/engine/room.go
@@ -8,7 +8,7 @@
 // isUnnamed reports whether the key of a run is one that the ledger gave it.
 func isUnnamed(id string, _ *activeRun) bool { return strings.HasPrefix(id, unnamedPrefix) }
 
-// isForeign reports whether only the server reported a run.
+// isForeign reports whether the end of a run is not reported.
 func isForeign(_ string, r *activeRun) bool { return r.foreign }
 
 // hasLedger reports whether the runs at a server are recorded, which needs its slots.
--- a/engine/room_test.go
+++ b/engine/room_test.go
@@ -117,12 +117,23 @@
 	for i := range 3 {
 		s.Report(start, Report{Server: "0", RunReport: RunReport{Run: Run{ID: fmt.Sprint("before", i)}, Ended: true}})
 	}
-	c.Assert(place(c, s, start, Query{Prompt: []Part{{"x", 10}}}), qt.Equals, "0")
+	c.Assert(place(c, s, start, Query{Prompt: []Part{{"x", 10}}, Run: Run{ID: "x"}}), qt.Equals, "0")
 	s.RecordLoad(start, "0", 0, Load{})
 	c.Assert(s.Room(start).SlotsUsed, qt.Equals, testSlots+1)
 	c.Assert(s.Room(start.Add(time.Minute)).SlotsUsed, qt.Equals, 0)
 }
 
+// Guards against runs of callers that name none, such as instances of an earlier version, that
+// fill a server long after they have ended.
+func TestRunsWithoutAnIDEndByThemselves(t *testing.T) {
+	c := qt.New(t)
+	s := NewScheduler("r")
+	s.SetServers(roomServers(1, 2))
+	place(c, s, start, Query{})
+	c.Assert(s.Room(start).SlotsUsed, qt.Equals, 1)
+	c.Assert(s.Room(start.Add(2*defaultOutputTokens*initialTokenTime)).SlotsUsed, qt.Equals, 0)
+}
+
 // Guards against an urgent request that is refused, or waits, behind less urgent ones that have
 // not begun.
 func TestUrgentRequestsOvertakeThoseThatWait(t *testing.T) {
