gateway: the state of a stage queue belongs to the region of its owner

Cause: regions that may serve and admission of whole chains were built side by side. The reported waits and shortages of a stage service were kept by its name only, so that a request whose stages run in another region would have been judged by the queue of the own one; joining the parts, such requests were left out of the decision.

Change: queue states are kept by service and region of the owner, and each plan reads those of the regions in which its stages run. Ruled out: leaving bound requests without admission, because they would begin stages in vain.

Before: the extended test of admission has no decision for a plan whose second stage runs elsewhere. After: it is admitted while nothing is known of that queue and refused at once when that queue is too long.

--- a/internal/gateway/chainadmission.go
+++ b/internal/gateway/chainadmission.go
@@ -36,8 +36,8 @@
 			continue
 		}
 		service := plan.Table.Service(stage.Service)
-		waits, known := s.freshWaits(stage.Service, now)
-		if !known || plan.Regions[stage.Service] != "" || service == nil || service.StageProfile == nil {
+		waits, known := s.freshWaits(plan.ownerKey(stage.Service), now)
+		if !known || service == nil || service.StageProfile == nil {
 			return stagework.ChainDecision{}, false
 		}
 		call := service.StageProfile.CallDuration(min(plan.Graph.Counts[i], service.StageProfile.Batch))
@@ -48,10 +48,10 @@
 
 // freshWaits returns the last reported waits of a service that orders by priority, and
 // false when they are older than queueStateMaxAge.
-func (s *StageRunner) freshWaits(service string, now time.Time) (stagework.Waits, bool) {
+func (s *StageRunner) freshWaits(owner regionKey, now time.Time) (stagework.Waits, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := s.queueStates[service]
+	state := s.queueStates[owner]
 	return state.waits, len(state.waits.Levels) > 0 && now.Sub(state.reportedAt) < queueStateMaxAge
 }
 
--- a/internal/gateway/chainadmission_test.go
+++ b/internal/gateway/chainadmission_test.go
@@ -32,9 +32,9 @@
 			Due: time.Now(), Deadline: time.Now().Add(left),
 		}
 	}
-	s.recordQueueState("a", &peerpb.RunStageResponse{LevelWaitMs: []int64{0}})
+	s.recordQueueState(regionKey{key: "a"}, &peerpb.RunStageResponse{LevelWaitMs: []int64{0}})
 	c.Assert(s.admit(context.Background(), plan(5*time.Second)), qt.IsNil)
-	s.recordQueueState("b", &peerpb.RunStageResponse{WaitMs: 6000, LevelWaitMs: []int64{50}})
+	s.recordQueueState(regionKey{key: "b"}, &peerpb.RunStageResponse{WaitMs: 6000, LevelWaitMs: []int64{50}})
 	c.Assert(s.admit(context.Background(), plan(7*time.Second)), qt.IsNil)
 	var refused *RefusedError
 	c.Assert(s.admit(context.Background(), plan(5*time.Second)), qt.ErrorAs, &refused)
@@ -44,9 +44,15 @@
 	c.Assert(s.admit(context.Background(), plan(time.Second)), qt.ErrorAs, &refused)
 	c.Assert(refused.Hopeless, qt.IsTrue)
 
-	old := s.queueStates["b"]
+	elsewhere := plan(5 * time.Second)
+	elsewhere.Regions = map[string]string{"b": "q"}
+	c.Assert(s.admit(context.Background(), elsewhere), qt.IsNil, qt.Commentf("the queue of another region is not known"))
+	s.recordQueueState(regionKey{"q", "b"}, &peerpb.RunStageResponse{WaitMs: 6000, LevelWaitMs: []int64{50}})
+	c.Assert(s.admit(context.Background(), elsewhere), qt.ErrorAs, &refused)
+
+	old := s.queueStates[regionKey{key: "b"}]
 	old.reportedAt = time.Now().Add(-queueStateMaxAge)
-	s.queueStates["b"] = old
+	s.queueStates[regionKey{key: "b"}] = old
 	c.Assert(s.admit(context.Background(), plan(5*time.Second)), qt.IsNil)
 }
 
@@ -65,8 +71,8 @@
 		Table: table, Route: &table.Routes[0], Graph: route.Graph{Counts: []int{1, 1}, After: [][]int{nil, {0}}},
 		Due: time.Now(), Deadline: time.Now().Add(time.Minute),
 	}
-	s.recordQueueState("a", &peerpb.RunStageResponse{LevelWaitMs: []int64{0}})
-	s.recordQueueState("b", &peerpb.RunStageResponse{WaitMs: 3000, LevelWaitMs: []int64{50}})
+	s.recordQueueState(regionKey{key: "a"}, &peerpb.RunStageResponse{LevelWaitMs: []int64{0}})
+	s.recordQueueState(regionKey{key: "b"}, &peerpb.RunStageResponse{WaitMs: 3000, LevelWaitMs: []int64{50}})
 	admitted := make(chan error, 1)
 	go func() { admitted <- s.admit(context.Background(), plan) }()
 	select {
@@ -74,6 +80,6 @@
 		c.Fatal("the request was not held")
 	case <-time.After(holdInterval / 2):
 	}
-	s.recordQueueState("b", &peerpb.RunStageResponse{WaitMs: 500, LevelWaitMs: []int64{50}})
+	s.recordQueueState(regionKey{key: "b"}, &peerpb.RunStageResponse{WaitMs: 500, LevelWaitMs: []int64{50}})
 	c.Assert(<-admitted, qt.IsNil)
 }
--- a/internal/gateway/stagerequest.go
+++ b/internal/gateway/stagerequest.go
@@ -46,22 +46,20 @@
 		}
 		if err != nil {
 			lastErr = err
-			r.avoidOwner(regionKey{r.Regions[stage.Service], stage.Service}, address)
+			r.avoidOwner(r.ownerKey(stage.Service), address)
 			events.StagePeerFailed.Log(ctx, r.logger, slog.String("id", r.RequestID), slog.Int("stage", i), slog.String("address", address),
 				slog.Int64("waited_ms", time.Since(started).Milliseconds()), slog.Any("error", err))
 			continue
 		}
 		if response.Refusal == string(stagework.RefusedMoved) {
-			r.avoidOwner(regionKey{r.Regions[stage.Service], stage.Service}, address)
+			r.avoidOwner(r.ownerKey(stage.Service), address)
 			events.StageHandedBack.Log(ctx, r.logger, slog.String("id", r.RequestID), slog.Int("stage", i), slog.String("address", address))
 			continue
 		}
 		events.StageEnded.Log(ctx, r.logger, slog.String("id", r.RequestID), slog.Int("stage", i), slog.String("service", stage.Service),
 			slog.Int("pieces", r.Graph.Counts[i]), slog.String("caller", address), slog.Int64("took_ms", time.Since(started).Milliseconds()),
 			slog.Int64("left_ms", time.Until(r.Deadline).Milliseconds()), slog.Int64("queue_ms", response.WaitMs), slog.String("refusal", response.Refusal))
-		if r.Regions[stage.Service] == "" {
-			r.recordQueueState(stage.Service, response)
-		}
+		r.recordQueueState(r.ownerKey(stage.Service), response)
 		if response.Refusal != "" {
 			return nil, &RefusedError{Stage: i, Reason: stagework.Refusal(response.Refusal), Wait: time.Duration(response.WaitMs) * time.Millisecond}
 		}
@@ -96,7 +94,7 @@
 		request.InputBytes += int64(r.Graph.Counts[j]) * producer.ResultBytes
 		// The inputs are freed before the stage ends only when memory for them is short:
 		// without them its pieces can't be retried.
-		request.TellFetched = request.TellFetched || r.resultMemoryShort(producer.Service)
+		request.TellFetched = request.TellFetched || r.resultMemoryShort(r.ownerKey(producer.Service))
 	}
 	request.FailureDomain = r.preferredDomain(request, inputs)
 	for piece := range r.Graph.Counts[i] {
@@ -153,9 +151,7 @@
 func (r *stageRun) requestFrom(ctx context.Context, address string, i int, request *peerpb.RunStageRequest) (*peerpb.RunStageResponse, error) {
 	response, err := r.callRunStage(ctx, address, request)
 	for err == nil && response.Pending != 0 {
-		if r.Regions[request.Service] == "" {
-			r.recordQueueState(request.Service, response)
-		}
+		r.recordQueueState(r.ownerKey(request.Service), response)
 		if response.InputsFetched {
 			r.freeInputsOf(i)
 		}
--- a/internal/gateway/stagerun.go
+++ b/internal/gateway/stagerun.go
@@ -33,6 +33,12 @@
 	DomainOf func(result stagework.Result) string
 }
 
+// ownerKey returns the service and the region of the instance that schedules its calls for
+// the plan.
+func (p StagePlan) ownerKey(service string) regionKey {
+	return regionKey{p.Regions[service], service}
+}
+
 // stageRun is the state of the stages of one request.
 type stageRun struct {
 	*StageRunner
@@ -140,7 +146,7 @@
 func (r *stageRun) typicalTimes() []time.Duration {
 	times := make([]time.Duration, len(r.Route.Stages))
 	for i, stage := range r.Route.Stages {
-		times[i] = r.TypicalTime(r.Table, stage.Service, r.Priority)
+		times[i] = r.TypicalTime(r.Table, r.ownerKey(stage.Service), r.Priority)
 	}
 	return times
 }
--- a/internal/gateway/stagerunner.go
+++ b/internal/gateway/stagerunner.go
@@ -61,8 +61,9 @@
 	// pendingFrees holds the results that the next call to the owner frees, by the service
 	// and the region in which they were produced; the region is empty for the own one.
 	pendingFrees map[regionKey][]stagework.Result
-	// queueStates holds the last reported state of the queue of each service.
-	queueStates map[string]queueState
+	// queueStates holds the last reported state of the queue of each service, by the region of
+	// its owner; the region is empty for the own one.
+	queueStates map[regionKey]queueState
 }
 
 // queueState is the state of the queue of a service at a point in time.
@@ -76,15 +77,15 @@
 // NewStageRunner returns a StageRunner that uses the local scheduler and, through
 // peerClient, those of peers.
 func NewStageRunner(cluster *Cluster, peerClient *peer.Client, local *StageScheduler, logger *slog.Logger, scope tally.Scope) *StageRunner {
-	return &StageRunner{cluster: cluster, peerClient: peerClient, scheduler: local, logger: logger, stageTimes: newMovingAverages(), metrics: newChainMetrics(scope), random: rand.Float64, pendingFrees: map[regionKey][]stagework.Result{}, queueStates: map[string]queueState{}}
+	return &StageRunner{cluster: cluster, peerClient: peerClient, scheduler: local, logger: logger, stageTimes: newMovingAverages(), metrics: newChainMetrics(scope), random: rand.Float64, pendingFrees: map[regionKey][]stagework.Result{}, queueStates: map[regionKey]queueState{}}
 }
 
 // TypicalTime returns the mean duration of a stage of a service, or the duration by the
 // last state of its queue when that is longer: a burst fills the queue before the mean
-// follows.
-// For a queue that orders by priority, its last state alone counts: most of what raises
+// follows. For a queue that orders by priority, its last state alone counts: most of what raises
 // the mean are jobs that can't be on time and wait behind those that can.
-func (s *StageRunner) TypicalTime(table *route.Table, service string, priority int) time.Duration {
+func (s *StageRunner) TypicalTime(table *route.Table, owner regionKey, priority int) time.Duration {
+	service := owner.key
 	var call time.Duration
 	if configured := table.Service(service); configured != nil && configured.StageProfile != nil {
 		call = configured.StageProfile.CallDuration(min(assumedPieces, configured.StageProfile.Batch))
@@ -94,7 +95,7 @@
 		typical = call
 	}
 	s.mu.Lock()
-	queue := s.queueStates[service]
+	queue := s.queueStates[owner]
 	s.mu.Unlock()
 	switch {
 	case time.Since(queue.reportedAt) >= queueStateMaxAge:
@@ -107,17 +108,17 @@
 }
 
 // recordQueueState records the queue state in a response of the owner of a service.
-func (s *StageRunner) recordQueueState(service string, response *peerpb.RunStageResponse) {
+func (s *StageRunner) recordQueueState(owner regionKey, response *peerpb.RunStageResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.queueStates[service] = queueState{decodeWaits(response), response.RoomShort, time.Now()}
+	s.queueStates[owner] = queueState{decodeWaits(response), response.RoomShort, time.Now()}
 }
 
 // resultMemoryShort reports whether memory for the results of a service was short lately.
-func (s *StageRunner) resultMemoryShort(service string) bool {
+func (s *StageRunner) resultMemoryShort(owner regionKey) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	queue := s.queueStates[service]
+	queue := s.queueStates[owner]
 	return queue.memoryShort && time.Since(queue.reportedAt) < queueStateMaxAge
 }
 
