--- a/stagework/drain.go
+++ b/stagework/drain.go
@@ -55,7 +55,7 @@
 // shortageGrowth is how much longer a shortage is expected to last, relative to the time that
 // it has lasted. Above it, requests are refused that could be served after a burst; below it,
 // they wait in vain while it goes on.
-const shortageGrowth = 0.5
+const shortageGrowth = 0.25
 
 // lateWait returns how long a new piece waits that can't be on time. Jobs that arrive later
 // and can be on time overtake it, so it depends on the rate at which such pieces were started.
