doors: an answer is cut off only for memory that its connection holds

Cause: a request that finds no memory for its head or body may close the connection whose client has not read for the longest time, also when its request was passed on. closeWorst took that connection without asking whether it holds any memory of that kind. A running answer was cut off, and the request that needed the memory was refused after 0.25 s all the same.

Ruled out: the other candidates, for which the held memory is checked.

Change: connections that hold nothing of what is needed are passed over. A door without free connections can still close any connection, since each one holds the memory of a connection.

Measured: TestUnreadAnswerWithoutTheMemoryIsNotCutOff fails before and passes after the change.

Conclusion: a refusal for want of memory no longer costs another client its answer.

--- a/internal/doors/doors.go
+++ b/internal/doors/doors.go
@@ -134,14 +134,17 @@
 		if seen++; seen > candidates {
 			break
 		}
+		age, size := c.age(now), held(c)
+		if size == 0 {
+			continue
+		}
 		if blocked := c.unreadFor(now); blocked > max(unreadTime.Seconds(), longestUnread) {
 			unread, longestUnread = c, blocked
 		}
 		if c.forwarded.Load() {
 			continue
 		}
-		age, size := c.age(now), held(c)
-		if score := float64(size) * age; size > 0 && mayClose(size, age) && (worst == nil || score > worstScore) {
+		if score := float64(size) * age; mayClose(size, age) && (worst == nil || score > worstScore) {
 			worst, worstScore = c, score
 		}
 	}
--- a/internal/doors/doors_test.go
+++ b/internal/doors/doors_test.go
@@ -142,3 +142,17 @@
 	body.Release()
 	c.Assert(d.bodies.Used(), qt.Equals, int64(0))
 }
+
+// Guards against an answer that is cut off for memory which its connection does not hold.
+func TestUnreadAnswerWithoutTheMemoryIsNotCutOff(t *testing.T) {
+	c := qt.New(t)
+	d := newTestDoor(memorybudget.Door{Connections: 2, BodyBytes: 4 << 10})
+	unread, client := admit(c, d, time.Minute)
+	unread.Forward()
+	unread.writing.Store(time.Now().Add(-time.Minute).UnixNano())
+	newer, _ := admit(c, d, 0)
+	body, err := d.ReadBody(newer, strings.NewReader(strings.Repeat("b", 5<<10)), 5<<10, -1)
+	c.Assert(err, qt.Equals, ErrNoRoom)
+	body.Release()
+	c.Assert(isClosed(client), qt.IsFalse)
+}
