view: an evacuation that is written again is announced to peers

Cause: after a restore of the store, an evacuation whose key is missing ends 2 s later unless the operator writes it again. Writing it again changed nothing in the view of the reader, so no newer view was announced. Peers that had pulled the removal never learned of the new key, ended the evacuation after the 2 s and sent requests to the evacuated failure domain until the next change of the view.

Ruled out: a loss in ChangesAfter, which returns the key to peers that pull. The first write after a full read is announced because it dates the removals that the read found; later ones were not.

Change: writing the key of an evacuation that is about to end is a change.

Measured: TestEvacuationThatIsWrittenAgainReachesPeers fails before and passes after the change.

Conclusion: peers keep a restored evacuation like the reader.

--- a/internal/view/evacuations.go
+++ b/internal/view/evacuations.go
@@ -20,12 +20,14 @@
 	return evacuations{byKey: map[string]string{}, endAt: map[string]time.Time{}}
 }
 
-// put records the key of a failure domain.
+// put records the key of a failure domain. One that is written again before its evacuation
+// ends is a change, too: peers that know of its removal would end the evacuation.
 func (e evacuations) put(c *Change, key, domain string) {
-	delete(e.endAt, key)
-	if _, known := e.byKey[key]; known {
+	_, known := e.byKey[key]
+	if _, ending := e.endAt[key]; known && !ending {
 		return
 	}
+	delete(e.endAt, key)
 	e.byKey[key] = domain
 	c.Evacuated = append(c.Evacuated, domain)
 }
--- a/internal/view/evacuations_test.go
+++ b/internal/view/evacuations_test.go
@@ -58,3 +58,21 @@
 	c.Assert(s.Tick(epoch.Add(reregisterGracePeriod)).Returned, qt.DeepEquals, []string{"d"})
 	c.Assert(s.View().IsEvacuated("d"), qt.IsFalse)
 }
+
+// Guards against an evacuation that ends at the peers of a reader although the operator has
+// written it again to a restored store, because it never ended at the reader.
+func TestEvacuationThatIsWrittenAgainReachesPeers(t *testing.T) {
+	c := qt.New(t)
+	s, peer := NewState(fakeDecoder{}), NewState(fakeDecoder{})
+	s.Replace(epoch, []store.Entry{entry("config", "1", 1), entry("evacuate/d", "{}", 1)}, store.NewVersion(1, 5))
+	peer.Merge(epoch, s.ChangesAfter(0))
+	s.Replace(epoch, []store.Entry{entry("config", "1", 1)}, store.NewVersion(2, 3))
+	s.Apply(epoch, watchResult(store.NewVersion(2, 4), entry("server/a", "x", store.NewVersion(2, 4))))
+	peer.Merge(epoch, s.ChangesAfter(peer.Position()))
+	again := store.NewVersion(2, 5)
+	s.Apply(epoch, watchResult(again, entry("evacuate/d", "{}", again)))
+	c.Assert(s.View().Version, qt.Equals, again) // peers pull the versions of views
+	peer.Merge(epoch, s.ChangesAfter(peer.Position()))
+	peer.Tick(epoch.Add(reregisterGracePeriod))
+	c.Assert(peer.View().IsEvacuated("d"), qt.IsTrue)
+}
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -27,7 +27,8 @@
 	// Joined, Drained and Left are the IDs of the backend servers that were added or
 	// changed, that started to drain, and that were removed.
 	Joined, Drained, Left []string
-	// Evacuated and Returned are the failure domains whose evacuation began and ended.
+	// Evacuated and Returned are the failure domains whose evacuation began, or was about to
+	// end and goes on, and those whose evacuation ended.
 	Evacuated, Returned []string
 	// Rejected entries do not change the view.
 	Rejected []RejectedEntry
