view: a server that registers again is announced to peers

Cause: a server whose entry is missing after a restore or an outage of the store stays in use for 2 s. When it registered again with the same entry, nothing changed in the view of the reader, so no newer view was announced. Peers that had pulled the removal dropped the server after the 2 s and did not use it until the next change of the view.

Ruled out: a loss in ChangesAfter, which returns the entry to peers that pull.

Change: the registration of a server that was missing is a change.

Measured: TestServerThatRegistersAgainReachesPeers fails before and passes after the change; the other tests of the package pass.

Conclusion: peers and the reader use the same servers after a restore. The cost is one more view for each watch result that carries such entries.

--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -24,8 +24,8 @@
 	Quarantines bool
 	// Restored is true when the store was restored from a backup.
 	Restored bool
-	// Joined, Drained and Left are the IDs of the backend servers that were added or
-	// changed, that started to drain, and that were removed.
+	// Joined, Drained and Left are the IDs of the backend servers that were added, changed
+	// or registered again, that started to drain, and that were removed.
 	Joined, Drained, Left []string
 	// Evacuated and Returned are the failure domains whose evacuation began, or was about to
 	// end and goes on, and those whose evacuation ended.
@@ -267,6 +267,7 @@
 		return
 	}
 	s.idByKey[e.Key] = server.ID
+	_, missing := s.graceUntil[server.ID]
 	delete(s.graceUntil, server.ID)
 	if incarnation, ok := s.leaving[server.ID]; ok && incarnation == server.Incarnation {
 		server.Draining = true
@@ -282,7 +283,7 @@
 	switch {
 	case server.Draining && (!listed || !known.Draining):
 		c.Drained = append(c.Drained, server.ID)
-	case !listed || !server.sameUse(known):
+	case !listed || missing || !server.sameUse(known): // peers may know that it was missing
 		c.Joined = append(c.Joined, server.ID)
 	}
 }
--- a/internal/view/state_test.go
+++ b/internal/view/state_test.go
@@ -332,3 +332,21 @@
 	c.Assert(s.View().Servers["x"], qt.HasLen, 1)
 	c.Assert(s.View().Table, qt.IsNil)
 }
+
+// Guards against a server that its peers stop using although it has registered again in a
+// restored store, because it stayed in use at the reader.
+func TestServerThatRegistersAgainReachesPeers(t *testing.T) {
+	c := qt.New(t)
+	s, peer := NewState(fakeDecoder{}), NewState(fakeDecoder{})
+	s.Replace(epoch, []store.Entry{entry("config", "1", 1), entry("server/a", "x", 1)}, store.NewVersion(1, 5))
+	peer.Merge(epoch, s.ChangesAfter(0))
+	s.Replace(epoch, []store.Entry{entry("config", "1", 1)}, store.NewVersion(2, 3))
+	s.Apply(epoch, watchResult(store.NewVersion(2, 4), entry("server/b", "x", store.NewVersion(2, 4))))
+	peer.Merge(epoch, s.ChangesAfter(peer.Position()))
+	again := store.NewVersion(2, 5)
+	s.Apply(epoch, watchResult(again, entry("server/a", "x", again)))
+	c.Assert(s.View().Version, qt.Equals, again) // peers pull the versions of views
+	peer.Merge(epoch, s.ChangesAfter(peer.Position()))
+	peer.Tick(epoch.Add(reregisterGracePeriod))
+	c.Assert(peer.View().Servers["x"], qt.HasLen, 2)
+}
