doors: a request that can never fit closes no other connection

Cause: reserve closed the connection that holds the most before it knew whether its memory helps. A body that needs more than the memory of the whole door, for example the doubled buffer of one of a few megabytes on a small machine, had one connection closed for each attempt and was refused after 0.25 s all the same. One client could so end the uploads of others.

Ruled out: the semaphore, which refuses such a size only when the wait ends.

Change: a need that exceeds the memory of the door together with what the connection itself holds is refused before any connection is closed.

Measured: TestBodyThatNeverFitsClosesNoOther fails before and passes after the change; the package passes three runs with the race detector.

Conclusion: connections are closed only for requests that may fit.

--- a/internal/doors/doors.go
+++ b/internal/doors/doors.go
@@ -191,21 +191,29 @@
 
 // reserve reserves memory for a connection. When there is none, it closes the connection
 // that holds the most of it for the longest, of those that may be closed, and waits for its
-// memory.
+// memory. It closes none for a request that needs more than there is in all.
 func (d *Door) reserve(c *Conn, memory *Memory, n int64, held func(*Conn) int64, mayClose func(int64, float64) bool) error {
 	if memory.TryAcquire(n) {
 		return nil
 	}
-	d.mu.Lock()
-	closed := d.closeWorst(held, c, mayClose)
-	d.mu.Unlock()
-	if closed && memory.Acquire(n, roomTime) {
+	own := int64(0)
+	if c != nil {
+		own = held(c)
+	}
+	if own+n <= memory.size && d.makeRoom(held, c, mayClose) && memory.Acquire(n, roomTime) {
 		return nil
 	}
 	d.refusedCount.Inc(1)
 	return ErrNoRoom
 }
 
+// makeRoom is closeWorst without the lock held.
+func (d *Door) makeRoom(held func(*Conn) int64, self *Conn, mayClose func(int64, float64) bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.closeWorst(held, self, mayClose)
+}
+
 func (d *Door) remove(c *Conn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/doors/doors_test.go
+++ b/internal/doors/doors_test.go
@@ -156,3 +156,20 @@
 	body.Release()
 	c.Assert(isClosed(client), qt.IsFalse)
 }
+
+// Guards against a request that needs more than the door has, and has connections of others
+// closed before it is refused.
+func TestBodyThatNeverFitsClosesNoOther(t *testing.T) {
+	c := qt.New(t)
+	const limit = 14 << 10 // a buffer of 8 KB fits, the next one of 16 KB does not
+	d := newTestDoor(memorybudget.Door{Connections: 2, BodyBytes: limit})
+	older, client := admit(c, d, time.Minute)
+	held, err := d.ReadBody(older, strings.NewReader("b"), 1, -1)
+	c.Assert(err, qt.IsNil)
+	newer, _ := admit(c, d, 0)
+	body, err := d.ReadBody(newer, strings.NewReader(strings.Repeat("b", limit)), -1, -1)
+	c.Assert(err, qt.Equals, ErrNoRoom)
+	body.Release()
+	c.Assert(isClosed(client), qt.IsFalse)
+	held.Release()
+}
