--- a/internal/doors/doors.go
+++ b/internal/doors/doors.go
@@ -23,14 +23,14 @@
 	// reportInterval is the least time between two log lines about closed connections.
 	reportInterval = time.Second
 	// candidates is how many connections are compared to find the one to close. All of them
-	// would cost too much time for each connection of a crowd.
+	// would cost too much time for each new connection.
 	candidates = 64
 	// unreadTime is how long a client must not have read its answer before its connection
 	// may be closed to make room, although its request was passed on.
 	unreadTime = time.Second
 	// minHoldTime is how long a request must have held memory before its connection may be
 	// closed for another request. A burst of ordinary requests is refused instead, which
-	// tells their clients when to come back.
+	// gives their clients a time to retry.
 	minHoldTime = time.Second
 	// largeHeadFactor is how many times the memory of a head another one must hold to give
 	// it up at any age. Ordinary heads are of similar size, so that only heads with very many
--- a/internal/doors/machine.go
+++ b/internal/doors/machine.go
@@ -14,9 +14,9 @@
 
 const (
 	bytesPerMB = 1 << 20
-	// fallbackDescriptors is used when the system does not tell how many there are.
+	// fallbackDescriptors is used when the system reports no usable limit.
 	fallbackDescriptors = 1024
-	// maxBelievedDescriptors is the largest limit of the system that is taken for one.
+	// maxBelievedDescriptors is the largest limit that counts; higher ones mean that there is none.
 	maxBelievedDescriptors = 1 << 20
 )
 
--- a/memorybudget/memorybudget.go
+++ b/memorybudget/memorybudget.go
@@ -10,14 +10,14 @@
 const (
 	// DefaultMemoryBytes is used without a setting: the memory of the smallest instances.
 	DefaultMemoryBytes = 192 * mb
-	// baseBytes is what the process needs without clients: 18 MB measured in calm, and room
+	// baseBytes is what the process needs without clients: 18 MB measured without load, and room
 	// for the configuration, the servers and the peers.
 	baseBytes = 24 * mb
 	// unmanagedBytes is the resident memory that the runtime's limit does not count: the
 	// program's code and data.
 	unmanagedBytes = 16 * mb
-	// marginPercent is the part of the memory that stays unused. Without it, crowds at all doors
-	// of a machine of 136 MB reached 123 MB.
+	// marginPercent is the part of the memory that stays unused. Without it, misbehaving clients at
+	// all doors of a machine of 136 MB made the process take 123 MB.
 	marginPercent = 8
 	// collectorFactor is how much memory the garbage collector takes for each byte in use:
 	// with its default target, the heap grows to twice the bytes in use.
