memorybudget: connections of peers are bounded apart from descriptors

Cause: the connections of the peers' door were divided by descriptors only, while those of clients are bounded by memory, too. With 20,000 descriptors and the memory of the smallest instances, 2,991 connections were allowed there, 60 MB, which the plan counts nowhere.

Ruled out: the ready and the metrics door, which have fixed limits.

Change: at most 1,024 connections. A machine of 136 MB with 2,870 descriptors keeps its 423. Beyond the limit the idle ones are closed first, as before.

Measured: TestPeersHoldASmallPartOfTheMemory fails before and passes after the change.

Conclusion: very many descriptors no longer mean very much memory for peers.

--- a/memorybudget/memorybudget.go
+++ b/memorybudget/memorybudget.go
@@ -49,6 +49,9 @@
 	maxReadyConnections   = 64
 	maxMetricsConnections = 16
 	minPeerConnections    = 32
+	// maxPeerConnections bounds the memory of the connections of peers, of which each instance
+	// needs one: 20 MB on a machine with very many descriptors.
+	maxPeerConnections = 1024
 	// readyDescriptorsPart is the part of the descriptors that readiness takes at most.
 	readyDescriptorsPart = 8
 )
@@ -92,7 +95,7 @@
 		RuntimeBytes: max(m.MemoryBytes*(percent-marginPercent)/percent-unmanagedBytes, m.MemoryBytes/2),
 		Ready:        Door{Connections: min(maxReadyConnections, max(1, m.Descriptors/readyDescriptorsPart)), HeadBytes: share(operatorShare)},
 		Metrics:      Door{Connections: min(maxMetricsConnections, part), HeadBytes: share(operatorShare)},
-		Peers:        Door{Connections: max(minPeerConnections, 3*part), HeadBytes: share(peerHeadShare), BodyBytes: share(peerBodyShare)},
+		Peers:        Door{Connections: min(maxPeerConnections, max(minPeerConnections, 3*part)), HeadBytes: share(peerHeadShare), BodyBytes: share(peerBodyShare)},
 		Clients:      Door{HeadBytes: share(headShare), BodyBytes: share(bodyShare)},
 		AnswerBytes:  share(answerShare),
 	}
--- a/memorybudget/memorybudget_test.go
+++ b/memorybudget/memorybudget_test.go
@@ -27,3 +27,14 @@
 		c.Check(p.Clients.HeadBytes > HeadBytes(16*kb, 2600), qt.IsTrue)
 	}
 }
+
+// Guards against a machine with very many descriptors whose peers may hold most of its memory
+// with connections alone.
+func TestPeersHoldASmallPartOfTheMemory(t *testing.T) {
+	c := qt.New(t)
+	for _, descriptors := range []int{20000, 1 << 20} {
+		p := NewPlan(Machine{Descriptors: descriptors})
+		held := collectorFactor * ConnectionBytes * p.Peers.Connections
+		c.Check(held < DefaultMemoryBytes/4, qt.IsTrue, qt.Commentf("%d descriptors: %+v", descriptors, p.Peers))
+	}
+}
