doors: a process without a limit of descriptors does not count on 1,024

Cause: a limit of the system above 1,048,576, also "unlimited", was replaced by 1,024. A gateway whose settings do not name max_descriptors then accepted about 300 connections, fewer than with a limit of 20,000, where the memory decides.

Ruled out: the Go runtime, which raises the limit to the hard one at start.

Change: such a limit counts as 1,048,576. The memory bounds the connections of clients then.

Measured: TestUnlimitedDescriptorsAreNotFew fails before and passes after the change.

Conclusion: deployments that set no limits are not held to a small one.

--- a/internal/doors/doors_test.go
+++ b/internal/doors/doors_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"strings"
 	"testing"
@@ -173,3 +174,12 @@
 	c.Assert(isClosed(client), qt.IsFalse)
 	held.Release()
 }
+
+// Guards against a process without a limit of descriptors that accepts fewer connections than
+// one with a limit.
+func TestUnlimitedDescriptorsAreNotFew(t *testing.T) {
+	c := qt.New(t)
+	limited := memorybudget.NewPlan(memorybudget.Machine{Descriptors: usableDescriptors(20_000)})
+	unlimited := memorybudget.NewPlan(memorybudget.Machine{Descriptors: usableDescriptors(math.MaxUint64)})
+	c.Assert(unlimited.Clients.Connections >= limited.Clients.Connections, qt.IsTrue)
+}
--- a/internal/doors/machine.go
+++ b/internal/doors/machine.go
@@ -14,10 +14,11 @@
 
 const (
 	bytesPerMB = 1 << 20
-	// fallbackDescriptors is used when the system reports no usable limit.
+	// fallbackDescriptors is used when the system reports no limit.
 	fallbackDescriptors = 1024
-	// maxBelievedDescriptors is the largest limit that counts; higher ones mean that there is none.
-	maxBelievedDescriptors = 1 << 20
+	// mostDescriptors is used for higher limits, which mean that there is none: the kernel's
+	// own default limit for one process.
+	mostDescriptors = 1 << 20
 )
 
 // DivideMachine returns how a machine is divided, and sets the memory limit of the runtime if
@@ -36,12 +37,15 @@
 // availableDescriptors returns how many descriptors the system lets the process open.
 func availableDescriptors() int {
 	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > maxBelievedDescriptors {
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 		return fallbackDescriptors
 	}
-	return int(limit.Cur)
+	return usableDescriptors(limit.Cur)
 }
 
+// usableDescriptors returns the descriptors to count on under a limit of the system.
+func usableDescriptors(limit uint64) int { return int(min(limit, mostDescriptors)) }
+
 // Limits of the doors for readiness, metrics and peers. Callers there are the platform and
 // other instances, whose heads have a few hundred bytes.
 const (
