stagework: a priority below 0 counts as the first

Cause: Queue.Waits indexes its levels by the priority of a job. The configuration may hold a route priority below 0, which panicked with index out of range for each answer of a service that is short of capacity and orders by priority. Ruled out: the order of jobs compares priorities and takes any value. Change: such a priority counts at level 0, as it does in Waits.OnTime. After: go test ./stagework passes. Conclusion: any configured priority is served.

--- a/stagework/shortage.go
+++ b/stagework/shortage.go
@@ -85,7 +85,7 @@
 		}
 		first := 0
 		if short {
-			first = min(j.Priority, maxRankedPriority)
+			first = min(max(0, j.Priority), maxRankedPriority)
 		}
 		for level := first; level <= maxRankedPriority; level++ {
 			ahead[level] += len(j.waiting)
