route: a route of priority below 0 uses its stage services

Cause: SharedByPriorities took -1 as the mark of a service that no route uses, so that a service shared by routes of priorities -1 and 0 was not ordered by priority. Change: a separate flag says whether a route uses the service. Before: the new test fails. After: go test ./route passes. Conclusion: the answer no longer depends on which priorities are used.

--- a/route/priorities.go
+++ b/route/priorities.go
@@ -2,20 +2,20 @@
 
 // SharedByPriorities reports whether requests of different priorities use a stage service.
 func (t *Table) SharedByPriorities(service string) bool {
-	first := -1
+	used, first := false, 0
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		for _, stage := range r.Stages {
 			if stage.Service != service {
 				continue
 			}
-			if first >= 0 && r.Priority != first {
+			if used && r.Priority != first {
 				return true
 			}
-			first = r.Priority
+			used, first = true, r.Priority
 		}
 	}
-	if first < 0 {
+	if !used {
 		return false
 	}
 	for i := range t.Organisations {
--- a/route/priorities_test.go
+++ b/route/priorities_test.go
@@ -21,3 +21,13 @@
 	c.Assert(table.SharedByPriorities("a"), qt.IsTrue)
 	c.Assert(table.SharedByPriorities("c"), qt.IsFalse)
 }
+
+// Guards against a priority below 0 that counts as no use of the service.
+func TestNegativePriorityDiffersFromOthers(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(Configuration{Routes: []Route{
+		{Name: "x", Priority: -1, Stages: []Stage{{Service: "a"}}},
+		{Name: "y", Priority: 0, Stages: []Stage{{Service: "a"}}},
+	}})
+	c.Assert(table.SharedByPriorities("a"), qt.IsTrue)
+}
