stagework: estimates leave out the least share

Cause: before every tenth call, jobs are sorted by due time for the least share of less urgent kinds. Queue.Expire and Queue.Offer used that order as well, counted an urgent job as behind all jobs that are due earlier, and refused it as late although only one call goes to such a job. Ruled out: the order of calls itself, which is as intended. Change: only Next sorts for the least share; estimates order by priority. Before: the new test sees the urgent job refused. After: go test ./stagework passes. Conclusion: an urgent job is judged in the same way before each call.

--- a/stagework/call.go
+++ b/stagework/call.go
@@ -14,7 +14,7 @@
 		return Call{}, false
 	}
 	q.expireResults(now)
-	q.sortByRank(now)
+	q.sortForCall(now)
 	if c := q.probeCall(now); c != nil {
 		return c.Call, true
 	}
--- a/stagework/priority_test.go
+++ b/stagework/priority_test.go
@@ -18,3 +18,23 @@
 	q.jobs[2000].Priority = maxRankedPriority
 	c.Assert(before > q.Waits(epoch).OnTime(0), qt.IsTrue)
 }
+
+// Guards against the refusal of urgent jobs before the call of the least share. They then
+// counted as behind all jobs that are due earlier, although only one call goes to such a job.
+func TestUrgentJobsAreJudgedByPriorityBeforeTheLeastShare(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue("a")
+	q.SetPriorityOrder(true)
+	for id := range JobID(20) {
+		other := newJob(id, profile.Batch)
+		other.Priority, other.Due, other.Deadline = 1, epoch.Add(4*time.Second), epoch.Add(time.Minute)
+		offer(c, q, other)
+	}
+	q.Expire(epoch)
+	c.Assert(q.Short(epoch), qt.IsTrue)
+	q.lastCallID = leastShareCalls
+	urgent := newJob(100, profile.Batch)
+	urgent.Due, urgent.Deadline = epoch.Add(5*time.Second), epoch.Add(6*time.Second)
+	offer(c, q, urgent)
+	c.Assert(q.Expire(epoch).Done, qt.HasLen, 0)
+}
--- a/stagework/queue.go
+++ b/stagework/queue.go
@@ -127,6 +127,8 @@
 	priorityOrder bool
 	shortAt       time.Time
 	shortSince    time.Time
+	// leastShare is true while the jobs are sorted for a call of the least share.
+	leastShare bool
 	// callDuration is the expected duration of the next call at the time of the last sort;
 	// 0 without priorityOrder.
 	callDuration time.Duration
--- a/stagework/shortage.go
+++ b/stagework/shortage.go
@@ -44,6 +44,15 @@
 	}
 }
 
+// sortForCall sorts the jobs for the next call, which is one of the least share at an interval
+// of leastShareCalls. Estimates leave the least share out: one call of it delays the more
+// urgent jobs by that call only.
+func (q *Queue) sortForCall(now time.Time) {
+	q.leastShare = q.lastCallID%leastShareCalls == 0
+	q.sortByRank(now)
+	q.leastShare = false
+}
+
 // comparePriority compares jobs by priority while the service is short of capacity,
 // except for the calls of the least share.
 func (q *Queue) comparePriority(a, b *job, now time.Time) int {
@@ -66,9 +75,9 @@
 	return 1
 }
 
-// byPriority reports whether the next call is formed by priority.
+// byPriority reports whether jobs are ordered by priority.
 func (q *Queue) byPriority(now time.Time) bool {
-	return q.priorityOrder && q.Short(now) && q.lastCallID%leastShareCalls != 0
+	return q.priorityOrder && q.Short(now) && !q.leastShare
 }
 
 // Waits returns the expected waits of a new piece.
