stagework: the order by due time is restored without priorities

Cause: Queue.callDuration, by which jobs are judged with priority order, kept its last value when a new configuration no longer asked for that order. Small jobs then counted as late, and were sorted behind others, by the duration of an earlier full call. Change: SetPriorityOrder(false) clears it. Before: the new test sees the job as late. After: go test ./stagework passes. Conclusion: a service without shared priorities is served as before the order existed.

--- a/stagework/priority_test.go
+++ b/stagework/priority_test.go
@@ -38,3 +38,17 @@
 	offer(c, q, urgent)
 	c.Assert(q.Expire(epoch).Done, qt.HasLen, 0)
 }
+
+// Guards against jobs that count as late by the duration of a full call after the order by
+// priority is switched off.
+func TestOrderByDueTimeReturnsWithoutPriorities(t *testing.T) {
+	c := qt.New(t)
+	q := newPriorityQueue(c, 2, 2*time.Second)
+	small := newJob(2000, 1)
+	small.Due = epoch.Add(300 * time.Millisecond)
+	offer(c, q, small)
+	q.WaitingOfFirstJob(epoch)
+	c.Assert(q.missesDue(q.jobs[2000], epoch), qt.IsTrue)
+	q.SetPriorityOrder(false)
+	c.Assert(q.missesDue(q.jobs[2000], epoch), qt.IsFalse)
+}
--- a/stagework/shortage.go
+++ b/stagework/shortage.go
@@ -18,7 +18,12 @@
 
 // SetPriorityOrder sets whether the queue serves more urgent jobs first while it can't
 // serve all jobs on time.
-func (q *Queue) SetPriorityOrder(on bool) { q.priorityOrder = on }
+func (q *Queue) SetPriorityOrder(on bool) {
+	q.priorityOrder = on
+	if !on {
+		q.callDuration = 0
+	}
+}
 
 // Short reports whether the queue recently held a job that would miss its due time.
 func (q *Queue) Short(now time.Time) bool {
