Review: order of the ends of runs, length of a comment

Cause: the ends of runs were compared by a difference converted to int, which overflows where int has 32 bits; a doc comment had a line of 160 characters. Change: cmp.Compare; the comment is wrapped, another one says which callers it means.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -189,7 +189,8 @@
 }
 
 // Place chooses a server and counts the prompt there. It returns false when no server
-// remains, and with Placement.RoomWait when none has room within Query.MaxWait. Servers of other regions are used only when the scheduler's region has none.
+// remains, and with Placement.RoomWait when none has room within Query.MaxWait. Servers of
+// other regions are used only when the scheduler's region has none.
 func (s *Scheduler) Place(now time.Time, q Query) (Placement, bool) {
 	candidates := s.candidates(now, q, true)
 	if len(candidates) == 0 {
--- a/engine/ledger.go
+++ b/engine/ledger.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -12,7 +13,7 @@
 	// lasted longer than expected. Lengths of streams have long tails.
 	overdueShare = 0.125
 	// runExpiryFactor and runExpiryMargin bound how long a run without a report of its end is
-	// counted, relative to its expected duration. They cover callers that were lost.
+	// counted, relative to its expected duration. They cover callers that ended without a report.
 	runExpiryFactor = 4
 	runExpiryMargin = 2 * time.Second
 	// maxRunsPerSlot bounds the runs that are recorded for a server. Those that are expected
@@ -173,7 +174,7 @@
 	for _, r := range l.runs {
 		endings = append(endings, ending{r.remaining(now), r.ownTokens})
 	}
-	slices.SortFunc(endings, func(a, b ending) int { return int(a.in - b.in) })
+	slices.SortFunc(endings, func(a, b ending) int { return cmp.Compare(a.in, b.in) })
 	wait := time.Duration(0)
 	for _, e := range endings {
 		if excessRuns <= 0 && excessTokens <= 0 {
