Review: usual terms in comments and pages

Cause: comments and pages of regions, room and admission used figurative words (told, learn, gives up, lives). Change: the usual terms. No code is changed.

--- a/internal/experiment/chainsim.go
+++ b/internal/experiment/chainsim.go
@@ -45,7 +45,7 @@
 	chainBurstEnd   = 10 * time.Second
 	// chainFetchTime is the time from the end of a stage until its results were fetched.
 	chainFetchTime = 150 * time.Millisecond
-	// chainStateInterval is how often the requesters learn the state of the queues.
+	// chainStateInterval is how often the requesters receive the state of the queues.
 	chainStateInterval = 100 * time.Millisecond
 	// minChainReturn is the shortest time after which a refused client returns.
 	minChainReturn = 50 * time.Millisecond
@@ -222,7 +222,7 @@
 	s.startCalls(now, r.stage)
 }
 
-// refuse refuses a request. Its client returns once, at the time that it is told but after
+// refuse refuses a request. Its client returns once, at the time that the refusal names but after
 // a third of the remaining time at the latest.
 func (s *chainSimulation) refuse(now time.Time, r *chainRequest) {
 	if r.stage > 0 {
--- a/internal/gateway/allowedregions.go
+++ b/internal/gateway/allowedregions.go
@@ -14,7 +14,7 @@
 
 const (
 	// regionRetryAfter is the time after which to retry a request that no allowed region can
-	// serve: about as long as it takes to learn of new servers.
+	// serve: about as long as it takes until a view lists new servers.
 	regionRetryAfter = time.Second
 	// unreachedRegionPause is how long requests are not sent to a region after the servers or
 	// instances there could not be reached.
--- a/internal/gateway/allowedregions_test.go
+++ b/internal/gateway/allowedregions_test.go
@@ -139,7 +139,7 @@
 	c.Assert(body, qt.Equals, "near")
 }
 
-// Guards against a client that is told to come back while all servers that it may be sent to
+// Guards against a refusal that asks a client to come back while all servers that it may be sent to
 // are in a pause, because servers of another region take requests.
 func TestRetryAfterIsThatOfAllowedServers(t *testing.T) {
 	c := qt.New(t)
--- a/internal/gateway/generateregions_test.go
+++ b/internal/gateway/generateregions_test.go
@@ -305,7 +305,7 @@
 	c.Assert(formed, qt.IsFalse)
 }
 
-// Guards against cached prompt parts of a bound request that other regions are told of.
+// Guards against cached prompt parts of a bound request that are reported to other regions.
 func TestPartsOfBoundRequestsAreNotShared(t *testing.T) {
 	c := qt.New(t)
 	f := newEngineFixture(c, false)
--- a/internal/gateway/modelroom_test.go
+++ b/internal/gateway/modelroom_test.go
@@ -56,7 +56,7 @@
 }
 
 // Guards against stages that run for a request which no model server can take before its client
-// gives up, and against a refusal that does not say when to come back.
+// stops waiting, and against a refusal that does not say when to come back.
 func TestRequestsWithoutRoomAreRefusedBeforeTheirStages(t *testing.T) {
 	c := qt.New(t)
 	f := newRoomFixture(c, 1, route.Stage{Service: "stage"})
@@ -78,7 +78,7 @@
 	c.Assert(stageCalls.all(), qt.HasLen, 0)
 }
 
-// Guards against instances that learn nothing of the room from the one that places the prompts,
+// Guards against instances that get no state of the room from the one that places the prompts,
 // and against queries whose run is lost on the way there.
 func TestRoomIsToldToOtherInstances(t *testing.T) {
 	c := qt.New(t)
--- a/internal/gateway/modelruns.go
+++ b/internal/gateway/modelruns.go
@@ -36,7 +36,7 @@
 }
 
 // maxRoomWait returns how long the request can wait for room at a model server: until its
-// client gives up.
+// deadline, or until its client stops waiting for the first event.
 func (g *generateRequest) maxRoomWait() time.Duration {
 	wait := g.remaining()
 	if limit := g.route.MaxFirstEventWait; limit > 0 && !g.stream.started {
--- a/internal/gateway/regionowners.go
+++ b/internal/gateway/regionowners.go
@@ -31,8 +31,8 @@
 // regionKey is a key that an instance of a region owns.
 type regionKey struct{ region, key string }
 
-// ownersAnswer holds the addresses of the owners of a key as an instance of their region
-// told them.
+// ownersAnswer holds the addresses of the owners of a key, as an instance of their region
+// named them.
 type ownersAnswer struct {
 	addresses []string
 	at        time.Time
--- a/stagework/returns.go
+++ b/stagework/returns.go
@@ -3,7 +3,7 @@
 import "time"
 
 // maxReturnShare is the share of the remaining time after which clients return at the
-// latest, whatever time they were told.
+// latest, also when the refusal names a longer time.
 const maxReturnShare = 1.0 / 3
 
 // Return is when a refused caller may come back.
