gateway: requests ask other regions for room before their stages

Cause: Placer.PlaceIn dropped the wait for room in the answer of another region's owner. A request that may be served only there ran its stages, and was refused after them although placements there had just had to wait for room. Ruled out: a state by region. Asking without need costs one call and refuses nothing. Change: PlaceIn records the wait as Place does. Before: the new test sees a stage run before the refusal. Conclusion: bound requests are refused before their stages as others are.

--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -56,7 +56,8 @@
 	// pendingShares holds the placements that the next message to the other regions
 	// carries, by service.
 	pendingShares map[string][]*peerpb.SharedPlacement
-	// fullAt holds, by service, when a placement had to wait for room or was refused for it.
+	// fullAt holds, by service, when a placement in any region had to wait for room or was
+	// refused for it.
 	fullAt map[string]time.Time
 
 	roomMetrics roomMetrics
--- a/internal/gateway/placerregions.go
+++ b/internal/gateway/placerregions.go
@@ -41,6 +41,7 @@
 			events.RegionOwnerFailed.Log(ctx, p.logger, slog.String("region", region), slog.String("key", key), slog.String("address", address), slog.String("id", id), slog.Any("error", err))
 			continue
 		}
+		p.observeRoom(service, time.Duration(response.RoomWaitMs)*time.Millisecond)
 		placed, usable, err := p.readPlacement(response, q)
 		if usable || err != nil {
 			placed.owner = address
