engine: a run ends where it was placed

Cause: when the answer to PlacePrompt came late, the caller chose a server itself and reported the end of the run there. The owner did not find the run at that server, and counted the one at the server that it had chosen for four times its expected duration and 2 s more. Owners are slow under load, when such runs cause refusals for room. Ruled out: ending runs by the load that servers name, because a server may not have them yet. Change: the end of a run that is not recorded at a server also ends the run of the same ID at another one. Before: the new test sees one used slot. Left: a caller whose owner has changed since, or that fell back from the owner of another region, reports to another instance, where the run remains until it expires. Conclusion: a late answer of the owner no longer occupies a slot in most cases.

--- a/engine/runtime.go
+++ b/engine/runtime.go
@@ -129,11 +129,18 @@
 	return min(maxSlowness, max(minSlowness, float64(c.pace.gap)/float64(s.pace.gap)))
 }
 
-// endRun removes a run from a server. One that is not recorded began before this scheduler
-// placed prompts, so that one of those that the server reported ends instead.
+// endRun removes a run from a server. One that is not recorded there began before this
+// scheduler placed prompts, or its caller did not receive the placement and chose another
+// server. One of those that the server reported ends instead, and the run at any other server.
 func (s *Scheduler) endRun(c *serverState, id string) {
-	if !c.ledger.remove(id) {
-		c.ledger.remove(c.ledger.firstToEnd(isUnnamed))
+	if c.ledger.remove(id) {
+		return
+	}
+	c.ledger.remove(c.ledger.firstToEnd(isUnnamed))
+	for _, other := range s.servers {
+		if other.ledger.remove(id) {
+			return
+		}
 	}
 }
 
