doors: ages and deadlines do not depend on the time of day

Cause: connections kept the start of a request, of a write and the deadline of writes as Unix time. Where the time of day jumps, a write with a deadline would fail at once, and a new connection would count as one that has held memory for long. Ruled out: the boot-time clock, because time during which the process is suspended is not the client's.

Change: they are kept as monotonic time since the start of the process.

Before: the former values had no monotonic reading.

--- a/internal/doors/conn.go
+++ b/internal/doors/conn.go
@@ -31,8 +31,8 @@
 	net.Conn
 	door *Door
 	// since is when the current request or the idle time before it began, and writing when
-	// the write in progress began, 0 without one; both in ns of Unix time.
-	since, writing atomic.Int64
+	// the write in progress began, zero without one.
+	since, writing instant
 	// inRequest is set from the end of the request's head to the end of its answer.
 	inRequest atomic.Bool
 	// forwarded is set while the request may have reached a server.
@@ -41,7 +41,7 @@
 	// answered is the body that is released when the request is answered; nil without one.
 	answered atomic.Pointer[Body]
 	// writeDeadline bounds all writes; zero for none.
-	writeDeadline atomic.Int64
+	writeDeadline instant
 	once          sync.Once
 }
 
@@ -55,16 +55,16 @@
 
 // age returns the seconds since the request, or the idle time before it, began.
 func (c *Conn) age(now time.Time) float64 {
-	return now.Sub(time.Unix(0, c.since.Load())).Seconds()
+	return now.Sub(c.since.get()).Seconds()
 }
 
 // unreadFor returns the seconds since the client last read something of its answer.
 func (c *Conn) unreadFor(now time.Time) float64 {
-	started := c.writing.Load()
-	if started == 0 {
+	started := c.writing.get()
+	if started.IsZero() {
 		return 0
 	}
-	return now.Sub(time.Unix(0, started)).Seconds()
+	return now.Sub(started).Seconds()
 }
 
 // setState follows the requests on the connection.
@@ -73,7 +73,7 @@
 	if state == http.StateIdle {
 		c.forwarded.Store(false)
 		c.releaseRequest()
-		c.since.Store(time.Now().UnixNano())
+		c.since.set(time.Now())
 	}
 }
 
@@ -115,7 +115,7 @@
 		return n, err
 	}
 	if c.head.Load() == 0 {
-		c.since.Store(time.Now().UnixNano())
+		c.since.set(time.Now())
 	}
 	cost := memorybudget.HeadBytes(n, bytes.Count(p[:n], []byte{'\n'}))
 	if reserveErr := c.door.reserveHead(c, cost); reserveErr != nil {
@@ -129,13 +129,13 @@
 
 // Write writes to the connection. The client must read each piece in time.
 func (c *Conn) Write(p []byte) (written int, err error) {
-	defer c.writing.Store(0)
+	defer c.writing.set(time.Time{})
 	for {
 		now := time.Now()
-		c.writing.Store(now.UnixNano())
+		c.writing.set(now)
 		deadline := now.Add(writePieceTimeout)
-		if all := c.writeDeadline.Load(); all != 0 && time.Unix(0, all).Before(deadline) {
-			deadline = time.Unix(0, all)
+		if all := c.writeDeadline.get(); !all.IsZero() && all.Before(deadline) {
+			deadline = all
 		}
 		_ = c.Conn.SetWriteDeadline(deadline) // fails only for a closed connection
 		n, err := c.Conn.Write(p[:min(len(p), writePieceBytes)])
@@ -149,11 +149,10 @@
 
 // SetWriteDeadline bounds all writes; a zero time removes the bound.
 func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.writeDeadline.set(t)
 	if t.IsZero() {
-		c.writeDeadline.Store(0)
 		return c.Conn.SetWriteDeadline(time.Now().Add(writePieceTimeout))
 	}
-	c.writeDeadline.Store(t.UnixNano())
 	return c.Conn.SetWriteDeadline(t)
 }
 
--- a/internal/doors/doors.go
+++ b/internal/doors/doors.go
@@ -110,7 +110,7 @@
 // returns nil after closing the new one, because none of the others may be closed.
 func (d *Door) Admit(raw net.Conn) *Conn {
 	c := &Conn{Conn: raw, door: d}
-	c.since.Store(time.Now().UnixNano())
+	c.since.set(time.Now())
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.conns) >= d.limits.Connections && !d.closeWorst((*Conn).anything, nil, always) {
--- a/internal/doors/doors_test.go
+++ b/internal/doors/doors_test.go
@@ -24,7 +24,7 @@
 	server, client := net.Pipe()
 	conn := d.Admit(server)
 	c.Assert(conn, qt.IsNotNil)
-	conn.since.Store(time.Now().Add(-age).UnixNano())
+	conn.since.set(time.Now().Add(-age))
 	return conn, client
 }
 
@@ -150,7 +150,7 @@
 	d := newTestDoor(memorybudget.Door{Connections: 2, BodyBytes: 4 << 10})
 	unread, client := admit(c, d, time.Minute)
 	unread.Forward()
-	unread.writing.Store(time.Now().Add(-time.Minute).UnixNano())
+	unread.writing.set(time.Now().Add(-time.Minute))
 	newer, _ := admit(c, d, 0)
 	body, err := d.ReadBody(newer, strings.NewReader(strings.Repeat("b", 5<<10)), 5<<10, -1)
 	c.Assert(err, qt.Equals, ErrNoRoom)
@@ -183,3 +183,18 @@
 	unlimited := memorybudget.NewPlan(memorybudget.Machine{Descriptors: usableDescriptors(math.MaxUint64)})
 	c.Assert(unlimited.Clients.Connections >= limited.Clients.Connections, qt.IsTrue)
 }
+
+// Guards against ages and deadlines that change with the time of day: a write would fail at
+// once, and a new connection would count as an old one.
+func TestInstantsKeepTheirMonotonicTime(t *testing.T) {
+	c := qt.New(t)
+	var i instant
+	c.Assert(i.get().IsZero(), qt.IsTrue)
+	for _, at := range []time.Time{processStart, processStart.Add(-time.Hour), time.Now()} {
+		i.set(at)
+		c.Check(strings.Contains(i.get().String(), "m="), qt.IsTrue, qt.Commentf("%v has no monotonic reading", i.get()))
+		c.Check(i.get().Sub(at).Abs() <= time.Nanosecond, qt.IsTrue)
+	}
+	i.set(time.Time{})
+	c.Assert(i.get().IsZero(), qt.IsTrue)
+}
