--- a/memorybudget/memorybudget.go
+++ b/memorybudget/memorybudget.go
@@ -10,8 +10,8 @@
 const (
 	// DefaultMemoryBytes is used without a setting: the memory of the smallest instances.
 	DefaultMemoryBytes = 192 * mb
-	// baseBytes is what the process needs without clients: 18 MB measured without load, and room
-	// for the configuration, the servers and the peers.
+	// baseBytes is what the process needs without clients: the program, the configuration, the
+	// servers and the peers.
 	baseBytes = 24 * mb
 	// unmanagedBytes is the resident memory that the runtime's limit does not count: the
 	// program's code and data.
