view: a short failure of the reader's calls keeps no removed server (DRAIN)

What callers saw: after a removal shortly after, or during, failed calls of the reader to the store, undisturbed instances sent requests to the server that had left for more than drain-ms (2.5 s).

Cause: each failed call of the reader opened a grace period of 2 s after the next success in which removed servers stay in use, because their entries may have lapsed in an outage. All instances wait for the reader. An entry lapses only after three missed heartbeats, so a failure of 0.3 s, or one of the reader's own path while another instance reaches the store, explains nothing.

Change: the grace period needs two heartbeats without an answer of the store to this instance or a confirmation of another one.

Ruled out: to announce removals at once and let each instance decide. An instance without calls of its own can't know of the outage.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -109,6 +109,9 @@
 			func(m *metrics.Metrics) (*peer.Node, error) { return newNode(s, m, logger) },
 			func(st Store, c *Cluster, m *metrics.Metrics) *view.Sync {
 				views := view.NewSync(st, c, adapter.Protocol, logger, m.Scope)
+				if heartbeat := s.ServerHeartbeat(); heartbeat > 0 {
+					views.SetServerHeartbeat(heartbeat)
+				}
 				if s.FirstStart {
 					views.AllowStaleStart()
 				}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -40,6 +40,9 @@
 	FirstStart bool `json:"first_start,omitempty"`
 	// Peers lists peer addresses to use before others are known.
 	Peers []string `json:"peers,omitempty"`
+	// ServerHeartbeatMS is the interval in ms at which backend servers renew their entries in
+	// the store. 0 means unknown.
+	ServerHeartbeatMS float64 `json:"server_heartbeat_ms,omitempty"`
 	// GraceSeconds is the time from SIGTERM to SIGKILL.
 	GraceSeconds float64 `json:"grace_seconds,omitempty"`
 	// RetryRatio and RetrySlack limit the retries that all instances together send to
@@ -61,6 +64,12 @@
 	return time.Duration(g.GraceSeconds * float64(time.Second))
 }
 
+// ServerHeartbeat returns the interval at which backend servers renew their entries, 0 if it is
+// unknown.
+func (g Gateway) ServerHeartbeat() time.Duration {
+	return time.Duration(g.ServerHeartbeatMS * float64(time.Millisecond))
+}
+
 // Capacity returns the capacity that the instance announces to the others.
 func (g Gateway) Capacity() membership.Capacity {
 	return membership.Capacity{LinkMbits: int(g.LinkMbits), ProcessorMillis: int(1000 * g.Processor)}
@@ -86,6 +95,7 @@
 			"metrics_address", "store_address")
 		c.checkNotEmpty("instance")
 		c.checkAddresses("client_address", "ready_address", "peer_address", "metrics_address", "store_address")
+		c.checkPositive("server_heartbeat_ms", gateway.ServerHeartbeatMS)
 		c.checkPositive("grace_seconds", gateway.GraceSeconds)
 		c.checkPositive("link_mbits", gateway.LinkMbits)
 		c.checkPositive("processor", gateway.Processor)
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -109,6 +109,9 @@
 	return h
 }
 
+// IP returns the IP address of the host.
+func (h *Host) IP() string { return h.ip }
+
 func (n *Network) host(ip string) *Host {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/view/readers.go
+++ b/internal/view/readers.go
@@ -72,6 +72,7 @@
 func (s *Sync) RecordStoreContact(version store.Version, address string, receiving bool) {
 	rank, now := s.peers.ReaderRank(), time.Now()
 	s.mu.Lock()
+	s.state.RecordReach(now)
 	if receiving {
 		if s.receivingSince.IsZero() {
 			s.receivingSince = now
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -77,11 +77,14 @@
 	// removed, the last maxLeaving of them in departedOrder.
 	departed      map[string]int64
 	departedOrder []string
-	// outageUntil is until when the store counts as unreachable, zero once a call has
-	// succeeded. Servers whose entries were removed meanwhile may register again until
-	// settledAt.
+	// outageUntil is until when the store counts as unreachable, zero once it has answered.
+	// reachedAt is when it last answered this instance or another one. Servers whose entries
+	// lapsed meanwhile may register again until settledAt.
 	outageUntil time.Time
+	reachedAt   time.Time
 	settledAt   time.Time
+	// minOutage is the shortest outage in which entries of servers lapse.
+	minOutage time.Duration
 }
 
 // removal is the removal of a key. It was removed after the previous position of the
@@ -96,26 +99,36 @@
 
 // NewState returns an empty state.
 func NewState(decoder Decoder) *State {
-	return &State{decoder: decoder, entries: map[string]store.Entry{}, servers: map[string]Server{}, idByKey: map[string]string{}, graceUntil: map[string]time.Time{}, leaving: map[string]int64{}, departed: map[string]int64{}, evacuations: newEvacuations()}
+	return &State{decoder: decoder, entries: map[string]store.Entry{}, servers: map[string]Server{}, idByKey: map[string]string{}, graceUntil: map[string]time.Time{}, leaving: map[string]int64{}, departed: map[string]int64{}, evacuations: newEvacuations(), minOutage: minOutageOf(DefaultServerHeartbeat)}
 }
 
+// SetServerHeartbeat sets the interval at which servers renew their entries.
+func (s *State) SetServerHeartbeat(interval time.Duration) { s.minOutage = minOutageOf(interval) }
+
 // Position returns the store's version up to which all changes are applied.
 func (s *State) Position() store.Version { return s.position }
 
 // RecordOutage records that a store call failed at a time.
 func (s *State) RecordOutage(now time.Time) { s.outageUntil = now.Add(outageWindow) }
 
-// RecordReturn records that the first store call after an outage succeeded.
-func (s *State) RecordReturn(now time.Time) {
+// RecordReach records that the store answered this instance or another one.
+func (s *State) RecordReach(now time.Time) {
+	if !s.outageUntil.IsZero() && s.mayHaveLapsed(now) {
+		s.settledAt = now.Add(reregisterGracePeriod)
+	}
 	s.outageUntil = time.Time{}
-	s.settledAt = now.Add(reregisterGracePeriod)
+	s.reachedAt = now
 }
 
+// mayHaveLapsed reports whether the store has not answered for so long that entries of
+// running servers may have lapsed.
+func (s *State) mayHaveLapsed(now time.Time) bool { return now.Sub(s.reachedAt) >= s.minOutage }
+
 // graceEnd returns until when a server may register again whose entry was removed at a time,
 // which is that time when no outage explains the removal.
 func (s *State) graceEnd(now time.Time) time.Time {
 	switch {
-	case now.Before(s.outageUntil):
+	case now.Before(s.outageUntil) && s.mayHaveLapsed(now):
 		return now.Add(reregisterGracePeriod)
 	case now.Before(s.settledAt):
 		return s.settledAt
--- a/internal/view/state_test.go
+++ b/internal/view/state_test.go
@@ -246,7 +246,7 @@
 		s.Replace(epoch, []store.Entry{entry("server/a", "x", 1)}, 1)
 	}
 	reader.RecordOutage(epoch)
-	reader.RecordReturn(epoch.Add(100 * time.Millisecond))
+	reader.RecordReach(epoch.Add(100 * time.Millisecond))
 	removedAt := epoch.Add(time.Second)
 	c.Assert(reader.Apply(removedAt, store.WatchResult{Deleted: []string{"server/a"}, Version: 2}).Any(), qt.IsFalse)
 	c.Assert(reader.Tick(epoch.Add(100*time.Millisecond+reregisterGracePeriod)).Left, qt.DeepEquals, []string{"a"})
@@ -254,6 +254,37 @@
 	c.Assert(follower.Merge(removedAt, reader.ChangesAfter(follower.Position())).Left, qt.DeepEquals, []string{"a"})
 }
 
+// Guards against a server that stays in use for seconds after it left, because a call to the
+// store failed shortly before: no entry of a running server lapses in a short outage, nor in
+// one of this instance's own path.
+func TestRemovalsAfterShortOutagesApplyAtOnce(t *testing.T) {
+	const heartbeat = time.Second
+	for _, v := range []struct {
+		outage, contact time.Duration
+		atOnce          bool
+	}{
+		{outage: heartbeat, atOnce: true},
+		{outage: minOutageOf(heartbeat)},
+		{outage: 3 * heartbeat, contact: 2 * heartbeat}, // the contact follows the outage
+		{outage: 3 * heartbeat, contact: heartbeat},
+		{outage: 3 * heartbeat, contact: heartbeat + heartbeat/2, atOnce: true},
+	} {
+		c := qt.New(t)
+		s := NewState(fakeDecoder{})
+		s.SetServerHeartbeat(heartbeat)
+		s.Replace(epoch, []store.Entry{entry("server/a", "x", 1)}, 1)
+		s.RecordReach(epoch)
+		s.RecordOutage(epoch.Add(heartbeat / 10))
+		if v.contact > 0 {
+			s.RecordReach(epoch.Add(v.contact))
+			s.RecordOutage(epoch.Add(v.contact + heartbeat/10))
+		}
+		s.RecordReach(epoch.Add(v.outage))
+		change := s.Apply(epoch.Add(v.outage), store.WatchResult{Deleted: []string{"server/a"}, Version: 2})
+		c.Check(len(change.Left) == 1, qt.Equals, v.atOnce, qt.Commentf("%+v", v))
+	}
+}
+
 // Guards against a server that stays in use for seconds after it left, because a call to the
 // store failed some time before.
 func TestRemovalsLongAfterAnOutageApplyAtOnce(t *testing.T) {
@@ -261,7 +292,7 @@
 	s := NewState(fakeDecoder{})
 	s.Replace(epoch, []store.Entry{entry("server/a", "x", 1)}, 1)
 	s.RecordOutage(epoch)
-	s.RecordReturn(epoch.Add(100 * time.Millisecond))
+	s.RecordReach(epoch.Add(100 * time.Millisecond))
 	change := s.Apply(epoch.Add(100*time.Millisecond+reregisterGracePeriod), store.WatchResult{Deleted: []string{"server/a"}, Version: 2})
 	c.Assert(change.Left, qt.DeepEquals, []string{"a"})
 }
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -214,6 +214,10 @@
 // shortly before would be in use again. It must be called before Run.
 func (s *Sync) AllowStaleStart() { s.staleStart = true }
 
+// SetServerHeartbeat sets the interval at which servers renew their entries. It must be
+// called before Run.
+func (s *Sync) SetServerHeartbeat(interval time.Duration) { s.state.SetServerHeartbeat(interval) }
+
 // Current returns the view, nil until there is one.
 func (s *Sync) Current() *View { return s.current.Load() }
 
@@ -262,6 +266,7 @@
 	s.mu.Lock()
 	if fromStore {
 		s.lastReached, s.receivingSince = now, time.Time{}
+		s.state.RecordReach(now)
 		s.markReachable()
 	}
 	change := apply(s.state, now)
@@ -312,7 +317,6 @@
 func (s *Sync) markReachable() {
 	if !s.reachable {
 		s.reachable = true
-		s.state.RecordReturn(time.Now())
 		events.StoreReachable.Log(context.Background(), s.logger, slog.Int64("version", int64(s.state.Position())))
 	}
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -140,3 +140,15 @@
 // outageWindow is how long after a failed store call the store counts as unreachable while no
 // call succeeds. A removal that a peer reports meanwhile may be caused by the outage.
 const outageWindow = 3 * time.Second
+
+// DefaultServerHeartbeat is the interval at which servers renew their entries unless the
+// settings name another one.
+const DefaultServerHeartbeat = time.Second
+
+// lapseHeartbeats is the least number of heartbeats that a server misses in an outage before
+// its entry lapses: the store waits for three, and the last one may have come just before.
+const lapseHeartbeats = 2
+
+// minOutageOf returns the shortest outage in which the entries of servers with a heartbeat
+// interval lapse.
+func minOutageOf(heartbeat time.Duration) time.Duration { return lapseHeartbeats * heartbeat }
