gateway: one account for the memory of all answers, heads are bounded

Report of another operator: a faulty server sent bytes that were no answer, without end, until the process that had called it ran out of memory.

Cause: it can happen here. Each read of an answer had a bound of its own (head 64 KB, event 1 MB, stage answer 1 MB, list 4 MB), but their sum had none, and a head of very many short fields costs far more than its bytes.

Change: package answermemory is charged for heads, held answers, events, stage results, lists, states and answers of peers. When it is full, the server that holds most loses its largest answer. Heads have at most 256 lines and take at most 3 s from their first byte. The heads of the store's answers, and of those to an entry instance, are bounded by 64 KB (10 MB before).

Ruled out: a fixed share for each server, since most services have traffic to few servers of one instance at a time; smaller bounds for each answer alone.

Open: with bodies without end that clients do not read, ordinary requests to other services are refused until the time limit of their route. The account of an entry instance is not built.

--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -28,6 +28,9 @@
 	return &HTTPCaller{transport: transport}
 }
 
+// maxHeadBytes limits the head of an answer.
+const maxHeadBytes = 64 << 10
+
 // NewTransport returns a transport for calls to backend servers. Idle
 // connections are kept per server, because each call is short compared with a
 // handshake between regions.
@@ -37,6 +40,8 @@
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     90 * time.Second,
 		DisableCompression:  true,
+		// A faulty server may send a head without end.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -107,6 +107,9 @@
 	return text.String()
 }
 
+// WholeRequest sends an ordinary request and does not read the answer.
+func WholeRequest(conn net.Conn, d Door) { _, _ = io.WriteString(conn, d.head("GET")+"\r\n") }
+
 // Send plays a crowd and returns once each client has sent what it sends. The connections
 // stay open until the returned function is called.
 func Send(d Door, play Client) (leave func()) {
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -31,7 +31,7 @@
 		newStoreAccess,
 		newMembers,
 		newGossip,
-		peer.NewClient,
+		func() *peer.Client { return peer.NewClient(nil) },
 		func(m *Members) *peer.Server { return peer.NewServer(m.Node) },
 		newLoader,
 		func(l *configuration.Loader) ConfigurationSource { return l },
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -244,7 +244,7 @@
 // forwardAnswer passes on an answer that is not a stream of events. It returns an error
 // only when nothing was written to the client.
 func (c *clientRequest) forwardAnswer(answer *upstream.Answer, server string) error {
-	held := heldAnswer{memory: c.answers}
+	held := heldAnswer{memory: answer.Memory()}
 	defer held.release()
 	whole, err := held.read(answer.Body)
 	if err != nil {
--- a/internal/gateway/cluster_test.go
+++ b/internal/gateway/cluster_test.go
@@ -19,7 +19,7 @@
 func newTestCluster(c *qt.C, st *storetest.Fake) *Cluster {
 	node := listenPeer(c)
 	s := settings.Gateway{Instance: "g", Region: "r", PeerAddress: nodeAddress(node)}
-	return NewCluster(s, node, peer.NewClient(), st, discardLogger())
+	return NewCluster(s, node, peer.NewClient(nil), st, discardLogger())
 }
 
 func addRegistration(c *qt.C, st *storetest.Fake, id, region string) {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -90,7 +90,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Provide(
 			metrics.New,
-			peer.NewClient,
+			func(d *doorSet) *peer.Client { return peer.NewClient(d.answers) },
 			peer.NewServer,
 			NewCluster,
 			NewServers,
@@ -105,7 +105,7 @@
 			func() Protocol { return adapter.Protocol },
 			func() Store { return adapter.Store(s.StoreAddress) },
 			func(st Store) RegistrationStore { return st },
-			func(m *metrics.Metrics) *upstream.Client { return upstream.NewClient(m.Scope) },
+			func(d *doorSet, m *metrics.Metrics) *upstream.Client { return upstream.NewClient(d.answers, m.Scope) },
 			func(m *metrics.Metrics) (*peer.Node, error) { return newNode(s, m, logger) },
 			func(st Store, c *Cluster, m *metrics.Metrics) *view.Sync {
 				views := view.NewSync(st, c, adapter.Protocol, logger, m.Scope)
@@ -132,7 +132,7 @@
 			},
 			func(m *metrics.Metrics) *doorSet { return newDoorSet(s, logger, m.Scope) },
 			func(views *view.Sync, servers *Servers, client *ServerClient, stages *StageRunner, placer *Placer, d *doorSet, drain *Drain, m *metrics.Metrics) *Gateway {
-				return New(adapter.Protocol, views, servers, client, stages, placer, d.clients, d.answers, drain, logger, m.Scope)
+				return New(adapter.Protocol, views, servers, client, stages, placer, d.clients, drain, logger, m.Scope)
 			},
 			func() *Drain { return NewDrain(s.Grace()) },
 			func() *readiness.Readiness { return &readiness.Readiness{Logger: logger, Ready: events.GatewayReady} },
--- a/internal/gateway/eventreader.go
+++ b/internal/gateway/eventreader.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/answermemory"
 )
 
 // maxEventBytes bounds one event of a stream.
@@ -16,10 +18,40 @@
 // byte.
 type eventReader struct {
 	reader *bufio.Reader
+	memory *answermemory.Holding
+	// held is what is reserved for the present event.
+	held int64
+}
+
+// newEventReader returns a reader of a stream. The memory of large events is reserved in
+// memory; nil for no bound.
+func newEventReader(r io.Reader, memory *answermemory.Holding) *eventReader {
+	return &eventReader{reader: bufio.NewReader(r), memory: memory}
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{bufio.NewReader(r)}
+const (
+	// smallEventBytes is the size up to which the memory of an event belongs to that of its
+	// connection.
+	smallEventBytes = 4 << 10
+	// eventCopies is how often the bytes of an event are in memory: in its line and in the
+	// event, in buffers of up to twice their size.
+	eventCopies = 4
+	// eventReserveBytes is the least that is reserved at once.
+	eventReserveBytes = 16 << 10
+)
+
+// reserve reserves memory for an event of size bytes.
+func (r *eventReader) reserve(size int) error {
+	missing := int64(size-smallEventBytes)*eventCopies - r.held
+	if missing <= 0 {
+		return nil
+	}
+	missing = max(missing, eventReserveBytes)
+	if err := r.memory.Reserve(missing); err != nil {
+		return err
+	}
+	r.held += missing
+	return nil
 }
 
 // streamEvent is one event of a stream with the blank line that ends it.
@@ -36,8 +68,10 @@
 // incomplete; a stream that ends inside an event returns io.ErrUnexpectedEOF.
 func (r *eventReader) next() (streamEvent, error) {
 	var e streamEvent
+	r.memory.Release(r.held)
+	r.held = 0
 	for {
-		line, err := r.readLine(maxEventBytes - len(e.data))
+		line, err := r.readLine(len(e.data))
 		e.data = append(e.data, line...)
 		if errors.Is(err, io.EOF) && (e.begun || len(line) > 0) {
 			err = io.ErrUnexpectedEOF
@@ -58,14 +92,18 @@
 	}
 }
 
-// readLine returns the next line with its end, or errEventTooLarge once it has more than
-// limit bytes.
-func (r *eventReader) readLine(limit int) (line []byte, err error) {
+// readLine returns the next line of an event with its end, after eventBytes of the event. It
+// returns errEventTooLarge once the event has more than maxEventBytes, and
+// answermemory.ErrNoRoom when there is no memory for it.
+func (r *eventReader) readLine(eventBytes int) (line []byte, err error) {
 	for {
 		part, err := r.reader.ReadSlice('\n')
+		if noRoom := r.reserve(eventBytes + len(line) + len(part)); noRoom != nil {
+			return line, noRoom
+		}
 		line = append(line, part...)
 		switch {
-		case len(line) > limit:
+		case eventBytes+len(line) > maxEventBytes:
 			return line, errEventTooLarge
 		case !errors.Is(err, bufio.ErrBufferFull):
 			return line, err
--- a/internal/gateway/eventrelay.go
+++ b/internal/gateway/eventrelay.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return 0, err
 	}
-	reader := newEventReader(answer.Body)
+	reader := newEventReader(answer.Body, answer.Memory())
 	controller := http.NewResponseController(c.writer)
 	for first := true; ; first = false {
 		e, err := reader.next()
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -289,7 +289,7 @@
 	for _, server := range f.servers {
 		add("server/"+server.ID, server)
 	}
-	protocol, peerClient := fakeProtocol{}, peer.NewClient()
+	protocol, peerClient := fakeProtocol{}, peer.NewClient(nil)
 	cluster := NewCluster(s, node, peerClient, storetest.New(), discardLogger())
 	cluster.started = cluster.started.Add(-firstReadDelay) // no other instance starts
 	f.version, f.changes, f.changed = 1, make(chan store.WatchResult), make(chan struct{}, 10)
@@ -297,12 +297,12 @@
 	servers := NewServers(s, cluster)
 	permits := NewPermits(s, cluster, peerClient, views, discardLogger(), tally.NoopScope)
 	evacuations := NewEvacuations(views, discardLogger(), tally.NoopScope)
-	client := NewServerClient(upstream.NewClient(tally.NoopScope), protocol, permits, evacuations, markLeaving(views, cluster, discardLogger()), discardLogger(), tally.NoopScope)
+	client := NewServerClient(upstream.NewClient(nil, tally.NoopScope), protocol, permits, evacuations, markLeaving(views, cluster, discardLogger()), discardLogger(), tally.NoopScope)
 	freer := NewResultFreer(protocol, client, registeredProducer(views), discardLogger())
 	f.scheduler = NewStageScheduler(protocol, client, servers, freer, discardLogger(), tally.NoopScope)
 	f.drain = NewDrain(s.Grace())
 	quarantines := NewQuarantines(discardLogger(), tally.NoopScope)
-	f.gateway = New(protocol, views, servers, client, NewStageRunner(cluster, peerClient, f.scheduler, discardLogger(), tally.NoopScope), NewPlacer(cluster, peerClient, servers, client, protocol, quarantines, discardLogger(), tally.NoopScope), newTestDoor(), doors.NewMemory(1<<20), f.drain, discardLogger(), tally.NoopScope)
+	f.gateway = New(protocol, views, servers, client, NewStageRunner(cluster, peerClient, f.scheduler, discardLogger(), tally.NoopScope), NewPlacer(cluster, peerClient, servers, client, protocol, quarantines, discardLogger(), tally.NoopScope), newTestDoor(), f.drain, discardLogger(), tally.NoopScope)
 	views.Observe(permits.ObserveView)
 	views.Observe(servers.Update)
 	views.Observe(quarantines.ObserveView)
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -18,7 +18,7 @@
 	f.Add([]byte("id: 1\ndata: x\n\nid: 2\ndata: y\n\n"))
 	f.Add([]byte(": comment\n\nid:3\r\ndata"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		reader := newEventReader(bytes.NewReader(data))
+		reader := newEventReader(bytes.NewReader(data), nil)
 		var passedOn []byte
 		for {
 			e, err := reader.next()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,10 +29,8 @@
 	logger   *slog.Logger
 	metrics  requestMetrics
 	inFlight atomic.Int64
-	// door bounds the memory of request bodies, and answers that of answers which are held
-	// before they are passed on.
-	door    *doors.Door
-	answers *doors.Memory
+	// door bounds the memory of request bodies.
+	door *doors.Door
 	// runTimes holds the mean duration of runs at model servers by route.
 	runTimes *movingAverages
 	// durations holds the longest recent durations of whole requests by route.
@@ -65,8 +63,8 @@
 }
 
 // New returns a gateway that serves requests by the current view of views.
-func New(protocol Protocol, views *view.Sync, servers *Servers, client *ServerClient, stages *StageRunner, placer *Placer, door *doors.Door, answers *doors.Memory, drain *Drain, logger *slog.Logger, scope tally.Scope) *Gateway {
-	return &Gateway{protocol: protocol, views: views, servers: servers, client: client, stages: stages, placer: placer, door: door, answers: answers, drain: drain, logger: logger, metrics: newRequestMetrics(scope), runTimes: newMovingAverages(), durations: newRecentMaxima(), fetchEstimates: newFetchEstimates(), unreached: newUnreachedRegions()}
+func New(protocol Protocol, views *view.Sync, servers *Servers, client *ServerClient, stages *StageRunner, placer *Placer, door *doors.Door, drain *Drain, logger *slog.Logger, scope tally.Scope) *Gateway {
+	return &Gateway{protocol: protocol, views: views, servers: servers, client: client, stages: stages, placer: placer, door: door, drain: drain, logger: logger, metrics: newRequestMetrics(scope), runTimes: newMovingAverages(), durations: newRecentMaxima(), fetchEstimates: newFetchEstimates(), unreached: newUnreachedRegions()}
 }
 
 // InFlight returns the number of requests in flight.
--- a/internal/gateway/heldanswer.go
+++ b/internal/gateway/heldanswer.go
@@ -4,7 +4,7 @@
 	"errors"
 	"io"
 
-	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/answermemory"
 )
 
 // firstAnswerBytes is the size of the buffer that an answer begins with.
@@ -12,13 +12,12 @@
 
 // heldAnswer is an answer of a server that is held before it is passed on.
 type heldAnswer struct {
-	memory *doors.Memory
-	held   int64
+	memory *answermemory.Holding
 	bytes  []byte
 }
 
 // release gives the memory back.
-func (a *heldAnswer) release() { a.memory.Release(a.held) }
+func (a *heldAnswer) release() { a.memory.Release(int64(cap(a.bytes))) }
 
 // read reads an answer up to maxBufferedAnswerBytes, or as far as there is memory. It reports
 // whether that is the whole answer.
@@ -42,14 +41,12 @@
 func (a *heldAnswer) grow() bool {
 	old := int64(cap(a.bytes))
 	size := max(firstAnswerBytes, 2*old)
-	if size > maxBufferedAnswerBytes || !a.memory.TryAcquire(size) {
+	if size > maxBufferedAnswerBytes || !a.memory.Offer(size) {
 		return false
 	}
-	a.held += size
 	grown := make([]byte, len(a.bytes), size)
 	copy(grown, a.bytes)
 	a.bytes = grown
 	a.memory.Release(old)
-	a.held -= old
 	return true
 }
--- a/internal/gateway/modelroom.go
+++ b/internal/gateway/modelroom.go
@@ -12,7 +12,6 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/engine"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
-	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 )
 
@@ -105,7 +104,7 @@
 		return engine.Load{}, err
 	}
 	defer answer.Close()
-	body, err := httpbody.Read(answer.Body, maxStateBytes)
+	body, err := answer.ReadBody(maxStateBytes)
 	if err != nil {
 		return engine.Load{}, err
 	}
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -14,7 +14,6 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/engine"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
-	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
@@ -114,7 +113,7 @@
 		return nil, err
 	}
 	defer answer.Close()
-	body, err := httpbody.Read(answer.Body, maxCacheListBytes)
+	body, err := answer.ReadBody(maxCacheListBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/resultfreer_test.go
+++ b/internal/gateway/resultfreer_test.go
@@ -66,7 +66,7 @@
 func newTestFreer(current *atomic.Pointer[view.View]) *ResultFreer {
 	views := view.NewSync(fakeSource{}, nil, fakeProtocol{}, discardLogger(), tally.NoopScope)
 	permits := &Permits{views: views, table: ratelimit.NewTable()}
-	client := NewServerClient(upstream.NewClient(tally.NoopScope), fakeProtocol{}, permits, NewEvacuations(views, discardLogger(), tally.NoopScope), func(upstream.Server) {}, discardLogger(), tally.NoopScope)
+	client := NewServerClient(upstream.NewClient(nil, tally.NoopScope), fakeProtocol{}, permits, NewEvacuations(views, discardLogger(), tally.NoopScope), func(upstream.Server) {}, discardLogger(), tally.NoopScope)
 	serverOf := func(p stagework.Producer) (upstream.Server, bool) {
 		s, ok := producerOf(current.Load(), p)
 		return upstream.Server{ID: s.ID, Address: s.Address, Incarnation: s.Incarnation}, ok
--- a/internal/gateway/serverclient.go
+++ b/internal/gateway/serverclient.go
@@ -13,7 +13,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
-	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/tcpprobe"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
@@ -170,7 +169,7 @@
 	answer, err := c.Send(ctx, server, c.protocol.StateCall(server))
 	if err == nil {
 		defer answer.Close()
-		body, _ := httpbody.Read(answer.Body, maxStateBytes) // without a body, the ID counts alone
+		body, _ := answer.ReadBody(maxStateBytes) // without a body, the ID counts alone
 		current := c.protocol.StateIncarnation(body)
 		if answer.Status == http.StatusMisdirectedRequest || current != 0 && server.Incarnation != 0 && current != server.Incarnation {
 			return livenessEnded
--- a/internal/gateway/stagecalls.go
+++ b/internal/gateway/stagecalls.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/events"
-	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
@@ -90,7 +89,7 @@
 		return stagework.SameOutcome(s.statusOfFailure(server, err), len(pieces)), err
 	}
 	defer answer.Close()
-	body, err := httpbody.Read(answer.Body, maxStageAnswerBytes)
+	body, err := answer.ReadBody(maxStageAnswerBytes)
 	if err != nil {
 		return stagework.SameOutcome(s.statusOfFailure(server, err), len(pieces)), err
 	}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -76,7 +76,7 @@
 func TestEndlessLinesOfStreamsAreCutOff(t *testing.T) {
 	c := qt.New(t)
 	source := &endless{}
-	_, err := newEventReader(io.LimitReader(source, 64*maxEventBytes)).next()
+	_, err := newEventReader(io.LimitReader(source, 64*maxEventBytes), nil).next()
 	c.Assert(err, qt.ErrorIs, errEventTooLarge)
 	c.Assert(source.read <= 2*maxEventBytes, qt.IsTrue, qt.Commentf("%d bytes were read", source.read))
 }
@@ -359,7 +359,7 @@
 // joined, and against an end inside an event that looks like the end of the stream.
 func TestEventReader(t *testing.T) {
 	c := qt.New(t)
-	reader := newEventReader(strings.NewReader("id:1\r\ndata: a\r\n\r\n: comment\n\nid: 2\ndata: b"))
+	reader := newEventReader(strings.NewReader("id:1\r\ndata: a\r\n\r\n: comment\n\nid: 2\ndata: b"), nil)
 	first, err := reader.next()
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(first.data), qt.Equals, "id:1\r\ndata: a\r\n\r\n")
@@ -371,7 +371,7 @@
 	c.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
 	c.Assert(string(third.data), qt.Equals, "id: 2\ndata: b")
 	for rest, want := range map[string]error{"": io.EOF, ": comment\n": io.EOF, ": comm": io.ErrUnexpectedEOF, "data: b\n": io.ErrUnexpectedEOF} {
-		last, err := newEventReader(strings.NewReader(rest)).next()
+		last, err := newEventReader(strings.NewReader(rest), nil).next()
 		c.Assert(err, qt.Equals, want)
 		c.Assert(string(last.data), qt.Equals, rest)
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/answermemory"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
@@ -49,17 +50,18 @@
 	pulls *http.Client
 }
 
-// NewClient returns a client with its own connections.
-func NewClient() *Client {
+// NewClient returns a client with its own connections. The memory of answers is reserved in an
+// account, apart from that of views, of which one is pulled at a time; nil for no bound.
+func NewClient(memory *answermemory.Account) *Client {
 	dialer := net.Dialer{
 		// Probes detect connections that a network partition has interrupted.
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount},
 	}
-	return NewClientWithDial(dialer.DialContext)
+	return NewClientWithDial(dialer.DialContext, memory)
 }
 
 // NewClientWithDial returns a client that opens its connections with dial.
-func NewClientWithDial(dial transfer.DialFunc) *Client {
+func NewClientWithDial(dial transfer.DialFunc, memory *answermemory.Account) *Client {
 	newTransport := func() http.RoundTripper {
 		return httpbody.Transport{Limit: maxResponseBytes, Next: &http.Transport{
 			DialContext: dial.WithTimeout(dialTimeout), MaxIdleConnsPerHost: maxIdlePerPeer,
@@ -67,7 +69,7 @@
 		}}
 	}
 	return &Client{
-		http:  &http.Client{Transport: newTransport()},
+		http:  &http.Client{Transport: answermemory.Transport{Next: newTransport(), Account: memory}},
 		pulls: &http.Client{Transport: transfer.Transport{Next: newTransport(), Limits: pullLimits}},
 	}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -91,7 +91,7 @@
 // whose size grows with the request.
 func TestCallsBetweenInstances(t *testing.T) {
 	c := qt.New(t)
-	ctx, client, server := context.Background(), NewClient(), NewServer(nil)
+	ctx, client, server := context.Background(), NewClient(nil), NewServer(nil)
 	address := startServer(c, server)
 	_, err := client.AppendClaims(ctx, address, 1, [][]byte{{1}})
 	c.Assert(err, qt.ErrorIs, ErrUnsupported)
@@ -149,7 +149,7 @@
 	server := NewServer(nil)
 	server.HandleViews(fakeViews{[]store.Entry{{Key: "servers/a", Value: bytes.Repeat([]byte("a"), 2*minCompressedBytes), Version: 7}}})
 	address := startServer(c, server)
-	client := NewClient()
+	client := NewClient(nil)
 	pull := func(have store.Version) error {
 		_, err := client.PullView(c.Context(), address, have, callTimeout)
 		return err
@@ -172,12 +172,12 @@
 	address := startServer(c, server)
 	var pulls sync.WaitGroup
 	for range maxPulls {
-		pulls.Go(func() { _, _ = NewClient().Head(context.Background(), address, 0) })
+		pulls.Go(func() { _, _ = NewClient(nil).Head(context.Background(), address, 0) })
 	}
 	for range maxPulls {
 		<-handler.entered
 	}
-	_, err := NewClient().Head(context.Background(), address, 0)
+	_, err := NewClient(nil).Head(context.Background(), address, 0)
 	c.Assert(err, qt.ErrorIs, ErrBusy)
 	close(handler.block)
 	pulls.Wait()
@@ -211,7 +211,7 @@
 		running.Go(func() { node.Run(ctx) })
 	}
 	waitForLive(c, nodes, "a b c")
-	nodes[2].Leave(ctx, NewClient())
+	nodes[2].Leave(ctx, NewClient(nil))
 	waitForLive(c, nodes[:2], "a b")
 }
 
--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -35,7 +35,7 @@
 		listener := host.Listen("10.0.0.1:80")
 		go func() { _ = server.Serve(listener) }()
 		defer server.Close()
-		client := NewClientWithDial(caller.Dial)
+		client := NewClientWithDial(caller.Dial, nil)
 		pull := func() time.Duration {
 			started := time.Now()
 			changes, err := client.PullView(context.Background(), "10.0.0.1:80", 1, 800*time.Millisecond)
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -29,6 +29,9 @@
 // a list returns whole values.
 const maxAnswerBytes = 64 << 20
 
+// maxHeadBytes limits the head of an answer.
+const maxHeadBytes = 64 << 10
+
 // HTTP is the Store adapter for the HTTP protocol.
 type HTTP struct {
 	client  *http.Client
@@ -48,7 +51,7 @@
 func NewHTTP(address string) *HTTP {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	client := &http.Client{
-		Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: time.Minute},
+		Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes},
 		// A redirect with status 307 or 308 would send a write a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -20,7 +18,7 @@
 	address     string
 	netConn     net.Conn
 	reader      *bufio.Reader
-	limit       *limitedReader
+	head        *headReader
 	// reused is true when an earlier request was sent on the connection.
 	reused bool
 	// expires is the time from which the idle connection must not be used.
@@ -31,29 +29,8 @@
 const readBufferBytes = 4 << 10
 
 func newConn(netConn net.Conn, server Server) *conn {
-	limit := &limitedReader{reader: netConn}
-	return &conn{serverID: server.ID, incarnation: server.Incarnation, address: server.Address, netConn: netConn, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
-}
-
-// errHeadTooLong reports an answer whose head has no end within maxHeadBytes.
-var errHeadTooLong = errors.New("head of the answer is too long")
-
-// limitedReader bounds what is read of a connection until the next call of allow.
-type limitedReader struct {
-	reader io.Reader
-	left   int64
-}
-
-// allow sets the number of bytes that may be read from now on.
-func (r *limitedReader) allow(bytes int64) { r.left = bytes }
-
-func (r *limitedReader) Read(p []byte) (int, error) {
-	if r.left <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := r.reader.Read(p[:min(int64(len(p)), r.left)])
-	r.left -= int64(n)
-	return n, err
+	head := &headReader{conn: netConn}
+	return &conn{serverID: server.ID, incarnation: server.Incarnation, address: server.Address, netConn: netConn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
 // leadsTo reports whether the connection is to the process that a server is now.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -15,6 +14,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/answermemory"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 )
 
@@ -32,6 +32,8 @@
 	sent         chan struct{}
 	writeErr     error
 	writtenBytes atomic.Int64
+	// memory is reserved for the answer until the end of the exchange.
+	memory *answermemory.Holding
 	// stray is true after an answer to another request.
 	stray bool
 	// serverCloses is true when the server closes the connection after the answer.
@@ -48,6 +50,7 @@
 		return nil, err
 	}
 	e := &exchange{client: c, conn: cn, sent: make(chan struct{})}
+	e.memory = c.memory.Open(server.ID, func() { cn.netConn.Close() })
 	e.stopAfterFunc = context.AfterFunc(ctx, func() { cn.netConn.Close() })
 	e.writeRequest(request)
 	answer, err := e.readAnswer(request)
@@ -105,10 +108,12 @@
 // readAnswer returns the head of the answer. Answers to other requests are skipped.
 func (e *exchange) readAnswer(request *Request) (*Answer, error) {
 	for range maxStrayAnswers + 1 {
-		e.conn.limit.allow(maxHeadBytes)
+		e.conn.head.begin(e.memory)
 		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: request.Method})
-		e.conn.limit.allow(math.MaxInt64)
 		if err != nil {
+			return nil, e.client.recordHeadError(err)
+		}
+		if err := e.conn.head.finish(); err != nil {
 			return nil, err
 		}
 		if response.StatusCode < http.StatusOK {
@@ -152,6 +157,7 @@
 	e.releaseOnce.Do(func() {
 		e.stopAfterFunc()
 		e.client.discard(e.conn)
+		e.memory.Close()
 	})
 }
 
@@ -184,6 +190,7 @@
 		return
 	}
 	e.releaseOnce.Do(func() {
+		e.memory.Close()
 		if !e.stopAfterFunc() {
 			// The end of the context has closed the connection.
 			e.client.discard(e.conn)
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -37,7 +37,7 @@
 			_ = conn.Close()
 		}
 	}()
-	client := NewClient(tally.NoopScope)
+	client := NewClient(nil, tally.NoopScope)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		answers <- data
 		ctx, cancel := context.WithTimeout(t.Context(), fuzzAnswerTimeout)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -11,6 +13,8 @@
 	"github.com/samber/oops"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sys/unix"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/answermemory"
 )
 
 // Client sends requests to backend servers over a pool of connections.
@@ -19,6 +23,9 @@
 	dials          tally.Counter
 	strays         tally.Counter
 	closeDelimited tally.Counter
+	// badHeads counts the heads that were cut off.
+	badHeads tally.Counter
+	memory   *answermemory.Account
 
 	mu sync.Mutex
 	// idle holds the idle connections, and open the number of all connections, by the ID
@@ -27,8 +34,9 @@
 	open map[string]int
 }
 
-// NewClient returns a client without connections.
-func NewClient(scope tally.Scope) *Client {
+// NewClient returns a client without connections. The memory of answers is reserved in an
+// account; nil for no bound.
+func NewClient(memory *answermemory.Account, scope tally.Scope) *Client {
 	return &Client{
 		dialer: net.Dialer{
 			Timeout:         dialTimeout,
@@ -38,6 +46,8 @@
 		dials:          scope.Counter("upstream_connections_opened"),
 		strays:         scope.Counter("upstream_stray_answers"),
 		closeDelimited: scope.Counter("upstream_close_delimited_answers"),
+		badHeads:       scope.Counter("upstream_heads_cut_off"),
+		memory:         memory,
 		idle:           map[string][]*conn{},
 		open:           map[string]int{},
 	}
@@ -116,6 +126,14 @@
 	}
 }
 
+// recordHeadError counts the error of a head that was cut off, and returns it.
+func (c *Client) recordHeadError(err error) error {
+	if errors.Is(err, errHeadTooLong) || errors.Is(err, answermemory.ErrNoRoom) || errors.Is(err, os.ErrDeadlineExceeded) {
+		c.badHeads.Inc(1)
+	}
+	return err
+}
+
 // OpenConnections returns the number of connections to a server.
 func (c *Client) OpenConnections(serverID string) int {
 	c.mu.Lock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/answermemory"
 )
 
 // Errors of Send. Each tells whether the server can have received the request.
@@ -59,6 +61,14 @@
 	exchange *exchange
 }
 
+// ReadBody reads a body of at most limit bytes to its end. The memory is reserved until Close.
+func (a *Answer) ReadBody(limit int64) ([]byte, error) {
+	return a.exchange.memory.ReadBody(a.Body, limit)
+}
+
+// Memory returns the memory that is reserved for the answer until Close.
+func (a *Answer) Memory() *answermemory.Holding { return a.exchange.memory }
+
 // Framing is how the end of a body is marked (RFC 9112, section 6.3).
 type Framing string
 
@@ -99,8 +109,12 @@
 	// maxInlineBodyBytes is the size up to which a body is written before the answer is
 	// awaited. It fits the smallest TCP window.
 	maxInlineBodyBytes = 1 << 10
-	// maxHeadBytes bounds the head of an answer. A faulty server may send one without end.
+	// maxHeadBytes and maxHeadLines bound the head of an answer. A faulty server may send one
+	// without end, or one of very many fields, each of which costs far more than its bytes.
 	maxHeadBytes = 64 << 10
+	maxHeadLines = 256
+	// headTimeout bounds the time from the first byte of a head to its end.
+	headTimeout = 3 * time.Second
 	// maxStrayAnswers bounds the answers to other requests that are skipped.
 	maxStrayAnswers = 2
 	// maxStrayAnswerBytes bounds what is read of the body of a skipped answer.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -57,7 +57,7 @@
 		Belongs: func(h http.Header) bool { return h.Get("Id") == id }}
 }
 
-func newClient() *Client { return NewClient(tally.NoopScope) }
+func newClient() *Client { return NewClient(nil, tally.NoopScope) }
 
 func sendAndRead(c *qt.C, client *Client, server Server, id string) string {
 	answer, err := client.Send(context.Background(), server, newRequest(id))
--- a/internal/viewfleet/viewfleet.go
+++ b/internal/viewfleet/viewfleet.go
@@ -139,7 +139,7 @@
 	identity := membership.Identity{ID: i.ID, FailureDomain: s.Region, Address: address, Incarnation: uint64(time.Now().Unix()), Capacity: s.Capacity()}
 	store := f.config.NewStore(storeAddress, i.Host.Dial)
 	i.node = peer.NewNode(i.Host.ListenPacket(address), identity, f.config.Logger.With("instance", i.ID), tally.NoopScope)
-	i.Cluster = gateway.NewCluster(s, i.node, peer.NewClientWithDial(i.Host.Dial), store, f.config.Logger)
+	i.Cluster = gateway.NewCluster(s, i.node, peer.NewClientWithDial(i.Host.Dial, nil), store, f.config.Logger)
 	peers := view.Peers(i.Cluster)
 	if f.config.Peers != nil {
 		peers = f.config.Peers(i.Cluster)
