doors: requests to one service leave room for those to others

Cause: requests that are passed on may take 90 % of the connections of a door, and those to one service had no share of their own.

Change: requests to one service may take 80 % of the connections. Shares counts by organisation and by service in one type.

Ruled out: to cut off long bodies; their length is the server's to choose.

--- a/internal/doors/conn.go
+++ b/internal/doors/conn.go
@@ -100,11 +100,11 @@
 }
 
 // Enter is Door.Enter for the connection's door. It always succeeds for a nil connection.
-func (c *Conn) Enter(organisation string) (leave func(), ok bool) {
+func (c *Conn) Enter(purpose memorybudget.Purpose) (leave func(), ok bool) {
 	if c == nil {
 		return func() {}, true
 	}
-	return c.door.Enter(c, organisation)
+	return c.door.Enter(c, purpose)
 }
 
 // Read reads from the connection. It reserves the memory of heads as they come, and refuses
--- a/internal/doors/doors.go
+++ b/internal/doors/doors.go
@@ -71,12 +71,12 @@
 }
 
 // Enter counts a request that is to be passed on, on a connection that is then not closed to
-// make room, until leave is called. It returns false when the door or the organisation has no
-// room for it. Conn may be nil.
-func (d *Door) Enter(conn *Conn, organisation string) (leave func(), ok bool) {
+// make room, until leave is called. It returns false when the door, the organisation or the
+// service has no room for it. Conn may be nil.
+func (d *Door) Enter(conn *Conn, purpose memorybudget.Purpose) (leave func(), ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.shares.Enter(organisation) {
+	if !d.shares.Enter(purpose) {
 		d.refusedCount.Inc(1)
 		return nil, false
 	}
@@ -84,7 +84,7 @@
 	return func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.shares.Leave(organisation)
+		d.shares.Leave(purpose)
 	}, true
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
+	"github.com/coltsfootdrift/coltsfootdrift/memorybudget"
 )
 
 // PathRequest is the route of callers' requests.
@@ -97,7 +98,7 @@
 		problem.write(w)
 		return
 	}
-	leave, ok := doors.FromContext(r.Context()).Enter(request.Organisation.Name)
+	leave, ok := doors.FromContext(r.Context()).Enter(memorybudget.Purpose{Organisation: request.Organisation.Name})
 	if !ok {
 		problem := notRunProblem(http.StatusServiceUnavailable, ProblemUnavailable, "too many requests", "too many requests are in progress")
 		problem.RetryAfterMS = refusedRetryAfter.Milliseconds()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
+	"github.com/coltsfootdrift/coltsfootdrift/memorybudget"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
 )
 
@@ -103,7 +104,7 @@
 		c.refuse("draining", shortRetryAfter)
 		return
 	}
-	leave, ok := g.door.Enter(doors.FromContext(r.Context()), c.organisation)
+	leave, ok := g.door.Enter(doors.FromContext(r.Context()), memorybudget.Purpose{Organisation: c.organisation, Service: c.service.Name})
 	if !ok {
 		c.refuse("too many requests in progress", shortRetryAfter)
 		return
--- a/memorybudget/shares.go
+++ b/memorybudget/shares.go
@@ -5,40 +5,68 @@
 	// the same time. The others can be closed to make room, so that new requests are read
 	// and refused instead of being cut off.
 	requestPercent = 90
-	// organisationPercent is the part that the requests of one organisation may take.
+	// organisationPercent and servicePercent are the parts that the requests of one
+	// organisation and those to one service may take. A service whose servers are slow or
+	// send answers without end holds its requests until their deadlines.
 	organisationPercent = 75
+	servicePercent      = 80
 )
 
-// Shares counts the requests of clients that are passed on, by organisation. It is not safe
-// for concurrent use.
+// Purpose is what a request counts for. An empty field counts for nothing.
+type Purpose struct{ Organisation, Service string }
+
+// Shares counts the requests of clients that are passed on, by organisation and by service. It
+// is not safe for concurrent use.
 type Shares struct {
-	max, maxOfOne, total int
-	byOrganisation       map[string]int
+	max, total    int
+	organisations share
+	services      share
+}
+
+// share counts requests by name.
+type share struct {
+	max    int
+	byName map[string]int
+}
+
+func newShare(connections, part int) share {
+	return share{max: max(1, connections*part/percent), byName: map[string]int{}}
+}
+
+// isFull reports whether a name has no room for one more request.
+func (s share) isFull(name string) bool { return name != "" && s.byName[name] >= s.max }
+
+func (s share) add(name string) { s.byName[name]++ }
+
+func (s share) remove(name string) {
+	if s.byName[name]--; s.byName[name] == 0 {
+		delete(s.byName, name)
+	}
 }
 
 // NewShares returns the shares of a door.
 func NewShares(d Door) *Shares {
 	return &Shares{
-		max: max(1, d.Connections*requestPercent/percent), maxOfOne: max(1, d.Connections*organisationPercent/percent),
-		byOrganisation: map[string]int{},
+		max:           max(1, d.Connections*requestPercent/percent),
+		organisations: newShare(d.Connections, organisationPercent),
+		services:      newShare(d.Connections, servicePercent),
 	}
 }
 
-// Enter counts a request, and returns false when it has no room. Requests without an
-// organisation share the room of the door.
-func (s *Shares) Enter(organisation string) bool {
-	if s.total >= s.max || organisation != "" && s.byOrganisation[organisation] >= s.maxOfOne {
+// Enter counts a request, and returns false when it has no room.
+func (s *Shares) Enter(p Purpose) bool {
+	if s.total >= s.max || s.organisations.isFull(p.Organisation) || s.services.isFull(p.Service) {
 		return false
 	}
 	s.total++
-	s.byOrganisation[organisation]++
+	s.organisations.add(p.Organisation)
+	s.services.add(p.Service)
 	return true
 }
 
 // Leave ends the count of a request that has entered.
-func (s *Shares) Leave(organisation string) {
+func (s *Shares) Leave(p Purpose) {
 	s.total--
-	if s.byOrganisation[organisation]--; s.byOrganisation[organisation] == 0 {
-		delete(s.byOrganisation, organisation)
-	}
+	s.organisations.remove(p.Organisation)
+	s.services.remove(p.Service)
 }
