backend: an entry instance bounds the answers that it reads at a time

Change: HTTPCaller reserves memory in the account of package answermemory while an answer is read, a quarter of the runtime's memory, and heads have at most 4 KB. The share of AnswerBytes would refuse sound answers of a few MB.

Not covered: results that were read whole, which the execution holds.

--- a/internal/answermemory/account_test.go
+++ b/internal/answermemory/account_test.go
@@ -81,7 +81,7 @@
 // off and is taken for a whole one.
 func TestBodiesAreReadWithinTheAccount(t *testing.T) {
 	c := qt.New(t)
-	h := NewAccount(20 << 10).Open("s", func() {})
+	h := NewAccount(20<<10).Open("s", func() {})
 	data, err := h.ReadBody(iotest.OneByteReader(strings.NewReader("12345")), 5)
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(data), qt.Equals, "12345")
--- a/internal/backend/conn_test.go
+++ b/internal/backend/conn_test.go
@@ -34,7 +34,7 @@
 	c := qt.New(t)
 	request := StageRequest{Timeout: time.Minute, Input: []byte("1")}
 	call := func(conn net.Conn, write bool) error {
-		_, err := NewHTTPCaller(breakingTransport{conn, write}).Call(c.Context(), Server{ID: "s"}, request)
+		_, err := NewHTTPCaller(breakingTransport{conn, write}, nil).Call(c.Context(), Server{ID: "s"}, request)
 		return err
 	}
 	near, far := net.Pipe()
--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -15,21 +15,25 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/answermemory"
 )
 
 // HTTPCaller calls backend servers over HTTP/1.1 with JSON and server-sent events.
 type HTTPCaller struct {
 	transport http.RoundTripper
+	memory    *answermemory.Account
 }
 
 // NewHTTPCaller returns a caller that sends requests over transport. It uses no
-// http.Client, which would send a request again after a redirect.
-func NewHTTPCaller(transport http.RoundTripper) *HTTPCaller {
-	return &HTTPCaller{transport: transport}
+// http.Client, which would send a request again after a redirect. The memory of answers
+// is reserved in an account while they are read; nil for no bound.
+func NewHTTPCaller(transport http.RoundTripper, memory *answermemory.Account) *HTTPCaller {
+	return &HTTPCaller{transport: transport, memory: memory}
 }
 
-// maxHeadBytes limits the head of an answer.
-const maxHeadBytes = 64 << 10
+// maxHeadBytes limits the head of an answer, which has few fields.
+const maxHeadBytes = 4 << 10
 
 // NewTransport returns a transport for calls to backend servers. Idle
 // connections are kept per server, because each call is short compared with a
@@ -60,12 +64,14 @@
 		cancel()
 		return nil, transportError(err, conns.finish(), server)
 	}
-	stream, err := newStream(response, request)
+	memory := h.memory.Open(server.ID, cancel)
+	stream, err := newStream(response, request, memory)
 	if err != nil {
 		cancel()
+		memory.Close()
 		return nil, errors.Join(err, response.Body.Close())
 	}
-	return &cancelStream{StageStream: stream, cancel: cancel}, nil
+	return &cancelStream{StageStream: stream, cancel: cancel, memory: memory}, nil
 }
 
 func newRequest(ctx context.Context, server Server, request StageRequest) (*http.Request, error) {
@@ -131,7 +137,7 @@
 
 // newStream returns the answer in a response as a stream, or the error that the
 // response reports.
-func newStream(response *http.Response, request StageRequest) (StageStream, error) {
+func newStream(response *http.Response, request StageRequest, memory *answermemory.Holding) (StageStream, error) {
 	if response.StatusCode != http.StatusOK {
 		return nil, statusError(response)
 	}
@@ -141,9 +147,9 @@
 	}
 	switch mediaType {
 	case "application/json":
-		return newAnswerStream(response, request)
+		return newAnswerStream(response, request, memory)
 	case "text/event-stream":
-		return newEventStream(response.Body, request), nil
+		return newEventStream(response.Body, request, memory), nil
 	default:
 		return nil, fmt.Errorf("%w: content type %q", ErrBadAnswer, mediaType)
 	}
@@ -181,9 +187,11 @@
 type cancelStream struct {
 	StageStream
 	cancel func()
+	memory *answermemory.Holding
 }
 
 func (s *cancelStream) Close() error {
 	s.cancel()
+	s.memory.Close()
 	return s.StageStream.Close()
 }
--- a/internal/backend/http_test.go
+++ b/internal/backend/http_test.go
@@ -32,7 +32,7 @@
 		_, _ = io.WriteString(w, strings.TrimSuffix(body, "<cut>"))
 	}))
 	defer server.Close()
-	caller := NewHTTPCaller(NewTransport())
+	caller := NewHTTPCaller(NewTransport(), nil)
 	request := StageRequest{Attempt: "a1", Type: "service", Input: []byte(`{}`), MaxAnswerBytes: 20, Timeout: time.Minute}
 	stream, err := caller.Call(c.Context(), Server{Address: server.Listener.Addr().String()}, request)
 	if err != nil {
@@ -110,6 +110,6 @@
 	server := httptest.NewServer(nil)
 	address := server.Listener.Addr().String()
 	server.Close()
-	_, err := NewHTTPCaller(NewTransport()).Call(c.Context(), Server{Address: address}, StageRequest{Timeout: time.Minute, Input: []byte("1")})
+	_, err := NewHTTPCaller(NewTransport(), nil).Call(c.Context(), Server{Address: address}, StageRequest{Timeout: time.Minute, Input: []byte("1")})
 	c.Assert(err, qt.ErrorIs, ErrNotSent)
 }
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -11,6 +11,9 @@
 	"net/http"
 
 	"github.com/tmaxmax/go-sse"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/answermemory"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 )
 
 // maxEventBytes limits the size of one server-sent event.
@@ -26,24 +29,19 @@
 // maxEnvelopeBytes limits the size of an answer without its output.
 const maxEnvelopeBytes = 4 << 10
 
-func newAnswerStream(response *http.Response, request StageRequest) (StageStream, error) {
-	var data bytes.Buffer
+func newAnswerStream(response *http.Response, request StageRequest, memory *answermemory.Holding) (StageStream, error) {
 	limit := request.MaxAnswerBytes + maxEnvelopeBytes
 	if response.ContentLength > limit {
 		return nil, tooLargeError(request)
 	}
-	if response.ContentLength > 0 {
-		// With fewer than MinRead free bytes at the end ReadFrom would grow the buffer
-		// once more.
-		data.Grow(int(response.ContentLength) + bytes.MinRead)
+	data, err := memory.ReadBody(response.Body, limit)
+	if errors.Is(err, httpbody.ErrTooLarge) {
+		return nil, tooLargeError(request)
 	}
-	if _, err := data.ReadFrom(io.LimitReader(response.Body, limit+1)); err != nil {
+	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
 	}
-	if int64(data.Len()) > limit {
-		return nil, tooLargeError(request)
-	}
-	answer, err := decodeAnswer(data.Bytes(), request.Attempt)
+	answer, err := decodeAnswer(data, request.Attempt)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrBadAnswer, err)
 	}
@@ -94,6 +92,7 @@
 type eventStream struct {
 	request StageRequest
 	body    io.Closer
+	memory  *eventMemory
 	next    func() (sse.Event, error, bool)
 	stop    func()
 	// offset is the number of bytes received so far of the whole stream, including
@@ -101,13 +100,42 @@
 	offset int64
 }
 
-func newEventStream(body io.ReadCloser, request StageRequest) *eventStream {
-	next, stop := iter.Pull2(sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}))
-	return &eventStream{request: request, body: body, next: next, stop: stop, offset: request.ResumeOffset}
+func newEventStream(body io.ReadCloser, request StageRequest, holding *answermemory.Holding) *eventStream {
+	memory := &eventMemory{body: body, holding: holding}
+	next, stop := iter.Pull2(sse.Read(memory, &sse.ReadConfig{MaxEventSize: maxEventBytes}))
+	return &eventStream{request: request, body: body, memory: memory, next: next, stop: stop, offset: request.ResumeOffset}
+}
+
+// eventCopies is how often the bytes of an event are in memory: in the buffer of its reader,
+// which grows by doubling, and in the event.
+const eventCopies = 3
+
+// eventMemory reads a stream and reserves memory for what was read since the last event.
+type eventMemory struct {
+	body    io.Reader
+	holding *answermemory.Holding
+	held    int64
+}
+
+func (m *eventMemory) Read(p []byte) (int, error) {
+	n, err := m.body.Read(p)
+	size := int64(n) * eventCopies
+	if noRoom := m.holding.Reserve(size); noRoom != nil {
+		return 0, noRoom
+	}
+	m.held += size
+	return n, err
+}
+
+// release gives the memory of an event back.
+func (m *eventMemory) release() {
+	m.holding.Release(m.held)
+	m.held = 0
 }
 
 func (s *eventStream) Next() ([]byte, error) {
 	event, err, ok := s.next()
+	s.memory.release()
 	if !ok {
 		return nil, ErrBrokenStream
 	}
--- a/internal/capacity/request.go
+++ b/internal/capacity/request.go
@@ -62,7 +62,7 @@
 		ID: config.ID, Role: platform.RoleBackend, Address: h.backendServer.Listener.Addr().String(),
 		Pool: set.Deployment.Pools[0].Name, State: platform.StateLive,
 	}}, set)
-	executor := entry.NewExecutor(backend.NewHTTPCaller(backend.NewTransport()), servers, time.Now)
+	executor := entry.NewExecutor(backend.NewHTTPCaller(backend.NewTransport(), nil), servers, time.Now)
 	executor.Hedges, executor.Budgets = servers, servers
 	control := entry.NewAdmissionControl(servers, entry.NewAdmissionMetrics(tally.NoopScope), slog.New(slog.DiscardHandler), time.Now)
 	handler := &entry.Handler{Configuration: fixedConfiguration{set}, Executor: executor, Admission: control, Now: time.Now}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -16,6 +16,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/answermemory"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/backend"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/clock"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/doors"
@@ -107,8 +108,10 @@
 	return &platform.HTTPLister{Client: &http.Client{Timeout: listInterval}, Address: entry.PlatformAddress}
 }
 
-func newCaller() backend.Caller {
-	return backend.NewHTTPCaller(backend.NewTransport())
+func newCaller(plan memorybudget.Plan, status *statuspage.Status) backend.Caller {
+	memory := answermemory.NewAccount(plan.StageAnswerBytes)
+	status.Add("answers", func() any { return memory.Usage() })
+	return backend.NewHTTPCaller(backend.NewTransport(), memory)
 }
 
 // updateServersFromList updates the backend servers at each read of the instance
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -171,7 +171,7 @@
 
 func (f *fleet) caller(region int) backend.Caller {
 	return &linkCaller{
-		Caller: backend.NewHTTPCaller(fleetNetwork.transport()), region: regionName(region), counter: f.link,
+		Caller: backend.NewHTTPCaller(fleetNetwork.transport(), nil), region: regionName(region), counter: f.link,
 	}
 }
 
--- a/internal/experiment/overhead.go
+++ b/internal/experiment/overhead.go
@@ -161,7 +161,7 @@
 	}
 	servers := entry.NewServers("i", routing.Location{}, 1, slog.New(slog.DiscardHandler), time.Now)
 	servers.Update([]platform.Member{{ID: "r1", Role: platform.RoleBackend, Address: address, Pool: "shelf", State: platform.StateLive}}, set)
-	executor := entry.NewExecutor(backend.NewHTTPCaller(backend.NewTransport()), servers, time.Now)
+	executor := entry.NewExecutor(backend.NewHTTPCaller(backend.NewTransport(), nil), servers, time.Now)
 	executor.Hedges, executor.Budgets = servers, servers
 	control := entry.NewAdmissionControl(servers, entry.NewAdmissionMetrics(tally.NoopScope), slog.New(slog.DiscardHandler), time.Now)
 	handler := &entry.Handler{Configuration: fixedConfiguration{set}, Executor: executor, Admission: control, Now: time.Now}
--- a/internal/experiment/scenarios.go
+++ b/internal/experiment/scenarios.go
@@ -116,7 +116,7 @@
 // measureCapacity returns the answers per second of all servers while every slot is
 // busy.
 func (f *fleet) measureCapacity(duration time.Duration) float64 {
-	caller := backend.NewHTTPCaller(fleetNetwork.transport())
+	caller := backend.NewHTTPCaller(fleetNetwork.transport(), nil)
 	var answers atomic.Int64
 	var workers sync.WaitGroup
 	end := time.Now().Add(duration)
--- a/internal/standin/backend_test.go
+++ b/internal/standin/backend_test.go
@@ -34,7 +34,7 @@
 	if request.Input == nil {
 		request.Input = json.RawMessage(`{"request_id": "r1"}`)
 	}
-	stream, err := backend.NewHTTPCaller(backend.NewTransport()).Call(ctx, server, request)
+	stream, err := backend.NewHTTPCaller(backend.NewTransport(), nil).Call(ctx, server, request)
 	if err != nil {
 		return "", err
 	}
--- a/memorybudget/memorybudget.go
+++ b/memorybudget/memorybudget.go
@@ -42,6 +42,8 @@
 	operatorShare    = 1 // for the heads at each of the ready and the metrics door
 	percent          = 100
 	descriptorsParts = 20
+	// stageAnswerPart is the part of the runtime's memory that answers of stages take at most.
+	stageAnswerPart = 4
 )
 
 // Limits of connections at the doors that serve no clients.
@@ -79,8 +81,11 @@
 	Ready        Door  `json:"ready"`
 	Metrics      Door  `json:"metrics"`
 	Peers        Door  `json:"peers"`
-	// AnswerBytes bounds the answers that are held before they are passed on.
+	// AnswerBytes bounds the answers that a gateway receives.
 	AnswerBytes int64 `json:"answer_bytes"`
+	// StageAnswerBytes bounds the answers of stages that an entry instance reads at a time. It
+	// is beyond the shares of the doors, because one answer may have 16 MB.
+	StageAnswerBytes int64 `json:"stage_answer_bytes"`
 }
 
 // NewPlan divides a machine.
@@ -99,6 +104,7 @@
 		Clients:      Door{HeadBytes: share(headShare), BodyBytes: share(bodyShare)},
 		AnswerBytes:  share(answerShare),
 	}
+	p.StageAnswerBytes = p.RuntimeBytes / stageAnswerPart
 	// Each request of a client may need a connection to a server.
 	rest := m.Descriptors - baseDescriptors - p.Ready.Connections - p.Metrics.Connections - p.Peers.Connections
 	p.Clients.Connections = max(1, min(rest*2/5, int(share(connectionShare)/ConnectionBytes)))
