gateway: results are not freed at a server of another kind with the same ID

A producer was recognised by ID and incarnation, and the incarnation of an entry without `born` is 0 for all starts. A plain or model server that registers under the ID of a stage server that has ended would get the call that frees its results, and run it, as the ID in its header is its own.

Change: a producer is of a service that runs stages, or of one that the configuration no longer has.

Evidence: the test with a successor of the same ID and incarnation failed in both orders before, and passes now.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -125,7 +125,7 @@
 				return NewServerClient(upstreamClient, adapter.Protocol, permits, evacuations, markLeaving(views, c, logger), logger, m.Scope)
 			},
 			func(client *ServerClient, views *view.Sync) *ResultFreer {
-				return NewResultFreer(adapter.Protocol, client, registeredProducer(views), logger)
+				return NewResultFreer(adapter.Protocol, client, registeredProducer(views.Current), logger)
 			},
 			func(client *ServerClient, servers *Servers, freer *ResultFreer, m *metrics.Metrics) *StageScheduler {
 				return NewStageScheduler(adapter.Protocol, client, servers, freer, logger, m.Scope)
@@ -167,9 +167,9 @@
 }
 
 // registeredProducer returns a function that looks up the server that a producer is.
-func registeredProducer(views *view.Sync) func(stagework.Producer) (upstream.Server, bool) {
+func registeredProducer(current func() *view.View) func(stagework.Producer) (upstream.Server, bool) {
 	return func(p stagework.Producer) (upstream.Server, bool) {
-		s, ok := producerOf(views.Current(), p)
+		s, ok := producerOf(current(), p)
 		return upstream.Server{ID: s.ID, Address: s.Address, Incarnation: s.Incarnation}, ok
 	}
 }
--- a/internal/gateway/evacuations_test.go
+++ b/internal/gateway/evacuations_test.go
@@ -84,7 +84,7 @@
 	c.Assert(errors.Is(err, errServerEvacuated), qt.IsTrue)
 	_, err = f.scheduler.sendCall(stagework.Call{Server: "s0", Timeout: time.Second}, nil)
 	c.Assert(err, qt.IsNil)
-	freer := NewResultFreer(fakeProtocol{}, client, registeredProducer(f.gateway.views), discardLogger())
+	freer := NewResultFreer(fakeProtocol{}, client, registeredProducer(f.gateway.views.Current), discardLogger())
 	c.Assert(errors.Is(freer.send(upstream.Server{ID: "s0", Address: f.servers[0].Address}, nil), errServerEvacuated), qt.IsTrue)
 	_, err = client.Send(context.Background(), server, fakeProtocol{}.StateCall(server))
 	c.Assert(errors.Is(err, upstream.ErrNotSent), qt.IsTrue)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -298,7 +298,7 @@
 	permits := NewPermits(s, cluster, peerClient, views, discardLogger(), tally.NoopScope)
 	evacuations := NewEvacuations(views, discardLogger(), tally.NoopScope)
 	client := NewServerClient(upstream.NewClient(nil, tally.NoopScope), protocol, permits, evacuations, markLeaving(views, cluster, discardLogger()), discardLogger(), tally.NoopScope)
-	freer := NewResultFreer(protocol, client, registeredProducer(views), discardLogger())
+	freer := NewResultFreer(protocol, client, registeredProducer(views.Current), discardLogger())
 	f.scheduler = NewStageScheduler(protocol, client, servers, freer, discardLogger(), tally.NoopScope)
 	f.drain = NewDrain(s.Grace())
 	quarantines := NewQuarantines(discardLogger(), tally.NoopScope)
--- a/internal/gateway/inputs.go
+++ b/internal/gateway/inputs.go
@@ -92,15 +92,27 @@
 }
 
 // producerOf returns the registration of the process that holds a result, also of a draining
-// one, and false when it is no longer registered.
+// one, and false when it is no longer registered. Entries that do not say when a server
+// started give all its starts the same incarnation, so a server of a service that runs no
+// stages is none either.
 func producerOf(v *view.View, p stagework.Producer) (view.Server, bool) {
 	server, listed := v.ByID(p.Server)
-	if !listed || server.Incarnation != p.Incarnation {
+	if !listed || server.Incarnation != p.Incarnation || !runsStages(v.Table, server.Service) {
 		return view.Server{}, false
 	}
 	return server, true
 }
 
+// runsStages reports whether the servers of a service run pieces of stages. Those of a service
+// that the configuration no longer has did, as far as is known.
+func runsStages(table *route.Table, service string) bool {
+	if table == nil {
+		return true
+	}
+	configured := table.Service(service)
+	return configured == nil || configured.StageProfile != nil
+}
+
 // crossDomainBytes returns the size of the inputs that are in other failure domains
 // than the given one.
 func crossDomainBytes(inputs map[string]int64, domain string) (bytes int64) {
--- a/internal/gateway/resultfreer_test.go
+++ b/internal/gateway/resultfreer_test.go
@@ -16,6 +16,7 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/upstream"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/ratelimit"
+	"github.com/coltsfootdrift/coltsfootdrift/route"
 	"github.com/coltsfootdrift/coltsfootdrift/stagework"
 )
 
@@ -24,7 +25,8 @@
 // are to be freed. The producer was once looked up by its address.
 func TestResultsAreNotFreedAtTheSuccessorOfTheirProducer(t *testing.T) {
 	c := qt.New(t)
-	for _, successor := range []view.Server{{ID: "other", Incarnation: 2}, {ID: "s", Incarnation: 2}} {
+	// The last successor has an entry that does not say when it started.
+	for _, successor := range []view.Server{{ID: "other", Incarnation: 2}, {ID: "s", Incarnation: 2}, {ID: "s", Incarnation: 1}} {
 		for _, registeredFirst := range []bool{true, false} {
 			var calls recorder
 			server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { calls.add(r.URL.Path) }))
@@ -67,17 +69,15 @@
 	views := view.NewSync(fakeSource{}, nil, fakeProtocol{}, discardLogger(), tally.NoopScope)
 	permits := &Permits{views: views, table: ratelimit.NewTable()}
 	client := NewServerClient(upstream.NewClient(nil, tally.NoopScope), fakeProtocol{}, permits, NewEvacuations(views, discardLogger(), tally.NoopScope), func(upstream.Server) {}, discardLogger(), tally.NoopScope)
-	serverOf := func(p stagework.Producer) (upstream.Server, bool) {
-		s, ok := producerOf(current.Load(), p)
-		return upstream.Server{ID: s.ID, Address: s.Address, Incarnation: s.Incarnation}, ok
-	}
-	return NewResultFreer(fakeProtocol{}, client, serverOf, discardLogger())
+	return NewResultFreer(fakeProtocol{}, client, registeredProducer(current.Load), discardLogger())
 }
 
 // viewOfServers returns a view with servers.
 func viewOfServers(c *qt.C, servers ...view.Server) *view.View {
 	state := view.NewState(fakeProtocol{})
-	entries := []store.Entry{}
+	configuration, err := json.Marshal(route.Configuration{Version: 1, Services: []route.Service{{Name: "stage", StageProfile: &stagework.ServerProfile{}}, {Name: "ledger"}}})
+	c.Assert(err, qt.IsNil)
+	entries := []store.Entry{{Key: "config", Value: configuration, Version: 1}}
 	for _, server := range servers {
 		data, err := json.Marshal(server)
 		c.Assert(err, qt.IsNil)
