--- a/review/_standins-2/replica.go
+++ b/review/_standins-2/replica.go
@@ -15,7 +15,9 @@
 // run is one request that a replica ran.
 type run struct {
 	ID, Replica, Service, Path, Tenant string
-	At                                 time.Time
+	// Key is the key that a piece was asked for with.
+	Key string
+	At  time.Time
 }
 
 // runs records what all replicas ran.
@@ -120,6 +122,7 @@
 			ID    string `json:"id"`
 			Stage int    `json:"stage"`
 			Piece int    `json:"piece"`
+			Key   string `json:"key"`
 		} `json:"items"`
 	}
 	if json.Unmarshal(body, &call) != nil {
@@ -132,7 +135,7 @@
 	}
 	results := []result{}
 	for _, i := range call.Items {
-		r.runs.add(run{ID: i.ID, Replica: r.id, Service: r.service, Path: fmt.Sprintf("stage %d piece %d", i.Stage, i.Piece), At: time.Now()})
+		r.runs.add(run{ID: i.ID, Replica: r.id, Service: r.service, Path: fmt.Sprintf("stage %d piece %d", i.Stage, i.Piece), Key: i.Key, At: time.Now()})
 		handle := r.address + "/" + newID()
 		if r.held != nil {
 			r.held.add(handle)
