--- a/review/_standins-2/gateways.go
+++ b/review/_standins-2/gateways.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -31,13 +32,32 @@
 // regionOf are the zones of the small deployment and their regions.
 var regionOf = map[string]string{"norte-adega": "norte", "norte-linha": "norte", "centro-arm": "centro"}
 
+// Ports of gateways are below those that the system gives to outgoing connections, so that none
+// takes one before the gateway binds it.
+const (
+	firstPort    = 20000
+	portCount    = 10000
+	portAttempts = 200
+)
+
+// freeAddress returns a loopback address whose port is free for TCP and UDP.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fatal("free address: %v", err)
+	for range portAttempts {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		listener.Close()
+		packets, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		packets.Close()
+		return address
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	fatal("no free port")
+	return ""
 }
 
 // newGateway writes the settings file as the template of the deploy file has it.
--- a/review/_standins-2/promptparts.go
+++ b/review/_standins-2/promptparts.go
@@ -12,7 +12,7 @@
 
 // The crowd, and the ordinary callers of an idempotent route beside it.
 const (
-	crowdConnections = 48
+	crowdConnections = 80
 	crowdTime        = 25 * time.Second
 	// headerBytes is the size of the crowd's largest header. A whole head is within
 	// max-header-bytes, 16,384.
