Log the connection on which the answer of a server came

The log could not tell three hypotheses apart: (1) the second send used the connection of the first one and took a late second copy of the first answer for its own; (2) the inputs were lost again, and the refusal was true; (3) the answer came on another connection. Events 7202 and 7203 now carry `connection`, the number of the connection that an answer came on, and 7202 has `status` only when there was an answer.

Tests of internal/gateway, internal/upstream and internal/events pass.

--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -276,6 +276,6 @@
 	c.metrics.duration.RecordDuration(took)
 	c.durations.observe(time.Now(), c.route.Name, took)
 	c.log(events.AttemptEnded, append(attrs, slog.Int("status", answer.Status), slog.String("server", server), slog.String("route", c.route.Name),
-		slog.String("framing", string(answer.Framing)), slog.Int("sends", c.sends),
+		slog.String("framing", string(answer.Framing)), slog.Uint64("connection", answer.Connection), slog.Int("sends", c.sends),
 		slog.Int64("first_event_ms", c.firstEventDelay.Milliseconds()), slog.Int64("left_ms", c.remaining().Milliseconds()))...)
 }
--- a/internal/gateway/eventrelay.go
+++ b/internal/gateway/eventrelay.go
@@ -68,8 +68,8 @@
 
 // logStreamBroken logs that a server broke a stream off, after what the client has received
 // of it and the first bytes of another event.
-func (c *clientRequest) logStreamBroken(server upstream.Server, answer *upstream.Answer, stream clientStream, unfinishedBytes int, err error) {
-	c.logSendFailed(server, answer.Status, err, slog.String("framing", string(answer.Framing)),
+func (c *clientRequest) logStreamBroken(serverID string, answer *upstream.Answer, stream clientStream, unfinishedBytes int, err error) {
+	c.logAnswerFailed(serverID, answer, err, slog.String("framing", string(answer.Framing)),
 		slog.Int("events", stream.events), slog.Int("unfinished_bytes", unfinishedBytes))
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -40,11 +40,11 @@
 		switch {
 		case withheld(err):
 			c.finishSend(send, routing.Abandoned)
-			c.logSendFailed(send.server, 0, err)
+			c.logSendFailed(send.server.ID, err)
 			continue
 		case errors.Is(err, upstream.ErrNotSent) && !c.clientGone() && !c.expired():
 			c.finishSend(send, routing.Unreachable)
-			c.logSendFailed(send.server, 0, err)
+			c.logSendFailed(send.server.ID, err)
 			if unsentTries++; unsentTries >= maxUnsentTries {
 				c.refuseNotReached(send.region)
 				return
@@ -115,8 +115,14 @@
 	})
 }
 
-func (c *clientRequest) logSendFailed(server upstream.Server, status int, err error, attrs ...slog.Attr) {
-	attrs = append(attrs, slog.String("server", server.ID), slog.Int("status", status))
+// logSendFailed logs a send without an answer.
+func (c *clientRequest) logSendFailed(serverID string, err error) {
+	c.log(events.AttemptFailed, slog.String("server", serverID), slog.Any("error", err))
+}
+
+// logAnswerFailed logs an answer that does not serve the request; err may be nil.
+func (c *clientRequest) logAnswerFailed(serverID string, answer *upstream.Answer, err error, attrs ...slog.Attr) {
+	attrs = append(attrs, slog.String("server", serverID), slog.Int("status", answer.Status), slog.Uint64("connection", answer.Connection))
 	if err != nil {
 		attrs = append(attrs, slog.Any("error", err))
 	}
@@ -133,7 +139,7 @@
 	}
 	c.mayHaveRun = true
 	c.finishSend(send, routing.Failed)
-	c.logSendFailed(send.server, 0, err)
+	c.logSendFailed(send.server.ID, err)
 	if c.route.Repeatable() && c.mayRetry() {
 		return false
 	}
@@ -151,7 +157,7 @@
 	}
 	if info.NotRun {
 		c.finishSend(send, routing.Refused)
-		c.logSendFailed(send.server, answer.Status, nil)
+		c.logAnswerFailed(send.server.ID, answer, nil)
 		if c.mayRetry() {
 			return false
 		}
@@ -164,7 +170,7 @@
 	c.mayHaveRun = true
 	if answer.Status >= http.StatusInternalServerError {
 		c.finishSend(send, routing.Failed)
-		c.logSendFailed(send.server, answer.Status, nil)
+		c.logAnswerFailed(send.server.ID, answer, nil)
 		if c.route.Repeatable() && c.mayRetry() {
 			return false
 		}
@@ -186,7 +192,7 @@
 		c.endUnanswered()
 		return true
 	}
-	c.logSendFailed(send.server, answer.Status, err)
+	c.logAnswerFailed(send.server.ID, answer, err)
 	if c.route.Repeatable() && c.mayRetry() {
 		return false
 	}
@@ -208,7 +214,7 @@
 		c.endUnanswered()
 		return true
 	}
-	c.logStreamBroken(send.server, answer, stream, unfinished, err)
+	c.logStreamBroken(send.server.ID, answer, stream, unfinished, err)
 	if stream.started {
 		c.abort(err)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -177,7 +177,7 @@
 	if g.clientGone() || g.expired() {
 		return g.endIncomplete()
 	}
-	g.logSendFailed(upstream.Server{ID: placed.Server}, 0, err)
+	g.logSendFailed(placed.Server, err)
 	if withheld(err) {
 		g.report(placed, engine.Report{Refused: true})
 		return false
@@ -229,14 +229,14 @@
 func (g *generateRequest) handleAnswer(placed placement, answer *upstream.Answer, info AnswerInfo, sent time.Time) bool {
 	switch {
 	case info.InputsLost:
-		g.logSendFailed(upstream.Server{ID: placed.Server}, answer.Status, nil)
+		g.logAnswerFailed(placed.Server, answer, nil)
 		// The server can run the request when the stages have produced its inputs again.
 		g.sends--
 		g.tried = g.tried[:len(g.tried)-1]
 		return g.rerunStages("inputs were lost")
 	case info.NotRun:
 		g.report(placed, engine.Report{Refused: true})
-		g.logSendFailed(upstream.Server{ID: placed.Server}, answer.Status, nil)
+		g.logAnswerFailed(placed.Server, answer, nil)
 		if g.mayRetry() {
 			return false
 		}
@@ -249,7 +249,7 @@
 		return g.relay(placed, answer, sent)
 	}
 	g.report(placed, engine.Report{Failed: true})
-	g.logSendFailed(upstream.Server{ID: placed.Server}, answer.Status, nil)
+	g.logAnswerFailed(placed.Server, answer, nil)
 	if g.route.Repeatable() && g.mayRetry() {
 		return false
 	}
@@ -300,7 +300,7 @@
 		return g.endIncomplete()
 	}
 	g.report(placed, engine.Report{Failed: true})
-	g.logStreamBroken(upstream.Server{ID: placed.Server}, answer, g.stream, unfinishedBytes, err)
+	g.logStreamBroken(placed.Server, answer, g.stream, unfinishedBytes, err)
 	if g.stopAnswerStart() {
 		g.handleCutShort(placed, sent)
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,8 @@
 
 // conn is one connection to a backend server.
 type conn struct {
+	// number tells the connection from the others of its Client.
+	number   uint64
 	serverID string
 	// incarnation and address are those of the server at the time of the dial.
 	incarnation int64
@@ -28,9 +30,9 @@
 // readBufferBytes is enough for the header of an answer and for most plain answers.
 const readBufferBytes = 4 << 10
 
-func newConn(netConn net.Conn, server Server) *conn {
+func newConn(number uint64, netConn net.Conn, server Server) *conn {
 	head := &headReader{conn: netConn}
-	return &conn{serverID: server.ID, incarnation: server.Incarnation, address: server.Address, netConn: netConn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
+	return &conn{number: number, serverID: server.ID, incarnation: server.Incarnation, address: server.Address, netConn: netConn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
 // leadsTo reports whether the connection is to the process that a server is now.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -139,7 +139,7 @@
 	if framing == CloseDelimited {
 		e.client.closeDelimited.Inc(1)
 	}
-	return &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: framing, Body: e.body, exchange: e}
+	return &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: framing, Body: e.body, Connection: e.conn.number, exchange: e}
 }
 
 func framingOf(response *http.Response) Framing {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,6 +27,8 @@
 	// badHeads counts the heads that were cut off.
 	badHeads tally.Counter
 	memory   *answermemory.Account
+	// dialed is the number of the newest connection.
+	dialed atomic.Uint64
 
 	mu sync.Mutex
 	// idle holds the idle connections, and open the number of all connections, by the ID
@@ -89,7 +92,7 @@
 		c.releaseConnection(server.ID)
 		return nil, c.notSentError(server, "dial_failed", err)
 	}
-	return newConn(netConn, server), nil
+	return newConn(c.dialed.Add(1), netConn, server), nil
 }
 
 func (c *Client) notSentError(server Server, code string, err error) error {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -57,6 +57,9 @@
 	Length  int64
 	Framing Framing
 	Body    io.Reader
+	// Connection is the number of the connection that the answer came on. The Client numbers
+	// its connections from 1.
+	Connection uint64
 
 	exchange *exchange
 }
