Send a request again on another connection only

What callers saw: a stream that may run once is answered 503 with Retry-After, "not run", and the model server has run it; who honours the 503 has it run twice.

Cause: an answer is attributed to a send by the ID of the request. After "its inputs are gone" (409), the gateway has the inputs made again and sends the request to the same server, often on the connection that the 409 came on. A server may write an answer again, late, where the next one is due; then the ID is right and the answer is that of the send before.

Ruled out: a second loss of the inputs (the server answered so once), and another connection.

Why the fix works: a copy can come only on the connection of the answer that it copies. upstream.Sends holds the connections that carried a request; one of them is closed rather than used for the request again. This is for all sends of client requests, made in one place (outgoingRequest), also for retries of plain requests and resumed streams, which choose another server anyway. Considered and dropped: remembering the last ID of each connection (a copy may come later than with the next answer), and closing each connection after a 409 (the rule would stand in one path only). Cost: one new connection at most for each request whose inputs were lost.

--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -47,6 +47,8 @@
 	// sends is the number of times that the request was sent to a backend server. Sends
 	// whose inputs were lost don't count.
 	sends int
+	// earlierSends are all sends of the request to backend servers.
+	earlierSends upstream.Sends
 	// mayHaveRun is set once a send ended without an answer that rules out that the
 	// request ran. From then on the request is not refused, because a refusal states that
 	// it did not run.
@@ -89,6 +91,7 @@
 	return &upstream.Request{
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: header, Body: c.body,
 		Belongs: func(h http.Header) bool { return c.protocol.Belongs(h, c.requestInfo.ID) },
+		Earlier: &c.earlierSends,
 	}
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -45,10 +45,11 @@
 // Send sends a request and returns the head of its answer. The end of the context
 // closes the connection, which cancels the request on the server.
 func (c *Client) Send(ctx context.Context, server Server, request *Request) (*Answer, error) {
-	cn, err := c.acquire(ctx, server)
+	cn, err := c.acquire(ctx, server, request.Earlier)
 	if err != nil {
 		return nil, err
 	}
+	request.Earlier.add(cn)
 	e := &exchange{client: c, conn: cn, sent: make(chan struct{})}
 	e.memory = c.memory.Open(server.ID, func() { cn.netConn.Close() })
 	e.stopAfterFunc = context.AfterFunc(ctx, func() { cn.netConn.Close() })
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,6 +24,9 @@
 	dials          tally.Counter
 	strays         tally.Counter
 	closeDelimited tally.Counter
+	// carriedBefore counts the connections that were closed because they had carried the
+	// request that was to be sent.
+	carriedBefore tally.Counter
 	// badHeads counts the heads that were cut off.
 	badHeads tally.Counter
 	memory   *answermemory.Account
@@ -49,6 +52,7 @@
 		dials:          scope.Counter("upstream_connections_opened"),
 		strays:         scope.Counter("upstream_stray_answers"),
 		closeDelimited: scope.Counter("upstream_close_delimited_answers"),
+		carriedBefore:  scope.Counter("upstream_connections_carried_before"),
 		badHeads:       scope.Counter("upstream_heads_cut_off"),
 		memory:         memory,
 		idle:           map[string][]*conn{},
@@ -69,14 +73,19 @@
 	return sockoptErr
 }
 
-// acquire returns an idle connection that is still usable, or a new one. Its error wraps
-// ErrNotSent.
-func (c *Client) acquire(ctx context.Context, server Server) (*conn, error) {
+// acquire returns an idle connection that is still usable and has not carried the request
+// before, or a new one. Its error wraps ErrNotSent.
+func (c *Client) acquire(ctx context.Context, server Server, earlier *Sends) (*conn, error) {
 	for {
 		idle := c.takeIdle(server.ID)
 		if idle == nil {
 			break
 		}
+		if earlier.carriedBy(idle) {
+			c.carriedBefore.Inc(1)
+			c.discard(idle)
+			continue
+		}
 		if idle.usable(time.Now()) && idle.leadsTo(server) {
 			idle.reused = true
 			return idle, nil
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -1,6 +1,7 @@
 // Package upstream sends HTTP/1.1 requests to backend servers over a pool of persistent
 // connections. A connection carries one request at a time, and the package never sends a
-// request again by itself. An answer to another request is dropped. Gateways
+// request again by itself. An answer to another request is dropped, and a request that its
+// caller sends again uses another connection. Gateways
 // use the package; entry instances call backend servers with package internal/backend.
 package upstream
 
@@ -45,6 +46,8 @@
 	// Belongs reports whether an answer with a header is an answer to this request; nil
 	// accepts every answer.
 	Belongs func(http.Header) bool
+	// Earlier are the earlier sends of the request; nil for one that is sent only once.
+	Earlier *Sends
 }
 
 // Answer is the answer to a request. A body that is FramedByLength or Chunked ends with
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -321,3 +321,37 @@
 	c.Assert(<-sent < 32<<20, qt.IsTrue)
 	c.Assert(sendAndRead(c, client, server, "b"), qt.Equals, "new connection")
 }
+
+// Guards against a second send of a request on a connection that carried it before, where a
+// late copy of the first answer would be taken for the second one; also at the limit of
+// connections.
+func TestRequestsThatAreSentAgainUseAnotherConnection(t *testing.T) {
+	c := qt.New(t)
+	server := serveConns(c, func(n int, conn net.Conn, r *bufio.Reader) {
+		repeated := ""
+		for id := readRequestID(r); id != ""; id = readRequestID(r) {
+			if repeated != "" {
+				writeAnswer(conn, id, repeated)
+			}
+			repeated = fmt.Sprint(n)
+			writeAnswer(conn, id, repeated)
+		}
+	})
+	for _, limit := range []int{1, 4} {
+		server.MaxConnections = limit
+		client := newClient()
+		request := newRequest("a")
+		request.Earlier = &Sends{}
+		var connections []uint64
+		for range 3 {
+			answer, err := client.Send(context.Background(), server, request)
+			c.Assert(err, qt.IsNil)
+			_, err = io.ReadAll(answer.Body)
+			c.Assert(err, qt.IsNil)
+			answer.Close()
+			connections = append(connections, answer.Connection)
+		}
+		c.Check(connections, qt.DeepEquals, []uint64{1, 2, 3})
+		c.Check(client.OpenConnections(server.ID), qt.Equals, 1)
+	}
+}
