Entry instances: a refusal of another attempt refuses nothing

What callers would see: a stage that may run once runs twice.

A refusal of a backend server named no attempt, although the design says that every answer repeats it. A server that writes the refusal of one call once more on a kept connection refuses the next call with it, which runs; the entry instance takes it for "not run" and sends the stage elsewhere.

Change: a refusal may name its attempt, and the stand-ins' do. One that names another attempt is a bad answer. One that names none still counts on a connection that carried no other call, as before; on a reused one it leaves open whether the stage ran. Servers that name no attempt lose certainty of refusals on kept connections, not their calls. Ruled out: closing a connection after each refusal that names no attempt (net/http takes it back at the end of the body, before it can be closed).

Answers with a body and events name their attempt and are checked already; orders to engines run at most once by their own ID.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -69,6 +69,8 @@
 	// uncounted is true when one of the connections is not a countedConn, so that its
 	// writes are not known.
 	uncounted bool
+	// reused is true when the newest connection has carried another call.
+	reused bool
 }
 
 type callConn struct {
@@ -80,6 +82,7 @@
 func (s *callConns) gotConn(info httptrace.GotConnInfo) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reused = info.Reused
 	conn, ok := info.Conn.(*countedConn)
 	if !ok {
 		s.uncounted = true
@@ -88,6 +91,14 @@
 	s.conns = append(s.conns, callConn{conn, conn.writeCount()})
 }
 
+// carriedOthers reports whether the connection that the call was sent on has carried another
+// call.
+func (s *callConns) carriedOthers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reused
+}
+
 // finish reports whether bytes of a failed call may have been sent. Later writes of
 // the call fail.
 func (s *callConns) finish() bool {
--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -65,7 +65,7 @@
 		return nil, transportError(err, conns.finish(), server)
 	}
 	memory := h.memory.Open(server.ID, cancel)
-	stream, err := newStream(response, request, memory)
+	stream, err := newStream(response, request, conns.carriedOthers(), memory)
 	if err != nil {
 		cancel()
 		memory.Close()
@@ -136,10 +136,10 @@
 }
 
 // newStream returns the answer in a response as a stream, or the error that the
-// response reports.
-func newStream(response *http.Response, request StageRequest, memory *answermemory.Holding) (StageStream, error) {
+// response reports. reused is true when its connection has carried other calls.
+func newStream(response *http.Response, request StageRequest, reused bool, memory *answermemory.Holding) (StageStream, error) {
 	if response.StatusCode != http.StatusOK {
-		return nil, statusError(response)
+		return nil, statusError(response, request.Attempt, reused)
 	}
 	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
 	if err != nil {
@@ -159,17 +159,23 @@
 
 // statusError returns the error for a status other than 200. A 503 or 429 is a
 // refusal only if its body says so: an intermediary may send the same status after
-// the request ran.
-func statusError(response *http.Response) error {
+// the request ran. On a connection that was reused it must also name the attempt: a server
+// may write the refusal of the call before once more.
+func statusError(response *http.Response, attempt string, reused bool) error {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
 	if err != nil {
 		return fmt.Errorf("%w: status %d: %w", ErrMayHaveRun, response.StatusCode, err)
 	}
 	var refusal Refusal
-	if json.Unmarshal(body, &refusal) == nil && refusal.Refused {
-		return refusalError(response.StatusCode, refusal)
+	switch {
+	case json.Unmarshal(body, &refusal) != nil || !refusal.Refused:
+		return fmt.Errorf("%w: status %d", ErrMayHaveRun, response.StatusCode)
+	case refusal.Attempt != "" && refusal.Attempt != attempt:
+		return fmt.Errorf("%w: refusal", ErrWrongAttempt)
+	case refusal.Attempt == "" && reused:
+		return fmt.Errorf("%w: refusal that names no attempt, status %d", ErrMayHaveRun, response.StatusCode)
 	}
-	return fmt.Errorf("%w: status %d", ErrMayHaveRun, response.StatusCode)
+	return refusalError(response.StatusCode, refusal)
 }
 
 func refusalError(status int, refusal Refusal) error {
--- a/internal/backend/http_test.go
+++ b/internal/backend/http_test.go
@@ -1,9 +1,11 @@
 package backend
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -91,6 +93,8 @@
 		{503, jsonType, "", "", ErrMayHaveRun, false},
 		{503, jsonType, `{"refused":false}`, "", ErrMayHaveRun, false},
 		{503, jsonType, `{"refused":true}`, "", ErrRefused, true},
+		{503, jsonType, `{"refused":true,"attempt":"a1"}`, "", ErrRefused, true},
+		{503, jsonType, `{"refused":true,"attempt":"a2"}`, "", ErrWrongAttempt, false},
 		{503, jsonType, `{"refused":true,"draining":true}`, "", ErrDraining, true},
 		{429, jsonType, `{"refused":true}`, "", ErrRefused, true},
 		{400, jsonType, `{"refused":true}`, "", ErrInvalid, true},
@@ -113,3 +117,71 @@
 	_, err := NewHTTPCaller(NewTransport(), nil).Call(c.Context(), Server{Address: address}, StageRequest{Timeout: time.Minute, Input: []byte("1")})
 	c.Assert(err, qt.ErrorIs, ErrNotSent)
 }
+
+// serveRepeatedRefusals refuses the first call on each connection. It answers the next ones,
+// and writes the refusal once more before each answer.
+func serveRepeatedRefusals(listener net.Listener, refusal string) {
+	refusal = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", jsonType, len(refusal), refusal)
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			reader, answer := bufio.NewReader(conn), ""
+			for {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(conn, refusal+answer)
+				body := `{"attempt":"a2","output":1}`
+				answer = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", jsonType, len(body), body)
+			}
+		}()
+	}
+}
+
+// Guards against a late second copy of a refusal that is taken for the refusal of the next
+// attempt on the connection: it has run, and is run again elsewhere.
+func TestRepeatedRefusalsRefuseNoOtherAttempt(t *testing.T) {
+	for _, refusal := range []string{`{"refused":true}`, `{"refused":true,"attempt":"a1"}`} {
+		t.Run(refusal, func(t *testing.T) {
+			c := qt.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer listener.Close()
+			go serveRepeatedRefusals(listener, refusal)
+			caller, server := NewHTTPCaller(NewTransport(), nil), Server{ID: "s", Address: listener.Addr().String()}
+			request := StageRequest{Attempt: "a1", Type: "service", Input: []byte(`{}`), MaxAnswerBytes: 20, Timeout: time.Minute}
+			_, err = caller.Call(c.Context(), server, request)
+			c.Assert(err, qt.ErrorIs, ErrRefused)
+			request.Attempt = "a2"
+			_, err = caller.Call(c.Context(), server, request)
+			c.Assert(err, qt.IsNotNil)
+			c.Assert(DefinitelyNotRun(err), qt.IsFalse)
+		})
+	}
+}
+
+// Guards against refusals on a connection in use again that count as possibly run, although
+// they name their attempt.
+func TestRefusalsThatNameTheirAttemptCountOnKeptConnections(t *testing.T) {
+	c := qt.New(t)
+	addresses := map[string]bool{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		addresses[r.RemoteAddr] = true
+		w.WriteHeader(http.StatusServiceUnavailable)
+		fmt.Fprintf(w, `{"refused":true,"attempt":%q}`, r.Header.Get(HeaderAttempt))
+	}))
+	defer server.Close()
+	caller := NewHTTPCaller(NewTransport(), nil)
+	for _, attempt := range []string{"a1", "a2"} {
+		request := StageRequest{Attempt: attempt, Type: "service", Input: []byte(`{}`), Timeout: time.Minute}
+		_, err := caller.Call(c.Context(), Server{Address: server.Listener.Addr().String()}, request)
+		c.Assert(err, qt.ErrorIs, ErrRefused)
+	}
+	c.Assert(addresses, qt.HasLen, 1)
+}
--- a/internal/backend/wire.go
+++ b/internal/backend/wire.go
@@ -50,6 +50,9 @@
 // Refusal is the body of a response, for example with status 503 or 429, that
 // reports that the server did not run the request.
 type Refusal struct {
-	Refused  bool `json:"refused"`
-	Draining bool `json:"draining,omitempty"`
+	// Attempt is the ID of the refused attempt. Without it, the refusal counts on a
+	// connection of its own only.
+	Attempt  string `json:"attempt,omitempty"`
+	Refused  bool   `json:"refused"`
+	Draining bool   `json:"draining,omitempty"`
 }
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -117,7 +117,7 @@
 
 func (b *Backend) serveStage(w http.ResponseWriter, r *http.Request) {
 	if b.faults.get().Draining {
-		writeJSON(w, http.StatusServiceUnavailable, backend.Refusal{Refused: true, Draining: true})
+		writeJSON(w, http.StatusServiceUnavailable, backend.Refusal{Attempt: r.Header.Get(backend.HeaderAttempt), Refused: true, Draining: true})
 		return
 	}
 	var body backend.Body
@@ -126,7 +126,7 @@
 	}
 	fault := b.faults.draw()
 	if fault == FaultRefuse || !b.engine.serves(body.Model) {
-		writeJSON(w, http.StatusServiceUnavailable, backend.Refusal{Refused: true})
+		writeJSON(w, http.StatusServiceUnavailable, backend.Refusal{Attempt: r.Header.Get(backend.HeaderAttempt), Refused: true})
 		return
 	}
 	if !b.slots.acquire(r.Context(), rank(r, body)) {
