Permits: a new owner gives the first one at a low limit in time

What callers saw: a server that has ended a limit of 0.2 a second gets no requests for up to 8.6 s after the instance that gives out its permits has changed, as only the answer to a permitted request shows the end.

Cause: a new owner begins with an empty bucket and gives out 0.4 of the limit for 6 s, which is 0.08 a second here; 0.2 is the rate that is to be kept for just this purpose.

Change: an allocator beside or after another one gives 0.4 of the limit, but not less than the limit or 0.2 a second, whichever is lower; SafeRate counts the same. At a limit of 0.2 a second two of them give out 0.4 a second; the users allow 6 requests in 4 s there.

--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -4,8 +4,8 @@
 
 const (
 	// handoverPeriod is how long an instance that has begun to allocate permits gives only
-	// handoverShare of them: others may still ask the instance before it, which adds to the
-	// sum.
+	// handoverShare of them, but not less than MinRate implies: others may still ask the
+	// instance before it, which adds to the sum.
 	handoverPeriod = 6 * time.Second
 	handoverShare  = 0.4
 	// burstTime is the time whose permits may be given at once, and minBurst the number that
@@ -52,11 +52,17 @@
 // effectiveRate returns the permits per second that this instance may give out, for its share
 // of the limit.
 func (a *Allocator) effectiveRate(now time.Time, rate Rate, share float64) float64 {
-	effective := float64(rate) * share
 	if !a.owner || now.Sub(a.since) < handoverPeriod {
-		effective *= handoverShare
+		rate = handoverRate(rate)
 	}
-	return effective
+	return float64(rate) * share
+}
+
+// handoverRate returns the rate of an allocator beside the owner whose permits it gives out or
+// has begun to give out. At a low limit, the next permit shows whether the limit is still in
+// force.
+func handoverRate(rate Rate) Rate {
+	return max(handoverShare*rate, min(rate, MinRate))
 }
 
 // fill brings the bucket of a server up to date and returns it.
--- a/ratelimit/cold.go
+++ b/ratelimit/cold.go
@@ -25,10 +25,6 @@
 // instance of the server's region.
 const CutOffShare = 0.5
 
-// concurrentShares are the shares of a limit that allocators may give out at the same time: the
-// owner, its successor, and a region that is cut off from both.
-var concurrentShares = [...]float64{1, handoverShare, CutOffShare}
-
 // rateResolution is the resolution of SafeRate.
 const rateResolution Rate = 0.01
 
@@ -46,10 +42,11 @@
 	return low
 }
 
-// mostPermits returns how many permits at a rate may be given out in one second.
+// mostPermits returns how many permits at a rate may be given out in one second by the owner,
+// its successor, and a region that is cut off from both.
 func mostPermits(rate Rate) (n float64) {
-	for _, share := range concurrentShares {
-		perSecond := share * float64(rate)
+	for _, concurrent := range [...]Rate{rate, handoverRate(rate), CutOffShare * rate} {
+		perSecond := float64(concurrent)
 		n += perSecond + maxTokens(perSecond)
 	}
 	return n
