Views: another peer is asked when one lacks the announced version

What callers saw: after an outage of the store, an instance stops using a running server for up to half a second, although the server has registered again in time.

Cause: a summary of another region names the newest version that any instance there has, and the address of the instance that sent it, which may not have it. An instance that is told of the version so first asks that address, gets no changes, waits 500 ms, and asks the same address again. Meanwhile the grace period of the server ends.

Change: an answer that leaves the instance behind ends the use of that address, and another peer that is known to have the version is asked after 150 ms, as when a peer is busy.

Ruled out: load (virtual time), and the race detector.

--- a/internal/view/pull.go
+++ b/internal/view/pull.go
@@ -141,7 +141,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pulls = slices.DeleteFunc(s.pulls, func(other *pullCall) bool { return other == call })
-	if err == nil && !s.isBehind() {
+	caughtUp := err == nil && !s.isBehind()
+	if caughtUp {
 		for _, other := range s.pulls {
 			other.cancel()
 		}
@@ -153,12 +154,16 @@
 	switch {
 	case err == nil:
 		s.pullStart = minPullStart
+		if !caughtUp {
+			s.pullPause = nextPeerInterval
+		}
 	case errors.Is(err, ErrPeerBusy):
-		s.pullPause, s.behindSince = busyPullInterval, time.Now()
+		s.pullPause, s.behindSince = nextPeerInterval, time.Now()
 	default:
 		s.pullStart = min(2*s.pullStart, maxPullStart)
 	}
-	if err != nil && s.announcedBy == call.request.Address {
+	// The address may be that of an instance which only knows of one that has the version.
+	if !caughtUp && s.announcedBy == call.request.Address {
 		s.announcedBy = ""
 	}
 }
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -74,8 +74,9 @@
 	// data of the calls that timed out.
 	minPullStart = 800 * time.Millisecond
 	maxPullStart = 6400 * time.Millisecond
-	// busyPullInterval is the minimum time until the next pull after a peer was busy.
-	busyPullInterval = 150 * time.Millisecond
+	// nextPeerInterval is the minimum time until another peer is asked, after one was busy or
+	// did not have the announced version.
+	nextPeerInterval = 150 * time.Millisecond
 	// firstPullInterval is the minimum time between two pulls without a view: most peers
 	// of an instance that starts with them have none either, or serve others.
 	firstPullInterval = 150 * time.Millisecond
