Views: peers wait for the servers that the reader waits for

What callers saw: instances stop using running servers after an outage of the store in which it is silent, until these have registered again, up to 2 s.

Cause: only some instances call the store, and a call of a follower is given up after 11 s. One that noticed no outage drops a server at once when it pulls the removal of its entry, which the reader itself still waits to be taken back. The reader announces no such removal, but any other change in that time has peers pull it, too.

Change: an instance that serves changes names the servers in their grace period and the time left of it; the one that merges them waits as long, at most a grace period. Peers of earlier versions name none, as before.

Test: TestPeersWaitForTheServersThatTheReaderAwaits fails when no servers are named (the server is dropped), and passes. Ruled out before: that each instance decides by itself; one without calls can't know of the outage.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -381,10 +381,14 @@
 	changes := handler.ChangesAfter(store.Version(request.HaveVersion))
 	return &peerpb.PullViewResponse{
 		Version: int64(changes.Version), Base: int64(changes.Base),
-		Entries: mapSlice(changes.Changed, encodeEntry), Deleted: changes.Deleted,
+		Entries: mapSlice(changes.Changed, encodeEntry), Deleted: changes.Deleted, Awaited: mapSlice(changes.Awaited, encodeAwaited),
 	}, nil
 }
 
+func encodeAwaited(a store.AwaitedServer) *peerpb.AwaitedServer {
+	return &peerpb.AwaitedServer{Id: a.ID, LeftMs: a.Left.Milliseconds()}
+}
+
 func (s *Server) viewHandler() ViewHandler {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -45,6 +45,16 @@
 	// Base is the version that the changes apply to; 0 when the result holds all
 	// entries.
 	Base Version
+	// Awaited holds the servers whose entries are gone and that may register again.
+	Awaited []AwaitedServer
+}
+
+// AwaitedServer is a server that stays in use for a time although its entry lapsed in an outage.
+type AwaitedServer struct {
+	// ID is the ID of the server.
+	ID string
+	// Left is the rest of that time.
+	Left time.Duration
 }
 
 // Errors of a store call. Each states what is known about the write.
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -58,6 +58,8 @@
 	// graceUntil holds, by server ID, the end of the grace period of the servers whose
 	// entries were removed around a store outage.
 	graceUntil map[string]time.Time
+	// peerGrace is the same as the peer has it whose changes are being merged, nil otherwise.
+	peerGrace map[string]time.Time
 	// removals holds the latest removals in order: all those after the version
 	// removalsSince.
 	removals      []removal
@@ -370,7 +372,7 @@
 	if !listed {
 		return
 	}
-	if end := s.graceEnd(now); end.After(now) && !server.Draining {
+	if end := latest(s.graceEnd(now), s.peerGrace[id]); end.After(now) && !server.Draining {
 		s.graceUntil[id] = end
 		return
 	}
@@ -444,9 +446,23 @@
 	return c
 }
 
+// AwaitedServers returns the servers in their grace period. A peer that pulls the removal of
+// their entries may not have noticed the outage, as only some instances call the store.
+func (s *State) AwaitedServers(now time.Time) (awaited []store.AwaitedServer) {
+	for id, until := range s.graceUntil {
+		awaited = append(awaited, store.AwaitedServer{ID: id, Left: until.Sub(now)})
+	}
+	return awaited
+}
+
 // Merge applies the changes that were pulled from a peer. Changes that start at another
 // version than the current position are ignored.
 func (s *State) Merge(now time.Time, changes store.Changes) Change {
+	s.peerGrace = map[string]time.Time{}
+	defer func() { s.peerGrace = nil }()
+	for _, a := range changes.Awaited {
+		s.peerGrace[a.ID] = now.Add(min(a.Left, reregisterGracePeriod))
+	}
 	switch changes.Base {
 	case 0:
 		return s.Replace(now, changes.Changed, changes.Version)
--- a/internal/view/state_test.go
+++ b/internal/view/state_test.go
@@ -254,6 +254,26 @@
 	c.Assert(follower.Merge(removedAt, reader.ChangesAfter(follower.Position())).Left, qt.DeepEquals, []string{"a"})
 }
 
+// Guards against running servers that an instance drops while its peers wait for them to
+// register again, because it made no call to the store in the outage and pulls another change.
+func TestPeersWaitForTheServersThatTheReaderAwaits(t *testing.T) {
+	c := qt.New(t)
+	reader, follower := NewState(fakeDecoder{}), NewState(fakeDecoder{})
+	for _, s := range []*State{reader, follower} {
+		s.Replace(epoch, []store.Entry{entry("server/a", "x", 1), entry("server/b", "x", 1)}, 1)
+	}
+	reader.RecordOutage(epoch)
+	returned := epoch.Add(10 * time.Second)
+	reader.RecordReach(returned)
+	reader.Apply(returned, store.WatchResult{Deleted: []string{"server/a"}, Version: 2})
+	reader.Apply(returned, watchResult(3, entry("config", "1", 3)))
+	changes := reader.ChangesAfter(follower.Position())
+	changes.Awaited = reader.AwaitedServers(returned)
+	c.Assert(follower.Merge(returned, changes).Left, qt.HasLen, 0)
+	c.Assert(follower.View().Servers["x"], qt.HasLen, 2)
+	c.Assert(follower.Tick(returned.Add(reregisterGracePeriod)).Left, qt.DeepEquals, []string{"a"})
+}
+
 // Guards against a server that stays in use for seconds after it left, because a call to the
 // store failed shortly before: no entry of a running server lapses in a short outage, nor in
 // one of this instance's own path.
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -269,7 +269,9 @@
 func (s *Sync) ChangesAfter(have store.Version) store.Changes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.ChangesAfter(have)
+	changes := s.state.ChangesAfter(have)
+	changes.Awaited = s.state.AwaitedServers(time.Now())
+	return changes
 }
 
 // RecordAnnouncement records that the peer at an address announced a version.
