Views: a server that is registered again is a change for peers

What callers saw: after an outage of the store, all instances stop using a running server until something else in the view changes.

Cause: an instance reads the store after the entry of a server has lapsed, and waits for it. The reader reads it later, when the server has registered again; a watch returns the last event of a key only, so that nothing has changed for the reader and it announces nothing. The first one drops the server at the end of its grace period and announces the version of the removal, which all pull.

Change: the result of a watch names the keys that were removed before they were written, and the return of such a server is a change of the view, which is announced. This costs announcements only after true removals.

Open: lists of all entries after a loss of history.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -35,6 +35,8 @@
 	Changed []Entry
 	// Deleted holds the keys deleted after that version.
 	Deleted []string
+	// Rewritten holds the keys of Changed that were deleted before they were written.
+	Rewritten []string
 	// Version is the version from which the next poll starts.
 	Version Version
 }
--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -200,10 +200,22 @@
 	for _, e := range result.Changed {
 		s.put(&c, e)
 	}
+	for _, key := range result.Rewritten {
+		s.recordReturn(&c, key)
+	}
 	s.advance(c, result.Version)
 	return c
 }
 
+// recordReturn records that the entry of a server is there again, as peers may have read that
+// it was gone.
+func (s *State) recordReturn(c *Change, key string) {
+	server, listed := s.servers[s.idByKey[key]]
+	if listed && !server.Draining && !slices.Contains(c.Joined, server.ID) {
+		c.Joined = append(c.Joined, server.ID)
+	}
+}
+
 // beginUpdate prepares for entries of a version. When the store was restored from a
 // backup since the last update, entries that it lacks are written again within
 // reregisterGracePeriod. Servers that have left since the backup are in it as if they were
