Requests with too many pieces are rejected

What callers saw: one request of 400 bytes with "Pieces:" takes a gateway over its memory within 0.3 s, and all its requests end.

Cause, as the claim says: all pieces of a stage are listed before anything is decided about the request, and nothing holds their number against a bound.

Change: a request that names more than 1,024 pieces of a stage of its route is answered 400 before its body is read; the line names stage and bound. Numbers for stages that the route does not have are ignored, and a malformed number counts as absent, both as before.

Not done: the bound is a constant and no setting yet, and possible numbers aren't worked out from deadline and capacity; the issue asks for both.

--- a/internal/gateway/stages_test.go
+++ b/internal/gateway/stages_test.go
@@ -225,6 +225,22 @@
 	c.Assert(inputs.all()[0], qt.Not(qt.Equals), inputs.all()[1])
 }
 
+// Guards against a process that runs out of memory because a client names a very large number
+// of pieces, each of which takes memory before anything is decided about the request.
+func TestRequestsWithTooManyPiecesAreRejected(t *testing.T) {
+	c := qt.New(t)
+	f := newEngineFixture(c, false, route.Stage{Service: "stage"})
+	var calls, freed recorder
+	f.addStageServer(&calls, &freed)
+	f.addServer("x", func(rw http.ResponseWriter, r *http.Request) { sendEvents(rw, 1, 1) })
+	f.start()
+	answer, body, err := f.do("POST", "/p/", "", "Counts", fmt.Sprint(route.MaxPieces+1))
+	c.Assert(err, qt.IsNil)
+	c.Check(answer.StatusCode, qt.Equals, http.StatusBadRequest)
+	c.Check(body, qt.Equals, fmt.Sprintf("%d pieces of stage 0, at most %d are allowed\n", route.MaxPieces+1, route.MaxPieces))
+	c.Check(calls.all(), qt.HasLen, 0)
+}
+
 // Guards against stage calls for a request that can't be answered in time, and against a
 // refusal that is sent late.
 func TestRequestsThatCannotEndInTimeAreRefusedAtOnce(t *testing.T) {
--- a/route/graph.go
+++ b/route/graph.go
@@ -1,5 +1,33 @@
 package route
 
+import "fmt"
+
+// MaxPieces bounds the pieces of one stage of a request. Each takes memory at the gateway, and
+// a client names their number in a few bytes.
+const MaxPieces = 1024
+
+// PieceLimitError reports a stage of which a request has more than MaxPieces pieces.
+type PieceLimitError struct {
+	// Stage is the index of the stage in its route, Count the number of its pieces.
+	Stage, Count int
+}
+
+// Error names the stage and the bound.
+func (e *PieceLimitError) Error() string {
+	return fmt.Sprintf("%d pieces of stage %d, at most %d are allowed", e.Count, e.Stage, MaxPieces)
+}
+
+// CheckPieces checks the numbers of pieces that a request names. The error is a
+// *PieceLimitError.
+func (r *Route) CheckPieces(counts []int) error {
+	for stage, count := range counts[:min(len(counts), len(r.Stages))] {
+		if count > MaxPieces {
+			return &PieceLimitError{Stage: stage, Count: count}
+		}
+	}
+	return nil
+}
+
 // Graph is the dependency graph of the stages of one request. Stages without pieces are
 // omitted from it.
 type Graph struct {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -68,3 +68,15 @@
 	c.Assert(r.NewGraph([]int{2, 1, 0}).Final, qt.DeepEquals, []int{1})
 	c.Assert(r.NewGraph(nil).Empty(), qt.IsTrue)
 }
+
+// Guards against requests that are rejected for pieces that are allowed, or for those of stages
+// that their route does not have.
+func TestCheckPieces(t *testing.T) {
+	c := qt.New(t)
+	r := &Route{Stages: make([]Stage, 2)}
+	c.Check(r.CheckPieces(nil), qt.IsNil)
+	c.Check(r.CheckPieces([]int{MaxPieces, -5, MaxPieces + 1}), qt.IsNil)
+	var limit *PieceLimitError
+	c.Check(r.CheckPieces([]int{0, MaxPieces + 1}), qt.ErrorAs, &limit)
+	c.Check(limit.Stage, qt.Equals, 1)
+}
