"OPTIONS *" is answered by the handlers, with 404

What callers saw: "OPTIONS *" is answered 200 without a signature, a body or a backend server that has seen it.

Change: the servers for clients, of gateways and of entry instances, pass it to their handler like any other request. It has no route and gets 404. The servers for other callers (readiness, metrics, peers) are left as they are: no client of a backend server meets them.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -137,7 +137,7 @@
 // runs stop hooks in reverse order, its stop hook runs the shutdown steps before
 // any other part stops.
 func serveCallers(lc fx.Lifecycle, p callerServerParams) {
-	server := &http.Server{Handler: p.Handler.Router(), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: p.Handler.Router(), ReadHeaderTimeout: headerTimeout, DisableGeneralOptionsHandler: true}
 	door := doors.New("callers", p.Plan.Clients, p.Logger, p.Metrics.Scope)
 	p.Status.Add("callers", func() any { return door.Usage() })
 	var listening atomic.Bool
--- a/internal/gateway/frontend.go
+++ b/internal/gateway/frontend.go
@@ -103,6 +103,8 @@
 	server := &http.Server{
 		Handler: f.handler, MaxHeaderBytes: limits.HeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
 		ConnState: f.countConnection, ConnContext: doors.ConnContext, ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelDebug),
+		// The handler answers "OPTIONS *", too, which has no route.
+		DisableGeneralOptionsHandler: true,
 	}
 	f.servers = append(f.servers, server)
 	go func(l *connListener) {
--- a/internal/gateway/plain_test.go
+++ b/internal/gateway/plain_test.go
@@ -393,3 +393,19 @@
 	}
 	c.Assert(retries, qt.Equals, 5)
 }
+
+// Guards against a success that no backend server has answered: net/http answers "OPTIONS *"
+// itself unless it is told not to.
+func TestRequestsForNoPathAreNotAnsweredWithSuccess(t *testing.T) {
+	c := qt.New(t)
+	f := newPlainFixture(c, route.Idempotent)
+	f.addServer("x", func(http.ResponseWriter, *http.Request) {})
+	f.start()
+	request, err := http.NewRequest(http.MethodOptions, f.url, nil)
+	c.Assert(err, qt.IsNil)
+	request.Host, request.URL.Opaque = "h", "*"
+	response, err := http.DefaultTransport.RoundTrip(request)
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	c.Check(response.StatusCode, qt.Equals, http.StatusNotFound)
+}
