Requests whose text is not UTF-8 are rejected, not changed

What callers saw: pieces are made with another key than the client's, and with the same one for the keys of two clients.

Cause, as the claim says: the key travels in JSON, which replaces bytes that are not UTF-8. The ID of a request does so, too; IDs of prompt parts travel in protobuf, which rejects them, so that calls between instances fail and sound owners are avoided for 2 s (by reading).

Change: a request to a service of model servers with such text is answered 400 before its body is read, and the line names the field. Requests to plain services pass theirs on byte for byte, as before. The check of the number of pieces moves beside it, into requestcheck.go. Ruled out: to escape such text, because servers would be asked with another key all the same.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,7 +89,7 @@
 	c.deadline = c.arrived.Add(defaultTimeout)
 	c.bodyUnread = r.ContentLength != 0
 	defer func() { c.heldBody.Release() }()
-	if !c.resolveRoute() || !c.checkPieces() || !c.readBody() {
+	if !c.resolveRoute() || !c.checkRequest() || !c.readBody() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -160,16 +160,6 @@
 	return true
 }
 
-// checkPieces answers a request with more pieces than are allowed with status 400, before
-// anything is done for it. It returns false then.
-func (c *clientRequest) checkPieces() bool {
-	err := c.route.CheckPieces(c.requestInfo.PieceCounts)
-	if err != nil {
-		c.fail(http.StatusBadRequest, err.Error(), err)
-	}
-	return err == nil
-}
-
 // deny answers that the configuration does not allow the request. While a newer one may, it
 // refuses the request instead, which may then be sent again.
 func (c *clientRequest) deny(status int, reason string) {
--- /dev/null
+++ b/internal/gateway/requestcheck_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/engine"
+	"github.com/coltsfootdrift/coltsfootdrift/route"
+)
+
+// Guards against text of a client that reaches stage servers changed, so that the keys of two
+// clients become one, and against calls of other instances that fail on it.
+func TestTextThatIsNotUTF8IsRejected(t *testing.T) {
+	c := qt.New(t)
+	const latin1 = "r\xf3tulo"
+	for _, v := range []struct {
+		info  RequestInfo
+		field string
+	}{
+		{RequestInfo{ID: latin1}, "request ID"},
+		{RequestInfo{PieceKey: latin1}, "piece key"},
+		{RequestInfo{Prompt: []engine.Part{{ID: "ok"}, {ID: latin1}}}, "ID of a prompt part"},
+	} {
+		var text *TextError
+		c.Assert(v.info.checkText(), qt.ErrorAs, &text)
+		c.Check(text.Field, qt.Equals, v.field)
+	}
+	c.Check(RequestInfo{ID: "rótulo", PieceKey: "é", Prompt: []engine.Part{{ID: ""}}}.checkText(), qt.IsNil)
+
+	f := newEngineFixture(c, false, route.Stage{Service: "stage"})
+	var calls, freed recorder
+	f.addStageServer(&calls, &freed)
+	f.addServer("x", func(rw http.ResponseWriter, _ *http.Request) { sendEvents(rw, 1, 1) })
+	f.start()
+	answer, body, err := f.do("POST", "/p/", "", "Counts", "1", "Prompt", latin1)
+	c.Assert(err, qt.IsNil)
+	c.Check(answer.StatusCode, qt.Equals, http.StatusBadRequest)
+	c.Check(body, qt.Equals, "ID of a prompt part is not valid UTF-8\n")
+	c.Check(calls.all(), qt.HasLen, 0)
+}
