Eviction: sorted parts in place of a heap of our own

Cause: read once more, implements heap.Interface with five methods to evict many parts in the order of their use, where the standard library's sort of the same list does. What is evicted stays the same, and so do the tests.

--- a/engine/eviction.go
+++ b/engine/eviction.go
@@ -1,7 +1,7 @@
 package engine
 
 import (
-	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -22,9 +22,11 @@
 	if !c.overflows(keep) {
 		return
 	}
-	order := c.partsByUse()
-	for c.overflows(keep) {
-		c.evict(heap.Pop(&order).(usedPart).id)
+	for _, part := range c.partsByUse() {
+		if !c.overflows(keep) {
+			return
+		}
+		c.evict(part.id)
 	}
 }
 
@@ -49,41 +51,18 @@
 	return oldest
 }
 
-// partsByUse returns the cached parts in a heap, the least recently used one first.
-func (c *serverState) partsByUse() useHeap {
-	order := make(useHeap, 0, len(c.cachedParts))
-	for id, part := range c.cachedParts {
-		order = append(order, usedPart{id, part.lastUsed})
-	}
-	heap.Init(&order)
-	return order
-}
-
 // usedPart is a part and when it was last used.
 type usedPart struct {
 	id       string
 	lastUsed time.Time
 }
 
-// useHeap implements heap.Interface.
-type useHeap []usedPart
-
-// Len returns the number of parts.
-func (h useHeap) Len() int { return len(h) }
-
-// Less orders the parts by use.
-func (h useHeap) Less(i, j int) bool { return h[i].lastUsed.Before(h[j].lastUsed) }
-
-// Swap swaps two parts.
-func (h useHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push adds a part.
-func (h *useHeap) Push(part any) { *h = append(*h, part.(usedPart)) }
-
-// Pop removes the last part.
-func (h *useHeap) Pop() any {
-	last := len(*h) - 1
-	part := (*h)[last]
-	*h = (*h)[:last]
-	return part
+// partsByUse returns the cached parts in the order of their last use.
+func (c *serverState) partsByUse() []usedPart {
+	parts := make([]usedPart, 0, len(c.cachedParts))
+	for id, part := range c.cachedParts {
+		parts = append(parts, usedPart{id, part.lastUsed})
+	}
+	slices.SortFunc(parts, func(a, b usedPart) int { return a.lastUsed.Compare(b.lastUsed) })
+	return parts
 }
