--- a/engine/eviction_test.go
+++ b/engine/eviction_test.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// BenchmarkPromptOfManyNewParts measures a prompt of 2,000 new parts on a full cache.
+// BenchmarkPromptOfManyNewParts caches a prompt of 2,000 new parts on a full server.
 func BenchmarkPromptOfManyNewParts(b *testing.B) {
 	server, now := fullServer()
 	for i := 0; b.Loop(); i++ {
--- a/internal/gateway/plain_test.go
+++ b/internal/gateway/plain_test.go
@@ -394,8 +394,8 @@
 	c.Assert(retries, qt.Equals, 5)
 }
 
-// Guards against a success that no backend server has answered: net/http answers "OPTIONS *"
-// itself unless it is told not to.
+// Guards against a success that no backend server has answered: by default net/http answers
+// "OPTIONS *" itself.
 func TestRequestsForNoPathAreNotAnsweredWithSuccess(t *testing.T) {
 	c := qt.New(t)
 	f := newPlainFixture(c, route.Idempotent)
--- a/internal/gateway/repeatedanswer_test.go
+++ b/internal/gateway/repeatedanswer_test.go
@@ -59,7 +59,7 @@
 }
 
 // Guards against a late second copy of "inputs are lost" that is taken for the answer to the
-// second send of the request: the client is told that it did not run, and it has run.
+// second send of the request: the client gets a 503 although the request has run.
 func TestRepeatedLossOfInputsDoesNotAnswerTheNextSend(t *testing.T) {
 	c := qt.New(t)
 	f := newEngineFixture(c, false, route.Stage{Service: "stage"})
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -209,9 +209,7 @@
 	for _, e := range response.Entries {
 		changes.Changed = append(changes.Changed, store.Entry{Key: e.Key, Value: e.Value, Version: store.Version(e.Version)})
 	}
-	for _, a := range response.Awaited {
-		changes.Awaited = append(changes.Awaited, store.AwaitedServer{ID: a.Id, Left: time.Duration(a.LeftMs) * time.Millisecond})
-	}
+	changes.Awaited = mapSlice(response.Awaited, decodeAwaited)
 	return changes, nil
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
+	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
 	"github.com/coltsfootdrift/coltsfootdrift/ratelimit"
 )
@@ -56,6 +57,14 @@
 	return out
 }
 
+func encodeAwaited(a store.AwaitedServer) *peerpb.AwaitedServer {
+	return &peerpb.AwaitedServer{Id: a.ID, LeftMs: a.Left.Milliseconds()}
+}
+
+func decodeAwaited(a *peerpb.AwaitedServer) store.AwaitedServer {
+	return store.AwaitedServer{ID: a.Id, Left: time.Duration(a.LeftMs) * time.Millisecond}
+}
+
 func encodeRecord(r membership.Record) *peerpb.Record {
 	return &peerpb.Record{Id: r.ID, FailureDomain: r.FailureDomain, Address: r.Address, Incarnation: r.Incarnation,
 		Counter: r.Counter, State: int64(r.State), Load: int64(r.Load), Revision: r.Revision,
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -385,10 +385,6 @@
 	}, nil
 }
 
-func encodeAwaited(a store.AwaitedServer) *peerpb.AwaitedServer {
-	return &peerpb.AwaitedServer{Id: a.ID, LeftMs: a.Left.Milliseconds()}
-}
-
 func (s *Server) viewHandler() ViewHandler {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -117,7 +117,7 @@
 
 func (b *Backend) serveStage(w http.ResponseWriter, r *http.Request) {
 	if b.faults.get().Draining {
-		writeJSON(w, http.StatusServiceUnavailable, backend.Refusal{Attempt: r.Header.Get(backend.HeaderAttempt), Refused: true, Draining: true})
+		refuse(w, r, backend.Refusal{Draining: true})
 		return
 	}
 	var body backend.Body
@@ -126,7 +126,7 @@
 	}
 	fault := b.faults.draw()
 	if fault == FaultRefuse || !b.engine.serves(body.Model) {
-		writeJSON(w, http.StatusServiceUnavailable, backend.Refusal{Attempt: r.Header.Get(backend.HeaderAttempt), Refused: true})
+		refuse(w, r, backend.Refusal{})
 		return
 	}
 	if !b.slots.acquire(r.Context(), rank(r, body)) {
@@ -136,6 +136,12 @@
 	b.execute(w, r, body, fault)
 }
 
+// refuse answers that an attempt did not run.
+func refuse(w http.ResponseWriter, r *http.Request, refusal backend.Refusal) {
+	refusal.Refused, refusal.Attempt = true, r.Header.Get(backend.HeaderAttempt)
+	writeJSON(w, http.StatusServiceUnavailable, refusal)
+}
+
 // rank returns the rank of a queued request: by class, then by the priority of the
 // request.
 func rank(r *http.Request, body backend.Body) int {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,7 +12,7 @@
 
 // conn is one connection to a backend server.
 type conn struct {
-	// number tells the connection from the others of its Client.
+	// number identifies the connection within its Client.
 	number   uint64
 	serverID string
 	// incarnation and address are those of the server at the time of the dial.
--- a/internal/upstream/sends.go
+++ b/internal/upstream/sends.go
@@ -6,7 +6,7 @@
 // sent yet. It is not safe for concurrent use.
 //
 // A connection carries a request at most once. A server may write an answer again, late, where
-// the next one on that connection is due. The ID in it tells it from the answers to other
+// the next one on that connection is due. Its ID distinguishes it from the answers to other
 // requests, but not from the answer to a second send of the same request.
 type Sends struct {
 	// connections are the numbers of the connections that carried the request.
--- a/internal/view/sync_test.go
+++ b/internal/view/sync_test.go
@@ -58,6 +58,8 @@
 	leaving []string
 	// hang is true when no peer answers a pull.
 	hang bool
+	// lacking is the address of an instance that has no changes.
+	lacking string
 	// becomesReader turns this instance into a reader.
 	becomesReader atomic.Bool
 }
@@ -69,7 +71,10 @@
 	return maxStandbyRank + 1
 }
 
-func (f *fakePeers) Pull(ctx context.Context, _ PullRequest) (store.Changes, error) {
+func (f *fakePeers) Pull(ctx context.Context, request PullRequest) (store.Changes, error) {
+	if f.lacking != "" && request.Address == f.lacking {
+		return store.Changes{}, nil
+	}
 	if f.hang {
 		<-ctx.Done()
 		return store.Changes{}, ctx.Err()
