Requests whose numbers of pieces or tokens are malformed are rejected

What callers saw: a request with "Pieces: -5", or any text that is no number, was answered 200 without the stages that it asked for, and a prompt part whose number of tokens is malformed counted as empty. The caller never learned of it.

Cause: parsePieceCounts returned what it had read before the malformed number, and parsePrompt and outputTokens took 0 in its place, so that malformed and absent were one. Ruled out: the gateway's check of bounds, which sees the parsed numbers only.

Change: ReadRequest returns a MalformedError that names the field, and requests to model servers that have one are answered 400 before the body is read.

--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -33,8 +33,10 @@
 	arrived     time.Time
 	view        *view.View
 	requestInfo RequestInfo
-	route       *route.Route
-	service     *route.Service
+	// malformed is the error of Protocol.ReadRequest.
+	malformed error
+	route     *route.Route
+	service   *route.Service
 	// organisation is empty when the request needs no key.
 	organisation string
 	priority     int
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -61,7 +61,7 @@
 	return strings.TrimPrefix(key, "evacuate/"), nil
 }
 
-func (fakeProtocol) ReadRequest(h http.Header) RequestInfo {
+func (fakeProtocol) ReadRequest(h http.Header) (RequestInfo, error) {
 	info := RequestInfo{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last"), PieceKey: "pk"}
 	if ms, err := strconv.Atoi(h.Get("Wait")); err == nil {
 		info.Timeout, info.HasTimeout = time.Duration(ms)*time.Millisecond, true
@@ -73,7 +73,7 @@
 		count, _ := strconv.Atoi(n)
 		info.PieceCounts = append(info.PieceCounts, count)
 	}
-	return info
+	return info, nil
 }
 
 func (fakeProtocol) WriteRequest(h http.Header, s SendInfo) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,9 +82,10 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	g.metrics.requests.Inc(1)
+	info, malformed := g.protocol.ReadRequest(r.Header)
 	c := &clientRequest{
 		Gateway: g, writer: w, request: r, arrived: time.Now(),
-		view: g.views.Current(), requestInfo: g.protocol.ReadRequest(r.Header),
+		view: g.views.Current(), requestInfo: info, malformed: malformed,
 	}
 	c.deadline = c.arrived.Add(defaultTimeout)
 	c.bodyUnread = r.ContentLength != 0
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -95,7 +95,9 @@
 // wire format.
 type Protocol interface {
 	view.Decoder
-	ReadRequest(http.Header) RequestInfo
+	// ReadRequest reads the headers of a client request. Its error is a *MalformedError; the
+	// malformed field is empty then.
+	ReadRequest(http.Header) (RequestInfo, error)
 	// WriteRequest sets the headers that only the gateway may set, and removes what the
 	// client sent in them.
 	WriteRequest(http.Header, SendInfo)
--- a/internal/gateway/requestcheck.go
+++ b/internal/gateway/requestcheck.go
@@ -22,6 +22,16 @@
 	return fmt.Sprintf("%d prompt parts, at most %d are allowed", e.Count, maxPromptParts)
 }
 
+// MalformedError reports a field of a request whose value can't be decoded. Such a field does not
+// count as absent: the request would be served without what it asks for.
+type MalformedError struct {
+	// Field is the name of the field in words.
+	Field string
+}
+
+// Error names the field.
+func (e *MalformedError) Error() string { return e.Field + " is malformed" }
+
 // TextError reports a field of a request that is not valid UTF-8. Such text can't be passed on
 // to stage servers and other instances: JSON and protobuf would change or reject it.
 type TextError struct {
@@ -62,7 +72,7 @@
 	if c.service.Engine == nil {
 		return true
 	}
-	err := cmp.Or(c.route.CheckPieces(c.requestInfo.PieceCounts), c.requestInfo.checkPrompt(), c.requestInfo.checkText())
+	err := cmp.Or(c.malformed, c.route.CheckPieces(c.requestInfo.PieceCounts), c.requestInfo.checkPrompt(), c.requestInfo.checkText())
 	if err != nil {
 		c.fail(http.StatusBadRequest, err.Error(), err)
 	}
