Prompts that no model server can hold are rejected

Cause: no bound on the tokens of a prompt or on the output that a request expects. The prompt is booked at its server as prefill of months, and its output as memory.

Change: a prompt above the memory of a model server (16 Mi tokens where the configuration does not say) is answered 400 before anything is booked: no server can run it, and another try would not help. The output that a request names is an upper limit, so it isn't rejected; it counts as at most what fits beside the prompt, and what can be generated until the deadline at 1 ms a token.

--- a/internal/gateway/modelruns.go
+++ b/internal/gateway/modelruns.go
@@ -32,7 +32,20 @@
 
 // run returns what the request needs of a model server beside its prompt.
 func (g *generateRequest) run() engine.Run {
-	return engine.Run{ID: g.requestInfo.ID, Kind: g.route.Name, OutputTokens: g.requestInfo.OutputTokens, Priority: g.priority}
+	return engine.Run{ID: g.requestInfo.ID, Kind: g.route.Name, OutputTokens: g.outputTokens(), Priority: g.priority}
+}
+
+// minTokenTime is the least time in which a model server generates an output token.
+const minTokenTime = time.Millisecond
+
+// outputTokens returns the output that the request is counted with: what it expects, but no more
+// than a model server can generate until the deadline or hold beside the prompt.
+func (g *generateRequest) outputTokens() int {
+	tokens := min(g.requestInfo.OutputTokens, int(g.deadline.Sub(g.arrived)/minTokenTime))
+	if memory := g.service.Engine.CacheTokens; memory > 0 {
+		tokens = min(tokens, memory-g.requestInfo.promptTokens())
+	}
+	return tokens
 }
 
 // maxRoomWait returns how long the request can wait for room at a model server: until its
--- a/internal/gateway/requestcheck.go
+++ b/internal/gateway/requestcheck.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"unicode/utf8"
+
+	"github.com/coltsfootdrift/coltsfootdrift/route"
 )
 
 // maxPromptParts bounds the parts of a prompt. Each is looked up for every model server that may
@@ -22,6 +24,20 @@
 	return fmt.Sprintf("%d prompt parts, at most %d are allowed", e.Count, maxPromptParts)
 }
 
+// maxPromptTokens bounds the tokens of a prompt where the memory of the model servers is unknown.
+const maxPromptTokens = 16 << 20
+
+// PromptTokensError reports a prompt that no model server can hold.
+type PromptTokensError struct {
+	// Tokens is the length of the prompt, Limit the memory of a model server in tokens.
+	Tokens, Limit int
+}
+
+// Error names the bound.
+func (e *PromptTokensError) Error() string {
+	return fmt.Sprintf("prompt has %d tokens, model servers hold at most %d", e.Tokens, e.Limit)
+}
+
 // MalformedError reports a field of a request whose value can't be decoded. Such a field does not
 // count as absent: the request would be served without what it asks for.
 type MalformedError struct {
@@ -50,6 +66,24 @@
 	return nil
 }
 
+// checkPromptTokens checks the length of the prompt against the memory of the model servers. The
+// error is a *PromptTokensError.
+func (i RequestInfo) checkPromptTokens(engine *route.EngineProfile) error {
+	limit := cmp.Or(engine.CacheTokens, maxPromptTokens)
+	if tokens := i.promptTokens(); tokens > limit {
+		return &PromptTokensError{Tokens: tokens, Limit: limit}
+	}
+	return nil
+}
+
+// promptTokens returns the length of the prompt.
+func (i RequestInfo) promptTokens() (tokens int) {
+	for _, part := range i.Prompt {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
 // checkText checks the fields that are passed on as text. The error is a *TextError.
 func (i RequestInfo) checkText() error {
 	if !utf8.ValidString(i.ID) {
@@ -72,7 +106,8 @@
 	if c.service.Engine == nil {
 		return true
 	}
-	err := cmp.Or(c.malformed, c.route.CheckPieces(c.requestInfo.PieceCounts), c.requestInfo.checkPrompt(), c.requestInfo.checkText())
+	err := cmp.Or(c.malformed, c.route.CheckPieces(c.requestInfo.PieceCounts), c.requestInfo.checkPrompt(),
+		c.requestInfo.checkPromptTokens(c.service.Engine), c.requestInfo.checkText())
 	if err != nil {
 		c.fail(http.StatusBadRequest, err.Error(), err)
 	}
--- a/internal/gateway/requestcheck_test.go
+++ b/internal/gateway/requestcheck_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -55,3 +56,25 @@
 	c.Check(body, qt.Equals, "ID of a prompt part is not valid UTF-8\n")
 	c.Check(calls.all(), qt.HasLen, 0)
 }
+
+// Guards against a request that books the memory of many model servers for an output that it
+// can't have: more than fits beside its prompt, or than is generated until its deadline.
+func TestExpectedOutputIsWhatAModelServerCanGenerate(t *testing.T) {
+	c := qt.New(t)
+	for _, v := range []struct {
+		named, prompt, memory int
+		timeout               time.Duration
+		expected              int
+	}{
+		{80, 100, 1000, time.Second, 80},
+		{1 << 30, 100, 1000, time.Minute, 900},
+		{1 << 30, 100, 0, time.Minute, 60_000},
+		{1 << 30, 100, 1 << 20, 2 * time.Second, 2000},
+	} {
+		now := time.Now()
+		info := RequestInfo{OutputTokens: v.named, Prompt: []engine.Part{{ID: "a", Tokens: v.prompt}}}
+		service := &route.Service{Engine: &route.EngineProfile{CacheTokens: v.memory}}
+		g := &generateRequest{clientRequest: &clientRequest{requestInfo: info, service: service, arrived: now, deadline: now.Add(v.timeout)}}
+		c.Check(g.outputTokens(), qt.Equals, v.expected, qt.Commentf("%+v", v))
+	}
+}
