Prompts that did not run leave no work at their server

What callers saw: beside large prompts that were refused, failed or were cancelled, a model server counted as busy for their whole prefill, 7.5 s for 300,000 tokens, so that others went elsewhere or were refused.

Cause: busyUntil only grew; a report that the run has ended removed its slot and memory from the ledger, but not its work.

Change: a run remembers the work that it added and when that would be spent. When it ends without a first event, what is left is subtracted. Runs that had their first event subtract nothing. Servers with unknown slots have no ledger, and stay as they were.

Evidence: TestPromptsThatDidNotRunLeaveNoWork fails in all three cases on (the next prompt is expected after more than 1 s), and passes now. TestAnsweredRunsCancelNoWork holds before and after. engine and internal/gateway pass.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -227,8 +227,8 @@
 		copySource.server.lastCopiedFromAt = now
 	}
 	placed.NewParts = best.missingSharedParts(q.Prompt)
-	s.recordPlacement(best, now, q.Prompt, bestWork)
-	s.recordRun(best, now, q, placed.Expected)
+	work := s.recordPlacement(best, now, q.Prompt, bestWork)
+	s.recordRun(best, now, q, placed.Expected, work)
 	return placed, true
 }
 
@@ -327,13 +327,25 @@
 	return all, shared
 }
 
-// recordPlacement adds a prompt to the expected work and cache of a server.
-func (s *Scheduler) recordPlacement(c *serverState, now time.Time, prompt []Part, work workload) {
+// recordPlacement adds a prompt to the expected work and cache of a server. It returns the work.
+func (s *Scheduler) recordPlacement(c *serverState, now time.Time, prompt []Part, work workload) time.Duration {
 	if c.busyUntil.Before(now) {
 		c.busyUntil = now
 	}
-	c.busyUntil = c.busyUntil.Add(s.workDuration(c, now, work))
+	duration := s.workDuration(c, now, work)
+	c.busyUntil = c.busyUntil.Add(duration)
 	c.cacheParts(now, prompt)
+	return duration
+}
+
+// cancelWork removes what a run without an answer has left of its work before the first event.
+func (c *serverState) cancelWork(now time.Time, r *activeRun) {
+	if r == nil || r.answered {
+		return
+	}
+	if unspent := min(r.work, r.workEnds.Sub(now)); unspent > 0 {
+		c.busyUntil = c.busyUntil.Add(-unspent)
+	}
 }
 
 // cacheParts records that the server caches parts, and evicts others when they exceed
@@ -457,6 +469,7 @@
 		return
 	}
 	c.failures = 0
+	c.ledger.markAnswered(r.Run.ID)
 	excess := max(0, r.Delay-r.Expected)
 	if now.Sub(c.excessDelayAt) > excessDelayTTL {
 		c.excessDelay = 0
--- a/engine/ledger.go
+++ b/engine/ledger.go
@@ -42,6 +42,11 @@
 	// ownTokens is the memory that only this run uses: the last part of the prompt and the
 	// output.
 	ownTokens int
+	// work is the time that the server needs before the first event, and workEnds when it is
+	// expected to have spent it. answered is true once the first event was reported.
+	work     time.Duration
+	workEnds time.Time
+	answered bool
 	// priority is Run.Priority. A run that only the server reported has priority 0.
 	priority int
 	// foreign is true for a run whose end is not reported: one that only the server named, or
@@ -127,6 +132,13 @@
 	return true
 }
 
+// markAnswered records that a run has had its first event.
+func (l *ledger) markAnswered(id string) {
+	if r, ok := l.runs[id]; ok {
+		r.answered = true
+	}
+}
+
 // expire drops the runs that have ended without a report, and the first to end beyond a limit.
 func (l *ledger) expire(now time.Time, limit int) {
 	for id, r := range l.runs {
--- a/engine/room.go
+++ b/engine/room.go
@@ -61,11 +61,15 @@
 	}
 }
 
-// recordRun adds a run that is expected to have its first event after a time.
-func (s *Scheduler) recordRun(c *serverState, now time.Time, q Query, firstEvent time.Duration) {
-	if c.hasLedger() {
-		c.ledger.add(q.Run.ID, newActiveRun(now, q.Prompt, q.Run, firstEvent+s.runDuration(c, now, q.Run)))
+// recordRun adds a run that is expected to have its first event after a time. Its work until
+// then is the last that was added to the server.
+func (s *Scheduler) recordRun(c *serverState, now time.Time, q Query, firstEvent, work time.Duration) {
+	if !c.hasLedger() {
+		return
 	}
+	r := newActiveRun(now, q.Prompt, q.Run, firstEvent+s.runDuration(c, now, q.Run))
+	r.work, r.workEnds = work, c.busyUntil
+	c.ledger.add(q.Run.ID, r)
 }
 
 // Load is what a server says of its runs.
--- a/engine/runtime.go
+++ b/engine/runtime.go
@@ -132,7 +132,8 @@
 // endRun removes a run from a server. One that is not recorded there began before this
 // scheduler placed prompts, or its caller did not receive the placement and chose another
 // server. One of those that the server reported ends instead, and the run at any other server.
-func (s *Scheduler) endRun(c *serverState, id string) {
+func (s *Scheduler) endRun(c *serverState, now time.Time, id string) {
+	c.cancelWork(now, c.ledger.runs[id])
 	if c.ledger.remove(id) {
 		return
 	}
@@ -150,7 +151,7 @@
 		return
 	}
 	if r.Failed || r.Refused || r.Ended {
-		s.endRun(c, r.Run.ID)
+		s.endRun(c, now, r.Run.ID)
 	}
 	if r.Load != nil {
 		s.recordLoad(c, now, *r.Load)
