Answers that are reset during an upload are not taken for whole ones

Cause: the system reports a reset once, to the write or to the read that meets it first. When the write of the upload does, reads end with 0 bytes, which Go returns as io.EOF: the same as a connection that the server has closed in order. The write error was looked at only when the connection was to be used again. Ruled out: Go's http.ReadResponse, which returns what the connection does; a program of 60 lines without it shows the same on this kernel. It shows, too, that after an orderly end a write fails with EPIPE, and otherwise with ECONNRESET (18 of 18 plays).

Change: tcpreset.Conn remembers the first error of a write that shows a failure of the connection. At the end of a read it stops the write that is in progress, waits for it, and returns that error instead of io.EOF. A connection that the server closed in order ends as before, also when it is reset after that. All answers that the gateway reads come through it: plain ones, streams, stage calls, states. The entry daemon, the store and other instances were looked at: their answers show in their content that they are whole, or need a length.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -184,6 +184,23 @@
 	return address
 }
 
+// addRawServer adds a server of service "x" that serves each of its connections by a function.
+func (f *fixture) addRawServer(serve func(net.Conn)) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	f.c.Assert(err, qt.IsNil)
+	f.c.Cleanup(func() { listener.Close() })
+	f.servers = append(f.servers, view.Server{ID: "raw", Service: "x", Address: listener.Addr().String(), FailureDomain: "d", Slots: 4})
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+}
+
 // addServerIn adds a backend server in a failure domain: "d" is in the gateway's region "r",
 // "e" in region "q".
 func (f *fixture) addServerIn(domain, service string, handle http.HandlerFunc) {
--- /dev/null
+++ b/internal/gateway/oddanswers_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/coltsfootdrift/coltsfootdrift/route"
+)
+
+// resetDelay is how long a part of an answer has time to arrive before the reset.
+const resetDelay = 5 * time.Millisecond
+
+// answerAndReset answers the first request on a connection before its body is read, and resets
+// the connection then.
+func answerAndReset(conn net.Conn, answer string) {
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+		_, _ = io.WriteString(conn, answer)
+		time.Sleep(resetDelay)
+	}
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
+// Guards against a part of an answer that a client gets as a complete one: the server answers a
+// long upload at once, without a length, and resets the connection while the upload is being
+// written.
+func TestAnswersResetDuringAnUploadAreNotPassedOnAsComplete(t *testing.T) {
+	plain := func(c *qt.C) *fixture { return newPlainFixture(c, route.NonIdempotent) }
+	stream := func(c *qt.C) *fixture { return newEngineFixture(c, false) }
+	for name, v := range map[string]struct {
+		newFixture func(*qt.C) *fixture
+		answer     string
+	}{
+		"plain":          {plain, "HTTP/1.1 200 OK\r\nId: a1\r\n\r\npart of it"},
+		"plain, large":   {plain, "HTTP/1.1 200 OK\r\nId: a1\r\n\r\n" + strings.Repeat("x", 2*maxBufferedAnswerBytes)},
+		"plain, failure": {plain, "HTTP/1.1 404 Not Found\r\nId: a1\r\n\r\npart of it"},
+		"stream":         {stream, "HTTP/1.1 200 OK\r\nId: a1\r\nContent-Type: text/event-stream\r\n\r\n" + eventText(1, 2)},
+	} {
+		for size, bytes := range map[string]int{"900 kB": 900_000, "4 MB": 4 << 20} {
+			t.Run(name+", "+size, func(t *testing.T) {
+				c := qt.New(t)
+				f := v.newFixture(c)
+				f.addRawServer(func(conn net.Conn) { answerAndReset(conn, v.answer) })
+				f.start()
+				for range 20 {
+					answer, body, err := f.do("POST", "/p/", strings.Repeat("u", bytes))
+					if err == nil {
+						c.Check(answer.StatusCode, qt.Equals, http.StatusBadGateway, qt.Commentf("%.40q is passed on as the whole body", body))
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/gateway/repeatedanswer_test.go
+++ b/internal/gateway/repeatedanswer_test.go
@@ -10,7 +10,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/coltsfootdrift/coltsfootdrift/internal/view"
 	"github.com/coltsfootdrift/coltsfootdrift/route"
 )
 
@@ -21,20 +20,8 @@
 // and runs the later ones. It writes the first answer once more before the next one on that
 // connection. It records the requests that it runs.
 func (f *fixture) addRepeatingServer(runs *recorder) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	f.c.Assert(err, qt.IsNil)
-	f.c.Cleanup(func() { listener.Close() })
-	f.servers = append(f.servers, view.Server{ID: "repeating", Service: "x", Address: listener.Addr().String(), FailureDomain: "d", Slots: 4})
 	var sends recorder
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serveRepeating(conn, &sends, runs)
-		}
-	}()
+	f.addRawServer(func(conn net.Conn) { serveRepeating(conn, &sends, runs) })
 }
 
 func serveRepeating(conn net.Conn, sends, runs *recorder) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,6 +8,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/coltsfootdrift/coltsfootdrift/internal/tcpreset"
 )
 
 // conn is one connection to a backend server.
@@ -19,8 +21,10 @@
 	incarnation int64
 	address     string
 	netConn     net.Conn
-	reader      *bufio.Reader
-	head        *headReader
+	// stream is netConn for what is written and read.
+	stream *tcpreset.Conn
+	reader *bufio.Reader
+	head   *headReader
 	// reused is true when an earlier request was sent on the connection.
 	reused bool
 	// expires is the time from which the idle connection must not be used.
@@ -31,8 +35,9 @@
 const readBufferBytes = 4 << 10
 
 func newConn(number uint64, netConn net.Conn, server Server) *conn {
-	head := &headReader{conn: netConn}
-	return &conn{number: number, serverID: server.ID, incarnation: server.Incarnation, address: server.Address, netConn: netConn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
+	stream := tcpreset.New(netConn)
+	head := &headReader{conn: stream}
+	return &conn{number: number, serverID: server.ID, incarnation: server.Incarnation, address: server.Address, netConn: netConn, stream: stream, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
 // leadsTo reports whether the connection is to the process that a server is now.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -101,7 +101,7 @@
 	if e.writeErr != nil {
 		return
 	}
-	n, err := e.conn.netConn.Write(data)
+	n, err := e.conn.stream.Write(data)
 	e.writtenBytes.Add(int64(n))
 	e.writeErr = err
 }
