Answers with a malformed field name are rejected

With "Content-Length : 4" or "Transfer-Encoding : chunked" its body ended with the connection in place of there, so that the client got further bytes, or the chunks' own lines, as the server's body. All readers of answers took such heads.

Cause: net/textproto accepts a name with blanks and only keeps it as it is (the length "Content-Length " is then another field), for clients' sake. RFC 9112, section 5.1, has no blank between name and colon, and a proxy must not pass one on.

--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -1,11 +1,13 @@
 // Package answerhead rejects answers whose heads net/http accepts although they are not valid
-// HTTP/1 (RFC 9110, RFC 9112). What such an answer says is not known.
+// HTTP/1 (RFC 9110, RFC 9112). What such an answer says, and where its body ends, is not known.
 package answerhead
 
 import (
 	"fmt"
 	"net/http"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // MalformedError reports an answer that is not valid HTTP/1.
@@ -23,7 +25,7 @@
 	maxStatus = 599
 )
 
-// Check checks the head of an answer: its version and its status. The
+// Check checks the head of an answer: its version, its status and the names of its fields. The
 // error is a *MalformedError. No request of this project asks for another protocol, so that
 // status 101 is no valid answer.
 func Check(response *http.Response) error {
@@ -34,6 +36,22 @@
 	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return &MalformedError{fmt.Sprintf("status %q", response.Status)}
 	}
+	return checkNames(response.Header)
+}
+
+// CheckTrailer checks the names of the fields after a chunked body that was read to its end. The
+// error is a *MalformedError.
+func CheckTrailer(response *http.Response) error { return checkNames(response.Trailer) }
+
+// checkNames returns an error for a name that is no token, such as one with a space before the
+// colon. The sender and other recipients may read the field, a length for example, by its name
+// without the space (RFC 9112, section 5.1).
+func checkNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &MalformedError{fmt.Sprintf("name of a field %q", name)}
+		}
+	}
 	return nil
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -229,6 +229,9 @@
 	if !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return n, err
 	}
+	if malformed := answerhead.CheckTrailer(b.response); malformed != nil {
+		return n, malformed
+	}
 	b.complete = true
 	return n, err
 }
