--- a/internal/gateway/requestcheck.go
+++ b/internal/gateway/requestcheck.go
@@ -68,8 +68,8 @@
 
 // checkPromptTokens checks the length of the prompt against the memory of the model servers. The
 // error is a *PromptTokensError.
-func (i RequestInfo) checkPromptTokens(engine *route.EngineProfile) error {
-	limit := cmp.Or(engine.CacheTokens, maxPromptTokens)
+func (i RequestInfo) checkPromptTokens(profile *route.EngineProfile) error {
+	limit := cmp.Or(profile.CacheTokens, maxPromptTokens)
 	if tokens := i.promptTokens(); tokens > limit {
 		return &PromptTokensError{Tokens: tokens, Limit: limit}
 	}
