Answers with a blank before a field name are rejected

What callers saw: a line of a head that begins with a blank or a tab reached them as the end of the value of the field before. After the server's signature, the client got another signature with a success.

Cause: net/textproto joins such a line with the one before, as old versions of HTTP had it. RFC 9112, section 5.2, lets a proxy reject it or pass it on with blanks. The response that net/http returns does not show it.

Change: answerhead.Scanner follows the bytes of a head, in whatever parts they come, and rejects such a line. The reader of heads of the gateway's connections did most of that, to bound them; it uses the scanner now. It also sees what was read from the connection together with the answer before (an interim answer, or one that was skipped), and counts it, which it did not.

Answers of the store and of instances are not scanned: net/http reads them, and none of the fields that are used can change what the bodies say.

--- a/internal/gateway/oddanswers_test.go
+++ b/internal/gateway/oddanswers_test.go
@@ -66,16 +66,18 @@
 // the server's. Its request is sent again if that is allowed.
 func TestAnswersWithMalformedHeadsAreNotPassedOn(t *testing.T) {
 	for name, head := range map[string]string{
-		"status 000":                           "HTTP/1.1 000 Odd\r\nId: a1\r\nContent-Length: 4\r\n\r\nbody",
-		"status 000 without a body":            "HTTP/1.1 000 Odd\r\nId: a1\r\nContent-Length: 0\r\n\r\n",
-		"status 999":                           "HTTP/1.1 999 Odd\r\nId: a1\r\nContent-Length: 4\r\n\r\nbody",
-		"status 101":                           "HTTP/1.1 101 Odd\r\nId: a1\r\n\r\n",
-		"blank in a name":                      "HTTP/1.1 200 OK\r\nId: a1\r\nOdd Name: a\r\nContent-Length: 4\r\n\r\nbody",
-		"control byte in a name":               "HTTP/1.1 200 OK\r\nId: a1\r\nOdd\x01: a\r\nContent-Length: 4\r\n\r\nbody",
-		"blank after the name of a length":     "HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length : 4\r\nConnection: close\r\n\r\nbody and more",
-		"blank after the name of a coding":     "HTTP/1.1 200 OK\r\nId: a1\r\nTransfer-Encoding : chunked\r\nConnection: close\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-		"blank in a name of an interim answer": "HTTP/1.1 100 Continue\r\nOdd : a\r\n\r\nHTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 4\r\n\r\nbody",
-		"blank in the name of a trailer":       "HTTP/1.1 200 OK\r\nId: a1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nOdd Name: a\r\n\r\n",
+		"status 000":                                "HTTP/1.1 000 Odd\r\nId: a1\r\nContent-Length: 4\r\n\r\nbody",
+		"status 000 without a body":                 "HTTP/1.1 000 Odd\r\nId: a1\r\nContent-Length: 0\r\n\r\n",
+		"status 999":                                "HTTP/1.1 999 Odd\r\nId: a1\r\nContent-Length: 4\r\n\r\nbody",
+		"status 101":                                "HTTP/1.1 101 Odd\r\nId: a1\r\n\r\n",
+		"blank in a name":                           "HTTP/1.1 200 OK\r\nId: a1\r\nOdd Name: a\r\nContent-Length: 4\r\n\r\nbody",
+		"control byte in a name":                    "HTTP/1.1 200 OK\r\nId: a1\r\nOdd\x01: a\r\nContent-Length: 4\r\n\r\nbody",
+		"blank after the name of a length":          "HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length : 4\r\nConnection: close\r\n\r\nbody and more",
+		"blank after the name of a coding":          "HTTP/1.1 200 OK\r\nId: a1\r\nTransfer-Encoding : chunked\r\nConnection: close\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"blank in a name of an interim answer":      "HTTP/1.1 100 Continue\r\nOdd : a\r\n\r\nHTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 4\r\n\r\nbody",
+		"blank before a name":                       "HTTP/1.1 200 OK\r\nId: a1\r\nSignature: s\r\n Odd: a\r\nContent-Length: 4\r\n\r\nbody",
+		"tab before a name after an interim answer": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a1\r\nSignature: s\r\n\tOdd: a\r\nContent-Length: 4\r\n\r\nbody",
+		"blank in the name of a trailer":            "HTTP/1.1 200 OK\r\nId: a1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nOdd Name: a\r\n\r\n",
 	} {
 		for _, repeatable := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, repeatable %v", name, repeatable), func(t *testing.T) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/answermemory"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/tcpreset"
 )
 
@@ -40,6 +41,20 @@
 	return &conn{number: number, serverID: server.ID, incarnation: server.Incarnation, address: server.Address, netConn: netConn, stream: stream, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
+// readHead reads the head of the next answer, to a request with a method. Its memory is reserved
+// in a holding.
+func (cn *conn) readHead(method string, memory *answermemory.Holding) (*http.Response, error) {
+	buffered, _ := cn.reader.Peek(cn.reader.Buffered()) // does not read
+	if err := cn.head.begin(memory, buffered); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	return response, cn.head.finish(response)
+}
+
 // leadsTo reports whether the connection is to the process that a server is now.
 func (cn *conn) leadsTo(server Server) bool {
 	return cn.address == server.Address && cn.incarnation == server.Incarnation
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -110,17 +110,10 @@
 // readAnswer returns the head of the answer. Answers to other requests are skipped.
 func (e *exchange) readAnswer(request *Request) (*Answer, error) {
 	for range maxStrayAnswers + 1 {
-		e.conn.head.begin(e.memory)
-		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: request.Method})
+		response, err := e.conn.readHead(request.Method, e.memory)
 		if err != nil {
 			return nil, e.client.recordHeadError(err)
 		}
-		if err := e.conn.head.finish(); err != nil {
-			return nil, err
-		}
-		if err := answerhead.Check(response); err != nil {
-			return nil, e.client.recordHeadError(err)
-		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/upstream/headreader.go
+++ b/internal/upstream/headreader.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"time"
 
+	"github.com/coltsfootdrift/coltsfootdrift/internal/answerhead"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/answermemory"
 	"github.com/coltsfootdrift/coltsfootdrift/memorybudget"
 )
@@ -17,25 +19,26 @@
 type headReader struct {
 	conn   net.Conn
 	memory *answermemory.Holding
-	// reading is true from begin until finish, and begun from the first byte of the head.
-	// What was buffered before begin is not seen.
+	// reading is true from begin until finish, and begun from the first byte of the head that is
+	// read from the connection.
 	reading, begun bool
-	bytes, lines   int
-	// lineBytes is the number of bytes of the present line without its end.
-	lineBytes int
-	// ended is true after the empty line that ends a head. The body follows.
-	ended bool
+	scanner        answerhead.Scanner
 }
 
-// begin begins to read a head whose memory is reserved in a holding.
-func (r *headReader) begin(memory *answermemory.Holding) {
+// begin begins to read a head whose memory is reserved in a holding. buffered was read from the
+// connection before. It returns the errors of Read.
+func (r *headReader) begin(memory *answermemory.Holding, buffered []byte) error {
 	*r = headReader{conn: r.conn, memory: memory, reading: true}
+	return r.count(buffered)
 }
 
-// finish ends the limits of begin.
-func (r *headReader) finish() error {
+// finish ends the limits of begin, and checks the response whose head was read.
+func (r *headReader) finish(response *http.Response) error {
 	begun := r.begun
 	*r = headReader{conn: r.conn}
+	if err := answerhead.Check(response); err != nil {
+		return err
+	}
 	if !begun {
 		return nil
 	}
@@ -43,10 +46,10 @@
 }
 
 // Read reads from the connection. It returns errHeadTooLong or answermemory.ErrNoRoom for a
-// head that is cut off.
+// head that is cut off, and an *answerhead.MalformedError for one that is malformed.
 func (r *headReader) Read(p []byte) (int, error) {
 	n, err := r.conn.Read(p)
-	if !r.reading || r.ended || n == 0 {
+	if !r.reading || r.scanner.Ended || n == 0 {
 		return n, err
 	}
 	if !r.begun {
@@ -63,26 +66,12 @@
 
 // count counts and reserves the part of data that belongs to the head.
 func (r *headReader) count(data []byte) error {
-	bytes, lines := 0, 0
-	for _, b := range data {
-		bytes++
-		switch b {
-		case '\n':
-			lines++
-			r.ended = r.lineBytes == 0
-			r.lineBytes = 0
-		case '\r':
-		default:
-			r.lineBytes++
-		}
-		if r.ended {
-			break
-		}
+	before := r.scanner
+	if err := r.scanner.Scan(data); err != nil {
+		return err
 	}
-	r.bytes += bytes
-	r.lines += lines
-	if r.bytes > maxHeadBytes || r.lines > maxHeadLines {
+	if r.scanner.Bytes > maxHeadBytes || r.scanner.Lines > maxHeadLines {
 		return errHeadTooLong
 	}
-	return r.memory.Reserve(memorybudget.HeadBytes(bytes, lines))
+	return r.memory.Reserve(memorybudget.HeadBytes(r.scanner.Bytes-before.Bytes, r.scanner.Lines-before.Lines))
 }
