HTTP/1.0 answers with a transfer coding are rejected

What callers saw: an HTTP/1.0 answer with "Transfer-Encoding: chunked" reached them with the lines of its chunks as the body, as a success.

Cause: net/http ignores the field in HTTP/1.0 and removes it, so that the body ends with the connection. RFC 9112, section 6.1: the framing of such a message is faulty.

Change: the scanner of heads notes the field, and Scanner.Check rejects it with that version, at the gateway's connections.

Evidence: TestAnswersWithMalformedHeadsAreNotPassedOn fails in its two cases "chunks of HTTP/1.0" before; TestHeadsAreScannedInAnyParts checks the name in any case, longer names and values. Not checked at the clients of net/http, whose answers are documents that show their own end.

--- a/internal/answerhead/scanner_test.go
+++ b/internal/answerhead/scanner_test.go
@@ -1,6 +1,7 @@
 package answerhead
 
 import (
+	"net/http"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -11,8 +12,8 @@
 func TestHeadsAreScannedInAnyParts(t *testing.T) {
 	const first = "HTTP/1.0 200 OK\r\n"
 	for name, v := range map[string]struct {
-		lines     string
-		malformed bool
+		lines                 string
+		malformed, unreadable bool
 	}{
 		"sound":                       {lines: "Id: a 1\r\n"},
 		"bare line feeds":             {lines: "Id: a\n"},
@@ -20,6 +21,7 @@
 		"tab before a name":           {lines: "Id: a\r\n\tOdd: a\r\n", malformed: true},
 		"blanks only":                 {lines: "Id: a\r\n  \r\n", malformed: true},
 		"blank before the first name": {lines: " Id: a\r\n", malformed: true},
+		"coding":                      {lines: "tRANSFER-eNCODING: chunked\r\n", unreadable: true},
 		"longer name":                 {lines: "Transfer-Encodings: a\r\nX-Transfer-Encoding: a\r\n"},
 		"value":                       {lines: "A: transfer-encoding: chunked\r\n"},
 	} {
@@ -40,6 +42,10 @@
 				c.Assert(err, qt.IsNil, qt.Commentf("parts at %d", n))
 				c.Assert(s.Ended, qt.IsTrue)
 				c.Assert(s.Bytes, qt.Equals, len(head))
+				response := &http.Response{Proto: "HTTP/1.0", ProtoMajor: 1, StatusCode: http.StatusOK}
+				c.Assert(s.Check(response) != nil, qt.Equals, v.unreadable, qt.Commentf("parts at %d", n))
+				response.ProtoMinor = 1
+				c.Assert(s.Check(response), qt.IsNil)
 			}
 		})
 	}
--- a/internal/gateway/oddanswers_test.go
+++ b/internal/gateway/oddanswers_test.go
@@ -77,6 +77,7 @@
 		"blank in a name of an interim answer":      "HTTP/1.1 100 Continue\r\nOdd : a\r\n\r\nHTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 4\r\n\r\nbody",
 		"blank before a name":                       "HTTP/1.1 200 OK\r\nId: a1\r\nSignature: s\r\n Odd: a\r\nContent-Length: 4\r\n\r\nbody",
 		"tab before a name after an interim answer": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a1\r\nSignature: s\r\n\tOdd: a\r\nContent-Length: 4\r\n\r\nbody",
+		"chunks of HTTP/1.0":                        "HTTP/1.0 200 OK\r\nId: a1\r\nTransfer-encoding: chunked\r\nConnection: close\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 		"blank in the name of a trailer":            "HTTP/1.1 200 OK\r\nId: a1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nOdd Name: a\r\n\r\n",
 	} {
 		for _, repeatable := range []bool{false, true} {
--- a/internal/upstream/headreader.go
+++ b/internal/upstream/headreader.go
@@ -34,9 +34,9 @@
 
 // finish ends the limits of begin, and checks the response whose head was read.
 func (r *headReader) finish(response *http.Response) error {
-	begun := r.begun
+	begun, scanner := r.begun, r.scanner
 	*r = headReader{conn: r.conn}
-	if err := answerhead.Check(response); err != nil {
+	if err := scanner.Check(response); err != nil {
 		return err
 	}
 	if !begun {
