--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -72,11 +72,11 @@
 	return response, nil
 }
 
+// CloseIdleConnections closes the idle connections of Next, for http.Client.
+func (t Transport) CloseIdleConnections() { (&http.Client{Transport: t.Next}).CloseIdleConnections() }
+
 // NewClient returns a client that fails with a *MalformedError for answers that Check rejects.
 // Its calls end after a timeout.
 func NewClient(timeout time.Duration) *http.Client {
 	return &http.Client{Transport: Transport{Next: http.DefaultTransport}, Timeout: timeout}
 }
-
-// CloseIdleConnections closes the idle connections of Next, for http.Client.
-func (t Transport) CloseIdleConnections() { (&http.Client{Transport: t.Next}).CloseIdleConnections() }
