--- /dev/null
+++ b/review/11/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Prompt parts with long IDs fill the memory of a gateway. See claim.txt.
+cd "$(dirname "$0")/../.." && exec target/review-3/cases memory review/11/record.txt
