--- a/review/_standins-3/config.go
+++ b/review/_standins-3/config.go
@@ -6,14 +6,17 @@
 // host is the host of all routes.
 const host = "ginja.example"
 
-// key is the key of the only tenant.
-const key = "9dnn2ctnfzs989anu6ws"
+// key and secondKey are the keys of the only tenant.
+const (
+	key       = "9dnn2ctnfzs989anu6ws"
+	secondKey = "jnbanfqasnmgkcuyj8pj"
+)
 
-// configuration is the operator's configuration: one route to the model replicas, and one that
-// is not idempotent to a plain service.
-func configuration() map[string]any {
+// configuration is a version of the operator's configuration: one route to the model replicas,
+// and one that is not idempotent to a plain service.
+func configuration(version int, keys ...string) map[string]any {
 	return map[string]any{
-		"version": 7,
+		"version": version,
 		"routes": []map[string]any{
 			{"name": "nota-turno", "host": host, "prefix": engineRoute, "kind": "stream", "timeout-ms": 20000, "target-latency-ms": 2500,
 				"priority": 2, "service": "assistente-ml", "max-attempts": 2, "public": false, "sticky": true, "resumable": false, "target-gap-ms": 200},
@@ -28,6 +31,6 @@
 			{"name": "registo-lotes", "health-path": "/health", "max-connections": 110, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []map[string]any{{"name": "bozi300", "api-keys": []string{key}, "priority": 1}},
+		"tenants": []map[string]any{{"name": "bozi300", "api-keys": keys, "priority": 1}},
 	}
 }
--- a/review/_standins-3/memory.go
+++ b/review/_standins-3/memory.go
@@ -39,7 +39,7 @@
 // runMemory sends prompts whose parts have long IDs, and watches the memory of the gateways as
 // the platform does.
 func runMemory(w *world) (verdict, error) {
-	w.store.put("op/config", configuration())
+	w.store.put("op/config", configuration(7, key))
 	replicaZones := []string{"norte-adega", "centro-arm", "norte-linha", "centro-arm"}
 	for i := range modelReplicas {
 		if _, err := w.startReplica(fmt.Sprintf("i-ml%02d", i), "assistente-ml", replicaZones[i%len(replicaZones)], 64, serveStream(2, 40)); err != nil {
--- a/review/_standins-3/replica.go
+++ b/review/_standins-3/replica.go
@@ -26,6 +26,34 @@
 	running atomic.Int64
 	mu      sync.Mutex
 	state   string
+	// runs are the requests that it has run.
+	runs []servedRun
+}
+
+// servedRun is a request that a replica has run.
+type servedRun struct {
+	id, path string
+	at       time.Time
+}
+
+// leave reports that the replica is draining. It goes on serving.
+func (p *replica) leave() {
+	p.mu.Lock()
+	p.state = "draining"
+	p.mu.Unlock()
+	p.register(-1)
+}
+
+// runsAfter returns the number of requests that the replica has run after a time.
+func (p *replica) runsAfter(at time.Time) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.runs {
+		if r.at.After(at) {
+			n++
+		}
+	}
+	return n
 }
 
 // startReplica starts a replica, which registers itself.
@@ -87,6 +115,9 @@
 		rw.WriteHeader(http.StatusNotFound)
 		return
 	}
+	p.mu.Lock()
+	p.runs = append(p.runs, servedRun{r.Header.Get("Request-Attempt-Id"), r.URL.Path, time.Now()})
+	p.mu.Unlock()
 	p.running.Add(1)
 	defer p.running.Add(-1)
 	header.Set("Response-Signature", "s."+p.id+"."+r.Header.Get("Request-Attempt-Id"))
--- a/review/_standins-3/store.go
+++ b/review/_standins-3/store.go
@@ -31,10 +31,16 @@
 	revision int64
 	lease    int64
 	items    map[string]item
-	events   []item
-	changed  chan struct{}
+	// events are the changes after the revision dropped, and times when they were made.
+	events  []item
+	times   []time.Time
+	dropped int64
+	changed chan struct{}
 }
 
+// history is how long the store keeps changes for watches.
+const history = 20 * time.Second
+
 func newStore() (*store, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -69,6 +75,15 @@
 	s.change(item{Key: key, Value: data})
 }
 
+// putBytes writes keys in one transaction, each with the same bytes.
+func (s *store) putBytes(keys []string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, key := range keys {
+		s.change(item{Key: key, Value: value})
+	}
+}
+
 // remove removes a key.
 func (s *store) remove(key string) {
 	s.mu.Lock()
@@ -88,7 +103,11 @@
 	} else {
 		s.items[i.Key] = i
 	}
-	s.events = append(s.events, i)
+	s.events, s.times = append(s.events, i), append(s.times, time.Now())
+	for time.Since(s.times[0]) > history {
+		s.dropped = s.events[0].Revision
+		s.events, s.times = s.events[1:], s.times[1:]
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -107,8 +126,11 @@
 	}{i, s.revision})
 }
 
-// pageItems is the number of items in one answer.
-const pageItems = 500
+// pageItems and pageBytes bound the items in one answer. The first one is always in it.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
 
 func (s *store) list(rw http.ResponseWriter, r *http.Request) {
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
@@ -121,8 +143,12 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	truncated := len(items) > pageItems
-	answer(rw, map[string]any{"items": items[:min(len(items), pageItems)], "truncated": truncated, "store-revision": s.revision})
+	n, bytes := 0, 0
+	for n < len(items) && n < pageItems && (n == 0 || bytes+len(items[n].Value) <= pageBytes) {
+		bytes += len(items[n].Value)
+		n++
+	}
+	answer(rw, map[string]any{"items": items[:n], "truncated": n < len(items), "store-revision": s.revision})
 }
 
 func (s *store) watch(rw http.ResponseWriter, r *http.Request) {
@@ -133,13 +159,17 @@
 	defer cancel()
 	for {
 		s.mu.Lock()
-		events, revision, changed := []item{}, s.revision, s.changed
+		events, revision, dropped, changed := []item{}, s.revision, s.dropped, s.changed
 		for _, i := range s.events {
 			if i.Revision > after && strings.HasPrefix(i.Key, query.Get("prefix")) {
 				events = append(events, i)
 			}
 		}
 		s.mu.Unlock()
+		if after < dropped {
+			rw.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(events) > 0 || ctx.Err() != nil {
 			answer(rw, map[string]any{"events": events, "store-revision": revision})
 			return
