--- a/review/_standins-3/store.go
+++ b/review/_standins-3/store.go
@@ -84,13 +84,6 @@
 	}
 }
 
-// remove removes a key.
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.change(item{Key: key, Tombstone: true})
-}
-
 // change is called with the lock held.
 func (s *store) change(i item) {
 	s.revision++
--- a/review/_standins-3/world.go
+++ b/review/_standins-3/world.go
@@ -63,9 +63,7 @@
 	for _, g := range w.gateways {
 		g.kill()
 	}
-	if os.Getenv("KEEP") == "" {
-		os.RemoveAll(w.folder)
-	}
+	os.RemoveAll(w.folder)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.file.Close()
@@ -100,19 +98,26 @@
 
 // gateway is a process of the project.
 type gateway struct {
-	w                   *world
-	name                string
+	w    *world
+	name string
+	// client, ready and peer are its addresses, settings is the path of its settings file.
 	client, ready, peer string
 	settings            string
-	mu                  sync.Mutex
-	command             *exec.Cmd
-	ended               chan struct{}
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	// ended is closed when the process has ended, and exit is its error then. wantEnd is true
+	// after a signal that ends it.
+	ended   chan struct{}
+	exit    error
+	wantEnd bool
+}
 	exit                error
 	wantEnd             bool
 }
 
-// settingsOf returns the settings file of a gateway, as the platform makes it from the
-// template deploy/gateway.jsonc.
+// startGateway starts a gateway in a zone with a settings file like the one that the platform
+// makes from the template deploy/gateway.jsonc. address is that for other instances.
 func (w *world) startGateway(name, zone string, peers []string, address string) (*gateway, error) {
 	g := &gateway{w: w, name: name, peer: address}
 	var metrics string
