--- a/review/_standins-3/world.go
+++ b/review/_standins-3/world.go
@@ -112,9 +112,6 @@
 	exit    error
 	wantEnd bool
 }
-	exit                error
-	wantEnd             bool
-}
 
 // startGateway starts a gateway in a zone with a settings file like the one that the platform
 // makes from the template deploy/gateway.jsonc. address is that for other instances.
