Review, case 11: a request gets the results of another one

Case: the instance that schedules a stage is killed and starts again while one requester stands still for 0.4 s; it numbers its jobs from 1 again. Another requester, whose job has the same number, stands still when the first one goes on and asks for its job. It is given the results of the other request, and sends its own request to a model replica with them.

As it is the gravest, it is case 11 now; the cases 11 to 14 before it (CONFIG, Fault, Fault, MIXED) are 12 to 15.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,3 +1,4 @@
 #!/bin/sh
-# Large entries of another writer keep all gateways from the store's changes. See claim.txt.
-cd "$(dirname "$0")/../.." && exec target/review-3/cases entries review/11/record.txt
+# A request gets the results of another one after a restart of the instance that schedules its
+# stage. See claim.txt.
+cd "$(dirname "$0")/../.." && exec target/review-3/cases inputs review/11/record.txt
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Prompt parts with long IDs fill the memory of a gateway. See claim.txt.
-cd "$(dirname "$0")/../.." && exec target/review-3/cases memory review/12/record.txt
+# Large entries of another writer keep all gateways from the store's changes. See claim.txt.
+cd "$(dirname "$0")/../.." && exec target/review-3/cases entries review/12/record.txt
--- a/review/_standins-3/replica.go
+++ b/review/_standins-3/replica.go
@@ -111,6 +111,10 @@
 		answer(rw, map[string]any{"epoch": 1, "next": 1, "held": []any{}, "born": p.born})
 		return
 	}
+	if strings.HasPrefix(r.URL.Path, "/coltsfootdrift/stage-") {
+		p.serve(rw, r)
+		return
+	}
 	if strings.HasPrefix(r.URL.Path, "/coltsfootdrift/") {
 		rw.WriteHeader(http.StatusNotFound)
 		return
