--- a/internal/gateway/stagerequest.go
+++ b/internal/gateway/stagerequest.go
@@ -155,7 +155,7 @@
 		if response.InputsFetched {
 			r.freeInputsOf(i)
 		}
-		response, err = r.callAwaitStage(ctx, address, &peerpb.AwaitStageRequest{Service: request.Service, Job: response.Pending})
+		response, err = r.callAwaitStage(ctx, address, newAwaitStageRequest(request.Service, response))
 	}
 	return response, err
 }
@@ -169,6 +169,12 @@
 	return r.peerClient.RunStage(ctx, address, request)
 }
 
+// newAwaitStageRequest returns the request that continues to wait for the pending job of a
+// response.
+func newAwaitStageRequest(service string, pending *peerpb.RunStageResponse) *peerpb.AwaitStageRequest {
+	return &peerpb.AwaitStageRequest{Service: service, Job: pending.Pending, Process: pending.PendingProcess}
+}
+
 func (r *stageRun) callAwaitStage(ctx context.Context, address string, request *peerpb.AwaitStageRequest) (*peerpb.RunStageResponse, error) {
 	if address == "" {
 		return r.scheduler.AwaitStage(ctx, request)
--- a/internal/gateway/stages_test.go
+++ b/internal/gateway/stages_test.go
@@ -274,7 +274,7 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.Pending, qt.Not(qt.Equals), uint64(0))
 	close(release)
-	await := &peerpb.AwaitStageRequest{Service: "stage", Job: response.Pending}
+	await := newAwaitStageRequest("stage", response)
 	response, err = f.scheduler.AwaitStage(c.Context(), await)
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.Results, qt.HasLen, 1)
@@ -283,6 +283,34 @@
 	c.Assert(errors.Is(err, errUnknownJob), qt.IsTrue)
 }
 
+// Guards against the results of another request, which a requester gets that stood still while
+// the instance which schedules its stage restarted and numbered its jobs from 1 again (MIXED).
+func TestRequestersGetNoJobsOfALaterProcess(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	runPending := func(request string) (*fixture, *peerpb.AwaitStageRequest) {
+		f := newEngineFixture(c, false, route.Stage{Service: "stage"})
+		f.addServer("stage", func(rw http.ResponseWriter, _ *http.Request) {
+			<-release
+			_ = json.NewEncoder(rw).Encode([]stagework.Outcome{{Handle: "m/" + request}})
+		})
+		f.start()
+		response, err := f.scheduler.RunStage(c.Context(), &peerpb.RunStageRequest{Service: "stage", RequestId: request, Pieces: []int32{0}, DueMs: 5000, DeadlineMs: 5000})
+		c.Assert(err, qt.IsNil)
+		return f, newAwaitStageRequest("stage", response)
+	}
+	_, awaitFirst := runPending("first")
+	restarted, awaitSecond := runPending("second")
+	c.Assert(awaitFirst.Job, qt.Equals, awaitSecond.Job)
+	close(release)
+	_, err := restarted.scheduler.AwaitStage(c.Context(), awaitFirst)
+	c.Assert(errors.Is(err, errForeignJob), qt.IsTrue, qt.Commentf("%v", err))
+	response, err := restarted.scheduler.AwaitStage(c.Context(), awaitSecond)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Results, qt.HasLen, 1)
+	c.Assert(response.Results[0].Handle, qt.Equals, "m/second")
+}
+
 // awaitJobs waits until the queue of a service has a number of jobs.
 func (f *fixture) awaitJobs(service string, jobs int) {
 	eventually(f.c, func() bool {
--- a/internal/gateway/stagescheduler.go
+++ b/internal/gateway/stagescheduler.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"log/slog"
@@ -9,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
@@ -32,6 +34,9 @@
 // StageScheduler batches the pieces of jobs of all instances of the region into calls
 // to stage servers.
 type StageScheduler struct {
+	// process is the ID of this process, which differs between its starts. It is part of the
+	// names of jobs, because the requesters of an earlier process may still ask for theirs.
+	process     uuid.UUID
 	protocol    Protocol
 	client      *ServerClient
 	servers     *Servers
@@ -50,7 +55,7 @@
 // NewStageScheduler returns a scheduler without services.
 func NewStageScheduler(protocol Protocol, client *ServerClient, servers *Servers, freer *ResultFreer, logger *slog.Logger, scope tally.Scope) *StageScheduler {
 	return &StageScheduler{
-		protocol: protocol, client: client, servers: servers, freer: freer, logger: logger,
+		process: uuid.New(), protocol: protocol, client: client, servers: servers, freer: freer, logger: logger,
 		calls: scope.Counter("stage_calls"), callsFailed: scope.Counter("stage_calls_refused"), callTime: scope.Timer("stage_call_time"),
 		queues: map[string]*serviceQueue{},
 	}
@@ -151,8 +156,12 @@
 	return s.stopping
 }
 
-// AwaitStage implements peer.StageHandler.
+// AwaitStage implements peer.StageHandler. It returns errForeignJob for a job that another
+// process numbered: this one may have a job of the same number that belongs to another request.
 func (s *StageScheduler) AwaitStage(ctx context.Context, request *peerpb.AwaitStageRequest) (*peerpb.RunStageResponse, error) {
+	if !bytes.Equal(request.Process, s.process[:]) {
+		return nil, errForeignJob
+	}
 	q := s.queueOf(request.Service, false)
 	if q == nil {
 		return nil, errUnknownJob
@@ -168,7 +177,10 @@
 	return s.awaitJob(ctx, q, id, job)
 }
 
-var errUnknownJob = errors.New("unknown stage job")
+var (
+	errUnknownJob = errors.New("unknown stage job")
+	errForeignJob = errors.New("stage job of another process")
+)
 
 // awaitJob waits for the end of a job, at most for awaitPollTimeout. A job that is still
 // pending then stays for the next AwaitStage.
@@ -200,7 +212,7 @@
 	q.pending[id] = job
 	job.abandonTimer = time.AfterFunc(abandonJobAfter, func() { s.abandonJob(q, id, job) })
 	q.mu.Unlock()
-	response.Pending = uint64(id)
+	response.Pending, response.PendingProcess = uint64(id), s.process[:]
 	return q.addQueueState(response)
 }
 
