--- a/internal/view/storecalls.go
+++ b/internal/view/storecalls.go
@@ -12,25 +12,25 @@
 
 // watchStore takes a snapshot of the store, unless a view was pulled from a peer, and then
 // watches it for changes. It retries failed calls with exponential backoff, and takes a
-// new snapshot after a loss of history.
+// new snapshot when a watch can't return the changes.
 func (s *Sync) watchStore(ctx context.Context) {
 	backoff := initialBackoff
-	historyLost := false
+	needsSnapshot := false
 	for ctx.Err() == nil {
 		hasView := s.hasView()
 		if !hasView && s.awaitsPeers(time.Now()) {
 			clock.Sleep(ctx, startPollInterval)
 			continue
 		}
-		if hasView && !historyLost && s.reliesOnReader(time.Now()) {
+		if hasView && !needsSnapshot && s.reliesOnReader(time.Now()) {
 			clock.Sleep(ctx, tickInterval)
 			continue
 		}
 		started := time.Now()
 		late := hasView && s.readerIsLate()
-		read, err := s.readStore(ctx, hasView && !historyLost)
+		read, err := s.readStore(ctx, hasView && !needsSnapshot)
 		if err == nil {
-			historyLost, backoff = false, initialBackoff
+			needsSnapshot, backoff = false, initialBackoff
 			if read == readChanged && late {
 				s.takeOver(time.Now())
 			}
@@ -42,9 +42,9 @@
 			continue
 		}
 		s.ownReadFailed = true
-		if errors.Is(err, ErrHistoryLost) {
-			historyLost = true
-			clock.Sleep(ctx, historyLostPause)
+		if cannotBeWatched(err) {
+			needsSnapshot = true
+			clock.Sleep(ctx, snapshotPause)
 			continue
 		}
 		s.markUnreachable(ctx, err)
@@ -54,6 +54,12 @@
 	}
 }
 
+// cannotBeWatched reports whether an error of a watch means that no watch from its version
+// returns the changes, so that all entries have to be listed.
+func cannotBeWatched(err error) bool {
+	return errors.Is(err, ErrHistoryLost) || errors.Is(err, ErrTooManyChanges)
+}
+
 // readResult says what a call to the store returned.
 type readResult int
 
@@ -218,7 +224,7 @@
 			if outcome.err != nil && errors.Is(context.Cause(ctx), errSuperseded) {
 				return watchOutcome{err: errSuperseded}
 			}
-			if outcome.err == nil || errors.Is(outcome.err, ErrHistoryLost) || calls == 0 {
+			if outcome.err == nil || cannotBeWatched(outcome.err) || calls == 0 {
 				return outcome
 			}
 		}
--- a/internal/view/sync.go
+++ b/internal/view/sync.go
@@ -49,9 +49,9 @@
 	// followerWatchTimeout is how long the watch of a follower waits. Followers pull
 	// from the readers what their own watch does not return.
 	followerWatchTimeout = 10 * time.Second
-	// historyLostPause precedes the listing of all entries after a loss of history, so
-	// that a store that loses it again and again is not called without a pause.
-	historyLostPause = 20 * time.Millisecond
+	// snapshotPause precedes the listing of all entries after a watch that can't return the
+	// changes, so that a store that answers so again and again is not called without a pause.
+	snapshotPause = 20 * time.Millisecond
 	// ownReadTimeout bounds the listing of all entries by a follower which may pull the
 	// view from its peers instead.
 	ownReadTimeout = 800 * time.Millisecond
@@ -89,7 +89,8 @@
 	Snapshot(ctx context.Context, stale bool, options CallOptions) ([]store.Entry, store.Version, error)
 	// Watch waits for changes after a version, until shortly before the deadline of the
 	// context. An answer that has begun by then may take as long as it makes progress. It
-	// returns ErrHistoryLost when the store no longer has these changes.
+	// returns ErrHistoryLost when the store no longer has these changes, and
+	// ErrTooManyChanges when they don't fit in one answer.
 	Watch(ctx context.Context, prefix string, after store.Version, options CallOptions) (store.WatchResult, error)
 }
 
@@ -113,6 +114,10 @@
 // ErrHistoryLost reports a watch from a version after which the store has dropped changes.
 var ErrHistoryLost = errors.New("history of the store is no longer available")
 
+// ErrTooManyChanges reports a watch whose answer is larger than this instance reads. The same
+// watch would be answered so again, until the store drops these changes.
+var ErrTooManyChanges = errors.New("changes of the store don't fit in one answer")
+
 // ErrPeerBusy reports a peer that serves too many other pulls.
 var ErrPeerBusy = errors.New("peer is busy")
 
--- a/internal/view/sync_test.go
+++ b/internal/view/sync_test.go
@@ -199,6 +199,29 @@
 	c.Assert(s.Current().Table.Version, qt.Equals, int64(4))
 }
 
+// Guards against a watch that is repeated from a version although its answer is too large, so
+// that the instance learns of nothing until the store drops these changes (CONFIG, DRAIN).
+func TestTooManyChangesCauseSnapshot(t *testing.T) {
+	c := qt.New(t)
+	source := &fakeSource{snapshot: []store.Entry{entry("config", "1", 1)}, version: 1}
+	watches := 0
+	source.onWatch = func(ctx context.Context) (store.WatchResult, error) {
+		if watches++; watches > 1 {
+			return waitForCancel(ctx)
+		}
+		source.mu.Lock()
+		defer source.mu.Unlock()
+		source.snapshot, source.version = []store.Entry{entry("config", "4", 30)}, 30
+		return store.WatchResult{}, ErrTooManyChanges
+	}
+	s := startSync(c, source, &fakePeers{})
+	for end := time.Now().Add(5 * time.Second); s.Position() < 30 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(s.Position(), qt.Equals, store.Version(30))
+	c.Assert(s.Current().Table.Version, qt.Equals, int64(4))
+}
+
 // Guards against sending the view to a peer that already has it.
 func TestChangesAreServedToPeersThatLackThem(t *testing.T) {
 	c := qt.New(t)
