Large values of other writers are neither kept nor passed on to peers

What it would show: the answer to a peer that pulls a view has at most 4 MB. Five unreadable entries of the largest size (1 MB) under servers/ make it larger, as instances keep the values that they reject and hand them on. Each pull then fails, from any peer, for as long as the entries exist: followers read the store themselves after 1.2 s, and an instance that does not reach the store gets no view.

Cause: State keeps every entry as it was read, whatever becomes of it.

Change: a value over 64 KB is dropped as soon as an entry is read, page by page in a list, except that of the configuration; entries of servers and quarantines have some hundred bytes to 4 KB. Such an entry of a server is rejected with a reason of its own. Entries that no view is built from are not kept. Size decides and not whether this release can decode a value, so that instances of a later release get all others from those of this one.

--- a/internal/view/state.go
+++ b/internal/view/state.go
@@ -261,11 +261,13 @@
 }
 
 func (s *State) put(c *Change, e store.Entry) {
-	if known, ok := s.entries[e.Key]; ok && known.Version >= e.Version {
+	kind := KindOf(s.decoder, e.Key)
+	if known, ok := s.entries[e.Key]; kind == KeyOther || ok && known.Version >= e.Version {
 		return
 	}
+	e = WithoutLargeValue(s.decoder, e)
 	s.entries[e.Key] = e
-	switch s.kind(e.Key) {
+	switch kind {
 	case KeyConfiguration:
 		s.putConfiguration(c, e)
 	case KeyServer:
@@ -277,13 +279,6 @@
 	}
 }
 
-func (s *State) kind(key string) KeyKind {
-	if strings.HasPrefix(key, QuarantinePrefix) {
-		return KeyQuarantine
-	}
-	return s.decoder.Kind(key)
-}
-
 func (s *State) putConfiguration(c *Change, e store.Entry) {
 	configuration, err := s.decoder.Configuration(e.Value)
 	if err != nil {
@@ -297,8 +292,15 @@
 	c.Configuration = true
 }
 
+func (s *State) decodeServer(e store.Entry) (Server, error) {
+	if len(e.Value) == 0 {
+		return Server{}, errNoValue
+	}
+	return s.decoder.Server(e.Key, e.Value)
+}
+
 func (s *State) putServer(c *Change, e store.Entry) {
-	server, err := s.decoder.Server(e.Key, e.Value)
+	server, err := s.decodeServer(e)
 	if err != nil {
 		c.Rejected = append(c.Rejected, RejectedEntry{e.Key, err})
 		return
@@ -357,7 +359,7 @@
 
 func (s *State) remove(c *Change, now time.Time, key string, version store.Version) {
 	if _, ok := s.entries[key]; !ok {
-		if s.kind(key) != KeyOther {
+		if KindOf(s.decoder, key) != KeyOther {
 			s.recordRemoval(removal{key, version}) // a peer may have the entry
 			c.Removals = true
 		}
@@ -365,7 +367,7 @@
 	}
 	delete(s.entries, key)
 	s.recordRemoval(removal{key, version})
-	switch s.kind(key) {
+	switch KindOf(s.decoder, key) {
 	case KeyQuarantine:
 		c.Quarantines = true
 	case KeyEvacuation:
@@ -451,7 +453,7 @@
 		}
 	}
 	for _, e := range s.entries {
-		if s.kind(e.Key) != KeyOther && e.Version > c.Base {
+		if e.Version > c.Base {
 			c.Changed = append(c.Changed, e)
 		}
 	}
--- a/internal/view/state_test.go
+++ b/internal/view/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -424,3 +425,31 @@
 	peer.Tick(epoch.Add(reregisterGracePeriod))
 	c.Assert(peer.View().Servers["x"], qt.HasLen, 2)
 }
+
+// Guards against large values of other writers that make a view larger than a peer may answer,
+// so that no other instance can pull it, and that fill the memory of all instances.
+func TestLargeValuesOfOtherWritersAreNotPassedOn(t *testing.T) {
+	c := qt.New(t)
+	large := strings.Repeat("x", store.MaxValueBytes)
+	foreign := []store.Entry{entry("config", "1", 1), entry("server/a", "a", 2), entry("other", large, 3), entry(QuarantinePrefix+"q", large, 4), entry("evacuate/d", large, 5)}
+	for i := range 16 {
+		foreign = append(foreign, entry(fmt.Sprint("server/foreign-", i), large, store.Version(6+i)))
+	}
+	now := time.Now()
+	listed, watched := NewState(fakeDecoder{}), NewState(fakeDecoder{})
+	c.Check(listed.Replace(now, foreign, 30).Rejected, qt.HasLen, 16)
+	watched.Replace(now, nil, 1)
+	c.Check(watched.Apply(now, store.WatchResult{Version: 30, Changed: foreign}).Rejected, qt.HasLen, 16)
+	for _, s := range []*State{listed, watched} {
+		changes, size := s.ChangesAfter(0), 0
+		for _, e := range changes.Changed {
+			size += len(e.Value)
+		}
+		c.Check(size, qt.Equals, len("1")+len("a"))
+		peer := NewState(fakeDecoder{})
+		peer.Merge(now, changes)
+		c.Check(peer.View().Table.Version, qt.Equals, int64(1))
+		c.Check(peer.View().Servers["a"], qt.HasLen, 1)
+		c.Check(peer.View().Evacuated, qt.DeepEquals, []string{"d"})
+	}
+}
