Views over 4 MB are pulled from peers in pages

What it would show: an instance that does not reach the store, for example after a restart in an outage, has no view for as long as that of its peers has over 4 MB, and each try takes 4 MB of its link. An instance that does reach it reads it itself after 1.2 s.

Cause: a pull is answered with one response of at most 4 MB, and a failed pull is repeated, from any peer, with the same size.

Change: a caller that says so gets a large view in pages of at most 2 MB of keys and values, ordered by key, and asks for the next one until the last. As in a list of the store, later pages may be newer; the version is that of the first page, so that the next pull returns what changed meanwhile. Pages with another base or an older version belong to another view, and the pull fails. A caller of an earlier release gets all entries in one response, as before. A view of up to 2 MB is answered as before, without sorting.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -11,7 +10,6 @@
 	"github.com/coltsfootdrift/coltsfootdrift/internal/answermemory"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/httpbody"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/peer/peerpb"
-	"github.com/coltsfootdrift/coltsfootdrift/internal/store"
 	"github.com/coltsfootdrift/coltsfootdrift/internal/transfer"
 	"github.com/coltsfootdrift/coltsfootdrift/membership"
 )
@@ -190,31 +188,6 @@
 	return response, fromTwirp(err, "find_owners", address)
 }
 
-// PullView returns the changes after a version that a peer has read from the store,
-// or all entries. The result has version 0 when the peer has nothing newer. When no answer
-// begins within a time, it is called once more on a new connection, because the one that was
-// kept may be silent. onData is called when a part of the answer has arrived; nil for none.
-func (c *Client) PullView(ctx context.Context, address string, haveVersion store.Version, start time.Duration, onData func()) (store.Changes, error) {
-	ctx = transfer.WithCall(ctx, start, onData)
-	request := &peerpb.PullViewRequest{HaveVersion: int64(haveVersion)}
-	peer := peerpb.NewPeerProtobufClient("http://"+address, c.pulls)
-	response, err := peer.PullView(ctx, request)
-	if errors.Is(err, transfer.ErrNoAnswer) && ctx.Err() == nil {
-		c.pulls.CloseIdleConnections()
-		response, err = peer.PullView(ctx, request)
-	}
-	if err != nil {
-		return store.Changes{}, fromTwirp(err, "pull_view", address)
-	}
-	changes := store.Changes{Base: store.Version(response.Base)}
-	changes.Version, changes.Deleted = store.Version(response.Version), response.Deleted
-	for _, e := range response.Entries {
-		changes.Changed = append(changes.Changed, store.Entry{Key: e.Key, Value: e.Value, Version: store.Version(e.Version)})
-	}
-	changes.Awaited = mapSlice(response.Awaited, decodeAwaited)
-	return changes, nil
-}
-
 // Leave reports to an instance that a member stops.
 func (c *Client) Leave(ctx context.Context, address string, member membership.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -379,10 +379,15 @@
 		return nil, toTwirp(ErrUnsupported)
 	}
 	changes := handler.ChangesAfter(store.Version(request.HaveVersion))
-	return &peerpb.PullViewResponse{
-		Version: int64(changes.Version), Base: int64(changes.Base),
-		Entries: mapSlice(changes.Changed, encodeEntry), Deleted: changes.Deleted, Awaited: mapSlice(changes.Awaited, encodeAwaited),
-	}, nil
+	response := &peerpb.PullViewResponse{Version: int64(changes.Version), Base: int64(changes.Base)}
+	if request.Paged {
+		changes.Changed, response.NextAfterKey = viewPage(changes.Changed, request.AfterKey)
+	}
+	response.Entries = mapSlice(changes.Changed, encodeEntry)
+	if request.AfterKey == "" {
+		response.Deleted, response.Awaited = changes.Deleted, mapSlice(changes.Awaited, encodeAwaited)
+	}
+	return response, nil
 }
 
 func (s *Server) viewHandler() ViewHandler {
@@ -403,6 +408,10 @@
 	return &peerpb.StoreEntry{Key: e.Key, Value: e.Value, Version: int64(e.Version)}
 }
 
+func decodeEntry(e *peerpb.StoreEntry) store.Entry {
+	return store.Entry{Key: e.Key, Value: e.Value, Version: store.Version(e.Version)}
+}
+
 // Leave implements peerpb.Peer. The record is handled like an urgent message of the
 // member itself.
 func (s *Server) Leave(_ context.Context, request *peerpb.LeaveRequest) (*peerpb.LeaveResponse, error) {
