A pull from a peer ends the need to list all entries

What it would show: after a watch that can't return the changes (too many, or lost history) an instance lists all entries until a list succeeds, whatever it learns meanwhile. On a slow link beside large foreign entries each try takes their bytes again, although a peer has delivered all that is used of them.

Cause: watchStore kept a flag until its own list succeeded. The flag says of the version at that time that no watch from it returns the changes; after a pull the instance has a later one.

Change: the version is kept in place of the flag. An instance that is past it watches again, or relies on a reader as before the failure.

--- a/internal/view/storecalls.go
+++ b/internal/view/storecalls.go
@@ -15,22 +15,26 @@
 // new snapshot when a watch can't return the changes.
 func (s *Sync) watchStore(ctx context.Context) {
 	backoff := initialBackoff
-	needsSnapshot := false
+	// unwatchable is the version after which the store can't return the changes; 0 for none. A
+	// pull from a peer may lead past it, too.
+	var unwatchable store.Version
 	for ctx.Err() == nil {
-		hasView := s.hasView()
+		position := s.Position()
+		hasView := position > 0
 		if !hasView && s.awaitsPeers(time.Now()) {
 			clock.Sleep(ctx, startPollInterval)
 			continue
 		}
-		if hasView && !needsSnapshot && s.reliesOnReader(time.Now()) {
+		mayWatch := hasView && position != unwatchable
+		if mayWatch && s.reliesOnReader(time.Now()) {
 			clock.Sleep(ctx, tickInterval)
 			continue
 		}
 		started := time.Now()
 		late := hasView && s.readerIsLate()
-		read, err := s.readStore(ctx, hasView && !needsSnapshot)
+		read, err := s.readStore(ctx, mayWatch)
 		if err == nil {
-			needsSnapshot, backoff = false, initialBackoff
+			unwatchable, backoff = 0, initialBackoff
 			if read == readChanged && late {
 				s.takeOver(time.Now())
 			}
@@ -43,7 +47,7 @@
 		}
 		s.ownReadFailed = true
 		if cannotBeWatched(err) {
-			needsSnapshot = true
+			unwatchable = position
 			clock.Sleep(ctx, snapshotPause)
 			continue
 		}
--- a/internal/view/sync_test.go
+++ b/internal/view/sync_test.go
@@ -222,6 +222,37 @@
 	c.Assert(s.Current().Table.Version, qt.Equals, int64(4))
 }
 
+// Guards against an instance that lists all entries again and again, each time over its slow
+// link, although it has pulled from a peer what its watch could not return.
+func TestPullsReplaceSnapshots(t *testing.T) {
+	c := qt.New(t)
+	source := &fakeSource{snapshot: []store.Entry{entry("config", "1", 1)}, version: 1}
+	watches := make(chan struct{}, 2)
+	failed := false
+	source.onWatch = func(ctx context.Context) (store.WatchResult, error) {
+		watches <- struct{}{}
+		if failed {
+			return waitForCancel(ctx)
+		}
+		failed = true
+		source.mu.Lock()
+		defer source.mu.Unlock()
+		source.err = store.ErrUnavailable
+		return store.WatchResult{}, ErrTooManyChanges
+	}
+	peers := &fakePeers{entries: []store.Entry{entry("config", "2", 5)}, version: 5}
+	s := startSync(c, source, peers)
+	c.Assert(<-peers.announced, qt.Equals, store.Version(1))
+	<-watches
+	s.RecordAnnouncement(5, "peer")
+	c.Assert(<-peers.announced, qt.Equals, store.Version(5))
+	select {
+	case <-watches:
+	case <-time.After(5 * time.Second):
+		c.Fatal("the store is not watched again")
+	}
+}
+
 // Guards against sending the view to a peer that already has it.
 func TestChangesAreServedToPeersThatLackThem(t *testing.T) {
 	c := qt.New(t)
